Refuse requests whose head leaves their length open to two readings

A head with both Content-Length and Transfer-Encoding was read by its coding alone, and what its length covers went to app boxes as a request of its own. strace showed the ids of all duplicates inside such bodies. Ruled out: resends of the outbound code (one write an attempt, other ids) and leftovers on pooled connections (all came from client reads).

--- /dev/null
+++ b/internal/node/framing.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// errFraming makes the HTTP server answer 400 and close.
+var errFraming = errors.New("the request's length is ambiguous")
+
+// framing follows the heads that one client sends, ahead of the HTTP server.
+// Where a head leaves room for two opinions on where its body ends, the server
+// settles on one without a word, and what the client holds to be body may be
+// taken for a request that it never sent. Such a head is not let through.
+type framing struct {
+	line    []byte // of a head, so far
+	begun   bool   // the head's first line is over
+	old     bool   // that line names no HTTP/1.1
+	lengths []string
+	codings int
+	body    int64 // bytes still to come
+	chunked bool  // this one ends where the server says; what follows is never served
+	err     error
+}
+
+// pass follows what was read, and tells how much of it may go on: up to the end
+// of a request, or all but the end of a head that leaves f.err.
+func (f *framing) pass(p []byte) int {
+	for i := 0; i < len(p) && !f.chunked; {
+		if f.body > 0 {
+			n := int(min(f.body, int64(len(p)-i)))
+			f.body -= int64(n)
+			if i += n; f.body == 0 {
+				return i
+			}
+			continue
+		}
+		end := bytes.IndexByte(p[i:], '\n')
+		if end < 0 {
+			f.keep(p[i:])
+			break
+		}
+		f.keep(p[i : i+end])
+		whole, err := f.endLine()
+		if err != nil {
+			f.err = err
+			return i + end
+		}
+		if i += end + 1; whole && f.body == 0 && !f.chunked {
+			return i
+		}
+	}
+	return len(p)
+}
+
+// keep holds a line to the size of a head: the server refuses a longer one.
+func (f *framing) keep(p []byte) {
+	f.line = append(f.line, p[:min(len(p), maxHead-len(f.line))]...)
+}
+
+// endLine tells whether the head is whole.
+func (f *framing) endLine() (whole bool, err error) {
+	line := strings.TrimSuffix(string(f.line), "\r")
+	f.line = f.line[:0]
+	switch {
+	case !f.begun && line == "": // allowed ahead of a request
+	case !f.begun:
+		f.begun, f.old = true, !strings.HasSuffix(line, " HTTP/1.1")
+	case line == "":
+		return true, f.endHead()
+	case line[0] == ' ' || line[0] == '\t': // a folded line hides a header from some readers
+		return false, errFraming
+	default:
+		name, value, _ := strings.Cut(line, ":")
+		switch {
+		case strings.EqualFold(name, "Content-Length"):
+			f.lengths = append(f.lengths, strings.Trim(value, " \t"))
+		case strings.EqualFold(name, "Transfer-Encoding"):
+			f.codings++
+		}
+	}
+	return false, nil
+}
+
+// endHead decides how long the body is. An HTTP/1.0 request knows no coding,
+// and the server would skip the header.
+func (f *framing) endHead() error {
+	switch {
+	case f.codings > 0 && (f.codings > 1 || len(f.lengths) > 0 || f.old), len(f.lengths) > 1:
+		return errFraming
+	case f.codings > 0:
+		f.chunked = true
+	case len(f.lengths) == 1:
+		n, err := strconv.ParseUint(f.lengths[0], 10, 63)
+		if err != nil {
+			return errFraming
+		}
+		f.body = int64(n)
+	}
+	f.begun, f.lengths = false, f.lengths[:0]
+	return nil
+}
--- /dev/null
+++ b/internal/node/framing_test.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// rawPost is a request as bytes, so that its framing can be wrong.
+func rawPost(version, id, headers, body string) string {
+	return fmt.Sprintf("POST /api/x HTTP/%s\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: pagar\r\nX-Deadline: 20\r\n%s\r\n%s",
+		version, id, headers, body)
+}
+
+// echoServer answers each request with its id, and tells of it.
+func echoServer(t *testing.T) (string, chan string) {
+	got := make(chan string, 100)
+	return backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for req := readRequest(r); req != nil; req = readRequest(r) {
+			id := req.Header.Get("X-Request-Id")
+			got <- id
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		}
+	}), got
+}
+
+// TestOnlyRequestsThatClientsSend: whatever a client's bytes look like, nothing
+// that stands in the body of a request reaches a server as a request.
+func TestOnlyRequestsThatClientsSend(t *testing.T) {
+	hidden := rawPost("1.1", "hidden", "Content-Length: 0\r\n", "")
+	chunk := "0\r\n\r\n" + hidden
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(chunk))
+	const te = "Transfer-Encoding: chunked\r\n"
+	for _, c := range []struct {
+		name, sent string
+		answers    []string // bodies of 200s, or a status
+		servers    []string
+	}{
+		{"length, then coding", rawPost("1.1", "outer", length+te, chunk), []string{"400"}, nil},
+		{"coding, then length", rawPost("1.1", "outer", te+length, chunk), []string{"400"}, nil},
+		{"odd case and blanks", rawPost("1.1", "outer", "content-length:  5\t\r\ntransfer-ENCODING:chunked\r\n", chunk), []string{"400"}, nil},
+		{"bare line feeds", strings.ReplaceAll(rawPost("1.1", "outer", length+te, ""), "\r", "") + chunk, []string{"400"}, nil},
+		{"two lengths", rawPost("1.1", "outer", "Content-Length: 0\r\n"+length, chunk), []string{"400"}, nil},
+		{"no length", rawPost("1.1", "outer", "Content-Length: +5\r\n", chunk), []string{"400"}, nil},
+		{"two codings", rawPost("1.1", "outer", te+te, chunk), []string{"400"}, nil},
+		{"coding of HTTP/1.0", rawPost("1.0", "outer", "Connection: keep-alive\r\n"+te, "5\r\nhello\r\n"+chunk), []string{"400"}, nil},
+		{"folded coding", rawPost("1.1", "outer", length+"X-A: b\r\n "+te, chunk), []string{"400"}, nil},
+		{"after a proper one", rawPost("1.1", "first", "Content-Length: 2\r\n", "ok") + rawPost("1.1", "outer", length+te, chunk),
+			[]string{"first", "400"}, []string{"first"}},
+		{"chunked alone", rawPost("1.1", "outer", te, "4\r\nabcd\r\n0\r\n\r\n"), []string{"outer"}, []string{"outer"}},
+		{"behind a chunked one", rawPost("1.1", "outer", te, "4\r\nabcd\r\n"+chunk), []string{"outer"}, []string{"outer"}},
+		{"a broken chunk", rawPost("1.1", "outer", te, "4\r\nabcd\r\nzz\r\nabcd\r\n"+chunk), []string{"400"}, nil},
+		{"options for all behind a chunked one", "OPTIONS * HTTP/1.1\r\nHost: app.svc\r\n" + te + "\r\n" + chunk, []string{"400"}, nil},
+		{"a request as a body", rawPost("1.1", "outer", fmt.Sprintf("Content-Length: %d\r\n", len(hidden)), hidden),
+			[]string{"outer"}, []string{"outer"}},
+		{"pipelined", rawPost("1.1", "a", "Content-Length: 0\r\n", "") + "\r\n" + rawPost("1.1", "b", "Content-Length: 1\r\n", "x") +
+			rawPost("1.1", "c", "", ""), []string{"a", "b", "c"}, []string{"a", "b", "c"}},
+	} {
+		for _, whole := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, whole %v", c.name, whole), func(t *testing.T) {
+				server, got := echoServer(t)
+				n := startNode(t, server)
+				conn := n.dial(t)
+				go func() { // a close that crosses the rest is no fault
+					if whole {
+						io.WriteString(conn, c.sent)
+						return
+					}
+					conn.SetNoDelay(true)
+					for i := range len(c.sent) {
+						io.WriteString(conn, c.sent[i:i+1])
+					}
+				}()
+				for i, want := range c.answers {
+					if a := conn.answer(t); a != want {
+						t.Errorf("answer %d is %q, want %q", i, a, want)
+					}
+				}
+				if c.name != "pipelined" && c.name != "a request as a body" {
+					if resp, err := http.ReadResponse(conn.read, nil); err == nil {
+						t.Errorf("one answer more: %s", resp.Status)
+					}
+				}
+				for _, want := range c.servers {
+					if id := wait(t, got, "a request"); id != want {
+						t.Errorf("a server got %q, want %q", id, want)
+					}
+				}
+				select {
+				case id := <-got:
+					t.Errorf("a server got %q beyond what was sent", id)
+				default:
+				}
+			})
+		}
+	}
+}
+
+// answer reads a 200's body, or another status.
+func (c raw) answer(t *testing.T) string {
+	t.Helper()
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Sprint(resp.StatusCode)
+	}
+	return string(body)
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -56,7 +56,8 @@
 // close; at last it finishes what is open.
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
-		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
+		MaxHeaderBytes: maxHead, DisableGeneralOptionsHandler: true, // all requests pass ServeHTTP
+		ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
 	limited := limitListener(ln, f.most)
 	srv.ConnState = limited.note
 	failed := make(chan error, 1)
@@ -81,7 +82,9 @@
 
 // ServeHTTP answers the health checks and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.draining.Load() {
+	// The length of a chunked body is for the server alone to tell, so nothing
+	// that comes behind it may count as a request.
+	if f.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	switch r.URL.Path {
@@ -278,7 +281,33 @@
 
 type limitedConn struct {
 	net.Conn
-	free func()
+	free    func()
+	framing framing
+	behind  []byte // what came with the end of a request
+}
+
+// Read holds back what follows a head of ambiguous length. It ends at the end
+// of a request: beside a handler the server reads one byte ahead, and an error
+// in what comes behind a request must not end the request. The server never
+// has two reads at a time.
+func (c *limitedConn) Read(p []byte) (n int, err error) {
+	if c.framing.err != nil {
+		return 0, c.framing.err
+	}
+	if len(c.behind) > 0 {
+		n = copy(p, c.behind)
+		c.behind = c.behind[n:]
+	} else if n, err = c.Conn.Read(p); err != nil && n == 0 {
+		return 0, err
+	}
+	passed := c.framing.pass(p[:n])
+	if passed < n && c.framing.err == nil {
+		c.behind = append(append([]byte(nil), p[passed:n]...), c.behind...)
+	}
+	if passed == 0 && c.framing.err != nil {
+		return 0, c.framing.err
+	}
+	return passed, nil
 }
 
 func (c *limitedConn) Close() error {
