Count out and call off attempts that their server has passed over

About one attempt in fifty is never answered by a box that goes on answering others. Each stayed in the box's count until the deadline, so that with H at one request a box most boxes looked overloaded and all non-priority requests were shed. Ruled out by capture and by the module's own figures: leaking counts, half-closed clients, CPU, requests sent incompletely.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,6 +1,6 @@
 package decide
 
-// All decisions of a node. The interface (settings, events, actions) is in api.go; docs/design.md says why.
+// All decisions of a node. The interface (settings, events, actions) is in api.go.
 
 import (
 	"cmp"
@@ -541,7 +541,12 @@
 	a := &r.attempts[e.Attempt]
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
-	a.server.n = max(0, a.server.n-1)
+	if !a.lost {
+		a.server.n = max(0, a.server.n-1)
+	}
+	if e.Code == OK || e.Code == ServerError {
+		a.server.heard = max(a.server.heard, a.sent)
+	}
 	if a.server.State != Ready {
 		m.do(CloseIdle{Server: a.server.ID}) // its connection carries nothing now
 	}
@@ -563,6 +568,39 @@
 	return r.class.LateWorth == 0 && r.class.Aim > 0 && spent > 0 && spent+after >= r.class.Aim.Seconds()
 }
 
+// lost tells that an attempt will hardly be answered: it has been out for many times what its server takes,
+// and the server has answered later ones since, or answers nothing.
+func (m *Module) lost(a *attempt, r *request) bool {
+	s, out := a.server, (m.now - a.sent).Seconds()
+	usual := math.Max(m.mean, m.latencyOf(s)) * r.class.relative * math.Max(1, r.heavy)
+	return m.learned && !r.started && (s.suspect || s.heard > a.sent) && out > muteFactor*usual
+}
+
+// overlook takes lost attempts out of their servers' counts, as they tell nothing of how crowded these are.
+// One that may be repeated is called off while its request can still earn on a normal server.
+func (m *Module) overlook(r *request) {
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.ended || a.lost || !m.lost(a, r) {
+			continue
+		}
+		a.lost = true
+		a.server.n = max(0, a.server.n-1)
+		m.weigh(a.server, r.class, m.now-a.sent)
+		if m.set.MayCancel && m.budget >= 1 && !m.worthless(r, m.mean*r.class.relative) && m.hasOther(r) {
+			m.do(CancelAttempt{ID: r.id, Attempt: i})
+		}
+	}
+}
+
+// hasOther tells whether a normal server could take a request once its attempt is called off.
+func (m *Module) hasOther(r *request) bool {
+	r.out--
+	_, mode := m.pick(r)
+	r.out++
+	return mode == Normal
+}
+
 func (m *Module) tick() {
 	m.survey()
 	for _, s := range m.list {
@@ -584,6 +622,7 @@
 			m.finish(r) // guards against an outcome that never comes
 		}
 		if !r.done {
+			m.overlook(r)
 			open = append(open, r)
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -28,7 +28,7 @@
 	latencyAt, rateAt        Time
 	since, reportAt          Time    // first listed; last report
 	strikes, unanswered      int     // failures since the last success; sends since the last answer
-	muteSince                Time    // the first of those sends
+	muteSince, heard         Time    // the first of those sends; the last send that was answered
 	suspect, cold, home      bool    // home: in reach if none were suspects
 	order                    uint64  // its place on the ring
 	fill                     float64 // where its count stands between H, 0, and R, 1
@@ -67,6 +67,7 @@
 	sent          Time
 	ahead         float64 // requests that its server was known to hold
 	ended, mayRun bool    // mayRun: out, or ended without proof that it never ran
+	lost          bool    // no longer in its server's count
 }
 
 type request struct {
