Follow discovery to another address on SIGHUP instead of ending

Nothing listened for the signal, so the process ended, which counts as a crash. The file is read again; the old address is let go, the whole list is taken from the new one, as versions seen at the old one mean nothing there, and the watch goes on from it. A file that can't be read changes nothing.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -1,6 +1,6 @@
 // Command indigotack is one load-balancing proxy node. It reads the file that
-// GW_CONFIG names, serves until SIGTERM or SIGINT, finishes what is open and
-// exits with 0.
+// GW_CONFIG names, and reads it again on SIGHUP. It serves until SIGTERM or
+// SIGINT, finishes what is open and exits with 0.
 package main
 
 import (
@@ -26,7 +26,10 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	cfg, err := node.LoadConfig(os.Getenv("GW_CONFIG"))
+	hup := make(chan os.Signal, 1) // before all else, as an unheard SIGHUP ends a process
+	signal.Notify(hup, syscall.SIGHUP)
+	path := os.Getenv("GW_CONFIG")
+	cfg, err := node.LoadConfig(path)
 	if err != nil {
 		return err
 	}
@@ -36,5 +39,26 @@
 	if err != nil {
 		return err
 	}
-	return node.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)).Run(ctx, ln)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
+	n := node.New(cfg, log)
+	go reload(ctx, hup, path, n, log)
+	return n.Run(ctx, ln)
+}
+
+// reload follows the file until ctx ends. One that can't be read changes
+// nothing: a node that serves is worth more than one that ends over a typo.
+func reload(ctx context.Context, hup <-chan os.Signal, path string, n *node.Node, log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		cfg, err := node.LoadConfig(path)
+		if err != nil {
+			log.Error("configuration kept as it was", "err", err)
+			continue
+		}
+		n.Reload(cfg)
+	}
 }
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,24 +25,27 @@
 	os.Exit(m.Run())
 }
 
-func program(t *testing.T, config string) *exec.Cmd {
+func program(t *testing.T, config string) (cmd *exec.Cmd, path string) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
+	path = filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0])
+	cmd = exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "INDIGOTACK_AS_PROGRAM=1", "GW_CONFIG="+path)
-	return cmd
+	return cmd, path
 }
 
 func TestBadConfigIsOneLineAndNonZero(t *testing.T) {
-	out, err := program(t, `{"settings":{}}`).CombinedOutput()
+	cmd, _ := program(t, `{"settings":{}}`)
+	out, err := cmd.CombinedOutput()
 	if _, ok := err.(*exec.ExitError); !ok || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "listen") {
 		t.Errorf("ends with %v and says %q, want a non-zero status and one line on listen", err, out)
 	}
 }
 
+// TestServesUntilSIGTERM: SIGHUP, with a file that can't be read and with one
+// that names another discovery, does not end it.
 func TestServesUntilSIGTERM(t *testing.T) {
 	var free [2]string
 	for i := range free {
@@ -54,8 +59,9 @@
 			ln.Close()
 		}
 	}
-	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
-		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, free[0], free[1], free[1]))
+	config := `{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
+		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`
+	cmd, path := program(t, fmt.Sprintf(config, free[0], free[1], free[1]))
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -64,10 +70,12 @@
 		t.Fatal(err)
 	}
 	defer cmd.Process.Kill()
-	said := make(chan string, 1)
+	said := make(chan string, 100)
 	go func() {
-		line, _ := bufio.NewReader(stderr).ReadString('\n')
-		said <- line
+		defer close(said)
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			said <- lines.Text()
+		}
 	}()
 	ready := func() bool {
 		resp, err := http.Get("http://" + free[0] + "/health/ready")
@@ -87,10 +95,43 @@
 			t.Fatal("the program does not get ready")
 		}
 	}
+	hup := func(config string) {
+		if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hup("{")
+	for {
+		line, ok := <-said
+		if !ok {
+			t.Fatal("it ends on SIGHUP")
+		}
+		if strings.Contains(line, "kept as it was") {
+			break
+		}
+	}
+	called := make(chan struct{})
+	once := sync.OnceFunc(func() { close(called) })
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		once()
+		<-r.Context().Done()
+	}))
+	hup(fmt.Sprintf(config, free[0], next.Listener.Addr(), free[1]))
+	select {
+	case <-called:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the new discovery is not called")
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	for range said { // to its end, before Wait closes the pipe
+	}
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("after SIGTERM it ends with %v, want status 0", err)
 	}
+	next.Close()
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -131,16 +131,18 @@
 	listed func(list)
 	failed func()
 
-	stop context.CancelFunc // of the task under way
+	stop context.CancelFunc // of the task under way, which owns url and index
 	done chan struct{}      // closed when it has ended
 }
 
+func listURL(address string) string { return "http://" + address + "/registry/instances" }
+
 func newDiscovery(address string, asked bool, index uint64, log *slog.Logger, listed func(list), failed func()) *discovery {
 	hold := holdPushed
 	if asked {
 		hold = holdAsked
 	}
-	return &discovery{url: "http://" + address + "/registry/instances", hold: hold, log: log, index: index, listed: listed, failed: failed,
+	return &discovery{url: listURL(address), hold: hold, log: log, index: index, listed: listed, failed: failed,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
 			DialContext: (&net.Dialer{Timeout: callGrace}).DialContext}}}
 }
@@ -199,13 +201,21 @@
 }
 
 // follow watches for ever, as lists that are pushed need no leave of the
-// module. It comes back from a failure after a jittered wait that doubles up
+// module. Where the version last seen means nothing, it begins with the whole
+// list. It comes back from a failure after a jittered wait that doubles up
 // to a cap: nodes that lost discovery together must not return together.
-func (d *discovery) follow(ctx context.Context) {
+func (d *discovery) follow(ctx context.Context, whole bool) {
 	wait := backoffLow
 	for ctx.Err() == nil {
 		began, before := time.Now(), d.index
-		err := d.watch(ctx)
+		var err error
+		if whole {
+			err = d.fetch(ctx)
+		}
+		if err == nil {
+			whole = false
+			err = d.watch(ctx)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -222,11 +232,10 @@
 	}
 }
 
-// ask does what the module asked for where lists are not pushed: a fetch, then
-// a watch until it fails. It ends an earlier task first, as lists reach the
-// module in order only from one at a time. It does not block, and is not safe
-// for concurrent use.
-func (d *discovery) ask(ctx context.Context, fetch, watch bool) {
+// begin starts a task and ends an earlier one first, as lists reach the module
+// in order only from one at a time. It does not block, and is not safe for
+// concurrent use.
+func (d *discovery) begin(ctx context.Context, task func(context.Context)) {
 	ctx, stop := context.WithCancel(ctx)
 	earlier, done := d.done, make(chan struct{})
 	if d.stop != nil {
@@ -239,6 +248,14 @@
 		if earlier != nil {
 			<-earlier
 		}
+		task(ctx)
+	}()
+}
+
+// ask does what the module asked for where lists are not pushed: a fetch, then
+// a watch until it fails.
+func (d *discovery) ask(ctx context.Context, fetch, watch bool) {
+	d.begin(ctx, func(ctx context.Context) {
 		var err error
 		if fetch {
 			err = d.fetch(ctx)
@@ -250,7 +267,21 @@
 			d.log.Warn("discovery failed", "err", err)
 			d.failed()
 		}
-	}()
+	})
+}
+
+// move goes on at another address. Versions seen at the old one mean nothing
+// there. Where lists are not pushed, the module is told that its watch broke.
+func (d *discovery) move(ctx context.Context, address string, pushed bool) {
+	d.begin(ctx, func(ctx context.Context) {
+		d.client.CloseIdleConnections()
+		d.url, d.index = listURL(address), 0
+		if pushed {
+			d.follow(ctx, true)
+		} else {
+			d.failed()
+		}
+	})
 }
 
 // sleep waits, and tells whether it was left to wait to the end.
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -84,7 +84,7 @@
 	lists := make(chan list, 10)
 	d := newDiscovery(s.Listener.Addr().String(), false, 41, quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
 	d.hold = time.Millisecond
-	go d.follow(ctx)
+	go d.follow(ctx, false)
 	select {
 	case l := <-lists:
 		if l.Index != 43 || l.Snapshot || len(l.Entries) != 1 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,7 +93,7 @@
 	go n.backends.run(inner)
 	n.post(func() { n.follow(n.cfg.known, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
-		go n.discovery.follow(inner)
+		n.post(func() { n.discovery.begin(inner, func(ctx context.Context) { n.discovery.follow(ctx, false) }) })
 	}
 	err := n.front.serve(ctx, ln)
 	stop()
@@ -101,6 +101,18 @@
 	return err
 }
 
+// Reload takes what may change under a running node from a new configuration:
+// the address of discovery.
+func (n *Node) Reload(cfg Config) {
+	n.post(func() {
+		if cfg.Discovery != n.cfg.Discovery {
+			n.log.Info("discovery moves", "to", cfg.Discovery)
+			n.cfg.Discovery = cfg.Discovery
+			n.discovery.move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
+		}
+	})
+}
+
 // loop is the one owner of the module and the requests.
 func (n *Node) loop(ctx context.Context) {
 	defer close(n.ended)
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// TestReloadMovesDiscovery: after a move the node lets go of the old address,
+// takes the whole list of the new one, whose versions may be lower, and goes
+// on watching there. What is open is not disturbed.
+func TestReloadMovesDiscovery(t *testing.T) {
+	release, got := make(chan struct{}), make(chan bool, 1)
+	held := backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			got <- true
+			<-release
+			io.WriteString(c, okAnswer)
+		}
+	})
+	server, ids := echoServer(t)
+	n := startNode(t, held)
+	open := make(chan reply, 1)
+	go func() { open <- do(t, n.request(t, "GET", "saldo", "before", "60", nil)) }()
+	wait(t, got, "the attempt before the move")
+
+	calls, news := make(chan string, 10), make(chan string, 1)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		from := r.URL.Query().Get("from")
+		calls <- from
+		if from == "" {
+			fmt.Fprintf(w, `{"index":0,"snapshot":true,"endpoints":[%s]}`, entryJSON("new", server, "ready"))
+			return
+		}
+		select {
+		case change := <-news:
+			fmt.Fprintf(w, `{"index":1,"snapshot":false,"endpoints":[%s]}`, change)
+		case <-r.Context().Done():
+		}
+	}))
+	defer next.Close()
+	defer n.stopNow(t)
+	cfg := n.cfg
+	cfg.Discovery = next.Listener.Addr().String()
+	n.Reload(cfg)
+	n.Reload(cfg) // once more changes nothing
+	for _, want := range []string{"", "0"} {
+		if from := wait(t, calls, "a call to the new address"); from != want {
+			t.Fatalf("call from %q, want %q", from, want)
+		}
+	}
+	if a := do(t, n.request(t, "GET", "saldo", "after", "20", nil)); a.body != "after" {
+		t.Errorf("answer %+v", a)
+	}
+	if id := wait(t, ids, "the attempt after the move"); id != "after" {
+		t.Errorf("the new server got %q", id)
+	}
+	close(release)
+	if a := wait(t, open, "the answer from before"); a.status != 200 {
+		t.Errorf("the request from before the move: %+v", a)
+	}
+	news <- entryJSON("new", server, "draining")
+	if from := wait(t, calls, "the next call"); from != "1" {
+		t.Errorf("call from %q, want 1", from)
+	}
+	if a := do(t, n.request(t, "GET", "saldo", "drained", "20", nil)); a.status != 503 {
+		t.Errorf("with all draining: %+v", a)
+	}
+}
+
+// stopNow ends the node, so that none of its calls are left open.
+func (n *running) stopNow(t *testing.T) {
+	n.stop()
+	n.linger()
+	<-n.Node.ended
+}
