Blame no box for a connection that the node itself has no room for

At its limit of connections or descriptors the node reported that the box could not be reached, and two such reports make a box a suspect. It now says that the attempt was not made (Moot).

--- a/decide/api.go
+++ b/decide/api.go
@@ -204,7 +204,8 @@
 	Reset
 	// Cancelled: called off; it may have run.
 	Cancelled
-	// Moot: not sent, as the request was over.
+	// Moot: not sent, as the request was over or the node had no room; it says
+	// nothing of the server.
 	Moot
 )
 
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -29,6 +29,20 @@
 	idlePart = 0.75     // of the settings' idle time: the server must never be the first to close
 )
 
+// errCrowded says that this node has no room for a connection.
+var errCrowded = errors.New("too many connections")
+
+// ownLimit tells whether the node itself could not open a connection, which
+// says nothing of the server.
+func ownLimit(err error) bool {
+	for _, limit := range []error{errCrowded, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, limit) {
+			return true
+		}
+	}
+	return false
+}
+
 // pool keeps connections to servers. It never sends anything itself.
 type pool struct {
 	dialer  net.Dialer
@@ -181,7 +195,7 @@
 		p.open--
 	}
 	if p.open >= p.most && !p.evict() {
-		return nil, nil, errors.New("too many connections")
+		return nil, nil, errCrowded
 	}
 	p.open++
 	return b, nil, nil
@@ -297,6 +311,9 @@
 		if errors.Is(context.Cause(ctx), context.Canceled) {
 			return result{code: decide.Cancelled}
 		}
+		if ownLimit(err) {
+			return result{code: decide.Moot}
+		}
 		return result{code: decide.ConnectFailed}
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,6 +122,35 @@
 	}
 }
 
+// TestOwnLimitBlamesNoServer: a node that has no room for a connection, or no descriptor, must not report that a server
+// could not be reached: the module would leave the server out.
+func TestOwnLimitBlamesNoServer(t *testing.T) {
+	release, got := make(chan struct{}), make(chan bool, 1)
+	p := testPool(backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) != nil {
+			got <- true
+			<-release
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	p.most = 1
+	first := make(chan result, 1)
+	go func() { first <- try(t, p, enough) }()
+	wait(t, got, "the attempt that takes the room")
+	if res := try(t, p, enough); res.code != decide.Moot {
+		t.Errorf("no room: code %v, want Moot", res.code)
+	}
+	close(release)
+	if res := wait(t, first, "its answer"); res.code != decide.OK {
+		t.Errorf("the first: code %v", res.code)
+	}
+	p = testPool(refusing(t))
+	p.dialer.Control = func(string, string, syscall.RawConn) error { return syscall.EMFILE }
+	if res := try(t, p, enough); res.code != decide.Moot {
+		t.Errorf("no descriptor: code %v, want Moot", res.code)
+	}
+}
+
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	if got := try(t, testPool(refusing(t)), enough); got.code != decide.ConnectFailed {
 		t.Errorf("outcome %d, want ConnectFailed", got.code)
