Take three overdue sends, not one and two fresh ones, for silence

A box counted as silent when three sends were unanswered and the first was overdue; the other two might have left a moment ago. Where a box loses some answers, most of the fleet was left out in turn.

--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -168,6 +168,28 @@
 	}
 }
 
+// One lost answer and two requests that have just been sent are no silence: servers that lose a few in a hundred would
+// all be left out in turn.
+func TestRecentSendsAreNoSilence(t *testing.T) {
+	r, sends := newRig(t, rigSettings(), 3), map[decide.ServerID]int{}
+	r.run(4*time.Second, 60, "once")
+	r.accused = 0
+	r.delay = func(id decide.ServerID) (time.Duration, decide.OutcomeCode) {
+		if sends[id]++; sends[id]%12 == 0 {
+			return time.Hour, decide.OK
+		}
+		return 50 * time.Millisecond, decide.OK
+	}
+	for range 100 { // pauses, after which a lost answer is the oldest that is out and others come at once
+		r.run(300*time.Millisecond, 40, "once")
+		r.run(260*time.Millisecond, 0, "once")
+		r.run(20*time.Millisecond, 600, "once")
+	}
+	if r.accused > 0 {
+		t.Errorf("%d log lines of servers that lose one answer in twelve", r.accused)
+	}
+}
+
 // Servers that break a quarter of their requests still serve three quarters: leaving most of a fleet out for it would
 // crowd the rest. One that refuses connections is left out at once, and is taken as cold when it answers again.
 func TestServersThatFailAPartStay(t *testing.T) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -376,8 +376,8 @@
 	r.out++
 	s.n++
 	s.tokens--
-	if s.unanswered++; s.unanswered == 1 {
-		s.muteSince = m.now
+	if s.unanswered++; s.unanswered == suspectAt {
+		s.muteSince = m.now // the earlier ones are overdue by then, and this one must be
 	}
 	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
 	return true
--- a/decide/state.go
+++ b/decide/state.go
@@ -28,7 +28,7 @@
 	latencyAt, rateAt        Time
 	since, reportAt          Time    // first listed; last report
 	strikes, unanswered      int     // failures since the last success; sends since the last answer
-	muteSince, heard         Time    // the first of those sends; the last send that was answered
+	muteSince, heard         Time    // the suspectAt-th of those sends; the last send that was answered
 	suspect, cold, home      bool    // home: in reach if none were suspects
 	away                     bool    // a suspect that may be down and so may come back cold
 	failing                  float64 // smoothed part of its attempts that fail
