Leave a call to discovery its turn, and spread the calls of a fleet

After the restart at 13 s the nodes went on with the old list: 6,000 of 40,700 attempts were refused connections.

At fault, decide.go: tick asked again after AskWithin/4 though a call was out, which ends a watch that discovery has taken and holds until there is news; Handle let all nodes ask within 0.3 s of their start, and follow let them come back within 0.2 s, so that the calls that discovery had not reached within 2 s stood before those made in their place.

Ruled out: a list too old for a change (all asked from version 0, as listed), the node's own time-out (22 s), too little CPU (0.02 of 0.25 cores).

--- a/decide/api.go
+++ b/decide/api.go
@@ -309,7 +309,9 @@
 		ToAll bool
 		Data  []byte
 	}
-	// Subscribe asks discovery for changes from now on, or stops them.
+	// Subscribe asks discovery for changes from now on, or stops them. A
+	// ListUpdate answers it sooner or later, ListFailed if the call comes to
+	// nothing.
 	Subscribe struct{ On bool }
 	// FetchList asks discovery for the full list once.
 	FetchList struct{}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,7 +49,8 @@
 	probeRounds = 3                      // looks at two more servers before all count as full
 	waitPart    = 0.8                    // part of the tightest aim that queueing and service may take
 	fullPart    = 1.3                    // R as a multiple of H for reported counts: beyond it an answer is late
-	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for again; doubles
+	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for again, at least; doubles
+	askTurn     = 50 * time.Millisecond  // s; the same for each node: all may ask at once, of one discovery
 )
 
 // NextMode is the paper's hysteresis, at its exact edges.
@@ -89,7 +90,8 @@
 	m.now, m.out = now, nil
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)}
 	if !m.ticking {
-		m.ticking, m.periodAt, m.askWait, m.askAt = true, now, askFirst, now+m.jitter(askFirst)
+		m.ticking, m.periodAt, m.askWait = true, now, m.askLeast()
+		m.askAt = now + time.Duration(m.random()*float64(m.askWait))
 		m.looks = m.set.MayProbe && m.set.ReportVia == ReportProbe && 2*m.set.Prices.Probe <= probePoints
 		m.do(timer)
 	}
@@ -646,20 +648,26 @@
 			g.n1, g.n2, g.filled, g.ticks = 0, 0, 0, 0
 		}
 	}
-	if m.set.AskForList && !m.subscribed && m.now >= m.askAt {
-		m.asking, m.askAt = true, m.now+m.set.AskWithin/4
+	if m.set.AskForList && !m.subscribed && !m.asking && m.now >= m.askAt {
+		m.asking = true // until it is answered: asking again would leave its turn, or a watch that is held
 		m.do(Subscribe{On: true})
 	}
 }
 
+// askLeast is the shortest wait between calls to discovery, which serves all nodes in turn: nodes that start
+// together and call together fill its queue with calls that fail in it and so are made again.
+func (m *Module) askLeast() time.Duration {
+	return max(askFirst, min(time.Duration(m.set.Nodes)*askTurn, m.set.AskWithin/2))
+}
+
 func (m *Module) follow(e ListUpdate) {
 	if e.Kind == ListFailed {
 		m.subscribed, m.asking, m.askAt = false, false, m.now+m.jitter(m.askWait)
-		m.askWait = min(2*m.askWait, max(askFirst, m.set.AskWithin/4))
+		m.askWait = min(2*m.askWait, max(m.askLeast(), m.set.AskWithin))
 		return
 	}
 	if e.Kind != ListCached && m.asking {
-		m.subscribed, m.asking, m.askWait = true, false, askFirst
+		m.subscribed, m.asking, m.askWait = true, false, m.askLeast()
 	}
 	if e.Kind != ListChanges {
 		for _, s := range m.list {
