Let about six nodes of a fleet work with a server, where thirty did

Of 60 servers a node worked with 23 and had under one answer a second from each, and what it learns of a server holds 3 s: the std-single ones took 2.7 ms a ms of work, the fast-single ones 1.7, and yet both got nearly like shares.

At fault, decide.go: reachNodes, made for the connections that servers hold, put 30 nodes on each server. Where nodes may ask servers for their load that is still the bound (reachLook); where they learn by own answers alone about six work with a server (reachOwn), five servers a node at least.

Ruled out: CPU (0.02 of 0.25 cores), and refusals, which were 0.3% in the first 5 s.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,8 +21,9 @@
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
 	highPart    = 3.0                    // R as a multiple of H: room for priority work, which comes in lumps
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
-	reachLeast  = 4.0                    // servers that a node works with, at least: some may fail together
-	reachNodes  = 30.0                   // nodes that work with a server, on average: it takes few connections
+	reachLeast  = 5.0                    // servers that a node works with, at least: some may fail together
+	reachLook   = 30.0                   // nodes that work with a server they ask: it takes few connections
+	reachOwn    = 6.0                    // the same where each learns of it by own answers alone
 	poolUnder   = 0.33                   // mean H of the servers in reach under which they are judged together
 	poolSamples = 10.0                   // answers in the time over which their count is smoothed
 	chance      = 3.0                    // times the root of H, by which a count may be above H for a moment
@@ -654,6 +655,14 @@
 	}
 }
 
+// sharing is how many nodes work with a server. Of many, each sees too little of it to know it in time.
+func (m *Module) sharing() float64 {
+	if m.looks {
+		return reachLook
+	}
+	return reachOwn
+}
+
 // askLeast is the shortest wait between calls to discovery, which serves all nodes in turn: nodes that start
 // together and call together fill its queue with calls that fail in it and so are made again.
 func (m *Module) askLeast() time.Duration {
@@ -699,7 +708,7 @@
 	for _, g := range m.groups {
 		g.list = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return !g.open(s) })
 		size := float64(len(g.list))
-		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, reachNodes*size/float64(m.set.Nodes))))
+		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, m.sharing()*size/float64(m.set.Nodes))))
 		for _, s := range g.list[:int(g.reach)] {
 			s.home = true
 		}
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -221,3 +221,24 @@
 		t.Errorf("%d of %d nodes may send to a server that has just started, want about 30", senders, nodes)
 	}
 }
+
+// A node of a fleet must see its servers often enough to know them: what it has learned of one holds about as long as a
+// trouble takes to do harm. Yet a server's nodes must be several, so that their traffic evens out.
+func TestNodeOfAFleetKnowsItsServers(t *testing.T) {
+	const nodes, servers, rate = 80, 60, 20.0 // requests each second of a node
+	count := map[ServerID]int{}
+	for self := range nodes {
+		m := manyNodes(self, nodes, servers)
+		for _, s := range m.groups[0].near {
+			count[s.ID]++
+		}
+		if seen := rate * rateTau / m.groups[0].reach; seen < 10 {
+			t.Fatalf("node %d sees %.1f answers of a server while what it has learned holds, want 10", self, seen)
+		}
+	}
+	for id := range servers {
+		if n := count[ServerID(id+1)]; n < 5 {
+			t.Errorf("%d nodes work with server %d, want 5 or more", n, id+1)
+		}
+	}
+}
