Tell the nodes that share a server what work is out there, for the pick of two

No socket for other nodes was open (node.go, act: a SendMessage was logged and dropped) though the settings allow messages.

At fault, decide.go, pick: it compared the own counts only, and a request that holds a server for long counted as one that does not.

Now a node tells those that work with a server (about six) the work that it has out there, 6 bytes at a request's start and end; pick adds up what is out and the request's own work by its hint. A note replaces the one before and lapses, so lost, late or repeated ones do no harm. Mode, H and shedding still go by the own count.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -112,6 +112,8 @@
 		m.close(m.requests[e.ID])
 	case ProbeEnded:
 		m.looked(e)
+	case MessageReceived:
+		m.hear(e)
 	case TimerFired:
 		if e.Token != lookToken {
 			m.tick()
@@ -375,7 +377,8 @@
 	if s == nil || !m.maySend(r, s) {
 		return false
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: m.now, mayRun: true, ahead: s.n})
+	work := r.heavy * r.class.relative
+	r.attempts = append(r.attempts, attempt{server: s, sent: m.now, mayRun: true, ahead: s.n, work: work})
 	r.out++
 	s.n++
 	s.tokens--
@@ -383,6 +386,7 @@
 		s.muteSince = m.now // the earlier ones are overdue by then, and this one must be
 	}
 	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
+	m.hold(s, work)
 	return true
 }
 
@@ -540,12 +544,21 @@
 		from = r.asked
 	}
 	best, other, mode := m.two(r, from)
-	if mode != Blocking && (other.n+1)*m.latencyOf(other) < (best.n+1)*m.latencyOf(best) {
+	if mode != Blocking && m.delay(r, other) < m.delay(r, best) {
 		best = other
 	}
 	return best, mode
 }
 
+// delay is what a request may expect at a server: the work in flight there and its own, at its pace. After a
+// look the server's own count stands for the work.
+func (m *Module) delay(r *request, s *server) float64 {
+	if m.looks {
+		return (s.n + 1) * m.latencyOf(s)
+	}
+	return (m.loadOf(s) + r.heavy*r.class.relative) * m.latencyOf(s)
+}
+
 func (m *Module) ended(e AttemptEnded) {
 	r := m.requests[e.ID]
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
@@ -556,6 +569,7 @@
 	r.out--
 	if !a.lost {
 		a.server.n = max(0, a.server.n-1)
+		m.hold(a.server, -a.work)
 	}
 	if e.Code == OK || e.Code == ServerError {
 		a.server.heard = max(a.server.heard, a.sent)
@@ -599,6 +613,7 @@
 		}
 		a.lost = true
 		a.server.n = max(0, a.server.n-1)
+		m.hold(a.server, -a.work)
 		m.weigh(a.server, r.class, m.now-a.sent)
 		if m.set.MayCancel && m.budget >= 1 && !m.worthless(r, m.mean*r.class.relative) && m.hasOther(r) {
 			m.do(CancelAttempt{ID: r.id, Attempt: i})
@@ -702,7 +717,7 @@
 		delete(m.known, id) // its attempts still know it; ids change for months
 	}
 	slices.SortFunc(m.list, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
-	start := int(float64(len(m.list)) * math.Mod(float64(m.set.Self)*math.Phi, 1))
+	ring, start := m.list, ringStart(m.set.Self, len(m.list))
 	m.list = append(append([]*server{}, m.list[start:]...), m.list[:start]...)
 	m.sharers = 0
 	for _, g := range m.groups {
@@ -715,5 +730,6 @@
 		m.sharers += float64(m.set.Nodes) * g.reach / math.Max(1, size)
 	}
 	m.sharers = math.Max(1, m.sharers)
+	m.share(ring)
 	m.survey()
 }
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -8,23 +8,26 @@
 
 // Someone paged at night must read the module whole: its length is limited.
 func TestModuleLimits(t *testing.T) {
-	text, err := os.ReadFile("decide.go")
-	if err != nil {
-		t.Fatal(err)
-	}
-	lines := 0
-	for i, l := range strings.Split(string(text), "\n") {
-		if strings.TrimSpace(l) != "" {
-			lines++
+	total := 0
+	for _, file := range []string{"decide.go", "peers.go"} {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if n := len([]rune(l)); n > 110 {
-			t.Errorf("line %d is %d characters long", i+1, n)
+		lines := 0
+		for i, l := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(l) != "" {
+				lines++
+			}
+			if n := len([]rune(l)); n > 110 {
+				t.Errorf("%s: line %d is %d characters long", file, i+1, n)
+			}
+		}
+		if !strings.Contains(string(text[:400]), "api.go") {
+			t.Errorf("%s: the interface's file must be named at the top", file)
+		}
+		if total += lines; lines > 800 || total > 1200 {
+			t.Errorf("%s: %d non-blank lines of %d in all; 800 and 1200 at most", file, lines, total)
 		}
-	}
-	if lines > 800 {
-		t.Errorf("%d non-blank lines, 800 at most", lines)
-	}
-	if !strings.Contains(string(text[:400]), "api.go") {
-		t.Error("the interface's file must be named at the top")
 	}
 }
--- /dev/null
+++ b/decide/peers.go
@@ -0,0 +1,114 @@
+package decide
+
+// What nodes tell each other of the servers that they share. The interface is in api.go.
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+)
+
+const (
+	noteLoad   = 1     // first byte of a note: the work that its sender has out at a server
+	noteBytes  = 6     // its length: kind, server, load
+	noteScale  = 8.0   // a note's load is in eighths of a mean request
+	notePoints = 0.005 // of the result, that telling of each request may cost
+	noteHolds  = 10.0  // mean latencies; a note holds so long, as the one that ends it may be lost
+)
+
+// note is what another node has said that it has out at a server, in mean requests.
+type note struct {
+	from int
+	load float64
+	at   Time
+}
+
+// share finds for each server the other nodes that work with it: the first of their rings, as in follow.
+func (m *Module) share(ring []*server) {
+	m.tells = false
+	for _, s := range ring {
+		s.with = s.with[:0]
+	}
+	if !m.set.MayMessage || m.looks || m.set.Nodes < 2 || len(ring) == 0 {
+		return
+	}
+	pairs := 0.0
+	for _, g := range m.groups {
+		for node := range m.set.Nodes {
+			if node == m.set.Self {
+				continue
+			}
+			start, left := ringStart(node, len(ring)), int(g.reach)
+			for i := 0; i < len(ring) && left > 0; i++ {
+				s := ring[(start+i)%len(ring)]
+				if !g.open(s) {
+					continue
+				}
+				left--
+				if n := len(s.with); n == 0 || s.with[n-1] != node { // groups share servers
+					s.with = append(s.with, node)
+					pairs++
+				}
+			}
+		}
+	}
+	each := 2 * noteBytes * pairs / float64(len(ring)) // at its start and at its end
+	m.tells = m.set.Prices.Message*each/256 <= notePoints
+}
+
+// ringStart is the place on a ring of servers from which a node takes its own.
+func ringStart(node, servers int) int {
+	return int(float64(servers) * math.Mod(float64(node)*math.Phi, 1))
+}
+
+// tell lets the nodes that share a server know what this one has out there. The note replaces the one before,
+// so that nothing adds up if it is lost, late or comes twice.
+func (m *Module) tell(s *server) {
+	if !m.tells || s.State != Ready {
+		return
+	}
+	data := binary.BigEndian.AppendUint32([]byte{noteLoad}, uint32(s.ID))
+	data = append(data, byte(math.Min(255, math.Round(noteScale*s.load))))
+	for _, node := range s.with {
+		m.do(SendMessage{To: node, Data: data})
+	}
+}
+
+// hear takes a note. One that this node does not understand, or about a server not on its own list, is nothing.
+func (m *Module) hear(e MessageReceived) {
+	if e.From < 0 || e.From >= m.set.Nodes || e.From == m.set.Self ||
+		len(e.Data) != noteBytes || e.Data[0] != noteLoad {
+		return
+	}
+	s := m.known[ServerID(binary.BigEndian.Uint32(e.Data[1:]))]
+	if s == nil {
+		return
+	}
+	t := note{from: e.From, load: float64(e.Data[5]) / noteScale, at: m.now}
+	for i := range s.notes {
+		if s.notes[i].from == e.From {
+			s.notes[i] = t
+			return
+		}
+	}
+	s.notes = append(s.notes, t)
+}
+
+// loadOf is the work out at a server, in mean requests: this node's and what it has been told of others'.
+func (m *Module) loadOf(s *server) float64 {
+	load, holds := s.load, time.Duration(noteHolds*m.mean*float64(time.Second))
+	for _, t := range s.notes {
+		if m.now-t.at <= holds {
+			load += t.load
+		}
+	}
+	return load
+}
+
+// hold adds an attempt's work to what this node has out at its server, or takes it off.
+func (m *Module) hold(s *server, work float64) {
+	if s.load = math.Max(0, s.load+work); s.n == 0 {
+		s.load = 0 // no rounding adds up
+	}
+	m.tell(s)
+}
--- /dev/null
+++ b/decide/peers_test.go
@@ -0,0 +1,131 @@
+package decide
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func tellingSettings(self, nodes int) Settings {
+	return Settings{Nodes: nodes, Self: self, MaxAttempts: 3, MayMessage: true, MayCancel: true, MinTick: time.Millisecond,
+		ColdFrom: 0.3, ColdTime: 8 * time.Second, OverloadFactor: 3, Prices: Prices{Message: 0.01},
+		Classes: []Class{{Name: "page", Worth: 1, Aim: 500 * time.Millisecond, Deadline: time.Second, Effect: Safe}}}
+}
+
+func tellingNode(self, nodes, servers int) *Module {
+	m := New(tellingSettings(self, nodes), int64(self))
+	var list []Server
+	for i := range servers {
+		list = append(list, Server{ID: ServerID(i + 1), Zone: "z"})
+	}
+	m.Handle(time.Hour, ListUpdate{Kind: ListCached, Entries: list})
+	m.mean = 0.03
+	return m
+}
+
+func messages(actions []Action) (out []SendMessage) {
+	for _, a := range actions {
+		if a, ok := a.(SendMessage); ok {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Each node alone sees a part of what a server holds, and an idle server looks like one that the others keep busy. What
+// one node has out there must reach the nodes that work with the server, and no others, in a fleet of any size.
+func TestNotesReachTheNodesThatShare(t *testing.T) {
+	for _, size := range []struct{ nodes, servers int }{{2, 3}, {3, 10}, {80, 60}} {
+		var fleet []*Module
+		for self := range size.nodes {
+			fleet = append(fleet, tellingNode(self, size.nodes, size.servers))
+		}
+		for self, m := range fleet {
+			out := m.Handle(m.now, RequestArrived{ID: "a", Class: "page", Patience: time.Second})
+			sent := sends(out)
+			if len(sent) != 1 {
+				t.Fatalf("%v", out)
+			}
+			var want, got []int
+			for other, o := range fleet {
+				if other != self && o.known[sent[0]].home {
+					want = append(want, other)
+				}
+			}
+			for _, a := range messages(out) {
+				got = append(got, a.To)
+				o := fleet[a.To]
+				o.Handle(o.now, MessageReceived{From: self, Data: a.Data})
+				if l := o.loadOf(o.known[sent[0]]); l < 1 {
+					t.Errorf("node %d takes the load for %v", a.To, l)
+				}
+			}
+			if !slices.Equal(got, want) {
+				t.Errorf("%d nodes: node %d tells %v of server %d, which is shared by %v", size.nodes, self, got, sent[0], want)
+			}
+			out = m.Handle(m.now, AttemptEnded{ID: "a", Server: sent[0], Elapsed: time.Millisecond, Code: OK, Over: true})
+			for _, a := range messages(out) {
+				o := fleet[a.To]
+				o.Handle(o.now, MessageReceived{From: self, Data: a.Data})
+				o.Handle(o.now, MessageReceived{From: self, Data: a.Data}) // once more: nothing adds up
+				if l := o.loadOf(o.known[sent[0]]); l != o.known[sent[0]].load {
+					t.Errorf("node %d still takes the load for %v", a.To, l)
+				}
+			}
+		}
+	}
+}
+
+// Of two servers alike, the one where others have work out is not taken while they say so.
+func TestNotedServerIsLeftAlone(t *testing.T) {
+	m := tellingNode(0, 2, 2)
+	note := []byte{noteLoad, 0, 0, 0, 1, 8}
+	m.Handle(m.now, MessageReceived{From: 1, Data: note})
+	for i := range 20 {
+		id := RequestID(rune('a' + i))
+		sent := sends(m.Handle(m.now, RequestArrived{ID: id, Class: "page", Patience: time.Second}))
+		if !slices.Equal(sent, []ServerID{2}) {
+			t.Fatalf("request %d goes to %v", i, sent)
+		}
+		m.Handle(m.now, AttemptEnded{ID: id, Server: 2, Elapsed: time.Millisecond, Code: Cancelled, Over: true})
+	}
+	m.now += time.Hour // the note that ends it was lost
+	if l := m.loadOf(m.known[1]); l != 0 {
+		t.Errorf("an old note still counts for %v", l)
+	}
+}
+
+// A note may be cut, of another kind or from a node that there is not; it may name a server unknown here.
+func TestOddNotesDoNothing(t *testing.T) {
+	m := tellingNode(0, 3, 2)
+	for _, e := range []MessageReceived{
+		{From: 1}, {From: 1, Data: []byte{noteLoad}}, {From: 1, Data: []byte{noteLoad, 0, 0, 0, 1}},
+		{From: 1, Data: []byte{noteLoad, 0, 0, 0, 1, 8, 0}}, {From: 1, Data: []byte{2, 0, 0, 0, 1, 8}},
+		{From: 1, Data: []byte{noteLoad, 0, 0, 0, 9, 8}}, {From: -1, Data: []byte{noteLoad, 0, 0, 0, 1, 8}},
+		{From: 3, Data: []byte{noteLoad, 0, 0, 0, 1, 8}}, {From: 0, Data: []byte{noteLoad, 0, 0, 0, 1, 8}},
+		{From: 1, Data: make([]byte, 256)},
+	} {
+		if out := m.Handle(m.now, e); len(out) != 0 {
+			t.Errorf("%v: %v", e, out)
+		}
+		if m.loadOf(m.known[1]) != 0 || len(m.known) != 2 {
+			t.Errorf("%v is taken", e)
+		}
+	}
+}
+
+// Where messages are dear, or not allowed, nodes keep silent.
+func TestNoNotesWhereTheyAreDear(t *testing.T) {
+	for _, change := range []func(*Settings){
+		func(s *Settings) { s.MayMessage = false }, func(s *Settings) { s.Prices.Message = 1 }, func(s *Settings) { s.Nodes = 1 },
+	} {
+		s := tellingSettings(0, 3)
+		change(&s)
+		m := New(s, 1)
+		m.Handle(time.Hour, ListUpdate{Kind: ListCached, Entries: []Server{{ID: 1}, {ID: 2}}})
+		out := m.Handle(m.now, RequestArrived{ID: "a", Class: "page", Patience: time.Second})
+		if len(sends(out)) != 1 || len(messages(out)) != 0 {
+			t.Errorf("%+v", out)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -23,6 +23,9 @@
 	mode, own, told, imposed Mode // as judged; by own count; by reports; by a full answer or a report, until it lapses
 	imposedUntil             Time
 	n, high                  float64 // own attempts in flight or, after a look, all that it holds; H
+	load                     float64 // the work of the own attempts in flight, in mean requests
+	with                     []int   // the other nodes that work with it
+	notes                    []note  // what they have said
 	dither                   float64 // in [0,1), moves on each period: H is rounded by it
 	excess, rate             float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	latencyAt, rateAt        Time
@@ -68,6 +71,7 @@
 	server        *server
 	sent          Time
 	ahead         float64 // requests that its server was known to hold
+	work          float64 // expected, in mean requests
 	ended, mayRun bool    // mayRun: out, or ended without proof that it never ran
 	lost          bool    // no longer in its server's count
 }
@@ -108,6 +112,7 @@
 	running            float64    // requests that a server works on at once, by its reports
 	unit, tight        float64    // s: service time of a mean request; the tightest aim for one
 	looks              bool       // it asks servers for their load before each send
+	tells              bool       // it tells other nodes what it has out at the servers that they share
 	requests           map[RequestID]*request
 	open               []*request // in order of arrival
 	ticking, learned   bool
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 
@@ -29,6 +30,9 @@
 	Sockets   int // file descriptors
 	Settings  decide.Settings
 
+	PeerListen string           // where other nodes' messages come; empty: nowhere
+	Peers      []netip.AddrPort // of all nodes, by their numbers; invalid: not to be reached
+
 	known list // the servers as the node last had them
 }
 
@@ -55,8 +59,10 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
-		Known    list            `json:"known"`
-		Settings json.RawMessage `json:"settings"`
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		Known      list            `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return Config{}, err
@@ -79,6 +85,13 @@
 	}
 	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Seed: int64(seed),
 		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known}
+	if settings.MayMessage {
+		c.PeerListen = in.PeerListen
+		for _, peer := range in.Peers {
+			a, _ := netip.ParseAddrPort(peer) // a node that can't be told of a load serves all the same
+			c.Peers = append(c.Peers, a)
+		}
+	}
 	if c.MemoryMB <= 0 {
 		c.MemoryMB = defaultMemoryMB
 	}
--- /dev/null
+++ b/internal/node/messages_test.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+)
+
+func udpSocket(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// What other nodes say reaches the module with their numbers. Strangers, datagrams over the limit and empty ones from
+// nobody do no harm and leave the socket in use.
+func TestMessagesBetweenNodes(t *testing.T) {
+	one, oneAddr := udpSocket(t)
+	stranger, _ := udpSocket(t)
+	p, err := listenPeers("127.0.0.1:0", []netip.AddrPort{{}, oneAddr}, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	type message struct {
+		from int
+		data []byte
+	}
+	got, ended := make(chan message, 10), make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.run(ctx, func(from int, data []byte) { got <- message{from, data} })
+	}()
+	here := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	for _, m := range []struct {
+		from *net.UDPConn
+		data []byte
+	}{
+		{stranger, []byte("who")}, {one, bytes.Repeat([]byte("x"), maxMessage+1)}, {stranger, nil},
+		{one, bytes.Repeat([]byte("y"), maxMessage)}, {one, nil}, {one, []byte("end")},
+	} {
+		if _, err := m.from.WriteToUDPAddrPort(m.data, here); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, want := range [][]byte{bytes.Repeat([]byte("y"), maxMessage), {}, []byte("end")} {
+		select {
+		case m := <-got:
+			if m.from != 1 || !bytes.Equal(m.data, want) {
+				t.Errorf("%d bytes from %d, want %d from 1", len(m.data), m.from, len(want))
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("no message")
+		}
+	}
+	p.send(0, []byte("nobody")) // an address that could not be read
+	p.send(7, []byte("nobody"))
+	p.send(-1, []byte("nobody"))
+	p.send(1, bytes.Repeat([]byte("z"), maxMessage+1))
+	p.send(1, []byte("hello"))
+	one.SetReadDeadline(time.Now().Add(10 * time.Second))
+	buf := make([]byte, 512)
+	if n, from, err := one.ReadFromUDPAddrPort(buf); err != nil || from != here || string(buf[:n]) != "hello" {
+		t.Errorf("%q from %v, err %v", buf[:n], from, err)
+	}
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the reader goes on after its end")
+	}
+}
+
+// The module's messages leave the node, and what others say comes to it, while it serves.
+func TestNodeSpeaksWithItsPeers(t *testing.T) {
+	other, addr := udpSocket(t)
+	c := testConfig("127.0.0.1:1")
+	c.Settings.Nodes, c.Settings.Self, c.Settings.MayMessage = 2, 0, true
+	c.PeerListen, c.Peers = "127.0.0.1:0", []netip.AddrPort{{}, addr}
+	n := New(c, quiet)
+	ctx, cancel := context.WithCancel(context.Background())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	n.front.linger = func() {}
+	go func() { ended <- n.Run(ctx, ln) }()
+	n.post(func() {
+		n.act(decide.SendMessage{To: 1, Data: []byte("one")})
+		n.act(decide.SendMessage{ToAll: true, Data: []byte("all")})
+	})
+	other.SetReadDeadline(time.Now().Add(10 * time.Second))
+	buf := make([]byte, 512)
+	for _, want := range []string{"one", "all"} {
+		size, from, err := other.ReadFromUDPAddrPort(buf)
+		if err != nil || string(buf[:size]) != want {
+			t.Fatalf("%q, %v, want %q", buf[:size], err, want)
+		}
+		if _, err := other.WriteToUDPAddrPort([]byte("\xff no note"), from); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cancel()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the node does not end")
+	}
+}
+
+// A socket that can't be had, or addresses that can't be read, must not keep a node from serving.
+func TestPeersThatCannotBeReached(t *testing.T) {
+	taken, addr := udpSocket(t)
+	defer taken.Close()
+	if p, err := listenPeers(addr.String(), []netip.AddrPort{addr}, quiet); err == nil {
+		t.Errorf("%v on an address that is taken", p)
+	}
+	if p, err := listenPeers("nonsense", []netip.AddrPort{addr}, quiet); err == nil {
+		t.Errorf("%v on no address", p)
+	}
+	p, err := listenPeers("", nil, quiet)
+	if p != nil || err != nil {
+		t.Errorf("%v, %v where nodes have no socket", p, err)
+	}
+	p.send(0, []byte("x"))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	backends  *pool
 	discovery *discovery
 	front     *frontend
+	peers     *peers // nil: this node has no socket for them
 
 	// The rest belongs to the loop.
 	ctx      context.Context
@@ -89,13 +90,22 @@
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	n.ctx = inner
+	var err error
+	if n.peers, err = listenPeers(n.cfg.PeerListen, n.cfg.Peers, n.log); err != nil {
+		n.log.Error("nothing is heard from other nodes", "err", err) // clients are served all the same
+	}
 	go n.loop(inner)
 	go n.backends.run(inner)
+	if n.peers != nil {
+		go n.peers.run(inner, func(from int, data []byte) {
+			n.post(func() { n.handle(decide.MessageReceived{From: from, Data: data}) })
+		})
+	}
 	n.post(func() { n.follow(n.cfg.known, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
 		n.post(func() { n.discovery.begin(inner, func(ctx context.Context) { n.discovery.follow(ctx, false) }) })
 	}
-	err := n.front.serve(ctx, ln)
+	err = n.front.serve(ctx, ln)
 	stop()
 	<-n.ended
 	return err
@@ -171,6 +181,8 @@
 		time.AfterFunc(a.After, func() { n.post(func() { n.handle(decide.TimerFired{Token: a.Token}) }) })
 	case decide.CloseIdle:
 		n.backends.closeIdle(a.Server)
+	case decide.SendMessage:
+		n.message(a)
 	case decide.Subscribe:
 		n.discovery.ask(n.ctx, false, a.On)
 	case decide.FetchList:
@@ -182,6 +194,19 @@
 	}
 }
 
+// message passes a message on to one node, or to all others.
+func (n *Node) message(a decide.SendMessage) {
+	if !a.ToAll {
+		n.peers.send(a.To, a.Data)
+		return
+	}
+	for to := range n.cfg.Peers {
+		if to != n.cfg.Settings.Self {
+			n.peers.send(to, a.Data)
+		}
+	}
+}
+
 // open takes a client's request and tells the module of it. The answer comes
 // on r.answer.
 func (n *Node) open(r *request, e decide.RequestArrived) {
