--- a/decide/peers.go
+++ b/decide/peers.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// hear takes a note. One that this node does not understand, or about a server not on its own list, is nothing.
+// hear takes a note. One that this node does not understand, or about a server it has not listed, is nothing.
 func (m *Module) hear(e MessageReceived) {
 	if e.From < 0 || e.From >= m.set.Nodes || e.From == m.set.Self ||
 		len(e.Data) != noteBytes || e.Data[0] != noteLoad {
