Tell the nodes that share a server what latency its answers show

A node has about 4 answers a second of a server and smooths over ten: it knows it slow after some 3 s, and each of the six nodes pays for that.

At fault: only the node that got an answer learned from it (decide.go, learn and judge). The note at a request's end now carries that latency, a byte, and the nodes that hear it take it as one of their own.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -253,15 +253,32 @@
 	m.weigh(a.server, c, took)
 }
 
-// weigh takes a server's latency, capped, as a heavy request tells of itself and not of its server.
+// weigh takes a server's latency.
 func (m *Module) weigh(s *server, c *class, took time.Duration) {
+	m.weighAs(s, took.Seconds()/c.relative)
+}
+
+// weighAs takes the latency of a mean request, capped, as a heavy one tells of itself and not of its server.
+func (m *Module) weighAs(s *server, took float64) {
 	l := m.latencyOf(s)
-	l += latencyGain * (math.Min(took.Seconds()/c.relative, muteFactor*math.Max(l, m.mean)) - l)
+	l += latencyGain * (math.Min(took, muteFactor*math.Max(l, m.mean)) - l)
 	s.excess, s.latencyAt = l-m.mean, m.now
 }
 
-// judge takes the outcome of an attempt. A failure counts as a slow answer: failing fast must not attract
-// work. A server that was away and answers a trial may have restarted unannounced, so it is taken as cold.
+// latencySeen is what an outcome tells of the latency of a mean request; 0: nothing. A failure counts as a
+// slow answer: failing fast must not attract work.
+func latencySeen(r *request, e AttemptEnded) float64 {
+	switch {
+	case r.started, e.Code == Cancelled, e.Code == Moot, e.Code == Full:
+		return 0
+	case e.Code == OK:
+		return e.Elapsed.Seconds() / r.class.relative
+	}
+	return max(e.Elapsed, r.class.Aim).Seconds() / r.class.relative
+}
+
+// judge takes the outcome of an attempt. A server that was away and answers a trial may have restarted
+// unannounced, so it is taken as cold.
 func (m *Module) judge(s *server, r *request, e AttemptEnded) {
 	switch e.Code {
 	case Cancelled, Moot:
@@ -386,7 +403,7 @@
 		s.muteSince = m.now // the earlier ones are overdue by then, and this one must be
 	}
 	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
-	m.hold(s, work)
+	m.hold(s, work, 0)
 	return true
 }
 
@@ -569,7 +586,7 @@
 	r.out--
 	if !a.lost {
 		a.server.n = max(0, a.server.n-1)
-		m.hold(a.server, -a.work)
+		m.hold(a.server, -a.work, latencySeen(r, e))
 	}
 	if e.Code == OK || e.Code == ServerError {
 		a.server.heard = max(a.server.heard, a.sent)
@@ -613,7 +630,7 @@
 		}
 		a.lost = true
 		a.server.n = max(0, a.server.n-1)
-		m.hold(a.server, -a.work)
+		m.hold(a.server, -a.work, 0)
 		m.weigh(a.server, r.class, m.now-a.sent)
 		if m.set.MayCancel && m.budget >= 1 && !m.worthless(r, m.mean*r.class.relative) && m.hasOther(r) {
 			m.do(CancelAttempt{ID: r.id, Attempt: i})
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -10,7 +10,9 @@
 
 const (
 	noteLoad   = 1     // first byte of a note: the work that its sender has out at a server
-	noteBytes  = 6     // its length: kind, server, load
+	noteBytes  = 6     // its length: kind, server, load; one more at an attempt's end, for its latency
+	noteFinest = 0.001 // s; the least latency that a note tells
+	noteSteps  = 16.0  // in which it tells a doubling of that
 	noteScale  = 8.0   // a note's load is in eighths of a mean request
 	notePoints = 0.005 // of the result, that telling of each request may cost
 	noteHolds  = 10.0  // mean latencies; a note holds so long, as the one that ends it may be lost
@@ -52,7 +54,7 @@
 			}
 		}
 	}
-	each := 2 * noteBytes * pairs / float64(len(ring)) // at its start and at its end
+	each := (2*noteBytes + 1) * pairs / float64(len(ring)) // at its start and at its end
 	m.tells = m.set.Prices.Message*each/256 <= notePoints
 }
 
@@ -62,13 +64,18 @@
 }
 
 // tell lets the nodes that share a server know what this one has out there. The note replaces the one before,
-// so that nothing adds up if it is lost, late or comes twice.
-func (m *Module) tell(s *server) {
+// so nothing adds up if it is lost, late or comes twice. With it goes the latency that an answer shows for a
+// mean request: each node alone has few answers of a server and knows it late.
+func (m *Module) tell(s *server, latency float64) {
 	if !m.tells || s.State != Ready {
 		return
 	}
 	data := binary.BigEndian.AppendUint32([]byte{noteLoad}, uint32(s.ID))
 	data = append(data, byte(math.Min(255, math.Round(noteScale*s.load))))
+	if latency > 0 {
+		steps := noteSteps * math.Log2(latency/noteFinest)
+		data = append(data, byte(math.Min(255, math.Max(0, math.Round(steps)))))
+	}
 	for _, node := range s.with {
 		m.do(SendMessage{To: node, Data: data})
 	}
@@ -77,13 +84,16 @@
 // hear takes a note. One that this node does not understand, or about a server it has not listed, is nothing.
 func (m *Module) hear(e MessageReceived) {
 	if e.From < 0 || e.From >= m.set.Nodes || e.From == m.set.Self ||
-		len(e.Data) != noteBytes || e.Data[0] != noteLoad {
+		len(e.Data) < noteBytes || len(e.Data) > noteBytes+1 || e.Data[0] != noteLoad {
 		return
 	}
 	s := m.known[ServerID(binary.BigEndian.Uint32(e.Data[1:]))]
 	if s == nil {
 		return
 	}
+	if len(e.Data) > noteBytes && m.mean > 0 {
+		m.weighAs(s, noteFinest*math.Exp2(float64(e.Data[noteBytes])/noteSteps))
+	}
 	t := note{from: e.From, load: float64(e.Data[5]) / noteScale, at: m.now}
 	for i := range s.notes {
 		if s.notes[i].from == e.From {
@@ -105,10 +115,10 @@
 	return load
 }
 
-// hold adds an attempt's work to what this node has out at its server, or takes it off.
-func (m *Module) hold(s *server, work float64) {
+// hold adds an attempt's work to what this node has out at its server, or takes it off, with the latency.
+func (m *Module) hold(s *server, work, latency float64) {
 	if s.load = math.Max(0, s.load+work); s.n == 0 {
 		s.load = 0 // no rounding adds up
 	}
-	m.tell(s)
+	m.tell(s, latency)
 }
