Keep notes to as many nodes as listen, whatever number the settings state

share() went through all nodes of the settings to find those that share a server: a number out of range would have kept a node busy for ever at its start (seen in the test, which timed out at 2^40).

--- a/decide/peers.go
+++ b/decide/peers.go
@@ -15,6 +15,7 @@
 	noteSteps  = 16.0  // in which it tells a doubling of that
 	noteScale  = 8.0   // a note's load is in eighths of a mean request
 	notePoints = 0.005 // of the result, that telling of each request may cost
+	noteNodes  = 32.0  // nodes on a server beyond which each has better to do than to listen to all
 	noteHolds  = 10.0  // mean latencies; a note holds so long, as the one that ends it may be lost
 )
 
@@ -31,7 +32,7 @@
 	for _, s := range ring {
 		s.with = s.with[:0]
 	}
-	if !m.set.MayMessage || m.looks || m.set.Nodes < 2 || len(ring) == 0 {
+	if !m.set.MayMessage || m.looks || m.set.Nodes < 2 || len(ring) == 0 || m.sharers > noteNodes {
 		return
 	}
 	pairs := 0.0
--- a/decide/peers_test.go
+++ b/decide/peers_test.go
@@ -166,3 +166,14 @@
 		})
 	}
 }
+
+// A number of nodes out of range, and messages without a price, must not keep a node busy or make it talk to all.
+func TestNoNotesToCountlessNodes(t *testing.T) {
+	s := tellingSettings(0, 1<<40)
+	s.Prices.Message = 0
+	m := New(s, 1)
+	m.Handle(time.Hour, ListUpdate{Kind: ListCached, Entries: []Server{{ID: 1}, {ID: 2}}})
+	if out := m.Handle(m.now, RequestArrived{ID: "a", Class: "page", Patience: time.Second}); len(messages(out)) != 0 {
+		t.Errorf("%d messages", len(messages(out)))
+	}
+}
