--- a/decide/api.go
+++ b/decide/api.go
@@ -3,7 +3,8 @@
 // refused. It does no I/O, reads no clock and starts no goroutine: the caller
 // feeds it events and carries out the actions it returns.
 //
-// This file is the interface; all decisions are in decide.go.
+// This file is the interface; all decisions are in decide.go, and what nodes
+// tell each other of servers is in peers.go.
 package decide
 
 import "time"
