--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -41,6 +42,12 @@
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
 	n := node.New(cfg, log)
+	control := cmp.Or(os.Getenv("GW_CONTROL"), cfg.Control) // the environment is this process's own
+	operated, closeControl := context.WithCancel(context.Background())
+	defer closeControl()
+	if control != "" {
+		go n.ServeControl(operated, control)
+	}
 	go reload(ctx, hup, path, n, log)
 	return n.Run(ctx, ln)
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -366,6 +366,16 @@
 	return s.tokens < 1
 }
 
+// Ejected is how many listed servers get nothing but trials now.
+func (m *Module) Ejected() (n int) {
+	for _, s := range m.list {
+		if s.suspect {
+			n++
+		}
+	}
+	return n
+}
+
 // maySend holds every rule on sending; each send passes it.
 func (m *Module) maySend(r *request, s *server) bool {
 	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, m.set.MaxAttempts) ||
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,8 +46,9 @@
 
 // pool keeps connections to servers. It never sends anything itself.
 type pool struct {
-	dialer  net.Dialer
-	maxIdle time.Duration
+	dialer   net.Dialer
+	maxIdle  time.Duration
+	forwards *atomic.Int64 // attempts written whole
 
 	mu       sync.Mutex
 	open     int // connections, idle, in use or being dialled
@@ -82,7 +84,7 @@
 }
 
 func newPool(s decide.Settings, most int) *pool {
-	p := &pool{most: most, backends: map[decide.ServerID]*backend{},
+	p := &pool{most: most, forwards: new(atomic.Int64), backends: map[decide.ServerID]*backend{},
 		dialer: net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}}
 	if p.maxIdle = time.Duration(idlePart * float64(s.ConnIdle)); s.ConnIdle <= 0 {
 		p.maxIdle = time.Minute
@@ -325,6 +327,7 @@
 		}
 		return result{code: ending(ctx, err)} // a last byte that left with an error may have come
 	}
+	p.forwards.Add(1)
 	c.budget.N = maxHead + maxBody
 	res, clean, err := c.receive(o.method)
 	if err != nil {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -25,6 +25,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // where the list of servers comes from
+	Control   string // where operators call; empty: nowhere
 	Seed      int64
 	MemoryMB  int
 	Sockets   int // file descriptors
@@ -54,6 +55,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Control   string `json:"control"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			MemoryMB int `json:"memory_mb"`
@@ -79,11 +81,14 @@
 			return Config{}, fmt.Errorf("%s: %w", a.key, err)
 		}
 	}
+	if _, _, err := net.SplitHostPort(in.Control); err != nil && in.Control != "" {
+		return Config{}, fmt.Errorf("control: %w", err)
+	}
 	seed, err := strconv.ParseUint(in.Seed, 16, 64)
 	if err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
-	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Seed: int64(seed),
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Control: in.Control, Seed: int64(seed),
 		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known}
 	if settings.MayMessage {
 		c.PeerListen = in.PeerListen
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	mostCallers = 16                     // operators' connections at a time
+	callTime    = 2 * time.Second        // for a call to come whole: callers wait one
+	maxCall     = 4 << 10                // bytes of a call's head
+	controlWait = 250 * time.Millisecond // before the address is tried again, if it can't be had
+)
+
+// ServeControl answers operators at an address until ctx ends, beside the
+// clients and for as long as the process lives. An address that can't be had
+// costs clients nothing and is tried again.
+func (n *Node) ServeControl(ctx context.Context, address string) {
+	said := false
+	for ctx.Err() == nil {
+		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err == nil {
+			err = n.serveControl(ctx, ln)
+		}
+		if err != nil && !said && ctx.Err() == nil {
+			said = true
+			n.log.Error("operators are not served, trying again", "err", err)
+		}
+		sleep(ctx, controlWait)
+	}
+}
+
+func (n *Node) serveControl(ctx context.Context, ln net.Listener) error {
+	srv := &http.Server{Handler: n.controlMux(), ReadTimeout: callTime, WriteTimeout: callTime + time.Second, MaxHeaderBytes: maxCall,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, callerKey{}, c)
+		}}
+	srv.SetKeepAlivesEnabled(false)
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	return srv.Serve(&callers{Listener: ln})
+}
+
+func (n *Node) controlMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthcheck", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.front.serving() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		n.stats.write(w)
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
+			c.called.Store(true)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+type callerKey struct{}
+
+// callers bounds the operators' connections. One that comes while all are open
+// displaces the oldest that has made no call: those that only connect hold up
+// nobody.
+type callers struct {
+	net.Listener
+	mu   sync.Mutex
+	open []*caller // the oldest first
+}
+
+type caller struct {
+	net.Conn
+	of     *callers
+	called atomic.Bool
+}
+
+func (l *callers) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if in := l.admit(c); in != nil {
+			return in, nil
+		}
+		c.Close()
+	}
+}
+
+func (l *callers) admit(c net.Conn) *caller {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.open) >= mostCallers {
+		i := slices.IndexFunc(l.open, func(c *caller) bool { return !c.called.Load() })
+		if i < 0 {
+			return nil
+		}
+		l.open[i].Conn.Close()
+		l.open = slices.Delete(l.open, i, i+1)
+	}
+	in := &caller{Conn: c, of: l}
+	l.open = append(l.open, in)
+	return in
+}
+
+func (c *caller) Close() error {
+	c.of.mu.Lock()
+	c.of.open = slices.DeleteFunc(c.of.open, func(o *caller) bool { return o == c })
+	c.of.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -93,7 +93,7 @@
 	}
 	switch r.URL.Path {
 	case "/health/ready":
-		if !f.ready.Load() || f.draining.Load() {
+		if !f.serving() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -107,10 +107,17 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	f.node.stats.outstanding.Add(1)
+	defer f.node.stats.outstanding.Add(-1)
+	f.node.stats.count(req.class, f.carry(w, r, req, event))
+}
+
+// carry has the loop end a request, passes the answer on and tells how it went.
+func (f *frontend) carry(w http.ResponseWriter, r *http.Request, req *request, event decide.RequestArrived) outcome {
 	f.node.post(func() { f.node.open(req, event) })
 	select {
 	case a := <-req.answer:
-		write(w, a)
+		return write(w, a)
 	case <-r.Context().Done():
 		f.node.post(func() { f.node.abandon(req) })
 		// A client that only ended its sending can still read. Without a word
@@ -119,8 +126,12 @@
 	case <-f.node.ended:
 		http.Error(w, "the node has ended", http.StatusBadGateway)
 	}
+	return aborted
 }
 
+// serving tells whether new clients are welcome.
+func (f *frontend) serving() bool { return f.ready.Load() && !f.draining.Load() }
+
 // read checks a request. The status goes with the error.
 func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*request, decide.RequestArrived, int, error) {
 	arrived := time.Now() // the body may take a while, and the client's clock runs
@@ -168,7 +179,7 @@
 		return bad(http.StatusBadRequest, "reading the body: %w", err)
 	}
 	u := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
-	return &request{id: e.ID, deadline: arrived.Add(patience - answerMargin), answer: make(chan answer, 1),
+	return &request{id: e.ID, class: e.Class, deadline: arrived.Add(patience - answerMargin), answer: make(chan answer, 1),
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body}}, e, 0, nil
 }
 
@@ -207,7 +218,8 @@
 // them a server could not tell a repeat.
 var vital = []string{"X-Request-Id", "Idempotency-Key"}
 
-func write(w http.ResponseWriter, a answer) {
+// write passes an answer on, and tells what it was to the client.
+func write(w http.ResponseWriter, a answer) outcome {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
 	h := w.Header()
 	for name, values := range endToEnd(a.header) {
@@ -222,7 +234,16 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.WriteHeader(a.status)
-	w.Write(a.body) // if it fails, the client has gone
+	_, err := w.Write(a.body) // if it fails, the client has gone
+	switch {
+	case err != nil:
+		return aborted
+	case a.status == http.StatusOK:
+		return succeeded
+	case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
+		return declined
+	}
+	return aborted
 }
 
 // limited holds accepted connections to a number, so that clients leave
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,7 @@
 	inboxSize    = 1024
 	answerMargin = 10 * time.Millisecond // an answer leaves so long before its client stops waiting
 	guardDelay   = 4 * time.Millisecond  // after which the node itself ends what the module has not ended
-	spareSockets = 48                    // descriptors for discovery, listener and runtime
+	spareSockets = 48                    // descriptors for discovery, operators, listeners and runtime
 	clientPart   = 0.5                   // of the other descriptors
 )
 
@@ -33,6 +33,7 @@
 	backends  *pool
 	discovery *discovery
 	front     *frontend
+	stats     *stats
 	peers     *peers // nil: this node has no socket for them
 
 	// The rest belongs to the loop.
@@ -47,6 +48,7 @@
 // request is a client's request until it is answered and its attempts have ended.
 type request struct {
 	id       decide.RequestID
+	class    string
 	out      *outbound
 	deadline time.Time
 	answer   chan answer // takes the one final answer
@@ -68,9 +70,10 @@
 func New(cfg Config, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
 		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{},
-		requests: map[decide.RequestID]*request{}}
+		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes)}
 	clients := int(clientPart * float64(cfg.Sockets-spareSockets))
 	n.backends = newPool(cfg.Settings, cfg.Sockets-spareSockets-clients)
+	n.backends.forwards = &n.stats.forwards
 	n.front = newFrontend(n, clients)
 	n.discovery = newDiscovery(cfg.Discovery, cfg.Settings.AskForList, cfg.known.Index, log,
 		func(l list) { n.post(func() { n.follow(l, kindOf(l)) }) },
@@ -156,6 +159,7 @@
 	if len(n.queue) > 1 {
 		return // the call further up gets to it
 	}
+	defer func() { n.stats.ejected.Store(int64(n.module.Ejected())) }()
 	for len(n.queue) > 0 {
 		for _, a := range n.module.Handle(n.now(), n.queue[0]) {
 			n.act(a)
@@ -346,5 +350,6 @@
 			delete(n.listed, name)
 		}
 	}
+	n.stats.discovered.Store(int64(len(n.listed)))
 	n.front.ready.Store(len(n.listed) > 0)
 }
--- /dev/null
+++ b/internal/node/stats.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"indigotack/decide"
+)
+
+// outcome is how a request ended, as operators count it.
+type outcome int
+
+const (
+	succeeded outcome = iota
+	declined
+	aborted
+	outcomes
+)
+
+var outcomeNames = [outcomes]string{"succeeded", "declined", "aborted"}
+
+// stats holds the figures for operators. They are kept where things happen, so
+// that whoever reads them waits for nobody.
+type stats struct {
+	forwards, outstanding, discovered, ejected atomic.Int64
+	sighupApplied, sighupRejected              atomic.Int64
+
+	mu      sync.RWMutex
+	results map[string]*[outcomes]atomic.Int64 // by class; one that was dropped keeps its count
+}
+
+func newStats(classes []decide.Class) *stats {
+	s := &stats{results: map[string]*[outcomes]atomic.Int64{}}
+	s.add(classes)
+	return s
+}
+
+// add has the figures of further classes begin at zero.
+func (s *stats) add(classes []decide.Class) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range classes {
+		if s.results[c.Name] == nil {
+			s.results[c.Name] = new([outcomes]atomic.Int64)
+		}
+	}
+}
+
+// count takes the end of a request.
+func (s *stats) count(class string, o outcome) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if r := s.results[class]; r != nil {
+		r[o].Add(1)
+	}
+}
+
+// write gives the figures as lines of text, classes in the order of their names.
+func (s *stats) write(w io.Writer) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var names []string
+	for name := range s.results {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for o, r := range outcomeNames {
+			fmt.Fprintf(w, "app.results.%s.%s:%d|c\n", label(name), r, s.results[name][o].Load())
+		}
+	}
+	for _, f := range []struct {
+		name, kind string
+		value      *atomic.Int64
+	}{
+		{"forwards", "c", &s.forwards}, {"outstanding", "g", &s.outstanding}, {"discovered", "g", &s.discovered},
+		{"ejected", "g", &s.ejected}, {"sighup_applied", "c", &s.sighupApplied}, {"sighup_rejected", "c", &s.sighupRejected},
+	} {
+		fmt.Fprintf(w, "app.%s:%d|%s\n", f.name, f.value.Load(), f.kind)
+	}
+}
+
+// label keeps a class's name from ending its line or its part of it.
+func label(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r <= ' ' || r == 0x7f || strings.ContainsRune(".:|@#", r) {
+			return '_'
+		}
+		return r
+	}, name)
+}
