--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -27,7 +27,7 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hup := make(chan os.Signal, 1) // before all else, as an unheard SIGHUP ends a process
+	hup := make(chan os.Signal, 16) // before all else, as an unheard SIGHUP ends a process
 	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv("GW_CONFIG")
 	cfg, err := node.LoadConfig(path)
@@ -52,7 +52,7 @@
 	return n.Run(ctx, ln)
 }
 
-// reload follows the file until ctx ends. One that can't be read changes
+// reload follows the file until ctx ends. One that can't be used changes
 // nothing: a node that serves is worth more than one that ends over a typo.
 func reload(ctx context.Context, hup <-chan os.Signal, path string, n *node.Node, log *slog.Logger) {
 	for {
@@ -61,11 +61,8 @@
 		case <-ctx.Done():
 			return
 		}
-		cfg, err := node.LoadConfig(path)
-		if err != nil {
+		if err := n.Reread(path); err != nil {
 			log.Error("configuration kept as it was", "err", err)
-			continue
 		}
-		n.Reload(cfg)
 	}
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -222,8 +222,12 @@
 		WorkHint time.Duration // expected work, where HasHint
 		HasHint  bool
 		Repeat   bool // the client has tried before
+		Former   bool // it has the form of its class in the settings before
 		Write    bool
 	}
+	// SettingsChanged brings other settings. Open requests keep the class and
+	// the number of attempts that they came with.
+	SettingsChanged struct{ Settings Settings }
 	// ListUpdate is news of the servers.
 	ListUpdate struct {
 		Kind    ListKind
@@ -266,6 +270,7 @@
 )
 
 func (RequestArrived) event()   {}
+func (SettingsChanged) event()  {}
 func (ListUpdate) event()       {}
 func (AttemptEnded) event()     {}
 func (StreamStarted) event()    {}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -93,12 +93,14 @@
 	if !m.ticking {
 		m.ticking, m.periodAt, m.askWait = true, now, m.askLeast()
 		m.askAt = now + time.Duration(m.random()*float64(m.askWait))
-		m.looks = m.set.MayProbe && m.set.ReportVia == ReportProbe && 2*m.set.Prices.Probe <= probePoints
 		m.do(timer)
 	}
 	switch e := e.(type) {
 	case RequestArrived:
 		m.arrive(e)
+	case SettingsChanged:
+		m.adopt(e.Settings)
+		m.relist()
 	case ListUpdate:
 		m.follow(e)
 	case AttemptEnded:
@@ -378,7 +380,7 @@
 
 // maySend holds every rule on sending; each send passes it.
 func (m *Module) maySend(r *request, s *server) bool {
-	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, m.set.MaxAttempts) ||
+	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, min(r.most, m.set.MaxAttempts)) ||
 		s.State != Ready || !r.class.group.open(s) || r.out >= 2 || r.out > 0 && !m.set.MayOverlap {
 		return false
 	}
@@ -444,8 +446,8 @@
 }
 
 func (m *Module) arrive(e RequestArrived) {
-	c := m.classOf(e.Class)
-	r := &request{id: e.ID, class: c, arrived: m.now, deadline: m.now + e.Patience}
+	c := m.classOf(e.Class, e.Former)
+	r := &request{id: e.ID, class: c, most: m.set.MaxAttempts, arrived: m.now, deadline: m.now + e.Patience}
 	if e.Repeat { // its client has waited for so long at most
 		r.spent = max(0, c.Deadline-e.Patience)
 	}
@@ -735,6 +737,11 @@
 			m.do(CloseIdle{Server: s.ID}) // those in use follow as they end
 		}
 	}
+	m.relist()
+}
+
+// relist finds the servers that there are, those that each group works with, and who shares them.
+func (m *Module) relist() {
 	m.list = m.list[:0]
 	for id, s := range m.known {
 		if s.home = false; s.State != Gone {
--- a/decide/look_test.go
+++ b/decide/look_test.go
@@ -138,7 +138,7 @@
 func TestHeavyRequestWantsAnEmptierServer(t *testing.T) {
 	for hint, want := range map[time.Duration]int{20 * time.Millisecond: 1, 400 * time.Millisecond: 0} {
 		m := lookingNode(lookSettings())
-		c := m.classOf("page")
+		c := m.classOf("page", false)
 		c.hint, c.hints = 0.1, 100
 		asked := probes(m.Handle(time.Hour, RequestArrived{ID: "a", Class: "page", Patience: time.Second, WorkHint: hint, HasHint: true}))
 		m.Handle(m.now, ProbeEnded{Server: asked[0], Report: report(1, 0)})
--- a/decide/state.go
+++ b/decide/state.go
@@ -83,7 +83,7 @@
 	spent                          time.Duration // how long its client has waited before this try, at least
 	attempts                       []attempt
 	heavy                          float64   // its work by its hint, over its class's mean
-	out, rounds                    int       // rounds: looks at servers for the next attempt
+	most, out, rounds              int       // most: attempts; rounds: looks at servers for the next attempt
 	asked                          []*server // in these looks, the last two in the last
 	lookAt                         Time
 	looking                        bool
@@ -101,7 +101,7 @@
 	rng                uint64
 	now, periodAt      Time
 	out                []Action
-	classes            map[string]*class
+	classes, former    map[string]*class // former: of the settings before
 	order              []*class
 	tenants            map[string]*tenant
 	known              map[ServerID]*server
@@ -128,29 +128,61 @@
 
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
-	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, classes: map[string]*class{},
-		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, requests: map[RequestID]*request{}}
-	m.set.Nodes = max(1, s.Nodes)
-	m.running, m.tight = 1, math.Inf(1)
+	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, running: 1, tight: math.Inf(1),
+		known: map[ServerID]*server{}, requests: map[RequestID]*request{}}
+	m.adopt(s)
 	m.sharers = float64(m.set.Nodes)
+	return m
+}
+
+// adopt takes settings. Classes are made anew, with what was learned of those of the same name, as open
+// requests keep those they have; groups and tenants go on.
+func (m *Module) adopt(s Settings) {
+	m.set, m.former, m.classes, m.order = s, m.classes, map[string]*class{}, nil
+	m.set.Nodes = max(1, s.Nodes)
+	m.looks = s.MayProbe && s.ReportVia == ReportProbe && 2*s.Prices.Probe <= probePoints
 	if !s.HoldOffs {
 		m.set.MaxHoldOff = 0
 	}
+	for _, g := range m.groups {
+		g.top = 0
+	}
 	for _, c := range s.Classes {
 		k := &class{relative: 1}
+		if before := m.former[c.Name]; before != nil {
+			*k = *before
+		}
 		m.classes[c.Name], m.order = k, append(m.order, k)
 		k.Class, k.group = c, m.groupOf(c.OnlyZones, c.OnlyKinds)
 		k.group.top = math.Max(k.group.top, c.Worth)
 	}
-	m.groupOf(nil, nil) // for classes that the settings lack
+	used := map[*group]bool{m.groupOf(nil, nil): true} // for classes that the settings lack
+	for _, c := range m.order {
+		used[c.group] = true
+	}
+	for _, c := range m.former {
+		used[c.group] = true
+	}
+	for _, r := range m.requests {
+		used[r.class.group] = true
+	}
+	m.groups = slices.DeleteFunc(m.groups, func(g *group) bool { return !used[g] })
+	before := m.tenants
+	m.tenants = map[string]*tenant{}
 	for _, t := range s.Tenants {
-		m.tenants[t.Name] = &tenant{perNode: t.Quota / float64(m.set.Nodes)}
+		k := &tenant{}
+		if before[t.Name] != nil {
+			k = before[t.Name]
+		}
+		m.tenants[t.Name], k.perNode = k, t.Quota/float64(m.set.Nodes)
 	}
-	return m
 }
 
 // classOf knows every class: one that the settings lack is unsafe and of no worth.
-func (m *Module) classOf(name string) *class {
+func (m *Module) classOf(name string, former bool) *class {
+	if c := m.former[name]; former && c != nil {
+		return c
+	}
 	if m.classes[name] == nil {
 		m.classes[name] = &class{relative: 1, group: m.groupOf(nil, nil)}
 		m.order = append(m.order, m.classes[name])
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -85,11 +85,26 @@
 
 func newPool(s decide.Settings, most int) *pool {
 	p := &pool{most: most, forwards: new(atomic.Int64), backends: map[decide.ServerID]*backend{},
-		dialer: net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}}
+		dialer: net.Dialer{KeepAlive: -1}}
+	p.configure(s)
+	return p
+}
+
+// configure takes the settings that concern connections.
+func (p *pool) configure(s decide.Settings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialer.Timeout = s.ConnectTimeout
 	if p.maxIdle = time.Duration(idlePart * float64(s.ConnIdle)); s.ConnIdle <= 0 {
 		p.maxIdle = time.Minute
 	}
-	return p
+}
+
+// idleTime is how long a connection may stay idle.
+func (p *pool) idleTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.maxIdle
 }
 
 // set takes a server's address from the list. Connections to an earlier
@@ -151,18 +166,18 @@
 
 // run expires idle connections until ctx ends.
 func (p *pool) run(ctx context.Context) {
-	for sleep(ctx, max(p.maxIdle/8, 50*time.Millisecond)) {
+	for sleep(ctx, max(p.idleTime()/8, 50*time.Millisecond)) {
 		p.expire(time.Now())
 	}
 }
 
 // get finds an idle connection or dials. An error proves that nothing was sent.
 func (p *pool) get(ctx context.Context, id decide.ServerID) (*conn, error) {
-	b, c, err := p.take(id)
+	b, c, dialer, err := p.take(id)
 	if c != nil || err != nil {
 		return c, err
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", b.address)
+	raw, err := dialer.DialContext(ctx, "tcp", b.address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
@@ -176,12 +191,12 @@
 }
 
 // take returns an idle connection, or the backend with leave to dial it.
-func (p *pool) take(id decide.ServerID) (*backend, *conn, error) {
+func (p *pool) take(id decide.ServerID) (*backend, *conn, net.Dialer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.backends[id]
 	if b == nil {
-		return nil, nil, fmt.Errorf("server %d is not listed", id)
+		return nil, nil, p.dialer, fmt.Errorf("server %d is not listed", id)
 	}
 	now := time.Now()
 	for n := len(b.idle); n > 0; n = len(b.idle) {
@@ -191,16 +206,16 @@
 		// something unasked, would end as a reset that may have run. Nothing
 		// has been sent on it, so another one can do.
 		if now.Sub(c.idleAt) < p.maxIdle && silent(c.Conn) {
-			return b, c, nil
+			return b, c, p.dialer, nil
 		}
 		c.Conn.Close()
 		p.open--
 	}
 	if p.open >= p.most && !p.evict() {
-		return nil, nil, errCrowded
+		return nil, nil, p.dialer, errCrowded
 	}
 	p.open++
-	return b, nil, nil
+	return b, nil, p.dialer, nil
 }
 
 // evict closes the connection that has been idle longest.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -35,6 +35,7 @@
 	Peers      []netip.AddrPort // of all nodes, by their numbers; invalid: not to be reached
 
 	known list // the servers as the node last had them
+	file  any  // all of the file, as JSON has it
 }
 
 // LoadConfig reads the configuration file at path.
@@ -89,7 +90,8 @@
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
 	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Control: in.Control, Seed: int64(seed),
-		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known}
+		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known,
+		file: decodeAny(raw)}
 	if settings.MayMessage {
 		c.PeerListen = in.PeerListen
 		for _, peer := range in.Peers {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -34,20 +34,16 @@
 // frontend takes clients' requests and writes their answers.
 type frontend struct {
 	node     *Node
-	most     int                      // connections
-	effects  map[string]decide.Effect // of the classes
-	longest  time.Duration            // deadline of a class
-	linger   func()                   // goes on accepting for a while after the order to stop
+	most     int // connections
+	rules    atomic.Pointer[rules]
+	linger   func() // goes on accepting for a while after the order to stop
 	ready    atomic.Bool
 	draining atomic.Bool
 }
 
 func newFrontend(n *Node, most int) *frontend {
-	f := &frontend{node: n, most: most, effects: map[string]decide.Effect{}, linger: func() { time.Sleep(lingerTime) }}
-	for _, c := range n.cfg.Settings.Classes {
-		f.effects[c.Name] = c.Effect
-		f.longest = max(f.longest, c.Deadline)
-	}
+	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }}
+	f.rules.Store(newRules(n.cfg.Settings, nil))
 	return f
 }
 
@@ -67,7 +63,7 @@
 	}
 	f.draining.Store(true)
 	f.linger()
-	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.longest+finishSlack)
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.rules.Load().longest+finishSlack)
 	defer cancel()
 	err := srv.Shutdown(end)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -145,23 +141,13 @@
 		return bad(http.StatusBadRequest, "want one X-Request-Id of at most %d bytes", maxIDLength)
 	}
 	e.ID = decide.RequestID(id)
-	effect, known := f.effects[e.Class]
-	if !known {
-		return bad(http.StatusBadRequest, "unknown X-Class %q", e.Class)
-	}
-	// The method tells the server what a repeat would do, so it must agree
-	// with what the module believes.
-	want := http.MethodPost
-	if effect == decide.Safe {
-		want = http.MethodGet
-	}
-	if r.Method != want {
-		return bad(http.StatusMethodNotAllowed, "class %s wants %s", e.Class, want)
-	}
-	switch keys := r.Header.Values("Idempotency-Key"); {
-	case effect == decide.Keyed && (len(keys) != 1 || keys[0] == ""), effect == decide.Unsafe && len(keys) > 0:
-		return bad(http.StatusBadRequest, "class %s and Idempotency-Key do not agree", e.Class)
+	former, err := f.rules.Load().effect(e.Class, func(effect decide.Effect) error { return fits(r, e.Class, effect) })
+	if err != nil {
+		var wrong formError
+		errors.As(err, &wrong)
+		return bad(wrong.status, "%w", err)
 	}
+	e.Former = former
 	patience, err := seconds(r.Header.Get("X-Deadline"))
 	if err != nil {
 		return bad(http.StatusBadRequest, "X-Deadline: %w", err)
@@ -183,6 +169,35 @@
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body}}, e, 0, nil
 }
 
+// formError is a request whose form its class does not have.
+type formError struct {
+	status int
+	text   string
+}
+
+func (e formError) Error() string { return e.text }
+
+func badRequest(format string, args ...any) error {
+	return formError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// fits checks a request's form. The method and the key tell the server what a
+// repeat would do, so they must agree with what the module believes.
+func fits(r *http.Request, class string, effect decide.Effect) error {
+	want := http.MethodPost
+	if effect == decide.Safe {
+		want = http.MethodGet
+	}
+	if r.Method != want {
+		return formError{http.StatusMethodNotAllowed, fmt.Sprintf("class %s wants %s", class, want)}
+	}
+	switch keys := r.Header.Values("Idempotency-Key"); {
+	case effect == decide.Keyed && (len(keys) != 1 || keys[0] == ""), effect == decide.Unsafe && len(keys) > 0:
+		return badRequest("class %s and Idempotency-Key do not agree", class)
+	}
+	return nil
+}
+
 func seconds(s string) (time.Duration, error) {
 	v, err := strconv.ParseFloat(s, 64)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	discovery *discovery
 	front     *frontend
 	stats     *stats
+	file      any    // the configuration file last taken; for Reread
 	peers     *peers // nil: this node has no socket for them
 
 	// The rest belongs to the loop.
@@ -70,7 +71,8 @@
 func New(cfg Config, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
 		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{},
-		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes)}
+		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes),
+		file: cfg.file}
 	clients := int(clientPart * float64(cfg.Sockets-spareSockets))
 	n.backends = newPool(cfg.Settings, cfg.Sockets-spareSockets-clients)
 	n.backends.forwards = &n.stats.forwards
@@ -114,18 +116,6 @@
 	return err
 }
 
-// Reload takes what may change under a running node from a new configuration:
-// the address of discovery.
-func (n *Node) Reload(cfg Config) {
-	n.post(func() {
-		if cfg.Discovery != n.cfg.Discovery {
-			n.log.Info("discovery moves", "to", cfg.Discovery)
-			n.cfg.Discovery = cfg.Discovery
-			n.discovery.move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
-		}
-	})
-}
-
 // loop is the one owner of the module and the requests.
 func (n *Node) loop(ctx context.Context) {
 	defer close(n.ended)
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,200 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"reflect"
+	"slices"
+	"time"
+
+	"indigotack/decide"
+)
+
+// formerLeast is how long requests in the form of the settings before are
+// taken, at least: clients learn of a change at their own time.
+const formerLeast = 2 * time.Second
+
+// optionalKeys of the settings may be absent, as the wire's page says.
+var optionalKeys = []string{"aim_stretch", "allowed_on", "failure_domains_open", "passes_deadline", "warm_keys"}
+
+// Reread takes the file at path over the running configuration, or turns it
+// down whole and says why. It is for one goroutine.
+func (n *Node) Reread(path string) error {
+	cfg, err := n.checked(path)
+	if err != nil {
+		n.stats.sighupRejected.Add(1)
+		return fmt.Errorf("config %s: %w", path, err)
+	}
+	n.file = cfg.file
+	n.Reload(cfg)
+	return nil
+}
+
+func (n *Node) checked(path string) (Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, err
+	}
+	cfg, err := parseConfig(raw)
+	if err != nil {
+		return Config{}, err
+	}
+	if err := lacks("", n.file, cfg.file); err != nil {
+		return Config{}, err
+	}
+	return cfg, checkSettings(cfg)
+}
+
+// checkSettings turns down what a running node could not keep its rules with.
+func checkSettings(cfg Config) error {
+	if n := cfg.Settings.MaxAttempts; n <= 0 && member(cfg.file, "settings", "caps", "max_attempts") != nil {
+		return fmt.Errorf("settings: caps.max_attempts: %d is no number of attempts", n)
+	}
+	names := map[string]bool{}
+	for _, c := range cfg.Settings.Classes {
+		switch {
+		case c.Name == "":
+			return errors.New("settings: a class has no name")
+		case names[c.Name]:
+			return fmt.Errorf("settings: class %s comes twice", c.Name)
+		case c.Deadline <= 0:
+			return fmt.Errorf("settings: class %s: give_up_ns: %d is no deadline", c.Name, c.Deadline)
+		}
+		names[c.Name] = true
+	}
+	return nil
+}
+
+// lacks finds a key of the running file that another one does not have. Of a
+// list of objects each must have the keys that all have in the running file.
+// What the servers were at a start is no setting: only its key must be there.
+func lacks(path string, old, new any) error {
+	switch old := old.(type) {
+	case map[string]any:
+		next, ok := new.(map[string]any)
+		if !ok {
+			return fmt.Errorf("%s is no object", path)
+		}
+		for _, key := range slices.Sorted(maps.Keys(old)) {
+			if old[key] == nil || slices.Contains(optionalKeys, key) {
+				continue
+			}
+			if next[key] == nil {
+				return fmt.Errorf("%s%s is missing", path, key)
+			}
+			if path == "" && key == "known" {
+				continue
+			}
+			if err := lacks(path+key+".", old[key], next[key]); err != nil {
+				return err
+			}
+		}
+	case []any:
+		next, ok := new.([]any)
+		if !ok {
+			return fmt.Errorf("%s is no list", path)
+		}
+		if path == "settings.classes." && len(old) > 0 && len(next) == 0 {
+			return errors.New("settings.classes has none")
+		}
+		shared := sharedKeys(old)
+		for i, e := range next {
+			if err := lacks(fmt.Sprintf("%s%d.", path, i), shared, e); len(shared) > 0 && err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// sharedKeys gives the keys that all objects of a list have.
+func sharedKeys(list []any) map[string]any {
+	var shared map[string]any
+	for _, e := range list {
+		o, ok := e.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if shared == nil {
+			shared = maps.Clone(o)
+		}
+		maps.DeleteFunc(shared, func(key string, _ any) bool { return o[key] == nil })
+	}
+	return shared
+}
+
+// Reload takes what may change under a running node from a new configuration:
+// the address of discovery and the settings.
+func (n *Node) Reload(cfg Config) {
+	n.post(func() {
+		if !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
+			n.log.Info("new settings", "classes", len(cfg.Settings.Classes), "attempts", cfg.Settings.MaxAttempts)
+			n.cfg.Settings = cfg.Settings
+			n.stats.add(cfg.Settings.Classes)
+			n.backends.configure(cfg.Settings)
+			n.handle(decide.SettingsChanged{Settings: cfg.Settings})
+			n.front.rules.Store(newRules(cfg.Settings, n.front.rules.Load()))
+		}
+		if cfg.Discovery != n.cfg.Discovery {
+			n.log.Info("discovery moves", "to", cfg.Discovery)
+			n.cfg.Discovery = cfg.Discovery
+			n.discovery.move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
+		}
+		n.stats.sighupApplied.Add(1)
+	})
+}
+
+// rules is what the front must know of the settings to take a request.
+type rules struct {
+	effects     map[string]decide.Effect // of the classes
+	longest     time.Duration            // deadline of a class
+	former      map[string]decide.Effect // of the settings before
+	formerUntil time.Time
+}
+
+func newRules(s decide.Settings, before *rules) *rules {
+	r := &rules{effects: map[string]decide.Effect{}}
+	for _, c := range s.Classes {
+		r.effects[c.Name] = c.Effect
+		r.longest = max(r.longest, c.Deadline)
+	}
+	if before != nil {
+		r.former, r.formerUntil = before.effects, time.Now().Add(max(formerLeast, before.longest))
+	}
+	return r
+}
+
+// effect finds what a repeat of a request would do: by its class, or by that
+// class as it was, where only that agrees with the request's form.
+func (r *rules) effect(class string, fits func(decide.Effect) error) (former bool, err error) {
+	effect, known := r.effects[class]
+	if known {
+		if err = fits(effect); err == nil {
+			return false, nil
+		}
+	} else {
+		err = badRequest("unknown X-Class %q", class)
+	}
+	if effect, known = r.former[class]; known && fits(effect) == nil && time.Now().Before(r.formerUntil) {
+		return true, nil
+	}
+	return false, err
+}
+
+// member finds a value under keys, one inside the other; nil if there is none.
+func member(file any, keys ...string) any {
+	for _, key := range keys {
+		o, _ := file.(map[string]any)
+		file = o[key]
+	}
+	return file
+}
+
+// decodeAny keeps a file's keys, to compare the next one with.
+func decodeAny(raw []byte) (file any) {
+	json.Unmarshal(raw, &file) // it has been read once without an error
+	return file
+}
--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"indigotack/decide"
+)
+
+const reloadConfig = `{"name":"n0","listen":"127.0.0.1:5000","discovery":"127.0.0.1:1","seed":"1f","limits":{"memory_mb":100,"sockets":512},
+"known":{"index":41,"snapshot":true,"endpoints":[{"name":"s","address":"127.0.0.1:1"}]},
+"settings":{"balancers":1,"caps":{"connect_timeout_ns":120000000,"max_attempts":4},"membership_mode":"pushed",
+"classes":[{"name":"saldo","effect":"retryable","aim_ns":250000000,"give_up_ns":2000000000,"aim_stretch":1},
+{"name":"pagar","effect":"fragile","aim_ns":250000000,"give_up_ns":2000000000}]}}`
+
+// rereader gives a running node that follows a file, and a way to change it.
+func rereader(t *testing.T, servers ...string) (n *running, reread func(config string) error) {
+	t.Helper()
+	n = startNode(t, servers...)
+	file := strings.Replace(reloadConfig, "127.0.0.1:1\",\"seed", n.cfg.Discovery+"\",\"seed", 1)
+	cfg, err := parseConfig([]byte(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.file = cfg.file
+	n.Reload(cfg)
+	path := filepath.Join(t.TempDir(), "config.json")
+	return n, func(config string) error {
+		if err := os.WriteFile(path, []byte(strings.Replace(config, "127.0.0.1:1\",\"seed", n.cfg.Discovery+"\",\"seed", 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return n.Reread(path)
+	}
+}
+
+// TestSettingsTurnedDownWhole: a file that can't be used changes nothing, and says why.
+func TestSettingsTurnedDownWhole(t *testing.T) {
+	n, reread := rereader(t, refusing(t))
+	address := n.operate(t)
+	figure(t, address, "app.sighup_applied:1|c")
+	swap := func(old, new string) string {
+		if !strings.Contains(reloadConfig, old) {
+			t.Fatalf("the file has no %s", old)
+		}
+		return strings.Replace(reloadConfig, old, new, 1)
+	}
+	bad := []struct{ config, want string }{
+		{"", "unexpected end"},
+		{reloadConfig[:len(reloadConfig)-2], "unexpected end"},
+		{reloadConfig + "}", "after top-level value"},
+		{swap(`"seed":"1f",`, ""), "seed"},
+		{swap(`"limits":`, `"limit":`), "limits is missing"},
+		{swap(`"known":`, `"knew":`), "known is missing"},
+		{swap(`"settings":`, `"setting":`), "settings are missing"},
+		{swap(`"max_attempts":4`, `"max":4`), "max_attempts is missing"},
+		{swap(`"caps":{`, `"caps":null,"x":{`), "caps is missing"},
+		{swap(`,"give_up_ns":2000000000}`, `}`), "give_up_ns is missing"},
+		{swap(`"max_attempts":4`, `"max_attempts":0`), "no number of attempts"},
+		{swap(`"max_attempts":4`, `"max_attempts":-1`), "no number of attempts"},
+		{swap(`"max_attempts":4`, `"max_attempts":"4"`), "cannot unmarshal"},
+		{swap(`"max_attempts":4`, `"max_attempts":NaN`), "invalid character"},
+		{swap(`"give_up_ns":2000000000`, `"give_up_ns":0`), "no deadline"},
+		{swap(`"give_up_ns":2000000000`, `"give_up_ns":-5`), "no deadline"},
+		{swap(`"give_up_ns":2000000000`, `"give_up_ns":"soon"`), "cannot unmarshal"},
+		{swap(`"give_up_ns":2000000000`, `"give_up_ns":null`), "give_up_ns is missing"},
+		{swap(`"pagar"`, `"saldo"`), "comes twice"},
+		{swap(`"pagar"`, `""`), "no name"},
+		{swap(`"classes":[`, `"classes":[],"x":[`), "classes has none"},
+		{swap(`"classes":[`, `"classes":4,"x":[`), "cannot unmarshal"},
+	}
+	for _, c := range bad {
+		if err := reread(c.config); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("error %v, want one line with %q", err, c.want)
+		}
+	}
+	if err := n.Reread(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("a missing file is taken")
+	}
+	n.post(func() {
+		if len(n.cfg.Settings.Classes) != 2 || n.cfg.Settings.MaxAttempts != 4 {
+			t.Errorf("settings are now %+v", n.cfg.Settings)
+		}
+	})
+	figure(t, address, "app.sighup_applied:1|c")
+	if rejected := n.stats.sighupRejected.Load(); rejected != int64(len(bad)+1) {
+		t.Errorf("%d files counted as rejected, want %d", rejected, len(bad)+1)
+	}
+	if err := reread(swap(`,"aim_stretch":1`, "")); err != nil {
+		t.Errorf("without a key that may be absent: %v", err)
+	}
+	figure(t, address, "app.sighup_applied:2|c")
+}
+
+// TestNewClassIsServed: a class comes, one goes, an effect changes, and requests in the earlier form are taken for a while.
+func TestNewClassIsServed(t *testing.T) {
+	n, reread := rereader(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	address := n.operate(t)
+	figure(t, address, "app.sighup_applied:1|c")
+	next := strings.Replace(reloadConfig, `"pagar"`, `"girar"`, 1)
+	next = strings.Replace(next, `"retryable"`, `"dedup","key_scope":"all"`, 1)
+	if err := reread(next); err != nil {
+		t.Fatal(err)
+	}
+	figure(t, address, "app.sighup_applied:2|c")
+	for _, line := range []string{"app.results.girar.succeeded:0|c", "app.results.pagar.succeeded:0|c"} {
+		figure(t, address, line)
+	}
+	ask := func(method, class, key string) int {
+		req := n.request(t, method, class, method+class+key, "20", strings.NewReader(""))
+		if key != "" {
+			req.Header.Set("Idempotency-Key", key)
+		}
+		return do(t, req).status
+	}
+	for _, c := range []struct {
+		method, class, key string
+		while, later       int
+	}{
+		{"POST", "girar", "", 200, 200}, {"POST", "saldo", "k", 200, 200},
+		{"GET", "saldo", "", 200, 405}, {"POST", "pagar", "", 200, 400}, {"GET", "girar", "", 405, 405},
+	} {
+		n.post(func() {
+			r := *n.front.rules.Load()
+			r.formerUntil = r.formerUntil.Add(enough)
+			n.front.rules.Store(&r)
+		})
+		if status := ask(c.method, c.class, c.key); status != c.while {
+			t.Errorf("%s %s soon after: %d, want %d", c.method, c.class, status, c.while)
+		}
+		over := make(chan bool)
+		n.post(func() {
+			r := *n.front.rules.Load()
+			r.formerUntil = r.formerUntil.Add(-1000 * enough)
+			n.front.rules.Store(&r)
+			close(over)
+		})
+		<-over
+		if status := ask(c.method, c.class, c.key); status != c.later {
+			t.Errorf("%s %s long after: %d, want %d", c.method, c.class, status, c.later)
+		}
+		n.post(func() {
+			r := *n.front.rules.Load()
+			r.formerUntil = r.formerUntil.Add(1000 * enough)
+			n.front.rules.Store(&r)
+		})
+	}
+	figure(t, address, "app.results.pagar.succeeded:1|c")
+}
+
+// TestFormerFormRunsUnderFormerClass.
+func TestFormerFormRunsUnderFormerClass(t *testing.T) {
+	r := newRules(decide.Settings{Classes: []decide.Class{{Name: "a", Effect: decide.Unsafe}}},
+		&rules{effects: map[string]decide.Effect{"a": decide.Safe, "b": decide.Safe}})
+	is := func(want decide.Effect) func(decide.Effect) error {
+		return func(e decide.Effect) error {
+			if e == want {
+				return nil
+			}
+			return badRequest("no")
+		}
+	}
+	for _, c := range []struct {
+		class    string
+		form     decide.Effect
+		former   bool
+		accepted bool
+	}{{"a", decide.Unsafe, false, true}, {"a", decide.Safe, true, true}, {"a", decide.Keyed, false, false}, {"b", decide.Safe, true, true},
+		{"c", decide.Safe, false, false}} {
+		former, err := r.effect(c.class, is(c.form))
+		if former != c.former || (err == nil) != c.accepted {
+			t.Errorf("class %s in form %d: former %v, error %v", c.class, c.form, former, err)
+		}
+	}
+}
