Hold backends in maintenance at an operator's word, with a cold return

Seen: maintenance calls were answered 404, and the module knew no ban.

maintenance_test.go (event sequences) and TestMaintenanceCalls, TestBanOutlivesTheList, TestHeldServerIsNotWrittenTo fail without it.

--- a/decide/api.go
+++ b/decide/api.go
@@ -228,6 +228,12 @@
 	// SettingsChanged brings other settings. Open requests keep the class and
 	// the number of attempts that they came with.
 	SettingsChanged struct{ Settings Settings }
+	// Maintenance is an operator's word: nothing more to a server, or use it
+	// again. It holds whatever lists say.
+	Maintenance struct {
+		Server ServerID
+		On     bool
+	}
 	// ListUpdate is news of the servers.
 	ListUpdate struct {
 		Kind    ListKind
@@ -271,6 +277,7 @@
 
 func (RequestArrived) event()   {}
 func (SettingsChanged) event()  {}
+func (Maintenance) event()      {}
 func (ListUpdate) event()       {}
 func (AttemptEnded) event()     {}
 func (StreamStarted) event()    {}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -101,6 +101,8 @@
 	case SettingsChanged:
 		m.adopt(e.Settings)
 		m.relist()
+	case Maintenance:
+		m.maintain(e)
 	case ListUpdate:
 		m.follow(e)
 	case AttemptEnded:
@@ -139,7 +141,7 @@
 	for _, g := range m.groups {
 		reach, g.near = reach+g.reach, g.near[:0]
 		for _, s := range g.list {
-			if s.suspect || s.State != Ready || len(g.near) >= int(g.reach) {
+			if s.suspect || s.banned || s.State != Ready || len(g.near) >= int(g.reach) {
 				continue
 			}
 			if g.near, s.high = append(g.near, s), m.high(s); !s.cold {
@@ -342,6 +344,23 @@
 	return false
 }
 
+// maintain takes a server out by hand, or back. It is restarted meanwhile, so nothing learned of it holds.
+func (m *Module) maintain(e Maintenance) {
+	if s := m.known[e.Server]; e.On != m.banned[e.Server] && s != nil {
+		if s.banned = e.On; e.On {
+			m.do(CloseIdle{Server: s.ID}) // those in use follow as they end
+		} else {
+			s.suspect, s.strikes, s.unanswered, s.failing, s.imposedUntil = false, 0, 0, 0, m.now
+			s.excess, s.rate, s.since = 0, 0, m.now
+			m.startCold(s, m.now)
+		}
+	}
+	if delete(m.banned, e.Server); e.On {
+		m.banned[e.Server] = true
+	}
+	m.survey()
+}
+
 func (m *Module) startCold(s *server, at Time) {
 	s.cold, s.coldSince, s.tokens, s.tokensAt = true, at, m.random(), m.now
 }
@@ -368,10 +387,10 @@
 	return s.tokens < 1
 }
 
-// Ejected is how many listed servers get nothing but trials now.
+// Ejected is how many listed servers get nothing now, or nothing but trials.
 func (m *Module) Ejected() (n int) {
 	for _, s := range m.list {
-		if s.suspect {
+		if s.suspect || s.banned {
 			n++
 		}
 	}
@@ -381,7 +400,7 @@
 // maySend holds every rule on sending; each send passes it.
 func (m *Module) maySend(r *request, s *server) bool {
 	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, min(r.most, m.set.MaxAttempts)) ||
-		s.State != Ready || !r.class.group.open(s) || r.out >= 2 || r.out > 0 && !m.set.MayOverlap {
+		s.State != Ready || s.banned || !r.class.group.open(s) || r.out >= 2 || r.out > 0 && !m.set.MayOverlap {
 		return false
 	}
 	for i := range r.attempts {
@@ -603,7 +622,7 @@
 	if e.Code == OK || e.Code == ServerError {
 		a.server.heard = max(a.server.heard, a.sent)
 	}
-	if a.server.State != Ready {
+	if a.server.State != Ready || a.server.banned {
 		m.do(CloseIdle{Server: a.server.ID}) // its connection carries nothing now
 	}
 	m.reported(a.server, e.Report)
--- a/decide/state.go
+++ b/decide/state.go
@@ -33,6 +33,7 @@
 	strikes, unanswered      int     // failures since the last success; sends since the last answer
 	muteSince, heard         Time    // the suspectAt-th of those sends; the last send that was answered
 	suspect, cold, home      bool    // home: in reach if none were suspects
+	banned                   bool    // by hand
 	away                     bool    // a suspect that may be down and so may come back cold
 	failing                  float64 // smoothed part of its attempts that fail
 	order                    uint64  // its place on the ring
@@ -105,6 +106,7 @@
 	order              []*class
 	tenants            map[string]*tenant
 	known              map[ServerID]*server
+	banned             map[ServerID]bool // by hand, listed or not
 	groups             []*group
 	list               []*server  // those not gone, by their place on the ring, from this node's on
 	sharers            float64    // how many nodes a server is in reach of, on average
@@ -129,7 +131,7 @@
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
 	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, running: 1, tight: math.Inf(1),
-		known: map[ServerID]*server{}, requests: map[RequestID]*request{}}
+		known: map[ServerID]*server{}, banned: map[ServerID]bool{}, requests: map[RequestID]*request{}}
 	m.adopt(s)
 	m.sharers = float64(m.set.Nodes)
 	return m
@@ -214,7 +216,8 @@
 
 func (m *Module) serverOf(id ServerID) *server {
 	if m.known[id] == nil {
-		m.known[id] = &server{since: m.now, quietUntil: m.now, dither: m.random(), order: mix(uint64(id))}
+		m.known[id] = &server{since: m.now, quietUntil: m.now, dither: m.random(), order: mix(uint64(id)),
+			banned: m.banned[id]}
 	}
 	return m.known[id]
 }
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -54,6 +54,7 @@
 	open     int // connections, idle, in use or being dialled
 	most     int
 	backends map[decide.ServerID]*backend
+	held     map[decide.ServerID]bool // nothing is written to them
 }
 
 // backend is one process of a server. A restart or a new address makes a new
@@ -84,7 +85,7 @@
 }
 
 func newPool(s decide.Settings, most int) *pool {
-	p := &pool{most: most, forwards: new(atomic.Int64), backends: map[decide.ServerID]*backend{},
+	p := &pool{most: most, forwards: new(atomic.Int64), backends: map[decide.ServerID]*backend{}, held: map[decide.ServerID]bool{},
 		dialer: net.Dialer{KeepAlive: -1}}
 	p.configure(s)
 	return p
@@ -141,6 +142,22 @@
 	}
 }
 
+// hold has nothing more written to a server, whatever was picked before, or
+// lets it be used again.
+func (p *pool) hold(id decide.ServerID, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if delete(p.held, id); on {
+		p.held[id] = true
+	}
+}
+
+func (p *pool) isHeld(id decide.ServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held[id]
+}
+
 func (p *pool) drop(b *backend) {
 	for _, c := range b.idle {
 		c.Conn.Close()
@@ -333,6 +350,10 @@
 		}
 		return result{code: decide.ConnectFailed}
 	}
+	if p.isHeld(id) { // since it was picked
+		c.discard()
+		return result{code: decide.Moot}
+	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if sent, err := c.Write(msg); err != nil {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"path"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +19,8 @@
 	callTime    = 2 * time.Second        // for a call to come whole: callers wait one
 	maxCall     = 4 << 10                // bytes of a call's head
 	controlWait = 250 * time.Millisecond // before the address is tried again, if it can't be had
+
+	maintainTime = 800 * time.Millisecond // for the loop to take a maintenance call
 )
 
 // ServeControl answers operators at an address until ctx ends, beside the
@@ -62,14 +66,31 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		n.stats.write(w)
 	})
+	mux.HandleFunc("POST /backends/{id}/maint", func(w http.ResponseWriter, r *http.Request) { n.answerMaintenance(w, r, true) })
+	mux.HandleFunc("POST /backends/{id}/ready", func(w http.ResponseWriter, r *http.Request) { n.answerMaintenance(w, r, false) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
 			c.called.Store(true)
 		}
+		if path.Clean(r.URL.Path) != r.URL.Path { // the mux would send the caller elsewhere, which is no answer
+			http.NotFound(w, r)
+			return
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
 
+func (n *Node) answerMaintenance(w http.ResponseWriter, r *http.Request, on bool) {
+	switch err := n.maintain(r.Context(), r.PathValue("id"), on); {
+	case errors.Is(err, errUnknown):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ok")
+	}
+}
+
 type callerKey struct{}
 
 // callers bounds the operators' connections. One that comes while all are open
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -28,6 +29,7 @@
 	log   *slog.Logger
 	start time.Time
 	inbox chan func() // run by the loop, one at a time
+	calls chan func() // the same for operators, ahead of the inbox
 	ended chan struct{}
 
 	backends  *pool
@@ -42,6 +44,7 @@
 	module   *decide.Module
 	ids      *ids
 	listed   map[string]decide.ServerID
+	banned   map[string]bool // names of servers in maintenance
 	requests map[decide.RequestID]*request
 	queue    []decide.Event // that came of actions, to be handled next
 }
@@ -69,8 +72,8 @@
 
 // New makes a node; Run starts it.
 func New(cfg Config, log *slog.Logger) *Node {
-	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
-		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{},
+	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), calls: make(chan func()), ended: make(chan struct{}),
+		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{}, banned: map[string]bool{},
 		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes),
 		file: cfg.file}
 	clients := int(clientPart * float64(cfg.Sockets-spareSockets))
@@ -121,6 +124,14 @@
 	defer close(n.ended)
 	for {
 		select {
+		case f := <-n.calls:
+			f()
+			continue
+		default:
+		}
+		select {
+		case f := <-n.calls:
+			f()
 		case f := <-n.inbox:
 			f()
 		case <-ctx.Done():
@@ -129,6 +140,44 @@
 	}
 }
 
+// maintain puts a server into maintenance or takes it out. It returns when that
+// is in force for all later sends.
+func (n *Node) maintain(ctx context.Context, name string, on bool) error {
+	ctx, cancel := context.WithTimeout(ctx, maintainTime)
+	defer cancel()
+	done := make(chan error, 1)
+	select {
+	case n.calls <- func() { done <- n.setMaintenance(name, on) }:
+	case <-n.ended:
+		return errEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return <-done // the loop has it in hand
+}
+
+var (
+	errEnded   = errors.New("the node has ended")
+	errUnknown = errors.New("no such backend")
+)
+
+func (n *Node) setMaintenance(name string, on bool) error {
+	_, listed := n.listed[name]
+	if !listed && !n.banned[name] {
+		return errUnknown
+	}
+	n.log.Info("maintenance", "backend", name, "on", on)
+	id := n.ids.of(name)
+	n.backends.hold(id, on)
+	n.handle(decide.Maintenance{Server: id, On: on})
+	if delete(n.banned, name); on {
+		n.banned[name] = true
+	} else if !listed {
+		n.ids.forget(name)
+	}
+	return nil
+}
+
 // post has f run by the loop; once that has ended it does nothing.
 func (n *Node) post(f func()) {
 	select {
@@ -336,8 +385,9 @@
 	for name, gone := range missing {
 		if gone {
 			n.backends.remove(n.ids.of(name))
-			n.ids.forget(name)
-			delete(n.listed, name)
+			if delete(n.listed, name); !n.banned[name] {
+				n.ids.forget(name)
+			}
 		}
 	}
 	n.stats.discovered.Store(int64(len(n.listed)))
