--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -35,13 +35,25 @@
 		return err
 	}
 	// The collector works harder well before the machine's limit kills the node.
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	ln, err := net.Listen("tcp", cfg.Listen)
+	limitMemory := func(shared bool) {
+		limit := int64(cfg.MemoryMB) << 20 * 3 / 4
+		if shared { // with another process of this node
+			limit /= 2
+		}
+		debug.SetMemoryLimit(limit)
+	}
+	limitMemory(false)
+	inherited := os.Getenv("GW_ACCEPT_FD")
+	ln, err := listen(inherited, cfg.Listen)
 	if err != nil {
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
 	n := node.New(cfg, log)
+	if inherited != "" { // then a new process can share the clients' socket
+		n.Overlap = limitMemory
+		n.TakeOver(os.TempDir())
+	}
 	control := cmp.Or(os.Getenv("GW_CONTROL"), cfg.Control) // the environment is this process's own
 	operated, closeControl := context.WithCancel(context.Background())
 	defer closeControl()
@@ -52,6 +64,18 @@
 	return n.Run(ctx, ln)
 }
 
+// listen gives the clients' socket: the one that the platform holds, or a new one.
+func listen(inherited, address string) (net.Listener, error) {
+	if inherited == "" {
+		return net.Listen("tcp", address)
+	}
+	ln, err := node.InheritedListener(inherited)
+	if err != nil {
+		return nil, fmt.Errorf("GW_ACCEPT_FD: %w", err)
+	}
+	return ln, nil
+}
+
 // reload follows the file until ctx ends. One that can't be used changes
 // nothing: a node that serves is worth more than one that ends over a typo.
 func reload(ctx context.Context, hup <-chan os.Signal, path string, n *node.Node, log *slog.Logger) {
--- a/decide/api.go
+++ b/decide/api.go
@@ -3,8 +3,9 @@
 // refused. It does no I/O, reads no clock and starts no goroutine: the caller
 // feeds it events and carries out the actions it returns.
 //
-// This file is the interface; all decisions are in decide.go, and what nodes
-// tell each other of servers is in peers.go.
+// This file is the interface; all decisions are in decide.go, what nodes
+// tell each other of servers is in peers.go, and what a new process takes over
+// from an old one is in handover.go.
 package decide
 
 import "time"
@@ -234,6 +235,12 @@
 		Server ServerID
 		On     bool
 	}
+	// Restored brings what an earlier process of this node had learned. It comes
+	// before the first list.
+	Restored struct{ Learned Learned }
+	// HandedOver says that a new process of this node serves, while this one
+	// ends what it has.
+	HandedOver struct{}
 	// ListUpdate is news of the servers.
 	ListUpdate struct {
 		Kind    ListKind
@@ -278,6 +285,8 @@
 func (RequestArrived) event()   {}
 func (SettingsChanged) event()  {}
 func (Maintenance) event()      {}
+func (Restored) event()         {}
+func (HandedOver) event()       {}
 func (ListUpdate) event()       {}
 func (AttemptEnded) event()     {}
 func (StreamStarted) event()    {}
@@ -286,6 +295,29 @@
 func (MessageReceived) event()  {}
 func (TimerFired) event()       {}
 
+// Learned is what a module has learned, in a form that outlives its process. Its
+// times are on the clock of both.
+type Learned struct {
+	Mean, Base, Unit, Peak, Answers, Running, Budget, Trials float64
+	Classes                                                  []ClassLearned
+	Servers                                                  []ServerLearned
+}
+
+// ClassLearned is what a module has learned of a class.
+type ClassLearned struct {
+	Name                                           string
+	Hint, Hints, Count, Latency, Ambient, Relative float64
+}
+
+// ServerLearned is what a module has learned of a server, and has out there.
+type ServerLearned struct {
+	ID                                                          ServerID
+	StartedAt, LatencyAt, RateAt, Since, TrialAt, ColdSince, At Time
+	TrialWait                                                   time.Duration
+	Excess, Rate, Failing, Load, Tokens                         float64
+	Suspect, Away, Cold                                         bool
+}
+
 // Action is something the caller is to do. The types below are all there are.
 type Action interface{ action() }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -101,6 +101,10 @@
 	case SettingsChanged:
 		m.adopt(e.Settings)
 		m.relist()
+	case Restored:
+		m.restore(e.Learned)
+	case HandedOver:
+		m.leaving = true
 	case Maintenance:
 		m.maintain(e)
 	case ListUpdate:
@@ -378,7 +382,7 @@
 // that it can do of the rate of warm ones here, and saves up little: the savings of many nodes are a burst.
 func (m *Module) paced(s *server) bool {
 	warmth := m.warmth(s)
-	if !s.cold || !s.home { // with suspects all around, every node would reach a restarted one
+	if !s.cold || !s.home || m.leaving { // with suspects all around, every node would reach a restarted one
 		return s.cold
 	}
 	part := warmth * math.Max(m.fleetRate, coldStart/m.sharers)
@@ -752,7 +756,10 @@
 			s.suspect, s.strikes, s.unanswered, s.failing, s.imposedUntil = false, 0, 0, 0, m.now
 			m.startCold(s, n.StartedAt)
 		}
-		if s.Server = n; n.State != Ready {
+		if s.Server = n; m.inherited != nil {
+			m.inherit(s)
+		}
+		if n.State != Ready {
 			m.do(CloseIdle{Server: s.ID}) // those in use follow as they end
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -106,7 +106,9 @@
 	order              []*class
 	tenants            map[string]*tenant
 	known              map[ServerID]*server
-	banned             map[ServerID]bool // by hand, listed or not
+	banned             map[ServerID]bool          // by hand, listed or not
+	inherited          map[ServerID]ServerLearned // of servers that no list has named yet
+	leaving            bool                       // a new process serves
 	groups             []*group
 	list               []*server  // those not gone, by their place on the ring, from this node's on
 	sharers            float64    // how many nodes a server is in reach of, on average
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -53,6 +53,7 @@
 	mu       sync.Mutex
 	open     int // connections, idle, in use or being dialled
 	most     int
+	shared   bool // with another process of this node: half of them
 	backends map[decide.ServerID]*backend
 	held     map[decide.ServerID]bool // nothing is written to them
 }
@@ -142,6 +143,23 @@
 	}
 }
 
+// share leaves half of the connections to another process of this node, or
+// takes them back.
+func (p *pool) share(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shared = on
+	for p.open > p.limit() && p.evict() {
+	}
+}
+
+func (p *pool) limit() int {
+	if p.shared {
+		return max(1, p.most/2)
+	}
+	return p.most
+}
+
 // hold has nothing more written to a server, whatever was picked before, or
 // lets it be used again.
 func (p *pool) hold(id decide.ServerID, on bool) {
@@ -228,7 +246,7 @@
 		c.Conn.Close()
 		p.open--
 	}
-	if p.open >= p.most && !p.evict() {
+	if p.open >= p.limit() && !p.evict() {
 		return nil, nil, p.dialer, errCrowded
 	}
 	p.open++
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -39,10 +39,13 @@
 	linger   func() // goes on accepting for a while after the order to stop
 	ready    atomic.Bool
 	draining atomic.Bool
+	open     atomic.Bool   // it accepts
+	handed   atomic.Bool   // to a new process
+	closing  chan struct{} // closed when it is to accept no more
 }
 
 func newFrontend(n *Node, most int) *frontend {
-	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }}
+	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }, closing: make(chan struct{})}
 	f.rules.Store(newRules(n.cfg.Settings, nil))
 	return f
 }
@@ -55,14 +58,28 @@
 	limited := limitListener(ln, f.most)
 	srv.ConnState = limited.note
 	failed := make(chan error, 1)
+	f.open.Store(true)
 	go func() { failed <- srv.Serve(limited) }()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-f.closing:
+			ln.Close()
+		case <-ended:
+		}
+	}()
 	select {
 	case err := <-failed:
-		return fmt.Errorf("serving clients: %w", err)
+		if !f.handed.Load() {
+			return fmt.Errorf("serving clients: %w", err)
+		}
+		limited.outlive(ctx)
 	case <-ctx.Done():
 	}
-	f.draining.Store(true)
-	f.linger()
+	if f.draining.Store(true); ctx.Err() != nil {
+		f.linger()
+	}
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.rules.Load().longest+finishSlack)
 	defer cancel()
 	err := srv.Shutdown(end)
@@ -74,6 +91,14 @@
 	return err
 }
 
+// stopAccepting leaves new connections to another process that listens on the
+// same socket, which is closed here but not shut down. It is called once, after
+// handed is set: those that come on open connections are asked to close.
+func (f *frontend) stopAccepting() {
+	f.draining.Store(true)
+	close(f.closing)
+}
+
 func (f *frontend) server() *http.Server {
 	return &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, DisableGeneralOptionsHandler: true, // all requests pass ServeHTTP
@@ -89,7 +114,7 @@
 	}
 	switch r.URL.Path {
 	case "/health/ready":
-		if !f.serving() {
+		if !f.serving() && !f.handed.Load() { // the new process has this address too
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -113,6 +138,9 @@
 	f.node.post(func() { f.node.open(req, event) })
 	select {
 	case a := <-req.answer:
+		if f.draining.Load() { // since the request came
+			w.Header().Set("Connection", "close")
+		}
 		return write(w, a)
 	case <-r.Context().Done():
 		f.node.post(func() { f.node.abandon(req) })
@@ -126,7 +154,7 @@
 }
 
 // serving tells whether new clients are welcome.
-func (f *frontend) serving() bool { return f.ready.Load() && !f.draining.Load() }
+func (f *frontend) serving() bool { return f.ready.Load() && f.open.Load() && !f.draining.Load() }
 
 // read checks a request. The status goes with the error.
 func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*request, decide.RequestArrived, int, error) {
@@ -304,6 +332,13 @@
 	}
 }
 
+// outlive returns when ctx ends, or all connections have for some time.
+func (l *limited) outlive(ctx context.Context) {
+	for ok := sleep(ctx, outliveLeast); ok && len(l.slots) > 0; {
+		ok = sleep(ctx, backoffLow)
+	}
+}
+
 func (l *limited) evict() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"indigotack/decide"
@@ -36,14 +38,19 @@
 	discovery *discovery
 	front     *frontend
 	stats     *stats
-	file      any    // the configuration file last taken; for Reread
-	peers     *peers // nil: this node has no socket for them
+	file      any                   // the configuration file last taken; for Reread
+	peers     atomic.Pointer[peers] // nil: this node has no socket for them
+	links     links
+	meeting   string     // where processes of this node meet; empty: nowhere
+	Overlap   func(bool) // told when another process of this node begins and ends to share its limits; may be nil
 
 	// The rest belongs to the loop.
 	ctx      context.Context
 	module   *decide.Module
 	ids      *ids
 	listed   map[string]decide.ServerID
+	told     chan struct{}   // closed when discovery has told the list
+	heard    sync.Once       // for that
 	banned   map[string]bool // names of servers in maintenance
 	requests map[decide.RequestID]*request
 	queue    []decide.Event // that came of actions, to be handled next
@@ -72,7 +79,7 @@
 
 // New makes a node; Run starts it.
 func New(cfg Config, log *slog.Logger) *Node {
-	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), calls: make(chan func()), ended: make(chan struct{}),
+	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), calls: make(chan func()), told: make(chan struct{}), ended: make(chan struct{}),
 		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{}, banned: map[string]bool{},
 		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes),
 		file: cfg.file}
@@ -98,27 +105,68 @@
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	n.ctx = inner
-	var err error
-	if n.peers, err = listenPeers(n.cfg.PeerListen, n.cfg.Peers, n.log); err != nil {
-		n.log.Error("nothing is heard from other nodes", "err", err) // clients are served all the same
+	if n.meeting == "" && n.hears() {
+		n.listenPeers(inner)
 	}
 	go n.loop(inner)
 	go n.backends.run(inner)
-	if n.peers != nil {
-		go n.peers.run(inner, func(from int, data []byte) {
-			n.post(func() { n.handle(decide.MessageReceived{From: from, Data: data}) })
-		})
+	var old *link
+	if n.meeting != "" {
+		var err error
+		if old, err = n.greet(ctx); err != nil {
+			n.log.Warn("nothing is taken over", "err", err)
+		}
 	}
 	n.post(func() { n.follow(n.cfg.known, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
-		n.post(func() { n.discovery.begin(inner, func(ctx context.Context) { n.discovery.follow(ctx, false) }) })
+		n.post(func() { n.discovery.begin(inner, func(ctx context.Context) { n.discovery.follow(ctx, old != nil) }) })
+	}
+	if old != nil {
+		n.succeed(ctx, old)
 	}
-	err = n.front.serve(ctx, ln)
+	if n.meeting != "" {
+		if n.hears() { // the old process has not handed its socket over
+			n.listenPeers(inner)
+		}
+		go n.awaitSuccessor(inner)
+	}
+	err := n.front.serve(ctx, ln)
 	stop()
 	<-n.ended
 	return err
 }
 
+// hears tells whether this node still lacks a socket that it ought to have.
+func (n *Node) hears() bool {
+	return n.cfg.PeerListen != "" && len(n.cfg.Peers) > 0 && n.peers.Load() == nil
+}
+
+// listenPeers opens the socket for other nodes' messages. If it can't be had,
+// clients are served all the same, and it is tried again.
+func (n *Node) listenPeers(ctx context.Context) {
+	p, err := listenPeers(n.cfg.PeerListen, n.cfg.Peers, n.log)
+	if err == nil {
+		n.startPeers(p)
+		return
+	}
+	n.log.Error("nothing is heard from other nodes, trying again", "err", err)
+	go func() {
+		for sleep(ctx, backoffHigh) {
+			if p, err := listenPeers(n.cfg.PeerListen, n.cfg.Peers, n.log); err == nil {
+				n.startPeers(p)
+				return
+			}
+		}
+	}()
+}
+
+func (n *Node) startPeers(p *peers) {
+	n.peers.Store(p)
+	go p.run(n.ctx, func(from int, data []byte) {
+		n.post(func() { n.handle(decide.MessageReceived{From: from, Data: data}) })
+	})
+}
+
 // loop is the one owner of the module and the requests.
 func (n *Node) loop(ctx context.Context) {
 	defer close(n.ended)
@@ -147,13 +195,24 @@
 	defer cancel()
 	done := make(chan error, 1)
 	select {
-	case n.calls <- func() { done <- n.setMaintenance(name, on) }:
+	case n.calls <- func() {
+		if _, listed := n.listed[name]; !listed && !n.banned[name] {
+			done <- errUnknown
+			return
+		}
+		n.setMaintenance(name, on)
+		done <- nil
+	}:
 	case <-n.ended:
 		return errEnded
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	return <-done // the loop has it in hand
+	err := <-done // the loop has it in hand
+	if err == nil {
+		n.forward(nil, name, on)
+	}
+	return err
 }
 
 var (
@@ -161,21 +220,16 @@
 	errUnknown = errors.New("no such backend")
 )
 
-func (n *Node) setMaintenance(name string, on bool) error {
-	_, listed := n.listed[name]
-	if !listed && !n.banned[name] {
-		return errUnknown
-	}
+func (n *Node) setMaintenance(name string, on bool) {
 	n.log.Info("maintenance", "backend", name, "on", on)
 	id := n.ids.of(name)
 	n.backends.hold(id, on)
 	n.handle(decide.Maintenance{Server: id, On: on})
 	if delete(n.banned, name); on {
 		n.banned[name] = true
-	} else if !listed {
+	} else if _, listed := n.listed[name]; !listed {
 		n.ids.forget(name)
 	}
-	return nil
 }
 
 // post has f run by the loop; once that has ended it does nothing.
@@ -240,12 +294,12 @@
 // message passes a message on to one node, or to all others.
 func (n *Node) message(a decide.SendMessage) {
 	if !a.ToAll {
-		n.peers.send(a.To, a.Data)
+		n.peers.Load().send(a.To, a.Data)
 		return
 	}
 	for to := range n.cfg.Peers {
 		if to != n.cfg.Settings.Self {
-			n.peers.send(to, a.Data)
+			n.peers.Load().send(to, a.Data)
 		}
 	}
 }
@@ -390,6 +444,9 @@
 			}
 		}
 	}
+	if kind != decide.ListCached {
+		n.heard.Do(func() { close(n.told) })
+	}
 	n.stats.discovered.Store(int64(len(n.listed)))
 	n.front.ready.Store(len(n.listed) > 0)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -42,6 +42,12 @@
 }
 
 func startNode(t *testing.T, servers ...string) *running {
+	t.Helper()
+	return startNodeWith(t, func(*Node) {}, servers...)
+}
+
+// startNodeWith has a node prepared before it runs.
+func startNodeWith(t *testing.T, prepare func(*Node), servers ...string) *running {
 	t.Helper()
 	var entries []string
 	for i, s := range servers {
@@ -49,7 +55,7 @@
 	}
 	hung := make(chan struct{})
 	disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("from") == "0" {
+		if from := r.URL.Query().Get("from"); from == "0" || from == "" {
 			fmt.Fprintf(w, `{"index":1,"snapshot":true,"endpoints":[%s]}`, strings.Join(entries, ","))
 			return
 		}
@@ -68,6 +74,7 @@
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
 	n.front.linger = func() { <-lingered }
+	prepare(n.Node)
 	go func() { n.ended <- n.Run(ctx, ln) }()
 	t.Cleanup(func() {
 		stop()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync/atomic"
+	"time"
 )
 
 // maxMessage is the longest datagram between nodes; a longer one breaks the protocol.
@@ -18,6 +20,8 @@
 	addrs []netip.AddrPort
 	from  map[netip.AddrPort]int
 	log   *slog.Logger
+	muted atomic.Bool   // another process reads the socket
+	ended chan struct{} // closed when this one no longer does
 }
 
 // listenPeers opens the socket, or gives nil where nodes have none.
@@ -33,13 +37,37 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for other nodes: %w", err)
 	}
-	p := &peers{conn: conn, addrs: addrs, from: map[netip.AddrPort]int{}, log: log}
+	return newPeers(conn, addrs, log), nil
+}
+
+func newPeers(conn *net.UDPConn, addrs []netip.AddrPort, log *slog.Logger) *peers {
+	p := &peers{conn: conn, addrs: addrs, from: map[netip.AddrPort]int{}, log: log, ended: make(chan struct{})}
 	for i, a := range addrs {
 		if a.IsValid() {
 			p.from[a] = i
 		}
 	}
-	return p, nil
+	return p
+}
+
+// handOver ends the reading and gives the socket's descriptor to f, to be passed
+// on. This process goes on sending by it, as nodes know each other by address.
+// Without a socket the descriptor is negative.
+func (p *peers) handOver(f func(fd int)) {
+	if p == nil {
+		f(-1)
+		return
+	}
+	p.muted.Store(true)
+	p.conn.SetReadDeadline(time.Unix(1, 0))
+	<-p.ended
+	raw, err := p.conn.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { f(int(fd)) })
+	}
+	if err != nil { // it has been closed
+		f(-1)
+	}
 }
 
 // send passes a message to one node. It does not wait, and none is owed an arrival.
@@ -56,16 +84,16 @@
 	}
 }
 
-// run passes messages on until ctx ends, and closes the socket. What comes from
+// run passes messages on until ctx ends, which closes the socket, or another process does. What comes from
 // an address of no node, or is longer than any message, is dropped.
 func (p *peers) run(ctx context.Context, received func(from int, data []byte)) {
-	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
-	defer stop()
+	defer close(p.ended)
+	context.AfterFunc(ctx, func() { p.conn.Close() })
 	buf := make([]byte, maxMessage+1)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !p.muted.Load() {
 		n, addr, err := p.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			if ctx.Err() == nil && !sleep(ctx, backoffLow) { // an error here is of one datagram; none may spin
+			if ctx.Err() == nil && !p.muted.Load() && !sleep(ctx, backoffLow) { // an error here is of one datagram; none may spin
 				return
 			}
 			continue
