--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -25,6 +25,9 @@
 	err     error
 }
 
+// between tells that the next byte begins a request.
+func (f *framing) between() bool { return !f.begun && len(f.line) == 0 && f.body == 0 && !f.chunked }
+
 // pass follows what was read, and tells how much of it may go on: up to the end
 // of a request, or all but the end of a head that leaves f.err.
 func (f *framing) pass(p []byte) int {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,8 +24,8 @@
 const (
 	lingerTime  = 600 * time.Millisecond  // after SIGTERM new connections still come for a while
 	finishSlack = 100 * time.Millisecond  // what is open then may take the longest deadline and this
-	headTime    = 2200 * time.Millisecond // for a request's head: a silent peer may go after 2 s
-	readTime    = 2600 * time.Millisecond // for a whole request: any peer is owed an error or a close within 3 s
+	headTime    = 2500 * time.Millisecond // for a request's head: a slow client takes 2 s
+	readTime    = 2700 * time.Millisecond // for a request that stops: any peer is owed an error or a close within 3 s
 	writeTime   = 5 * time.Second         // for an answer
 	idleTime    = 2 * time.Minute         // for a connection between requests
 	maxIDLength = 128
@@ -100,8 +101,11 @@
 }
 
 func (f *frontend) server() *http.Server {
-	return &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
+	return &http.Server{Handler: f, ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, DisableGeneralOptionsHandler: true, // all requests pass ServeHTTP
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 		ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
 }
 
@@ -158,7 +162,6 @@
 
 // read checks a request. The status goes with the error.
 func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*request, decide.RequestArrived, int, error) {
-	arrived := time.Now() // the body may take a while, and the client's clock runs
 	e := decide.RequestArrived{Class: r.Header.Get("X-Class"), Tenant: r.Header.Get("X-Tenant"),
 		Repeat: r.Header.Get("X-Retry") == "1"}
 	bad := func(status int, format string, args ...any) (*request, decide.RequestArrived, int, error) {
@@ -184,16 +187,19 @@
 		e.WorkHint, e.HasHint = time.Duration(hint*float64(time.Microsecond)), true
 	}
 	e.Key = r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, io.NopCloser(newBodyReader(w, r)), maxBody))
 	var long *http.MaxBytesError
 	switch {
 	case errors.As(err, &long):
 		return bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", maxBody)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return bad(http.StatusRequestTimeout, "the body does not come")
 	case err != nil:
 		return bad(http.StatusBadRequest, "reading the body: %w", err)
 	}
 	u := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
-	return &request{id: e.ID, class: e.Class, deadline: arrived.Add(patience - answerMargin), answer: make(chan answer, 1),
+	deadline := time.Now().Add(patience - answerMargin) // its last byte has come now, and its client waits from there
+	return &request{id: e.ID, deadline: deadline, class: e.Class, answer: make(chan answer, 1),
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body}}, e, 0, nil
 }
 
@@ -289,6 +295,8 @@
 	return aborted
 }
 
+type connKey struct{}
+
 // limited holds accepted connections to a number, so that clients leave
 // descriptors for the servers.
 type limited struct {
@@ -318,7 +326,9 @@
 		<-l.slots
 		return nil, err
 	}
-	return &limitedConn{Conn: c, free: sync.OnceFunc(func() { <-l.slots })}, nil
+	lc := &limitedConn{Conn: c, free: sync.OnceFunc(func() { <-l.slots })}
+	lc.began.Store(time.Now().UnixNano())
+	return lc, nil
 }
 
 // note follows which connections are idle, for http.Server's ConnState.
@@ -356,8 +366,10 @@
 
 type limitedConn struct {
 	net.Conn
+	began   atomic.Int64 // when the request under way did, or the connection
 	free    func()
 	framing framing
+	served  bool   // something has come before
 	behind  []byte // what came with the end of a request
 }
 
@@ -375,6 +387,10 @@
 	} else if n, err = c.Conn.Read(p); err != nil && n == 0 {
 		return 0, err
 	}
+	if c.framing.between() && c.served {
+		c.began.Store(time.Now().UnixNano())
+	}
+	c.served = true
 	passed := c.framing.pass(p[:n])
 	if passed < n && c.framing.err == nil {
 		c.behind = append(append([]byte(nil), p[passed:n]...), c.behind...)
