Let a refused client send its body to the end, instead of cutting it off

Ruled out with lines logged for the play: none of them was answered 4xx by the node, and none ended inside a head; they end inside long bodies, 0.2 to 0.7 s after they began, with an answer (a refusal) written ahead of the body's end. At fault: pump in upload.go stopped reading then, and net/http closes half a second later, over which a client that is still writing loses the answer. Now the rest is read at the rate that is its due, and dropped. TestRefusedClientMaySendOn.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -140,23 +140,30 @@
 	if up := req.out.rest; up != nil {
 		http.NewResponseController(w).EnableFullDuplex() // an answer may come ahead of the body's end
 		up.whole = func(wait time.Duration) { f.node.post(func() { f.node.whole(req, wait) }) }
-		defer up.end(outstanding)
 		defer up.close()
 	} else {
 		outstanding.Add(1)
-		defer outstanding.Add(-1)
 	}
 	o := f.carry(w, r, req, event)
 	f.node.stats.count(req.class, o.outcome)
+	if up := req.out.rest; up != nil {
+		if up.end(outstanding); o.answered {
+			http.NewResponseController(w).Flush()
+			up.drain()
+		}
+	} else {
+		outstanding.Add(-1)
+	}
 	if o.cut {
 		panic(http.ErrAbortHandler) // closes the connection short of the answer's end, so that the client can tell
 	}
 }
 
-// carried is how a request ended, and whether its answer stopped short.
+// carried is how a request ended, whether its client has an answer to read, and
+// whether that stopped short.
 type carried struct {
-	outcome outcome
-	cut     bool
+	outcome       outcome
+	answered, cut bool
 }
 
 // carry has the loop end a request, passes the answer on and tells how it went.
@@ -205,7 +212,7 @@
 		}
 	}
 	if a.stream == nil {
-		return carried{outcome: write(w, a)}
+		return carried{outcome: write(w, a), answered: true}
 	}
 	writeHeader(w, a, a.stream.length)
 	err := a.stream.pass(w)
@@ -214,7 +221,7 @@
 		f.node.log.Info("a long answer breaks off", "id", req.id, "err", err)
 		return carried{outcome: aborted, cut: true}
 	}
-	return carried{outcome: succeeded}
+	return carried{outcome: succeeded, answered: true}
 }
 
 // serving tells whether new clients are welcome.
--- a/internal/node/large_test.go
+++ b/internal/node/large_test.go
@@ -313,6 +313,27 @@
 	}
 }
 
+// TestRefusedClientMaySendOn: one that reads no answer before it has sent its body is not cut off; the refusal waits for it,
+// and counts from when it was given.
+func TestRefusedClientMaySendOn(t *testing.T) {
+	n := startNode(t, refusing(t))
+	address := n.operate(t)
+	c := n.dial(t)
+	fmt.Fprintf(c, postHead+"Content-Length: 30000000\r\n\r\n", "q")
+	for sent := 0; sent < 30000000; sent += 100000 {
+		if _, err := c.Write(make([]byte, 100000)); err != nil {
+			t.Fatalf("cut off after %d bytes: %v", sent, err)
+		}
+		if sent == 200000 {
+			figure(t, address, "app.results.pagar.declined:1|c")
+			time.Sleep(700 * time.Millisecond) // over the time that net/http gives a client it has told to close
+		}
+	}
+	if s := c.status(t); s != http.StatusServiceUnavailable {
+		t.Errorf("answer %d, want a refusal", s)
+	}
+}
+
 // TestKeptUploadIsTriedAgain where no connection could be made: nothing has been taken from its client yet.
 func TestKeptUploadIsTriedAgain(t *testing.T) {
 	n := startNode(t, refusing(t), digests(t))
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -92,8 +92,8 @@
 	switch {
 	case err == nil && n > most:
 		err = errLong
-	case errors.Is(err, io.ErrClosedPipe):
-		w.Close() // nobody wants the rest
+	case errors.Is(err, io.ErrClosedPipe): // nobody wants the rest
+		io.CopyBuffer(struct{ io.Writer }{io.Discard}, io.LimitReader(u.reader, most), make([]byte, copyBuffer))
 		return
 	}
 	u.err = err
@@ -108,15 +108,22 @@
 
 // close ends the reading from the client, if that goes on.
 func (u *upload) close() {
-	u.pipe.Close()
 	select {
 	case <-u.ended:
 	default:
 		u.reader.stop()
-		<-u.ended
+		u.drain()
 	}
 }
 
+// drain reads what the client has still to send, at the rate that is its due,
+// and returns at its end. A client that is cut off while it sends may never
+// read the answer that waits for it.
+func (u *upload) drain() {
+	u.pipe.Close()
+	<-u.ended
+}
+
 // failed tells that the client has broken off.
 func (u *upload) failed() bool {
 	select {
