Spend less on each request: fewer collections, no copies of headers, no spare buffers

Profile: 23% system calls, about 10% collections (84 in 17 s, of a heap of 2 MB), 9% copies and writing of headers, 10% notes between nodes; no decision over 5%. Ruled out: threads, the runtime uses one.

It is better and not mended: the edge is still near.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -36,11 +36,12 @@
 	}
 	// The collector works harder well before the machine's limit kills the node.
 	limitMemory := func(shared bool) {
-		limit := int64(cfg.MemoryMB) << 20 * 3 / 4
+		mb := cfg.MemoryMB
 		if shared { // with another process of this node
-			limit /= 2
+			mb /= 2
 		}
-		debug.SetMemoryLimit(limit)
+		debug.SetMemoryLimit(int64(mb) << 20 * 3 / 4)
+		debug.SetGCPercent(gcPercent(mb))
 	}
 	limitMemory(false)
 	inherited := os.Getenv("GW_ACCEPT_FD")
@@ -64,6 +65,12 @@
 	return n.Run(ctx, ln)
 }
 
+// gcPercent lets the heap grow to a fifth of the memory between collections,
+// and to no more than four times what is in use: a node has a part of a core,
+// and what it holds is so small that the usual measure has it collect all the
+// time.
+func gcPercent(memoryMB int) int { return min(300, max(100, memoryMB*5)) }
+
 // listen gives the clients' socket: the one that the platform holds, or a new one.
 func listen(inherited, address string) (net.Listener, error) {
 	if inherited == "" {
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -135,3 +135,12 @@
 	}
 	next.Close()
 }
+
+// TestGCPercent: the heap may grow to a part of the memory that the settings state, never to much of it.
+func TestGCPercent(t *testing.T) {
+	for mb, want := range map[int]int{16: 100, 32: 160, 48: 240, 64: 300, 192: 300} {
+		if got := gcPercent(mb); got != want || 4*got/100 > mb/4 {
+			t.Errorf("%d MB: %d, want %d", mb, got, want)
+		}
+	}
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -329,22 +330,50 @@
 // bytes writes the request in full, so that one write sends it and its result
 // tells whether the last byte left.
 func (o *outbound) bytes(wait time.Duration) ([]byte, error) {
-	var b bytes.Buffer
-	err := o.request(wait).Write(&b)
-	return b.Bytes(), err
+	uri := o.url.RequestURI()
+	if o.host == "" || strings.ContainsFunc(o.host+uri, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return nil, errors.New("not a request that can be sent")
+	}
+	b := make([]byte, 0, 512+len(o.body))
+	line := func(parts ...string) {
+		for _, p := range parts {
+			b = append(b, p...)
+		}
+		b = append(b, "\r\n"...)
+	}
+	line(o.method, " ", uri, " HTTP/1.1")
+	line("Host: ", o.host)
+	if len(o.body) > 0 || o.method != http.MethodGet {
+		line("Content-Length: ", strconv.Itoa(len(o.body)))
+	}
+	names := make([]string, 0, 16)
+	for name := range o.header {
+		if name != deadlineHeader && name != "Host" {
+			names = append(names, name)
+		}
+	}
+	names = append(names, deadlineHeader)
+	slices.Sort(names) // the same request, the same bytes
+	for _, name := range names {
+		if name == deadlineHeader {
+			line(name, ": ", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+			continue
+		}
+		for _, v := range o.header[name] {
+			line(name, ": ", v)
+		}
+	}
+	line()
+	return append(b, o.body...), nil
 }
 
+const deadlineHeader = "X-Deadline"
+
+// request is the same for a long request, which goes out as it comes.
 func (o *outbound) request(wait time.Duration) *http.Request {
 	r := &http.Request{Method: o.method, URL: o.url, Host: o.host, Header: o.header.Clone(),
-		Body: http.NoBody, ContentLength: int64(len(o.body))}
-	switch {
-	case o.rest != nil:
-		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(o.body), o.rest))
-		r.ContentLength = o.rest.length
-	case len(o.body) > 0:
-		r.Body = io.NopCloser(bytes.NewReader(o.body))
-	}
-	r.Header.Set("X-Deadline", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		Body: io.NopCloser(io.MultiReader(bytes.NewReader(o.body), o.rest)), ContentLength: o.rest.length}
+	r.Header.Set(deadlineHeader, strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = nil // none was sent, none is made up
 	}
@@ -582,6 +611,11 @@
 	if resp.ContentLength > maxBody {
 		return nil, true, nil
 	}
+	if resp.ContentLength >= 0 {
+		body = make([]byte, resp.ContentLength)
+		_, err = io.ReadFull(resp.Body, body)
+		return body, false, err
+	}
 	began := time.Now()
 	for buf := make([]byte, 4<<10); ; {
 		n, err := resp.Body.Read(buf)
@@ -596,7 +630,7 @@
 				return nil, false, err
 			}
 		}
-		if len(body) > maxBody || resp.ContentLength < 0 && time.Since(began) > streamWait {
+		if len(body) > maxBody || time.Since(began) > streamWait {
 			return body, true, nil
 		}
 	}
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -398,6 +398,19 @@
 	}
 }
 
+// TestNoLineIsSlippedIn: a host or target that would end its line is not sent on.
+func TestNoLineIsSlippedIn(t *testing.T) {
+	for _, o := range []*outbound{
+		{method: "GET", url: &url.URL{Path: "/x"}, host: "a\r\nX-Request-Id: other"},
+		{method: "GET", url: &url.URL{Path: "/x"}, host: ""},
+		{method: "GET", url: &url.URL{Path: "/x", RawQuery: "a b\r\nX: y"}, host: "a"},
+	} {
+		if b, err := o.bytes(time.Second); err == nil {
+			t.Errorf("sent %q", b)
+		}
+	}
+}
+
 func TestParseLoad(t *testing.T) {
 	for in, want := range map[string]*decide.Report{
 		"inflight=7,queue=2,util=0.5": {InFlight: 7, HasInFlight: true, Queue: 2, HasQueue: true, Utilisation: 0.5},
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -262,8 +263,13 @@
 		w.Header().Set("Connection", "close")
 		return bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", maxLarge)
 	}
-	reader := newBodyReader(w, r)
-	body, long, err := readStart(r.Context(), reader, f.room.on(&back))
+	var body []byte
+	var long bool
+	var reader *bodyReader
+	if r.Body != http.NoBody {
+		reader = newBodyReader(w, r)
+		body, long, err = readStart(r.Context(), reader, f.room.on(&back))
+	}
 	switch {
 	case errors.Is(err, errNoRoom):
 		w.Header().Set("Connection", "close")
@@ -328,9 +334,9 @@
 var perHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Expect", "Content-Length", "X-Load", "X-Not-Run"}
 
-// endToEnd copies the headers that are passed on.
+// endToEnd gives the headers that are passed on. Their values are shared.
 func endToEnd(h http.Header) http.Header {
-	out := h.Clone()
+	out := maps.Clone(h)
 	for _, line := range h.Values("Connection") {
 		for name := range strings.SplitSeq(line, ",") {
 			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !slices.Contains(vital, name) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,7 +256,6 @@
 	if len(n.queue) > 1 {
 		return // the call further up gets to it
 	}
-	defer func() { n.stats.ejected.Store(int64(n.module.Ejected())) }()
 	for len(n.queue) > 0 {
 		for _, a := range n.module.Handle(n.now(), n.queue[0]) {
 			n.act(a)
@@ -264,6 +263,10 @@
 		n.queue = n.queue[1:]
 	}
 	n.queue = nil
+	switch e.(type) {
+	case decide.TimerFired, decide.Maintenance, decide.ListUpdate: // often enough for a figure
+		n.stats.ejected.Store(int64(n.module.Ejected()))
+	}
 }
 
 func (n *Node) act(a decide.Action) {
