Let no test of large bodies or upgrades hang on the clock, and serve without the descriptor

Two tests of large bodies had deadlines of half a second, which a loaded machine can miss; they now check the times that the node keeps. The new process gives the old one 2.5 s in all for its state (1.5 s), so that a slow machine loses no ban. A GW_ACCEPT_FD that can't be used is logged, and the node listens at its address (TestUnusableDescriptor).

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -45,11 +45,11 @@
 	}
 	limitMemory(false)
 	inherited := os.Getenv("GW_ACCEPT_FD")
-	ln, err := listen(inherited, cfg.Listen)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
+	ln, err := listen(inherited, cfg.Listen, log)
 	if err != nil {
 		return err
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
 	n := node.New(cfg, log)
 	if inherited != "" { // then a new process can share the clients' socket
 		n.Overlap = limitMemory
@@ -71,16 +71,17 @@
 // time.
 func gcPercent(memoryMB int) int { return min(300, max(100, memoryMB*5)) }
 
-// listen gives the clients' socket: the one that the platform holds, or a new one.
-func listen(inherited, address string) (net.Listener, error) {
-	if inherited == "" {
-		return net.Listen("tcp", address)
-	}
-	ln, err := node.InheritedListener(inherited)
-	if err != nil {
-		return nil, fmt.Errorf("GW_ACCEPT_FD: %w", err)
+// listen gives the clients' socket: the one that the platform holds, or a new
+// one where there is none that can be used.
+func listen(inherited, address string, log *slog.Logger) (net.Listener, error) {
+	if inherited != "" {
+		ln, err := node.InheritedListener(inherited)
+		if err == nil {
+			return ln, nil
+		}
+		log.Error("GW_ACCEPT_FD can't be used", "err", err)
 	}
-	return ln, nil
+	return net.Listen("tcp", address)
 }
 
 // reload follows the file until ctx ends. One that can't be used changes
--- a/cmd/indigotack/upgrade_test.go
+++ b/cmd/indigotack/upgrade_test.go
@@ -291,3 +291,19 @@
 	second.operate(t, "/backends/s/maint")
 	refused("told by way of the old process")
 }
+
+// TestUnusableDescriptor: the node serves at its address all the same.
+func TestUnusableDescriptor(t *testing.T) {
+	for _, fd := range []string{"three", "-1", "77"} {
+		p := newPlatform(t)
+		p.socket.Close() // the address is free
+		null, err := os.Open(os.DevNull)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.socket = null
+		c := p.start(t, "GW_ACCEPT_FD="+fd)
+		c.waitReady(t)
+		p.wantServed(t, "q")
+	}
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -25,8 +25,8 @@
 	handoverVersion = 1
 	maxHandoverLine = 4 << 20                 // bytes; the state of a thousand servers takes a tenth
 	mostLinks       = 4                       // processes that may be at the socket at a time
-	helloTime       = time.Second             // for the other end's first words
-	stateTime       = 1500 * time.Millisecond // for the old process to say what it knows
+	helloTime       = 2 * time.Second         // for the other end's first words
+	stateTime       = 2500 * time.Millisecond // for the old process to say what it knows
 	listTime        = 2 * time.Second         // for discovery to tell the new process the list
 	yoursTime       = time.Second             // for the old process to let go: all this is under the 6 s that an upgrade has
 	forwardTime     = 400 * time.Millisecond  // for the other process to take a maintenance call
@@ -210,7 +210,10 @@
 
 // greet asks the process that serves, if there is one, for what it knows.
 func (n *Node) greet(ctx context.Context) (*link, error) {
-	dialer := net.Dialer{Timeout: helloTime}
+	ctx, cancel := context.WithTimeout(ctx, stateTime) // for all of it
+	defer cancel()
+	end, _ := ctx.Deadline()
+	var dialer net.Dialer
 	c, err := dialer.DialContext(ctx, "unix", n.meeting)
 	if errors.Is(err, syscall.ENOENT) || errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, nil // nobody serves
@@ -221,7 +224,7 @@
 	l := newLink(c.(*net.UnixConn))
 	m := message{}
 	if err = l.say(message{Version: handoverVersion, Kind: kindHello}, -1); err == nil {
-		m, err = l.next(time.Now().Add(stateTime))
+		m, err = l.next(end)
 	}
 	if err == nil && (m.Kind != kindState || m.Version != handoverVersion) {
 		err = fmt.Errorf("the old process says %q in version %d", m.Kind, m.Version)
--- a/internal/node/large_test.go
+++ b/internal/node/large_test.go
@@ -203,7 +203,7 @@
 		}
 	}))
 	c := n.dial(t)
-	c.ask(t, "saldo", "q", "0.5")
+	c.ask(t, "saldo", "q", "60")
 	resp, err := http.ReadResponse(c.read, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -211,7 +211,17 @@
 	if _, err := io.ReadFull(resp.Body, make([]byte, maxBody)); err != nil {
 		t.Fatalf("what has come is held back: %v", err)
 	}
-	time.Sleep(700 * time.Millisecond) // over its time
+	ended := make(chan int, 1)
+	n.post(func() { // its time is over
+		attempts := n.requests["q"].attempts
+		for _, cancel := range attempts {
+			cancel()
+		}
+		ended <- len(attempts)
+	})
+	if k := wait(t, ended, "the loop"); k != 1 {
+		t.Errorf("%d attempts", k)
+	}
 	close(goOn)
 	if b, err := io.ReadAll(resp.Body); err != nil || len(b) != 10 {
 		t.Errorf("the rest: %d bytes, %v", len(b), err)
@@ -346,17 +356,35 @@
 	}
 }
 
-// TestUploadsTimeRunsFromItsLastByte, at the node as in the module.
+// TestUploadsTimeRunsFromItsLastByte, at the node as in the module, and only then does it count as taken.
 func TestUploadsTimeRunsFromItsLastByte(t *testing.T) {
-	n := startNode(t, digests(t))
+	came, hold := make(chan bool, 1), make(chan struct{})
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if req, err := http.ReadRequest(r); err == nil {
+			came <- true
+			io.Copy(io.Discard, req.Body)
+			came <- true
+			<-hold
+			io.WriteString(c, okAnswer)
+		}
+	}))
 	address := n.operate(t)
 	c := n.dial(t)
 	body := pattern(200000)
-	fmt.Fprintf(c, strings.Replace(postHead, "20", "0.5", 1)+"Content-Length: %d\r\n\r\n", "q", len(body))
+	fmt.Fprintf(c, strings.Replace(postHead, "20", "60", 1)+"Content-Length: %d\r\n\r\n", "q", len(body))
 	c.Write(body[:150000])
+	wait(t, came, "its head")
 	figure(t, address, "app.outstanding:0|g")
-	time.Sleep(700 * time.Millisecond) // over its time, if that ran
+	before := time.Now()
 	c.Write(body[150000:])
+	wait(t, came, "its end")
+	figure(t, address, "app.outstanding:1|g")
+	deadline := make(chan time.Time, 1)
+	n.post(func() { deadline <- n.requests["q"].deadline })
+	if at := wait(t, deadline, "the loop"); at.Before(before.Add(time.Minute - answerMargin)) {
+		t.Error("its time runs from before its last byte")
+	}
+	close(hold)
 	if s := c.status(t); s != 200 {
 		t.Errorf("answer %d", s)
 	}
