Tell of no attempt's start where the processor time for decisions is used up

Seen: notes between nodes are a tenth of the processor time (profile: sendto 120 of 1,850 ms, its receiving end 40, and what wakes up for it), two for each attempt, though caps.cpu_us_per_s says how little a node has for its decisions. At fault: tell in peers.go asked for the price of a note alone.

TestNotesKeepToTheProcessorTime.

--- a/decide/peers.go
+++ b/decide/peers.go
@@ -16,6 +16,7 @@
 	noteScale  = 8.0   // a note's load is in eighths of a mean request
 	notePoints = 0.005 // of the result, that telling of each request may cost
 	noteNodes  = 32.0  // nodes on a server beyond which each has better to do than to listen to all
+	noteCost   = 10e-6 // s; of processor time that one takes here and at its receiver, for the system calls
 	noteHolds  = 10.0  // mean latencies; a note holds so long, as the one that ends it may be lost
 )
 
@@ -82,6 +83,19 @@
 	}
 }
 
+// spare takes the notes on an attempt out of the processor time for decisions. Where that is used up, a node
+// says no more that one begins: the next end of one at that server tells it too. Ends are told on credit.
+func (m *Module) spare(s *server, end bool) bool {
+	rate, cost := m.set.CPUPerSecond.Seconds(), noteCost*float64(len(s.with))
+	m.spared = math.Min(rate/10, m.spared+rate*(m.now-m.sparedAt).Seconds())
+	m.sparedAt = m.now
+	if rate > 0 && !end && m.spared < cost {
+		return false
+	}
+	m.spared = math.Max(-rate/10, m.spared-cost)
+	return true
+}
+
 // hear takes a note. One that this node does not understand, or about a server it has not listed, is nothing.
 func (m *Module) hear(e MessageReceived) {
 	if e.From < 0 || e.From >= m.set.Nodes || e.From == m.set.Self ||
@@ -121,5 +135,7 @@
 	if s.load = math.Max(0, s.load+work); s.n == 0 {
 		s.load = 0 // no rounding adds up
 	}
-	m.tell(s, latency)
+	if m.spare(s, work < 0) {
+		m.tell(s, latency)
+	}
 }
--- a/decide/peers_test.go
+++ b/decide/peers_test.go
@@ -177,3 +177,27 @@
 		t.Errorf("%d messages", len(messages(out)))
 	}
 }
+
+// Notes take processor time, which a node has little of. Where it is short the ends of attempts are still told.
+func TestNotesKeepToTheProcessorTime(t *testing.T) {
+	for _, c := range []struct {
+		cpu         time.Duration // a second
+		starts, all bool          // some starts are told; all are
+	}{{0, true, true}, {100 * time.Millisecond, true, true}, {3 * time.Millisecond, true, false}, {time.Millisecond, false, false}} {
+		m := tellingNode(0, 2, 3)
+		m.set.CPUPerSecond = c.cpu
+		starts, ends := 0, 0
+		for range 200 { // in a second
+			out := m.Handle(m.now+5*time.Millisecond, RequestArrived{ID: "a", Class: "page", Patience: time.Second})
+			at := sends(out)
+			if len(at) != 1 {
+				t.Fatalf("%v", out)
+			}
+			starts += len(messages(out))
+			ends += len(messages(m.Handle(m.now, AttemptEnded{ID: "a", Server: at[0], Elapsed: time.Millisecond, Code: OK, Over: true})))
+		}
+		if ends != 200 || (starts == 200) != c.all || (starts > 50) != c.starts {
+			t.Errorf("with %v a second: %d starts and %d ends are told", c.cpu, starts, ends)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -126,6 +126,8 @@
 	fleetRate, peak    float64 // answers each second from the mean server; the most that this has been
 	trials             float64 // trial requests allowed
 	budget             float64 // further attempts allowed
+	spared             float64 // s; processor time left for notes
+	sparedAt           Time
 	subscribed, asking bool
 	askAt              Time
 	askWait            time.Duration
