--- /dev/null
+++ b/cmd/indigolab/main.go
@@ -0,0 +1,56 @@
+// Command indigolab plays experiments: real processes of the program, emulated
+// boxes and clients, and faults between them. It gives a verdict and a report.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"indigotack/internal/lab/report"
+)
+
+// unplayed is the error of a run that could not be played, or does not count.
+type unplayed struct{ error }
+
+func (u unplayed) Unwrap() error { return u.error }
+
+// failed is the error of a run in which a rule or bound was broken. It has been told already.
+var failed = errors.New("a bound or a rule was broken")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := root().ExecuteContext(ctx)
+	switch {
+	case err == nil:
+	case errors.Is(err, failed):
+		os.Exit(int(report.Fail))
+	default:
+		fmt.Fprintln(os.Stderr, "indigolab:", err)
+		os.Exit(int(report.Unplayed))
+	}
+}
+
+func root() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "indigolab",
+		Short: "play experiments on real processes of indigotack, with faults between them",
+		Long: `indigolab starts real nodes on this machine's loopback, emulates the app boxes, clients, discovery and
+network around them, breaks things as an experiment's file says, and judges the whole history.
+
+Begin with "indigolab demo". How to write an experiment and read a report is in docs/lab.md.
+Exit status: 0 all kept, 1 a bound or rule was broken, 2 it could not be played or the machine was too late to count.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(demoCommand(), runCommand(), listCommand(), checkCommand(), compareCommand(), allCommand(), scheduleCommand())
+	return c
+}
--- /dev/null
+++ b/cmd/indigolab/play.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"indigotack/internal/lab/fleet"
+	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/report"
+	"indigotack/internal/lab/spec"
+)
+
+// player plays experiments one after another.
+type player struct {
+	out  io.Writer // results
+	log  io.Writer // progress
+	node string    // path of the program that nodes run
+	dir  string    // under which each run gets a folder
+}
+
+// newPlayer finds the node's program: in bin, beside indigolab, or built from the project around the working folder.
+func newPlayer(ctx context.Context, out, log io.Writer, bin, dir string) (*player, func(), error) {
+	p := &player{out: out, log: log, dir: dir}
+	nothing := func() {}
+	if bin != "" {
+		p.node = filepath.Join(bin, "indigotack")
+		if _, err := os.Stat(p.node); err != nil {
+			return nil, nil, unplayed{fmt.Errorf("--bin: %w; build with: go build -o %s/ ./cmd/...", err, bin)}
+		}
+		return p.absolute(nothing)
+	}
+	if self, err := os.Executable(); err == nil {
+		if beside := filepath.Join(filepath.Dir(self), "indigotack"); fileThere(beside) {
+			p.node = beside
+			return p.absolute(nothing)
+		}
+	}
+	root, err := projectRoot()
+	if err != nil {
+		return nil, nil, unplayed{err}
+	}
+	built, err := os.MkdirTemp("", "indigolab")
+	if err != nil {
+		return nil, nil, unplayed{err}
+	}
+	done := func() { os.RemoveAll(built) }
+	p.node = filepath.Join(built, "indigotack")
+	cmd := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", p.node, "./cmd/indigotack")
+	cmd.Dir, cmd.Stderr = root, log
+	if err := cmd.Run(); err != nil {
+		done()
+		return nil, nil, unplayed{fmt.Errorf("building the node in %s: %w", root, err)}
+	}
+	return p.absolute(done)
+}
+
+func (p *player) absolute(done func()) (*player, func(), error) {
+	var err error
+	if p.node, err = filepath.Abs(p.node); err != nil {
+		return nil, nil, unplayed{err}
+	}
+	return p, done, nil
+}
+
+func fileThere(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && info.Mode().IsRegular()
+}
+
+// projectRoot is the folder above the working one that has the module's go.mod.
+func projectRoot() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", err
+	}
+	for at := dir; ; at = filepath.Dir(at) {
+		if raw, err := os.ReadFile(filepath.Join(at, "go.mod")); err == nil && strings.HasPrefix(string(raw), "module indigotack\n") {
+			return at, nil
+		}
+		if at == filepath.Dir(at) {
+			return "", fmt.Errorf("there is no indigotack beside this program, and %s is not in the project's folder: run there, or name a folder with --bin", dir)
+		}
+	}
+}
+
+// play plays one run, writes its report and prints its line.
+func (p *player) play(ctx context.Context, e *spec.Experiment, seed uint64) (report.Result, error) {
+	dir := filepath.Join(p.dir, fmt.Sprintf("%s-%d-%s", e.Name, seed, time.Now().UTC().Format("20060102T150405.000")))
+	live := newLive(p.log, e.Name)
+	run, err := fleet.Play(ctx, fleet.Options{Experiment: e, Seed: seed, Dir: dir, Node: []string{p.node}, Follow: live.follow})
+	live.end()
+	if err != nil {
+		fmt.Fprintf(p.out, "LATE %s (seed %d): could not be played: %s\n", e.Name, seed, oneLine(err))
+		return report.Unplayed, unplayed{fmt.Errorf("%s: %w", e.Name, err)}
+	}
+	page, err := run.Write(dir)
+	if err != nil {
+		return report.Unplayed, unplayed{err}
+	}
+	fmt.Fprintf(p.log, "report: %s\n", page)
+	if run.Late != "" {
+		fmt.Fprintf(p.log, "the machine was late: %s\n", run.Late)
+	}
+	fmt.Fprintln(p.out, run.Line())
+	return run.Result(), nil
+}
+
+func oneLine(err error) string { return strings.ReplaceAll(err.Error(), "\n", "; ") }
+
+// all plays runs and tells the worst that came of them.
+func (p *player) all(ctx context.Context, experiments []*spec.Experiment, seeds []uint64) error {
+	worst := report.Pass
+	var errs []error
+	for _, e := range experiments {
+		for _, seed := range seeds {
+			result, err := p.play(ctx, e, seed)
+			if ctx.Err() != nil {
+				return unplayed{ctx.Err()}
+			}
+			if result == report.Fail || (result == report.Unplayed && worst == report.Pass) {
+				worst = result
+			}
+			if err != nil {
+				errs = append(errs, err)
+			}
+		}
+	}
+	switch {
+	case worst == report.Fail:
+		return failed
+	case len(errs) > 0:
+		return unplayed{errors.Join(errs...)}
+	case worst == report.Unplayed:
+		return unplayed{errors.New("the machine was too late for the run to count")}
+	}
+	return nil
+}
+
+// seeds are K of them, from the first on.
+func seedsFrom(first uint64, k int) []uint64 {
+	var all []uint64
+	for i := range max(1, k) {
+		all = append(all, first+uint64(i))
+	}
+	return all
+}
+
+// experimentsIn reads all files of a folder.
+func experimentsIn(dir string) ([]*spec.Experiment, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+	if err != nil {
+		return nil, unplayed{err}
+	}
+	if len(paths) == 0 {
+		return nil, unplayed{fmt.Errorf("there is no experiment (*.toml) in %s", dir)}
+	}
+	slices.Sort(paths)
+	var all []*spec.Experiment
+	var errs []error
+	for _, path := range paths {
+		e, err := spec.LoadFile(path)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		all = append(all, e)
+	}
+	if len(errs) > 0 {
+		return nil, unplayed{errors.Join(errs...)}
+	}
+	return all, nil
+}
+
+// defaultDir is where the project keeps its experiments.
+func defaultDir() string {
+	root, err := projectRoot()
+	if err != nil {
+		return "lab"
+	}
+	return filepath.Join(root, "lab")
+}
+
+// live shows a run as it goes: one line a second.
+type live struct {
+	name string
+	w    io.Writer
+	tty  bool
+	mu   sync.Mutex
+	n    map[string]int
+	done chan struct{}
+	over chan struct{}
+	at   time.Duration
+	on   []string // faults
+}
+
+func newLive(w io.Writer, name string) *live {
+	l := &live{name: name, w: w, n: map[string]int{}, done: make(chan struct{}), over: make(chan struct{})}
+	if f, ok := w.(*os.File); ok {
+		info, err := f.Stat()
+		l.tty = err == nil && info.Mode()&os.ModeCharDevice != 0
+	}
+	go l.show()
+	return l
+}
+
+func (l *live) follow(e history.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at = max(l.at, e.T)
+	switch {
+	case e.Kind == history.Over:
+		l.n[e.How]++
+		l.n["all"]++
+	case e.Kind == history.Fault && e.How == "begin":
+		l.on = append(l.on, e.Detail)
+	case e.Kind == history.Fault:
+		l.on = slices.DeleteFunc(l.on, func(s string) bool { return s == e.Detail })
+	}
+}
+
+func (l *live) show() {
+	defer close(l.over)
+	every := time.Second
+	if !l.tty {
+		every = 5 * time.Second
+	}
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			l.line()
+		case <-l.done:
+			return
+		}
+	}
+}
+
+func (l *live) line() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.n
+	text := fmt.Sprintf("%s %5.1f s: ended %d, served %d, refused %d, failed %d; faults on: %s", l.name, l.at.Seconds(), n["all"], n[history.Served],
+		n[history.Refused], n["all"]-n[history.Served]-n[history.Refused], cmp.Or(strings.Join(l.on, ", "), "none"))
+	if l.tty {
+		fmt.Fprintf(l.w, "\r\033[K%s", text)
+	} else {
+		fmt.Fprintln(l.w, text)
+	}
+}
+
+func (l *live) end() {
+	close(l.done)
+	<-l.over
+	if l.tty {
+		fmt.Fprint(l.w, "\r\033[K")
+	}
+}
--- /dev/null
+++ b/internal/lab/box/box_test.go
@@ -0,0 +1,141 @@
+package box
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"indigotack/internal/lab/world"
+)
+
+func machine(t *rapid.T) world.Machine {
+	seed := rapid.Uint64().Draw(t, "seed")
+	m := world.Draw(seed, 1, 1).Machines[0]
+	return m
+}
+
+// TestEveryJobEndsOnce: whatever happens to a box, a job begins at most once, is
+// answered once, and no more work is done than the machine can.
+func TestEveryJobEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := machine(t)
+		m.ErrorRate = 0
+		b := New(m, NewPod(1250*time.Millisecond), 1, 0, rapid.Bool().Draw(t, "cold"))
+		begun, over := map[uint64]bool{}, map[uint64]bool{}
+		work := map[uint64]time.Duration{}
+		var now, finished time.Duration
+		fell := false
+		see := func(outs []Out) {
+			for _, o := range outs {
+				switch {
+				case o.What == Fell:
+					fell = true
+				case o.What == Begun && (begun[o.Num] || over[o.Num]):
+					t.Fatalf("job %d begins twice, or after its end", o.Num)
+				case o.What == Begun:
+					begun[o.Num] = true
+				case (o.What == Done || o.What == Turned) && over[o.Num]:
+					t.Fatalf("job %d ends twice", o.Num)
+				case o.What == Done || o.What == Turned:
+					over[o.Num] = true
+					if begun[o.Num] && o.Status == 200 {
+						finished += work[o.Num]
+					}
+				}
+			}
+		}
+		n := rapid.IntRange(1, 200).Draw(t, "events")
+		for i := range uint64(n) {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				see(b.Leave(now, rapid.Uint64Range(0, i).Draw(t, "num")))
+			case 1:
+				see(b.Suffer(now, Trouble{Hangs: rapid.Bool().Draw(t, "hangs"), Slower: 2}))
+			default:
+				work[i] = time.Duration(rapid.IntRange(1, 300).Draw(t, "work")) * time.Millisecond
+				see(b.Arrive(now, Job{Num: i, Work: work[i], Key: rapid.SampledFrom([]string{"", "", "k"}).Draw(t, "key")}, 0))
+			}
+			if b.Held() > m.Slots+m.Queue {
+				t.Fatalf("%d jobs in %d slots and %d places", b.Held(), m.Slots, m.Queue)
+			}
+		}
+		if most := time.Duration(m.Capacity() * float64(now)); finished > most+time.Microsecond {
+			t.Fatalf("%v of work in %v, %v at most", finished, now, most)
+		}
+		see(b.Suffer(now, Trouble{}))
+		see(b.Tick(now + time.Hour))
+		if !fell && b.Held() > 0 {
+			t.Fatalf("%d jobs never end", b.Held())
+		}
+	})
+}
+
+// TestWorkIsTheSameInAnySteps: how often a box is looked at changes nothing.
+func TestWorkIsTheSameInAnySteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := machine(t)
+		play := func(steps []time.Duration) time.Duration {
+			b := New(m, NewPod(time.Second), 1, 0, false)
+			for i := range uint64(3) {
+				b.Arrive(time.Duration(i)*time.Millisecond, Job{Num: i, Work: 50 * time.Millisecond}, 0)
+			}
+			for _, at := range steps {
+				b.Tick(at)
+			}
+			for b.Held() > 0 {
+				b.Tick(b.Next())
+			}
+			return b.now
+		}
+		var steps []time.Duration
+		at := 3 * time.Millisecond
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			at += time.Duration(rapid.IntRange(0, 3000).Draw(t, "us")) * time.Microsecond
+			steps = append(steps, at)
+		}
+		a, b := play(nil), play(steps)
+		if len(steps) > 0 && steps[len(steps)-1] > a {
+			return // it was still looked at after the end
+		}
+		if d := a - b; d > time.Microsecond || d < -time.Microsecond {
+			t.Fatalf("done at %v, and at %v when looked at on the way", a, b)
+		}
+	})
+}
+
+// TestColdBox: it begins at its share, is warm in time, and falls over when pushed, but not under what the rule allows.
+func TestColdBox(t *testing.T) {
+	for seed := range uint64(50) {
+		m := world.Draw(seed, 1, 1).Machines[0]
+		b := New(m, NewPod(time.Second), seed, 0, true)
+		if got := b.Capacity(0) / m.Capacity(); got < world.ColdFrom || got > 0.33 {
+			t.Errorf("seed %d: it begins at %.2f of its capacity", seed, got)
+		}
+		b.Tick(m.ColdTime)
+		if got := b.Capacity(m.ColdTime); got != m.Capacity() || m.ColdTime > world.ColdTime {
+			t.Errorf("seed %d: after %v it has %.2f of %.2f", seed, m.ColdTime, got, m.Capacity())
+		}
+		for times, want := range map[float64]bool{2.5: false, 6: true} {
+			if got := pushed(m, seed, times); got != want {
+				t.Errorf("seed %d: sent %v times what it can do it falls over: %v", seed, times, got)
+			}
+		}
+	}
+}
+
+// pushed sends a cold box so many times what it can do, for three seconds.
+func pushed(m world.Machine, seed uint64, times float64) bool {
+	b := New(m, NewPod(time.Second), seed, 0, true)
+	const work = 10 * time.Millisecond
+	for now, i := time.Duration(0), uint64(0); now < 3*time.Second; i++ {
+		for _, o := range b.Arrive(now, Job{Num: i, Work: work}, 0) {
+			if o.What == Fell {
+				return true
+			}
+		}
+		now += time.Duration(float64(work) / (times * b.Capacity(now)))
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/check/check.go
@@ -0,0 +1,284 @@
+// Package check gives verdicts over a whole history. It is pure.
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/world"
+)
+
+// Limits is what a run promised its processes.
+type Limits struct {
+	Memory int64         // bytes for a process; 0: not checked
+	FDs    int           // descriptors for a process; 0: not checked
+	Slack  time.Duration // that the lab's own lateness and its links add to a time
+}
+
+// Finding is one thing that broke a rule.
+type Finding struct {
+	T    time.Duration `json:"t"`
+	ID   string        `json:"id,omitempty"`
+	Text string        `json:"text"`
+}
+
+func (f Finding) String() string {
+	s := f.Text
+	if f.ID != "" {
+		s = "request " + f.ID + ": " + s
+	}
+	if f.T > 0 {
+		s = fmt.Sprintf("at %.3f s: %s", f.T.Seconds(), s)
+	}
+	return s
+}
+
+// Verdict is what a check says of a history.
+type Verdict struct {
+	Name   string    `json:"name"`
+	Rule   string    `json:"rule"`
+	Timed  bool      `json:"timed"`  // rests on times, so a late machine can break it
+	Seen   int       `json:"seen"`   // how many things it looked at
+	Broken []Finding `json:"broken"` // empty: kept
+}
+
+// OK tells whether the rule was kept.
+func (v Verdict) OK() bool { return len(v.Broken) == 0 }
+
+func (v *Verdict) fail(e history.Event, format string, args ...any) {
+	v.Broken = append(v.Broken, Finding{T: e.T, ID: e.ID, Text: fmt.Sprintf(format, args...)})
+}
+
+// All makes every check. The history may be in the order in which it was written.
+func All(events []history.Event, l Limits) []Verdict {
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(a, b history.Event) int { return cmp.Compare(a.T, b.T) })
+	return []Verdict{
+		answered(events), ended(events), ownAnswer(events), onceUnsafe(events), onceKeyed(events), oneAtATime(events),
+		asSent(events), drains(events, l.Slack), cold(events), processes(events), use(events, l), growth(events),
+	}
+}
+
+// answered: each request that a node took gets one final answer.
+func answered(events []history.Event) Verdict {
+	v := Verdict{Name: "answered", Rule: "each request that was taken gets one final answer in its time", Timed: true}
+	faults := faultsOf(events)
+	sent := map[string]history.Event{}
+	answers := map[string]int{}
+	fresh, all := 0, 0
+	for _, e := range events {
+		switch e.Kind {
+		case history.Sent:
+			sent[e.ID] = e
+		case history.Extra:
+			v.fail(e, "%s says more after the answer to %s", e.Node, e.ID)
+		case history.Answer:
+			all++
+			answers[e.ID]++
+			if answers[e.ID] > 1 {
+				v.fail(e, "a second answer from %s", e.Node)
+			}
+			s, ok := sent[e.ID]
+			if !ok || (e.How != history.Broken && e.How != history.Silent) || faults.touch(e.Node, s.T, e.T) {
+				continue
+			}
+			if e.Detail == history.Fresh {
+				fresh++
+				continue
+			}
+			v.fail(e, "%s ends it %s, %v after it was sent, and nothing had been done to that node", e.Node, e.How, e.T-s.T)
+		}
+	}
+	v.Seen = len(sent)
+	for id, s := range sent {
+		if answers[id] == 0 {
+			v.fail(s, "nothing came of it")
+		}
+	}
+	// A first request on a connection that is closed unread has failed and is not lost, up to one in 200.
+	if fresh*200 > max(all, 200) {
+		v.Broken = append(v.Broken, Finding{Text: fmt.Sprintf("%d of %d requests were closed unheard, more than one in 200", fresh, all)})
+	}
+	return v
+}
+
+// ended: each operation ends once.
+func ended(events []history.Event) Verdict {
+	v := Verdict{Name: "ended", Rule: "each operation that was due ends once"}
+	over := map[int]int{}
+	for _, e := range events {
+		if e.Kind == history.Over {
+			if over[e.Op]++; over[e.Op] > 1 {
+				v.fail(e, "operation %d ends twice", e.Op)
+			}
+		}
+	}
+	for _, e := range events {
+		if e.Kind == history.Due {
+			v.Seen++
+			if over[e.Op] == 0 {
+				v.fail(e, "operation %d never ends", e.Op)
+			}
+		}
+	}
+	return v
+}
+
+// ownAnswer: what is served is what a box answered to that request.
+func ownAnswer(events []history.Event) Verdict {
+	v := Verdict{Name: "own-answer", Rule: "what a node serves is what a box answered to that very request"}
+	type made struct{ id, box string }
+	ends := map[made]bool{}
+	for _, e := range events {
+		if e.Kind == history.End && e.Status == 200 {
+			ends[made{e.ID, e.Box}] = true
+		}
+	}
+	for _, e := range events {
+		if e.Kind != history.Answer || e.How != history.Served {
+			continue
+		}
+		v.Seen++
+		if !ends[made{e.ID, e.Box}] {
+			v.fail(e, "%s serves an answer of box %q, which made none", e.Node, e.Box)
+		}
+	}
+	return v
+}
+
+// onceUnsafe: no operation of an unsafe class begins twice, over all tries.
+func onceUnsafe(events []history.Event) Verdict {
+	v := Verdict{Name: "unsafe-once", Rule: "no payment-post begins twice, over all of its client's tries"}
+	unsafe := map[int]bool{}
+	for _, e := range events {
+		if e.Kind == history.Due && e.Class == "payment-post" {
+			unsafe[e.Op] = true
+		}
+	}
+	begun := map[int]history.Event{}
+	for _, e := range events {
+		if e.Kind != history.Begin || !unsafe[e.Op] {
+			continue
+		}
+		v.Seen++
+		if first, ok := begun[e.Op]; ok {
+			v.fail(e, "operation %d begins at %s, after %s at %v", e.Op, e.Box, first.Box, first.T)
+			continue
+		}
+		begun[e.Op] = e
+	}
+	return v
+}
+
+// onceKeyed: no key begins twice. A repeat that its pod drops has not begun.
+func onceKeyed(events []history.Event) Verdict {
+	v := Verdict{Name: "key-once", Rule: "no key begins twice: a repeat stays in the pod and within the window, where it is dropped"}
+	begun := map[string]history.Event{}
+	for _, e := range events {
+		if e.Kind != history.Begin || e.Key == "" {
+			continue
+		}
+		v.Seen++
+		if first, ok := begun[e.Key]; ok {
+			v.fail(e, "the key begins at %s, after %s at %v (request %s)", e.Box, first.Box, first.T, first.ID)
+			continue
+		}
+		begun[e.Key] = e
+	}
+	return v
+}
+
+// oneAtATime: no two attempts of a request are open at once.
+func oneAtATime(events []history.Event) Verdict {
+	v := Verdict{Name: "one-at-a-time", Rule: "no two attempts of one request are open at once"}
+	for _, e := range events {
+		if e.Kind != history.Arrive {
+			continue
+		}
+		v.Seen++
+		if len(e.Also) > 0 {
+			v.fail(e, "%s sends it to %s while it is open at %v", e.Node, e.Box, e.Also)
+		}
+	}
+	return v
+}
+
+// asSent: what reaches a box is what a client sent.
+func asSent(events []history.Event) Verdict {
+	v := Verdict{Name: "as-sent", Rule: "what reaches a box is a request that a client sent, with its id and key, one to a connection"}
+	for _, e := range events {
+		if e.Kind != history.Arrive {
+			continue
+		}
+		v.Seen++
+		if e.Bad {
+			v.fail(e, "%s sends %s what no client sent so: %s", e.Node, e.Box, cmp.Or(e.How, "an unknown id"))
+		}
+	}
+	return v
+}
+
+// cold: no cold box is pushed over by those who were told of its start.
+func cold(events []history.Event) Verdict {
+	v := Verdict{Name: "cold", Rule: "no cold box falls over under what nodes send that were told of its start", Timed: true}
+	since := map[string]string{}           // of a box's last listed start
+	told := map[string]map[string]string{} // by box and node
+	sent := map[string][]history.Event{}   // to a box
+	for _, e := range events {
+		switch {
+		case e.Kind == history.Box && e.How == "cold":
+			since[e.Box] = e.Detail
+			v.Seen++
+		case e.Kind == history.Told && e.How == "ready":
+			if told[e.Box] == nil {
+				told[e.Box] = map[string]string{}
+			}
+			told[e.Box][e.Node] = e.Detail
+		case e.Kind == history.Arrive:
+			sent[e.Box] = append(sent[e.Box], e)
+		case e.Kind == history.Box && e.How == "fell":
+			var sum, knowing time.Duration
+			for _, a := range sent[e.Box] {
+				if e.T-a.T > world.FallTime {
+					continue
+				}
+				sum += a.Took
+				if told[e.Box][a.Node] == since[e.Box] {
+					knowing += a.Took
+				}
+			}
+			if 3*knowing >= 2*sum {
+				v.fail(e, "%s falls over; %v of the %v of work of the last %v came from nodes that knew", e.Box, knowing, sum, world.FallTime)
+			}
+		}
+	}
+	return v
+}
+
+// processes: every process ends as it was ordered.
+func processes(events []history.Event) Verdict {
+	v := Verdict{Name: "processes", Rule: "every process ends as ordered: with 0 after SIGTERM, and not by itself"}
+	running := map[int]history.Event{}
+	for _, e := range events {
+		if e.Kind != history.Proc {
+			continue
+		}
+		switch e.How {
+		case "start":
+			v.Seen++
+			running[e.Pid] = e
+		case "exit":
+			delete(running, e.Pid)
+		}
+		if e.Bad {
+			v.fail(e, "%s (pid %d) %s: %s", e.Node, e.Pid, e.How, e.Detail)
+		}
+	}
+	for _, e := range running {
+		v.fail(e, "%s (pid %d) was never seen to end", e.Node, e.Pid)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/lab/check/check_test.go
@@ -0,0 +1,127 @@
+package check
+
+import (
+	"testing"
+	"time"
+
+	"indigotack/internal/lab/history"
+)
+
+const ms = time.Millisecond
+
+// sound is a history in which all rules are kept, though much goes wrong.
+func sound() []history.Event {
+	return []history.Event{
+		{T: 1, Kind: history.Proc, Node: "n0", Pid: 7, How: "start"},
+		{T: 1 * ms, Kind: history.Due, Op: 1, Class: "payment-post"},
+		{T: 2 * ms, Kind: history.Sent, Op: 1, ID: "a", Node: "n0", Wait: 300 * ms},
+		{T: 3 * ms, Kind: history.Arrive, Op: 1, ID: "a", Box: "s0", Node: "n0"},
+		{T: 3 * ms, Kind: history.Turn, Op: 1, ID: "a", Box: "s0"},
+		{T: 4 * ms, Kind: history.Arrive, Op: 1, ID: "a", Box: "s1", Node: "n0"},
+		{T: 5 * ms, Kind: history.Begin, Op: 1, ID: "a", Box: "s1"},
+		{T: 6 * ms, Kind: history.End, Op: 1, ID: "a", Box: "s1", Status: 200},
+		{T: 7 * ms, Kind: history.Answer, Op: 1, ID: "a", Node: "n0", How: history.Served, Status: 200, Box: "s1"},
+		{T: 7 * ms, Kind: history.Over, Op: 1, How: history.Served},
+		{T: 8 * ms, Kind: history.Due, Op: 2, Class: "advance-release"},
+		{T: 8 * ms, Kind: history.Sent, Op: 2, ID: "b", Node: "n0", Key: "k"},
+		{T: 9 * ms, Kind: history.Begin, Op: 2, ID: "b", Box: "s1", Key: "k"},
+		{T: 9 * ms, Kind: history.Drop, Op: 2, ID: "b", Box: "s2", Key: "k"},
+		{T: 10 * ms, Kind: history.Fault, How: "begin", Detail: "1-kill", Nodes: []string{"n0"}},
+		{T: 11 * ms, Kind: history.Answer, Op: 2, ID: "b", Node: "n0", How: history.Broken},
+		{T: 11 * ms, Kind: history.Over, Op: 2, How: history.Broken},
+		{T: 12 * ms, Kind: history.Fault, How: "end", Detail: "1-kill", Nodes: []string{"n0"}},
+		{T: 20 * ms, Kind: history.Told, Node: "n0", Box: "s0", How: "draining"},
+		{T: 1900 * ms, Kind: history.Arrive, ID: "c", Box: "s0", Node: "n0"},
+		{T: 1950 * ms, Kind: history.Proc, Node: "n0", Pid: 7, How: "signal", Detail: "SIGSTOP"},
+		{T: 3950 * ms, Kind: history.Proc, Node: "n0", Pid: 7, How: "signal", Detail: "SIGCONT"},
+		{T: 3990 * ms, Kind: history.Arrive, ID: "d", Box: "s0", Node: "n0"},
+		{T: 4000 * ms, Kind: history.Box, Box: "s3", How: "cold", Detail: "99"},
+		{T: 4001 * ms, Kind: history.Arrive, ID: "e", Box: "s3", Node: "n0", Took: time.Second},
+		{T: 4002 * ms, Kind: history.Box, Box: "s3", How: "fell"}, // nobody had been told
+		{T: 4003 * ms, Kind: history.Sample, Node: "n0", Pid: 7, RSS: 20 << 20, FDs: 30},
+		{T: 5000 * ms, Kind: history.Proc, Node: "n0", Pid: 7, How: "exit"},
+	}
+}
+
+func run(events []history.Event) map[string]Verdict {
+	all := map[string]Verdict{}
+	for _, v := range All(events, Limits{Memory: 64 << 20, FDs: 100}) {
+		all[v.Name] = v
+	}
+	return all
+}
+
+func TestSoundHistory(t *testing.T) {
+	for name, v := range run(sound()) {
+		if !v.OK() {
+			t.Errorf("%s: %v", name, v.Broken)
+		}
+		if v.Seen == 0 && name != "growth" {
+			t.Errorf("%s looks at nothing", name)
+		}
+	}
+}
+
+// TestEachFaultIsFound: one thing is wrong, and just the check for it says so.
+func TestEachFaultIsFound(t *testing.T) {
+	add := func(more ...history.Event) func([]history.Event) []history.Event {
+		return func(all []history.Event) []history.Event { return append(all, more...) }
+	}
+	without := func(kind history.Kind, id string) func([]history.Event) []history.Event {
+		return func(all []history.Event) []history.Event {
+			var kept []history.Event
+			for _, e := range all {
+				if e.Kind != kind || e.ID != id {
+					kept = append(kept, e)
+				}
+			}
+			return kept
+		}
+	}
+	var growing []history.Event
+	for i := range 100 {
+		growing = append(growing, history.Event{T: time.Duration(i) * time.Second, Kind: history.Sample, Pid: 7, RSS: int64(10+max(0, i-50)) << 20, FDs: 10})
+	}
+	var leaking []history.Event
+	for i := range 100 {
+		leaking = append(leaking, history.Event{T: time.Duration(i) * time.Second, Kind: history.Sample, Pid: 7, RSS: 1, FDs: min(100, 4*max(0, i-60))})
+	}
+	for name, c := range map[string]struct {
+		wrong func([]history.Event) []history.Event
+		check string
+	}{
+		"no answer":      {without(history.Answer, "b"), "answered"},
+		"two answers":    {add(history.Event{T: 9 * ms, Kind: history.Answer, ID: "a", Node: "n0", How: history.Refused}), "answered"},
+		"bytes after it": {add(history.Event{T: 9 * ms, Kind: history.Extra, ID: "a", Node: "n0"}), "answered"},
+		"lost by a well node": {add(history.Event{T: 3000 * ms, Kind: history.Sent, ID: "z", Node: "n1"},
+			history.Event{T: 3100 * ms, Kind: history.Answer, ID: "z", Node: "n1", How: history.Broken}), "answered"},
+		"silent though well": {add(history.Event{T: 3000 * ms, Kind: history.Sent, ID: "z", Node: "n1"},
+			history.Event{T: 3100 * ms, Kind: history.Answer, ID: "z", Node: "n1", How: history.Silent}), "answered"},
+		"operation open":       {add(history.Event{T: ms, Kind: history.Due, Op: 9}), "ended"},
+		"operation over twice": {add(history.Event{T: 8 * ms, Kind: history.Over, Op: 1}), "ended"},
+		"made up":              {without(history.End, "a"), "own-answer"},
+		"of another box": {add(history.Event{T: 8 * ms, Kind: history.Sent, ID: "z", Node: "n0"},
+			history.Event{T: 9 * ms, Kind: history.Answer, ID: "z", Node: "n0", How: history.Served, Box: "?"}), "own-answer"},
+		"payment twice":    {add(history.Event{T: 9 * ms, Kind: history.Begin, Op: 1, ID: "a2", Box: "s2"}), "unsafe-once"},
+		"key twice":        {add(history.Event{T: 2000 * ms, Kind: history.Begin, Op: 2, ID: "b", Box: "s4", Key: "k"}), "key-once"},
+		"two at once":      {add(history.Event{T: 9 * ms, Kind: history.Arrive, ID: "b", Box: "s2", Node: "n0", Also: []string{"s1"}}), "one-at-a-time"},
+		"nobody's request": {add(history.Event{T: 9 * ms, Kind: history.Arrive, ID: "x", Box: "s2", Node: "n0", Bad: true}), "as-sent"},
+		"sent after drain": {add(history.Event{T: 4200 * ms, Kind: history.Arrive, ID: "f", Box: "s0", Node: "n0"}), "drains"},
+		"pushed over": {add(history.Event{T: 4100 * ms, Kind: history.Box, Box: "s5", How: "cold", Detail: "99"},
+			history.Event{T: 4101 * ms, Kind: history.Told, Node: "n0", Box: "s5", How: "ready", Detail: "99"},
+			history.Event{T: 4102 * ms, Kind: history.Arrive, ID: "e", Box: "s5", Node: "n0", Took: time.Second},
+			history.Event{T: 4103 * ms, Kind: history.Box, Box: "s5", How: "fell"}), "cold"},
+		"ended by itself": {add(history.Event{T: 4200 * ms, Kind: history.Proc, Node: "n1", Pid: 8, How: "exit", Bad: true}), "processes"},
+		"never ended":     {add(history.Event{T: 4200 * ms, Kind: history.Proc, Node: "n1", Pid: 8, How: "start"}), "processes"},
+		"too much memory": {add(history.Event{T: 4200 * ms, Kind: history.Sample, Pid: 7, RSS: 65 << 20}), "limits"},
+		"too many open":   {add(history.Event{T: 4200 * ms, Kind: history.Sample, Pid: 7, FDs: 101}), "limits"},
+		"memory grows":    {add(growing...), "growth"},
+		"files leak":      {add(leaking...), "growth"},
+	} {
+		for check, v := range run(c.wrong(sound())) {
+			if v.OK() == (check == c.check) {
+				t.Errorf("%s: %s says %v", name, check, v.Broken)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/disco/serve.go
@@ -0,0 +1,99 @@
+package disco
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"indigotack/internal/lab/history"
+)
+
+// maxHold bounds a watch, as the protocol does.
+const maxHold = time.Minute
+
+// Serve answers one node's calls at an address of its own until stop is called.
+func (a *Agent) Serve(log *history.Log) (address string, stop func(), err error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, fmt.Errorf("discovery of %s: %w", a.Node, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	srv := &http.Server{Handler: a.handler(log), ReadHeaderTimeout: 5 * time.Second,
+		BaseContext: func(net.Listener) context.Context { return ctx }}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		srv.Serve(ln) // its error is that it was closed
+	}()
+	return ln.Addr().String(), func() { cancel(); srv.Close(); <-ended }, nil
+}
+
+func (a *Agent) handler(log *history.Log) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", func(w http.ResponseWriter, r *http.Request) {
+		from, hold, err := query(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if from > 0 && hold > 0 && !a.wait(r.Context(), from, hold) {
+			return // the caller has left
+		}
+		out := a.List(from, a.now())
+		w.Header().Set("Content-Type", "application/json")
+		if json.NewEncoder(w).Encode(out) != nil || http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		for _, e := range out.Endpoints {
+			log.Add(history.Event{Kind: history.Told, Node: a.Node, Box: e.Name, How: e.Status, Index: out.Index,
+				Detail: strconv.FormatInt(e.SinceMS, 10)})
+		}
+	})
+	return mux
+}
+
+func query(r *http.Request) (from uint64, hold time.Duration, err error) {
+	q := r.URL.Query()
+	if s := q.Get("from"); s != "" {
+		if from, err = strconv.ParseUint(s, 10, 64); err != nil {
+			return 0, 0, fmt.Errorf("from: %w", err)
+		}
+	}
+	if s := q.Get("hold_ms"); s != "" {
+		ms, err := strconv.ParseUint(s, 10, 32)
+		if err != nil {
+			return 0, 0, fmt.Errorf("hold_ms: %w", err)
+		}
+		hold = min(maxHold, time.Duration(ms)*time.Millisecond)
+	}
+	return from, hold, nil
+}
+
+// wait holds a call until the agent has something other than version from, or
+// hold is over. It is false when the caller has left.
+func (a *Agent) wait(ctx context.Context, from uint64, hold time.Duration) bool {
+	until := a.now() + hold
+	for {
+		now := a.now()
+		index, next, wake := a.state(now)
+		if index != from || now >= until {
+			return true
+		}
+		if next == 0 || next > until {
+			next = until
+		}
+		t := time.NewTimer(next - now)
+		select {
+		case <-wake:
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		}
+		t.Stop()
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/judge.go
@@ -0,0 +1,22 @@
+package fleet
+
+import (
+	"time"
+
+	"indigotack/internal/lab/check"
+	"indigotack/internal/lab/report"
+)
+
+func (f *fleet) judge() report.Run {
+	events := f.log.Events()
+	aims := map[string]time.Duration{}
+	for _, c := range f.w.Classes {
+		aims[c.Name] = c.Aim
+	}
+	o := report.Run{Figures: report.Of(events, aims)}
+	o.Late = report.TooLate(events, o.Figures)
+	limits := check.Limits{Memory: int64(f.e.Fleet.MemoryMB) << 20, FDs: f.e.Fleet.Sockets,
+		Slack: 2*time.Duration(float64(f.w.Cross)*(1+f.w.Jitter)) + o.Figures.WorstLab}
+	o.Verdicts = append(check.All(events, limits), report.Bounds(o.Figures, f.e.Bounds))
+	return o
+}
--- /dev/null
+++ b/internal/lab/fleet/lateness.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"indigotack/internal/lab/history"
+)
+
+// lateness measures how late the lab itself is: its timers, and the sending of operations.
+type lateness struct {
+	log  *history.Log
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+}
+
+const (
+	lateEvery = 2 * time.Millisecond
+	lateTop   = int64(10 * time.Second)
+)
+
+func newLateness(log *history.Log) *lateness {
+	return &lateness{log: log, hist: hdrhistogram.New(int64(time.Microsecond), lateTop, 2)}
+}
+
+func (l *lateness) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hist.RecordValue(min(lateTop, max(0, int64(d))))
+}
+
+// watch measures until ctx ends and writes a line a second.
+func (l *lateness) watch(ctx context.Context) {
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	for ctx.Err() == nil {
+		before := time.Now()
+		time.Sleep(lateEvery)
+		l.add(time.Since(before) - lateEvery)
+		select {
+		case <-second.C:
+			l.write()
+		default:
+		}
+	}
+}
+
+func (l *lateness) write() {
+	l.mu.Lock()
+	p99, worst := l.hist.ValueAtQuantile(99), l.hist.Max()
+	l.hist.Reset()
+	l.mu.Unlock()
+	l.log.Add(history.Event{Kind: history.Lab, P99: time.Duration(p99), Took: time.Duration(worst), CPU: ownCPU()})
+}
+
+func ownCPU() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/lab/fleet/standin_test.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"indigotack/internal/lab/disco"
+)
+
+// TestMain runs the stand-in node where a test has started it as a process.
+func TestMain(m *testing.M) {
+	if mode := os.Getenv("STANDIN"); mode != "" {
+		standIn(mode)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// standIn is a plain node that keeps the rules in calm weather, but for the one
+// that its mode breaks. It has the list of its start.
+func standIn(mode string) {
+	var config struct {
+		Listen, Control, Discovery string
+		Known                      disco.Answer
+	}
+	raw, err := os.ReadFile(os.Getenv("GW_CONFIG"))
+	if err == nil {
+		err = json.Unmarshal(raw, &config)
+	}
+	if err != nil {
+		panic(err)
+	}
+	n := &simple{mode: mode, boxes: config.Known.Endpoints}
+	go func() { // told of changes, and heeds none
+		for index := config.Known.Index; ; {
+			resp, err := http.Get("http://" + config.Discovery + "/registry/instances?hold_ms=500&from=" + strconv.FormatUint(index, 10))
+			if err != nil {
+				continue
+			}
+			var a disco.Answer
+			json.NewDecoder(resp.Body).Decode(&a)
+			resp.Body.Close()
+			index = max(index, a.Index)
+		}
+	}()
+	ok := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {})
+	go http.ListenAndServe(config.Control, ok)
+	mux := http.NewServeMux()
+	mux.Handle("/health/ready", ok)
+	mux.HandleFunc("/", n.serve)
+	go http.ListenAndServe(config.Listen, mux)
+	terms := make(chan os.Signal, 1)
+	signal.Notify(terms, syscall.SIGTERM)
+	<-terms
+	if mode == "exit" {
+		os.Exit(3)
+	}
+	if mode == "stay" {
+		select {}
+	}
+}
+
+type simple struct {
+	mode  string
+	boxes []disco.Entry
+	count atomic.Int64
+	hoard [][]byte
+	mu    sync.Mutex
+}
+
+func (n *simple) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	nth := n.count.Add(1)
+	if n.mode == "grow" {
+		n.mu.Lock()
+		n.hoard = append(n.hoard, bytes.Repeat([]byte{1}, 4<<20))
+		n.mu.Unlock()
+	}
+	switch {
+	case n.mode == "invent" && nth%10 == 0:
+		io.WriteString(w, r.Header.Get("X-Request-Id")+" s0")
+		return
+	case n.mode == "swap" && nth%10 == 0:
+		io.WriteString(w, "another s0")
+		return
+	case n.mode == "lose" && nth%10 == 0:
+		n.send(r, body) // begun, and then nobody is told
+		panic(http.ErrAbortHandler)
+	case n.mode == "stray" && nth%10 == 0:
+		r.Header.Set("X-Request-Id", "nobody's")
+	case n.mode == "repeat":
+		n.send(r, body) // what it answers is nothing to us
+	case n.mode == "both":
+		done := make(chan bool)
+		go func() {
+			n.send(r, body)
+			close(done)
+		}()
+		defer func() { <-done }()
+	}
+	status, answer := n.send(r, body)
+	w.WriteHeader(status)
+	w.Write(answer)
+}
+
+func (n *simple) send(r *http.Request, body []byte) (int, []byte) {
+	wait, _ := time.ParseDuration(r.Header.Get("X-Deadline") + "s")
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, r.Method, "http://"+n.boxes[rand.IntN(len(n.boxes))].Address+r.URL.Path, bytes.NewReader(body))
+	req.Header = r.Header.Clone()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return http.StatusBadGateway, nil
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return http.StatusBadGateway, nil
+	}
+	return resp.StatusCode, answer
+}
--- /dev/null
+++ b/internal/lab/fleet/steps.go
@@ -0,0 +1,266 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"indigotack/internal/lab/box"
+	"indigotack/internal/lab/disco"
+	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/spec"
+)
+
+// carryOut plays the schedule, each step in its own time. A step that can't be
+// carried out is an error of the lab and not a verdict on the program.
+func (f *fleet) carryOut(ctx context.Context) error {
+	steps := f.e.Schedule(f.o.Seed)
+	errs := make(chan error, len(steps))
+	for _, s := range steps {
+		go func() {
+			if !f.sleepUntil(ctx, time.Duration(s.At)) {
+				errs <- nil
+				return
+			}
+			f.tell("begin", s)
+			err := f.step(ctx, s)
+			f.tell("end", s)
+			if err != nil && ctx.Err() == nil {
+				err = fmt.Errorf("fault %s: %w", s.Name, err)
+			}
+			errs <- err
+		}()
+	}
+	var all []error
+	for range steps {
+		all = append(all, <-errs)
+	}
+	return errors.Join(all...)
+}
+
+// sleepUntil waits for a time of the load.
+func (f *fleet) sleepUntil(ctx context.Context, t time.Duration) bool {
+	return pause(ctx, f.start+t-f.log.Now())
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(max(0, d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (f *fleet) tell(how string, s spec.Step) {
+	f.log.Add(history.Event{Kind: history.Fault, How: how, Detail: s.Name, Nodes: f.touched(s), Also: append(slices.Clone(s.On), s.To...)})
+}
+
+// touched lists the nodes that can't be held to answering their clients while the step lasts.
+func (f *fleet) touched(s spec.Step) []string {
+	var all []string
+	for _, n := range f.names {
+		named := slices.Contains(s.On, n)
+		switch s.Do {
+		case "kill", "pause":
+		case "cut", "mute", "refuse", "reset", "shape", "snip":
+			named = named && slices.Contains(s.To, spec.Clients) || slices.Contains(s.On, spec.Clients) && slices.Contains(s.To, n)
+		default:
+			named = false
+		}
+		if named {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+func (f *fleet) step(ctx context.Context, s spec.Step) error {
+	last := time.Duration(s.For)
+	switch s.Do {
+	case "kill":
+		return f.onNodes(s, func(n *node) error {
+			if err := n.kill(); err != nil || !pause(ctx, last) {
+				return err
+			}
+			return n.again(ctx)
+		})
+	case "pause":
+		return f.onNodes(s, func(n *node) error {
+			p := n.current()
+			if err := p.Signal(syscall.SIGSTOP); err != nil {
+				return err
+			}
+			pause(ctx, last)
+			return p.Signal(syscall.SIGCONT)
+		})
+	case "restart":
+		return f.onNodes(s, func(n *node) error {
+			if err := n.stop(); err != nil {
+				return err
+			}
+			return n.again(ctx)
+		})
+	case "upgrade":
+		return f.onNodes(s, func(n *node) error { return n.upgrade(ctx) })
+	case "move":
+		s.On = f.names
+		return f.onNodes(s, func(n *node) error { return n.move(ctx) })
+	case "reset":
+		return f.storm(ctx, s)
+	case "cut", "mute", "refuse", "shape", "snip":
+		f.layStep(s)
+		pause(ctx, last)
+		f.net.Lift(s.Name)
+		return nil
+	case "crash", "vanish", "drain":
+		return f.onBoxes(s, func(name string) error { return f.loseBox(ctx, s, name) })
+	}
+	return f.trouble(ctx, s)
+}
+
+// again starts a node that has ended.
+func (n *node) again(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	return n.begin(ctx)
+}
+
+// onNodes does something to all nodes of a step at once.
+func (f *fleet) onNodes(s spec.Step, do func(*node) error) error {
+	return together(s.On, func(name string) error { return do(f.nodes[name]) })
+}
+
+func (f *fleet) onBoxes(s spec.Step, do func(string) error) error { return together(s.On, do) }
+
+func together(names []string, do func(string) error) error {
+	errs := make(chan error, len(names))
+	for _, name := range names {
+		go func() {
+			err := do(name)
+			if err != nil {
+				err = fmt.Errorf("%s: %w", name, err)
+			}
+			errs <- err
+		}()
+	}
+	var all []error
+	for range names {
+		all = append(all, <-errs)
+	}
+	return errors.Join(all...)
+}
+
+// over tells whether a link runs between the ends of a step, and whether it does
+// so in the step's own direction.
+func over(s spec.Step, e link.Ends) (is, forward bool) {
+	in := func(side []string, party string) bool {
+		party, _, _ = strings.Cut(party, "-") // discovery may have moved
+		return slices.Contains(side, party)
+	}
+	if in(s.On, e.From) && in(s.To, e.To) {
+		return true, true
+	}
+	return in(s.On, e.To) && in(s.To, e.From), false
+}
+
+// layStep lays a step's shape on its links.
+func (f *fleet) layStep(s spec.Step) {
+	for _, forward := range []bool{true, false} {
+		shape := shapeOf(s, forward)
+		f.net.Lay(s.Name, shape, func(e link.Ends) bool {
+			is, same := over(s, e)
+			return is && same == forward
+		})
+	}
+}
+
+func shapeOf(s spec.Step, forward bool) link.Shape {
+	way := map[string]link.Way{"": link.Both, "both": link.Both, "forward": link.Forward, "back": link.Back}[s.Way]
+	if !forward && way != link.Both {
+		way ^= link.Both
+	}
+	switch s.Do {
+	case "cut":
+		return link.Shape{Hold: way, Cut: true}
+	case "mute":
+		return link.Shape{Hold: way}
+	case "refuse":
+		return link.Shape{Refuse: true}
+	case "snip":
+		return link.Shape{Snip: s.Bytes}
+	}
+	return link.Shape{Delay: time.Duration(s.Delay), Jitter: time.Duration(s.Jitter), Loss: s.Loss, Rate: int64(s.Rate)}
+}
+
+// storm resets the connections of a step's links, once or again and again.
+func (f *fleet) storm(ctx context.Context, s spec.Step) error {
+	for end := f.log.Now() + time.Duration(s.For); ; {
+		f.net.Reset(func(e link.Ends) bool { is, _ := over(s, e); return is })
+		if s.Every == 0 || f.log.Now()+time.Duration(s.Every) > end || !pause(ctx, time.Duration(s.Every)) {
+			return nil
+		}
+	}
+}
+
+// drainShare is the part of a drain after which the box ends.
+const drainShare = 0.6
+
+// loseBox takes a box away and brings it back cold.
+func (f *fleet) loseBox(ctx context.Context, s spec.Step, name string) error {
+	toBox := func(e link.Ends) bool { return e.To == name }
+	down := "down-" + name
+	rest := time.Duration(s.For)
+	b := f.host.Box(name)
+	switch s.Do {
+	case "vanish":
+		f.net.Lay(down, link.Shape{Hold: link.Both, Cut: true}, toBox)
+		b.Crash()
+		f.list(name, disco.Gone, "", true)
+	case "drain":
+		f.list(name, disco.Draining, "", false)
+		served := time.Duration(drainShare * float64(rest))
+		pause(ctx, served)
+		rest -= served
+		fallthrough
+	default:
+		f.list(name, disco.Gone, "", false)
+		f.net.Lay(down, link.Shape{Refuse: true}, toBox)
+		b.Crash()
+	}
+	pause(ctx, rest)
+	since := strconv.FormatInt(f.log.At(f.log.Now()).UnixMilli(), 10)
+	err := b.Start(since)
+	f.net.Lift(down)
+	f.list(name, disco.Ready, since, false)
+	return err
+}
+
+// trouble gives boxes what they suffer from, for the step's time. Troubles of a box add up.
+func (f *fleet) trouble(ctx context.Context, s spec.Step) error {
+	t := box.Trouble{Slower: s.Times}
+	switch s.Do {
+	case "hang":
+		t.Hangs = true
+	case "errors":
+		t.Fails = s.Part
+	case "neighbour":
+		t.Taken = s.Part
+	}
+	for _, name := range s.On {
+		f.host.Box(name).Suffer(s.Name, &t)
+	}
+	pause(ctx, time.Duration(s.For))
+	for _, name := range s.On {
+		f.host.Box(name).Suffer(s.Name, nil)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/report/bounds.go
@@ -0,0 +1,52 @@
+package report
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"indigotack/internal/lab/check"
+	"indigotack/internal/lab/spec"
+)
+
+// Bounds says which of an experiment's bounds the figures break.
+func Bounds(f Figures, b spec.Bounds) check.Verdict {
+	v := check.Verdict{Name: "bounds", Rule: "the experiment's bounds", Timed: true}
+	want := func(ok bool, format string, args ...any) {
+		v.Seen++
+		if !ok {
+			v.Broken = append(v.Broken, check.Finding{Text: fmt.Sprintf(format, args...)})
+		}
+	}
+	if f.All.Asked == 0 {
+		want(false, "nothing was asked for")
+		return v
+	}
+	if b.Served > 0 {
+		want(f.All.Served() >= b.Served, "served %.4f, want %v", f.All.Served(), b.Served)
+	}
+	if b.Failed != nil {
+		got := f.All.part(f.All.Failed)
+		want(got <= *b.Failed, "failed %.4f, want %v at most", got, *b.Failed)
+	}
+	if b.Refused != nil {
+		got := f.All.part(f.All.Refused)
+		want(got <= *b.Refused, "refused %.4f, want %v at most", got, *b.Refused)
+	}
+	for _, c := range slices.Sorted(maps.Keys(b.Class)) {
+		want(f.Classes[c].Served() >= b.Class[c], "%s served %.4f, want %v", c, f.Classes[c].Served(), b.Class[c])
+	}
+	for _, c := range slices.Sorted(maps.Keys(b.P99)) {
+		most, _ := time.ParseDuration(b.P99[c]) // checked when the file was read
+		want(f.Latency[c].P99 <= most, "%s: 99th percentile %v, want %v at most", c, f.Latency[c].P99, most)
+	}
+	if b.Recovered > 0 {
+		got := f.Recovered(b.Level)
+		want(got >= 0 && got <= time.Duration(b.Recovered), "back at %v %v after the last fault (negative: never), want %v at most", b.Level, got, time.Duration(b.Recovered))
+	}
+	if b.Attempts > 0 {
+		want(f.Attempts <= b.Attempts, "%.3f attempts an operation, want %v at most", f.Attempts, b.Attempts)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/lab/report/compare.go
@@ -0,0 +1,42 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Compare writes the figures of two runs side by side.
+func Compare(w io.Writer, a, b Run) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	row := func(name string, x, y float64, form string) {
+		fmt.Fprintf(t, "%s\t"+form+"\t"+form+"\t%+.4f\n", name, x, y, y-x)
+	}
+	fmt.Fprintf(t, "\t%s (seed %d)\t%s (seed %d)\tdifference\n", a.Figures.Name, a.Figures.Seed, b.Figures.Name, b.Figures.Seed)
+	counts := func(name string, x, y Count) {
+		row(name+" asked", float64(x.Asked), float64(y.Asked), "%.0f")
+		row(name+" in time", x.Served(), y.Served(), "%.4f")
+		row(name+" late", x.part(x.Late), y.part(y.Late), "%.4f")
+		row(name+" refused", x.part(x.Refused), y.part(y.Refused), "%.4f")
+		row(name+" failed", x.part(x.Failed), y.part(y.Failed), "%.4f")
+	}
+	counts("all", a.Figures.All, b.Figures.All)
+	for _, c := range Names(a.Figures.Classes) {
+		counts(c, a.Figures.Classes[c], b.Figures.Classes[c])
+		x, y := a.Figures.Latency[c], b.Figures.Latency[c]
+		row(c+" median, ms", ms(x.P50), ms(y.P50), "%.1f")
+		row(c+" 99%, ms", ms(x.P99), ms(y.P99), "%.1f")
+	}
+	row("attempts an operation", a.Figures.Attempts, b.Figures.Attempts, "%.4f")
+	row("nodes' processor, cores", a.Figures.NodesCPU, b.Figures.NodesCPU, "%.3f")
+	row("lab's lateness, ms", ms(a.Figures.LateLab), ms(b.Figures.LateLab), "%.2f")
+	broken := func(r Run) int {
+		n := 0
+		for _, v := range r.Verdicts {
+			n += len(v.Broken)
+		}
+		return n
+	}
+	row("findings", float64(broken(a)), float64(broken(b)), "%.0f")
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/lab/report/plot.go
@@ -0,0 +1,140 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"image/color"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+var (
+	green  = color.NRGBA{0x2e, 0x8b, 0x57, 0xff}
+	amber  = color.NRGBA{0xd9, 0x9a, 0x1c, 0xff}
+	blue   = color.NRGBA{0x3b, 0x6f, 0xb6, 0xff}
+	red    = color.NRGBA{0xc0, 0x39, 0x2b, 0xff}
+	shaded = color.NRGBA{0x88, 0x88, 0x88, 0x38}
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 7 * vg.Centimeter
+	leastWidth = 0.15 // seconds that a fault of one moment takes on a plot
+)
+
+// line is one series over the seconds of a run.
+type line struct {
+	name  string
+	color color.Color
+	value func(Second) float64
+}
+
+// served plots the shares of what was asked for.
+func (f Figures) served() (*plot.Plot, error) {
+	return f.overTime("share of operations, by the second in which they were due", 1, []line{
+		{"served in time", green, func(s Second) float64 { return s.Served() }},
+		{"late", amber, func(s Second) float64 { return s.part(s.Late) }},
+		{"refused", blue, func(s Second) float64 { return s.part(s.Refused) }},
+		{"failed", red, func(s Second) float64 { return s.part(s.Failed) }},
+	})
+}
+
+// latency plots the times of what was served.
+func (f Figures) latency() (*plot.Plot, error) {
+	return f.overTime("time from due to answer, ms", 0, []line{
+		{"median", green, func(s Second) float64 { return ms(s.P50) }},
+		{"99th percentile", red, func(s Second) float64 { return ms(s.P99) }},
+	})
+}
+
+// asked plots the load.
+func (f Figures) asked() (*plot.Plot, error) {
+	return f.overTime("operations asked for in a second", 0, []line{{"asked for", blue, func(s Second) float64 { return float64(s.Asked) }}})
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// overTime plots lines over the seconds, with the faults shaded. top 0 is chosen by the data.
+func (f Figures) overTime(title string, top float64, lines []line) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text = title, "s"
+	p.Y.Min, p.Y.Max = 0, top
+	for _, l := range lines {
+		for _, s := range f.Seconds {
+			p.Y.Max = math.Max(p.Y.Max, 1.05*l.value(s)*(1-top))
+		}
+	}
+	p.Y.Max = math.Max(p.Y.Max, 1e-3)
+	p.X.Min, p.X.Max = 0, float64(max(1, len(f.Seconds)))
+	for _, s := range f.Faults {
+		from, to := s.From.Seconds(), math.Max(s.To.Seconds(), s.From.Seconds()+leastWidth)
+		box, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: p.Y.Max}, {X: from, Y: p.Y.Max}})
+		if err != nil {
+			return nil, err
+		}
+		box.Color, box.LineStyle.Width = shaded, 0
+		p.Add(box)
+	}
+	for _, l := range lines {
+		var at plotter.XYs
+		for _, s := range f.Seconds {
+			at = append(at, plotter.XY{X: s.At.Seconds() + 0.5, Y: l.value(s)})
+		}
+		drawn, err := plotter.NewLine(at)
+		if err != nil {
+			return nil, err
+		}
+		drawn.Color, drawn.Width = l.color, 1.5
+		p.Add(drawn)
+		p.Legend.Add(l.name, drawn)
+	}
+	p.Legend.Top, p.Legend.Left = false, true
+	return p, nil
+}
+
+func svg(p *plot.Plot) ([]byte, error) {
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// plots writes the plots of a run into its folder and gives their texts, for the page.
+func (f Figures) plots(dir string) ([][]byte, error) {
+	var all [][]byte
+	if len(f.Seconds) == 0 {
+		return nil, nil
+	}
+	for _, p := range []struct {
+		name string
+		make func() (*plot.Plot, error)
+	}{{"served", f.served}, {"latency", f.latency}, {"asked", f.asked}} {
+		drawn, err := p.make()
+		if err != nil {
+			return nil, fmt.Errorf("plot %s: %w", p.name, err)
+		}
+		text, err := svg(drawn)
+		if err != nil {
+			return nil, fmt.Errorf("plot %s: %w", p.name, err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, p.name+".svg"), text, 0o644); err != nil {
+			return nil, fmt.Errorf("plot %s: %w", p.name, err)
+		}
+		if _, body, ok := bytes.Cut(text, []byte("<svg")); ok { // without the lines ahead that only a file of its own needs
+			text = append([]byte("<svg"), body...)
+		}
+		all = append(all, text)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/lab/spec/check.go
@@ -0,0 +1,254 @@
+package spec
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// act is what a fault may be.
+type act struct {
+	on    string          // what it is done to: node, link, box or discovery
+	lasts bool            // it needs a length
+	keys  map[string]bool // what else it takes
+	needs []string        // of them
+	about string
+}
+
+func keys(names ...string) map[string]bool {
+	all := map[string]bool{}
+	for _, n := range names {
+		all[n] = true
+	}
+	return all
+}
+
+// acts are all faults and orders, by the name that a file gives them.
+var acts = map[string]act{
+	"kill":      {on: "node", lasts: true, about: "SIGKILL; started again after for"},
+	"pause":     {on: "node", lasts: true, about: "SIGSTOP, and SIGCONT after for"},
+	"restart":   {on: "node", about: "SIGTERM, and started again once it has ended"},
+	"upgrade":   {on: "node", about: "a new process beside the old one, which gets SIGTERM once the new one says yes"},
+	"cut":       {on: "link", lasts: true, keys: keys("way"), about: "nothing passes and nothing is said; new connections never come up"},
+	"mute":      {on: "link", lasts: true, keys: keys("way"), about: "connections come up, but nothing passes"},
+	"refuse":    {on: "link", lasts: true, about: "new connections are refused"},
+	"reset":     {on: "link", keys: keys("every"), about: "open connections are reset; with every and for, again and again"},
+	"shape":     {on: "link", lasts: true, keys: keys("delay", "jitter", "loss", "rate"), about: "what passes is late, lost or slow"},
+	"snip":      {on: "link", lasts: true, keys: keys("bytes"), needs: []string{"bytes"}, about: "connections are reset after 1 to bytes bytes, anywhere in a message"},
+	"slow":      {on: "box", lasts: true, keys: keys("times"), needs: []string{"times"}, about: "works so many times slower"},
+	"hang":      {on: "box", lasts: true, about: "takes work and answers nothing"},
+	"errors":    {on: "box", lasts: true, keys: keys("part"), needs: []string{"part"}, about: "that part of its requests fails at once"},
+	"neighbour": {on: "box", lasts: true, keys: keys("part"), needs: []string{"part"}, about: "another program takes that part of it"},
+	"crash":     {on: "box", lasts: true, about: "its process dies; it returns cold after for"},
+	"vanish":    {on: "box", lasts: true, about: "its machine is lost without a word; it returns cold after for"},
+	"drain":     {on: "box", lasts: true, about: "listed as draining, then gone; it returns cold after for"},
+	"move":      {on: "discovery", about: "discovery gets another address, told by SIGHUP; the old one ends after 1.5 s"},
+}
+
+// Least lengths, so that a schedule can be carried out.
+const (
+	leastLength = 2 * time.Second
+	mostLength  = time.Hour
+	leastDrain  = 4 * time.Second // grace, and the box's end after it
+	mostNodes   = 300
+	mostBoxes   = 1000
+)
+
+func (e *Experiment) check() []error {
+	var errs []error
+	bad := func(header, key string, ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, e.at(header, 0, key, format, args...))
+		}
+	}
+	length := time.Duration(e.Length)
+	bad("", "length", length >= leastLength && length <= mostLength, "%v is not between %v and %v", length, leastLength, mostLength)
+	f := e.Fleet
+	bad("[fleet]", "nodes", f.Nodes >= 1 && f.Nodes <= mostNodes, "%d is not between 1 and %d", f.Nodes, mostNodes)
+	bad("[fleet]", "boxes", f.Boxes >= 1 && f.Boxes <= mostBoxes, "%d is not between 1 and %d", f.Boxes, mostBoxes)
+	bad("[fleet]", "zones", f.Zones >= 1 && f.Zones <= min(f.Nodes, f.Boxes), "%d is not between 1 and the number of nodes and of boxes", f.Zones)
+	bad("[fleet]", "memory_mb", f.MemoryMB >= 16, "%d MB are too few, want 16 or more", f.MemoryMB)
+	bad("[fleet]", "sockets", f.Sockets >= 64, "%d are too few, want 64 or more", f.Sockets)
+	l := e.Load
+	bad("[load]", "rate", l.Rate >= 0 && (l.Rate == 0 || l.Use == 0), "give either rate or use, 0 or more")
+	bad("[load]", "use", l.Use >= 0 && l.Use <= 20, "%v is not between 0 and 20", l.Use)
+	bad("[load]", "swing", l.Swing >= 0 && l.Swing < 1, "%v is not between 0 and 1", l.Swing)
+	for i, s := range l.Surges {
+		if s.At < 0 || s.For <= 0 || s.At+s.For > e.Length || s.Times < 0 {
+			errs = append(errs, e.at("[[load.surge]]", i, "at", "a surge has to lie within the length of %v, with for and times above 0", length))
+		}
+	}
+	bad("[net]", "loss", e.Net.Loss >= 0 && e.Net.Loss < 1, "%v is not between 0 and 1", e.Net.Loss)
+	for i, fault := range e.Faults {
+		errs = append(errs, e.checkFault(i, fault)...)
+	}
+	errs = append(errs, e.overlaps()...)
+	if e.Draw != nil {
+		errs = append(errs, e.checkDraw()...)
+	}
+	return append(errs, e.checkBounds()...)
+}
+
+func (e *Experiment) checkFault(i int, f Fault) []error {
+	var errs []error
+	bad := func(key string, ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, e.at("[[fault]]", i, key, format, args...))
+		}
+	}
+	a, ok := acts[f.Do]
+	if !ok {
+		return []error{e.at("[[fault]]", i, "do", "%q is not a fault; there are %s", f.Do, strings.Join(slices.Sorted(maps.Keys(acts)), ", "))}
+	}
+	bad("at", f.At >= 0, "%v lies before the run", time.Duration(f.At))
+	bad("at", f.At+f.For <= e.Length, "it ends at %v, after the run's %v", time.Duration(f.At+f.For), time.Duration(e.Length))
+	bad("for", !a.lasts || f.For > 0, "%s needs a length", f.Do)
+	bad("for", a.lasts || f.For == 0 || f.Every > 0, "%s is of one moment and takes no length", f.Do)
+	bad("for", f.Do != "drain" || time.Duration(f.For) >= leastDrain, "a drain takes %v or more", leastDrain)
+	for key, given := range map[string]bool{"way": f.Way != "", "delay": f.Delay != 0, "jitter": f.Jitter != 0, "loss": f.Loss != 0,
+		"rate": f.Rate != 0, "bytes": f.Bytes != 0, "every": f.Every != 0, "times": f.Times != 0, "part": f.Part != 0} {
+		bad(key, !given || a.keys[key], "%s takes no %s", f.Do, key)
+		bad(key, given || !slices.Contains(a.needs, key), "%s needs it", f.Do)
+	}
+	bad("every", f.Every == 0 || (f.For > 0 && time.Duration(f.Every) >= 10*time.Millisecond), "it needs for, and 10ms or more")
+	bad("way", f.Way == "" || f.Way == "both" || f.Way == "forward" || f.Way == "back", "%q is not both, forward or back", f.Way)
+	bad("loss", f.Loss >= 0 && f.Loss < 1, "%v is not between 0 and 1", f.Loss)
+	bad("part", f.Part >= 0 && f.Part <= 1, "%v is not between 0 and 1", f.Part)
+	bad("times", f.Times == 0 || f.Times > 1, "%v is not above 1", f.Times)
+	bad("bytes", f.Bytes >= 0, "%d is not above 0", f.Bytes)
+	bad("delay", f.Delay >= 0 && f.Jitter >= 0, "a delay is 0 or more")
+	bad("share", f.Share >= 0 && f.Share <= 1, "%v is not between 0 and 1", f.Share)
+	bad("to", a.on == "link" || len(f.To) == 0, "%s has no other end", f.Do)
+	bad("do", f.Do != "upgrade" || e.Fleet.Accept, "an upgrade needs fleet.accept_fd = true")
+	if a.on == "discovery" {
+		bad("on", len(f.On) == 0, "%s is done to discovery alone", f.Do)
+		return errs
+	}
+	for key, ends := range map[string][]string{"on": f.On, "to": f.To} {
+		for _, name := range ends {
+			got, err := e.Parties([]string{name})
+			bad(key, err == nil, "%v", err)
+			if kind := a.on; err == nil && kind != "link" {
+				bad(key, slices.ContainsFunc(got, func(p string) bool { return kindOf(p) == kind }), "%s is done to a %s, and %q names none", f.Do, kind, name)
+			}
+		}
+	}
+	bad("on", len(f.On) > 0, "%s needs to know on whom", f.Do)
+	bad("to", a.on != "link" || len(f.To) > 0, "%s needs the links' other ends", f.Do)
+	return errs
+}
+
+// overlaps finds faults that can't both be carried out: two that stop or start one process, or one box, at once.
+func (e *Experiment) overlaps() []error {
+	type span struct {
+		i    int
+		a, b Duration
+	}
+	held := map[string][]span{}
+	var errs []error
+	for i, f := range e.Faults {
+		a := acts[f.Do]
+		if !exclusive(f.Do) || f.Share > 0 {
+			continue
+		}
+		parties, _ := e.Parties(f.On)
+		for _, p := range parties {
+			if kindOf(p) != a.on {
+				continue
+			}
+			for _, s := range held[p] {
+				if f.At <= s.b && s.a <= f.At+f.For {
+					errs = append(errs, e.at("[[fault]]", i, "at", "%s of %s overlaps with its %s at %v", f.Do, p, e.Faults[s.i].Do, time.Duration(s.a)))
+				}
+			}
+			held[p] = append(held[p], span{i, f.At, f.At + f.For})
+		}
+	}
+	return errs
+}
+
+func exclusive(do string) bool {
+	switch do {
+	case "kill", "pause", "restart", "upgrade", "crash", "vanish", "drain":
+		return true
+	}
+	return false
+}
+
+func (e *Experiment) checkDraw() []error {
+	var errs []error
+	d := e.Draw
+	if d.Faults < 1 || d.Faults > 1000 {
+		errs = append(errs, e.at("[draw]", 0, "faults", "%d is not between 1 and 1000", d.Faults))
+	}
+	if d.From < 0 || d.Until > e.Length || d.Until-d.From < Duration(leastLength) {
+		errs = append(errs, e.at("[draw]", 0, "until", "faults need %v or more from %v on, within the run's %v", leastLength, time.Duration(d.From), time.Duration(e.Length)))
+	}
+	for _, do := range d.Menu {
+		if _, ok := menu[do]; !ok {
+			errs = append(errs, e.at("[draw]", 0, "menu", "%q can't be drawn; there are %s", do, strings.Join(slices.Sorted(maps.Keys(menu)), ", ")))
+		}
+		if do == "upgrade" && !e.Fleet.Accept {
+			errs = append(errs, e.at("[draw]", 0, "menu", "an upgrade needs fleet.accept_fd = true"))
+		}
+	}
+	if len(d.Menu) == 0 {
+		errs = append(errs, e.at("[draw]", 0, "menu", "it is empty"))
+	}
+	return errs
+}
+
+func (e *Experiment) checkBounds() []error {
+	var errs []error
+	b := e.Bounds
+	share := func(key string, v float64) {
+		if v < 0 || v > 1 {
+			errs = append(errs, e.at("[bounds]", 0, key, "%v is not between 0 and 1", v))
+		}
+	}
+	share("served", b.Served)
+	share("recovered_at", b.Level)
+	if b.Failed != nil {
+		share("failed", *b.Failed)
+	}
+	if b.Refused != nil {
+		share("refused", *b.Refused)
+	}
+	for c, v := range b.Class {
+		share("class", v)
+		errs = append(errs, e.knownClass("class", c)...)
+	}
+	for c, v := range b.P99 {
+		errs = append(errs, e.knownClass("p99", c)...)
+		if d, err := time.ParseDuration(v); err != nil || d <= 0 {
+			errs = append(errs, e.at("[bounds]", 0, "p99", "%q is not a duration, want a number with its unit", v))
+		}
+	}
+	if b.Recovered > 0 && len(e.Faults) == 0 && e.Draw == nil {
+		errs = append(errs, e.at("[bounds]", 0, "recovered", "there is no fault to recover from"))
+	}
+	return errs
+}
+
+// Classes are the names that bounds may use.
+var Classes = []string{"ledger-view", "aging-report", "payment-post", "advance-release"}
+
+func (e *Experiment) knownClass(key, name string) []error {
+	if slices.Contains(Classes, name) {
+		return nil
+	}
+	return []error{e.at("[bounds]", 0, key, "%q is no class; there are %s", name, strings.Join(Classes, ", "))}
+}
+
+// Acts lists what a fault may do, for a reader.
+func Acts() []string {
+	var all []string
+	for _, name := range slices.Sorted(maps.Keys(acts)) {
+		all = append(all, fmt.Sprintf("%-10s %-9s %s", name, acts[name].on, acts[name].about))
+	}
+	slices.SortStableFunc(all, func(a, b string) int { return cmp.Compare(strings.Fields(a)[1], strings.Fields(b)[1]) })
+	return all
+}
--- /dev/null
+++ b/internal/lab/spec/spec.go
@@ -0,0 +1,246 @@
+// Package spec is an experiment of the lab: its file, what makes sense in it,
+// and the schedule of faults that a seed draws from it. It is pure but for
+// reading the file.
+package spec
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Duration is written with its unit: "1.5s", "200ms".
+type Duration time.Duration
+
+// UnmarshalText reads a duration; a number without a unit is an error.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration, want a number with its unit, as \"1.5s\" or \"200ms\"", b)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Rate is bytes a second, written as "64kB/s".
+type Rate int64
+
+// UnmarshalText reads a rate.
+func (r *Rate) UnmarshalText(b []byte) error {
+	s, ok := strings.CutSuffix(string(b), "/s")
+	for unit, times := range map[string]float64{"kB": 1e3, "MB": 1e6, "B": 1} {
+		if n, has := strings.CutSuffix(s, unit); ok && has {
+			if v, err := strconv.ParseFloat(n, 64); err == nil && v > 0 {
+				*r = Rate(v * times)
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("%q is not a rate, want bytes a second, as \"64kB/s\", \"2MB/s\" or \"500B/s\"", b)
+}
+
+// Experiment is one file.
+type Experiment struct {
+	Name   string   `toml:"name"`
+	About  string   `toml:"about"`  // one line for a list
+	Length Duration `toml:"length"` // of arrivals
+	Quick  bool     `toml:"quick"`  // belongs to the short set
+	Fleet  Fleet    `toml:"fleet"`
+	Load   Load     `toml:"load"`
+	Net    Net      `toml:"net"`
+	List   List     `toml:"discovery"`
+	Faults []Fault  `toml:"fault"`
+	Draw   *Draw    `toml:"draw"`
+	Bounds Bounds   `toml:"bounds"`
+
+	path string
+	src  string
+}
+
+// Fleet says who takes part.
+type Fleet struct {
+	Nodes    int  `toml:"nodes"`
+	Boxes    int  `toml:"boxes"`
+	Zones    int  `toml:"zones"`
+	MemoryMB int  `toml:"memory_mb"` // for each node
+	Sockets  int  `toml:"sockets"`   // descriptors for each node
+	Messages bool `toml:"messages"`  // between nodes
+	Accept   bool `toml:"accept_fd"` // the platform holds the clients' sockets, as upgrades need it
+}
+
+// Load says what clients ask for. One of Rate and Use is given.
+type Load struct {
+	Rate   float64 `toml:"rate"` // operations a second
+	Use    float64 `toml:"use"`  // as a share of what all warm boxes can do
+	Bursty bool    `toml:"bursty"`
+	Swing  float64 `toml:"swing"` // of a bursty one, as a part of the rate
+	Skew   float64 `toml:"skew"`  // what the first zone has beyond its even share, as a part of it
+	Surges []Surge `toml:"surge"`
+}
+
+// Surge is a stretch of another load.
+type Surge struct {
+	At    Duration `toml:"at"`
+	For   Duration `toml:"for"`
+	Times float64  `toml:"times"`
+}
+
+// Net says what the network is like; what is absent is drawn from the operators' ranges.
+type Net struct {
+	Same   *Duration `toml:"same"`  // one way, in a zone
+	Cross  *Duration `toml:"cross"` // between zones
+	Client *Duration `toml:"client"`
+	Loss   float64   `toml:"loss"`  // of messages between nodes
+	Front  Duration  `toml:"front"` // until the front notices a death; 0: drawn
+}
+
+// List says how late discovery tells of things.
+type List struct {
+	Notice Duration `toml:"notice"` // a change reaches a node so late, give or take half; 0: drawn
+	Silent Duration `toml:"silent"` // the loss of a box that says nothing; 0: drawn
+}
+
+// Fault is something that goes wrong, or an order of an operator.
+type Fault struct {
+	At  Duration `toml:"at"`
+	For Duration `toml:"for"`
+	Do  string   `toml:"do"`
+	On  []string `toml:"on"` // parties
+	To  []string `toml:"to"` // the other ends, for links
+
+	Share  float64  `toml:"share"`  // of those named, drawn by seed; 0: all
+	Way    string   `toml:"way"`    // of a cut: "both" (also if absent), "forward", "back"
+	Delay  Duration `toml:"delay"`  // of a link
+	Jitter Duration `toml:"jitter"` // of a link
+	Loss   float64  `toml:"loss"`
+	Rate   Rate     `toml:"rate"`
+	Bytes  int      `toml:"bytes"` // after 1 to so many of them a connection is reset
+	Every  Duration `toml:"every"` // a storm's pause
+	Times  float64  `toml:"times"` // slower
+	Part   float64  `toml:"part"`  // that fails, or that another program takes
+}
+
+// Draw draws further faults by seed, evenly over a stretch.
+type Draw struct {
+	Faults int      `toml:"faults"`
+	From   Duration `toml:"from"`
+	Until  Duration `toml:"until"` // all are over by then
+	Menu   []string `toml:"menu"`
+}
+
+// Bounds is what the run has to keep to beside the rules. Absent ones are not checked.
+type Bounds struct {
+	Served    float64            `toml:"served"`  // least share of operations answered within their aim
+	Failed    *float64           `toml:"failed"`  // most that end failed, broken, silent or unreached
+	Refused   *float64           `toml:"refused"` // most that end refused
+	Class     map[string]float64 `toml:"class"`   // least share served, by class
+	P99       map[string]string  `toml:"p99"`     // most, by class, of served ones
+	Recovered Duration           `toml:"recovered"`
+	Level     float64            `toml:"recovered_at"` // share served in a second that counts as recovered; 0: Served
+	Attempts  float64            `toml:"attempts"`     // most attempts at boxes for an operation, in the mean
+}
+
+// LoadFile reads and checks the experiment at path. Every error names file, line and key.
+func LoadFile(path string) (*Experiment, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	return Parse(path, string(raw))
+}
+
+// Parse is LoadFile for a text that has been read already.
+func Parse(path, text string) (*Experiment, error) {
+	e := &Experiment{path: path, src: text}
+	d := toml.NewDecoder(strings.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(e); err != nil {
+		return nil, e.decoding(err)
+	}
+	e.fill()
+	errs := e.check()
+	slices.SortStableFunc(errs, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	if e.Bounds.Level == 0 {
+		e.Bounds.Level = e.Bounds.Served
+	}
+	return e, nil
+}
+
+func (e *Experiment) decoding(err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		var all []error
+		for i := range unknown.Errors {
+			line, _ := unknown.Errors[i].Position()
+			all = append(all, fmt.Errorf("%s:%d: %s: unknown key", e.path, line, strings.Join(unknown.Errors[i].Key(), ".")))
+		}
+		return errors.Join(all...)
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		line, _ := bad.Position()
+		return fmt.Errorf("%s:%d: %s: %s", e.path, line, strings.Join(bad.Key(), "."), strings.TrimPrefix(bad.Error(), "toml: "))
+	}
+	return fmt.Errorf("%s: %w", e.path, err)
+}
+
+// fill puts in what the file leaves out.
+func (e *Experiment) fill() {
+	if e.Name == "" {
+		e.Name = strings.TrimSuffix(filepath.Base(e.path), ".toml")
+	}
+	for p, v := range map[*int]int{&e.Fleet.Nodes: 3, &e.Fleet.Boxes: 10, &e.Fleet.Zones: 3, &e.Fleet.MemoryMB: 192, &e.Fleet.Sockets: 1024} {
+		if *p == 0 {
+			*p = v
+		}
+	}
+	if e.Load.Rate == 0 && e.Load.Use == 0 {
+		e.Load.Use = 0.5
+	}
+	if e.Load.Bursty && e.Load.Swing == 0 {
+		e.Load.Swing = 0.25
+	}
+}
+
+// line finds a key: in the table of that header, of which it is the nth.
+func (e *Experiment) line(header string, nth int, key string) int {
+	seen, within, found := -1, header == "", 0
+	for i, text := range strings.Split(e.src, "\n") {
+		text = strings.TrimSpace(text)
+		if strings.HasPrefix(text, "[") {
+			within = false
+			if strings.HasPrefix(text, header) && header != "" {
+				seen++
+				within = seen == nth
+				if within {
+					found = i + 1
+				}
+			}
+			continue
+		}
+		name, _, ok := strings.Cut(text, "=")
+		if ok && within && strings.TrimSpace(name) == key {
+			return i + 1
+		}
+	}
+	return max(1, found)
+}
+
+// at makes an error of the file.
+func (e *Experiment) at(header string, nth int, key, format string, args ...any) error {
+	name := strings.Trim(header, "[]")
+	if name != "" {
+		name += "."
+	}
+	return fmt.Errorf("%s:%d: %s%s: %s", e.path, e.line(header, nth, key), name, key, fmt.Sprintf(format, args...))
+}
