--- a/cmd/indigolab/commands.go
+++ b/cmd/indigolab/commands.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"indigotack/internal/lab/gauge"
 	"indigotack/internal/lab/report"
 	"indigotack/internal/lab/spec"
 )
@@ -209,3 +210,33 @@
 	c.Flags().BoolVar(&quick, "quick", false, "only those whose file says quick = true")
 	return c
 }
+
+func costCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "cost",
+		Short:   "measure what the lab itself adds and takes on this machine, half a minute",
+		Example: "  indigolab cost",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := gauge.WriteCost(c.Context(), c.OutOrStdout()); err != nil {
+				return unplayed{err}
+			}
+			return nil
+		},
+	}
+}
+
+func boxesCommand() *cobra.Command {
+	n := 300
+	c := &cobra.Command{
+		Use:     "boxes",
+		Short:   "measure the emulated boxes against the figures they are drawn from",
+		Example: "  indigolab boxes --draw 1000",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return gauge.WriteBoxes(c.OutOrStdout(), gauge.Boxes(n))
+		},
+	}
+	c.Flags().IntVar(&n, "draw", n, "how many boxes to draw")
+	return c
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -258,15 +258,15 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	defer stop()
-	late := newLateness(f.log)
-	tasks.Go(func() { late.watch(bg) })
+	late := NewLateness(f.log)
+	tasks.Go(func() { late.Watch(bg) })
 	tasks.Go(func() { f.sample(bg) })
 	tasks.Go(func() { f.front.Watch(bg) })
 	if err := f.admitted(ctx); err != nil {
 		return err
 	}
 	clients := client.New(f.log, f.front, f.book, f.o.Seed)
-	clients.Late = late.add
+	clients.Late = late.Add
 	f.start = f.log.Now() + 200*time.Millisecond
 	steps := make(chan error, 1)
 	go func() { steps <- f.carryOut(ctx) }()
--- /dev/null
+++ b/internal/lab/gauge/cost.go
@@ -0,0 +1,182 @@
+package gauge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"indigotack/internal/lab/client"
+	"indigotack/internal/lab/fleet"
+	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/load"
+	"indigotack/internal/lab/world"
+)
+
+const (
+	trips   = 5000
+	message = 300 // bytes, about a request
+)
+
+// Trip is the time of round trips.
+type Trip struct{ P50, P99 time.Duration }
+
+// Delay measures round trips on one connection, straight and over an idle link.
+func Delay() (straight, linked Trip, err error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return straight, linked, err
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); io.Copy(c, c) }()
+		}
+	}()
+	n := link.NewNet(1)
+	defer n.Close()
+	over, err := n.Connect(link.Ends{From: "a", To: "b"}, ln.Addr().String())
+	if err != nil {
+		return straight, linked, err
+	}
+	if straight, err = trip(ln.Addr().String()); err != nil {
+		return straight, linked, err
+	}
+	linked, err = trip(over)
+	return straight, linked, err
+}
+
+func trip(address string) (Trip, error) {
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		return Trip{}, err
+	}
+	defer c.Close()
+	h := hdrhistogram.New(1000, int64(time.Minute), 3)
+	in, out := bufio.NewReader(c), make([]byte, message)
+	for range trips {
+		before := time.Now()
+		if _, err := c.Write(out); err != nil {
+			return Trip{}, err
+		}
+		if _, err := io.ReadFull(in, out); err != nil {
+			return Trip{}, err
+		}
+		h.RecordValue(int64(time.Since(before)))
+	}
+	return Trip{time.Duration(h.ValueAtQuantile(50)), time.Duration(h.ValueAtQuantile(99))}, nil
+}
+
+// Step is one rate of load and how late the lab was at it.
+type Step struct {
+	Rate  float64
+	P99   time.Duration // of the lab's lateness, in its worst second
+	Cores float64       // that the lab took, with the one that answers
+	Ended int
+}
+
+// stepTime is how long each rate is held.
+const stepTime = 3 * time.Second
+
+// Lateness raises the load, over links and to somebody who answers at once, until
+// the lab is later than bound or the rate passes most.
+func Lateness(ctx context.Context, first, most float64, bound time.Duration) ([]Step, error) {
+	var all []Step
+	for rate := first; rate <= most; rate *= 2 {
+		s, err := step(ctx, rate)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, s)
+		if s.P99 > bound {
+			break
+		}
+	}
+	return all, nil
+}
+
+func step(ctx context.Context, rate float64) (Step, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return Step{}, err
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, r.Header.Get("X-Request-Id")+" s0")
+	})}
+	var serving sync.WaitGroup
+	serving.Add(1)
+	go func() { defer serving.Done(); srv.Serve(ln) }()
+	defer serving.Wait()
+	defer srv.Close()
+	n := link.NewNet(1)
+	defer n.Close()
+	at, err := n.Connect(link.Ends{From: "clients", To: "n0"}, ln.Addr().String())
+	if err != nil {
+		return Step{}, err
+	}
+	log, err := history.New("")
+	if err != nil {
+		return Step{}, err
+	}
+	w := world.Draw(1, 1, 1)
+	front := client.NewFront(time.Minute)
+	front.Add("n0", w.Zones[0], at)
+	bg, stop := context.WithCancel(ctx)
+	defer stop()
+	late := fleet.NewLateness(log)
+	go late.Watch(bg)
+	go front.Watch(bg)
+	for front.Admitted() == 0 {
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+			return Step{}, ctx.Err()
+		}
+	}
+	ops := load.Draw(1, w, load.Shape{Rate: rate, Length: stepTime})
+	clients := client.New(log, front, load.NewBook(), 1)
+	clients.Late = late.Add
+	before, cpu := log.Now(), fleet.OwnCPU()
+	clients.Run(ctx, before, ops)
+	took := log.Now() - before
+	s := Step{Rate: rate, Cores: float64(fleet.OwnCPU()-cpu) / float64(took)}
+	for _, e := range log.Events() {
+		switch e.Kind {
+		case history.Lab:
+			s.P99 = max(s.P99, e.P99)
+		case history.Over:
+			s.Ended++
+		}
+	}
+	return s, ctx.Err()
+}
+
+// WriteCost measures and writes what the lab itself costs.
+func WriteCost(ctx context.Context, w io.Writer) error {
+	straight, linked, err := Delay()
+	if err != nil {
+		return fmt.Errorf("measuring links: %w", err)
+	}
+	fmt.Fprintf(w, "round trip of %d bytes, %d times: median and 99th percentile\n", message, trips)
+	fmt.Fprintf(w, "  straight            %v  %v\n  over an idle link   %v  %v\n", straight.P50, straight.P99, linked.P50, linked.P99)
+	steps, err := Lateness(ctx, 500, 64000, 5*time.Millisecond)
+	if err != nil {
+		return fmt.Errorf("measuring lateness: %w", err)
+	}
+	fmt.Fprintln(w, "operations a second, over a link, to one in the lab's own process that answers at once:")
+	for _, s := range steps {
+		fmt.Fprintf(w, "  %6.0f: late by %v at the 99th percentile of the worst second, %.2f cores\n", s.Rate, s.P99.Round(10*time.Microsecond), s.Cores)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/platform/config_test.go
@@ -0,0 +1,36 @@
+package platform
+
+import (
+	"path/filepath"
+	"testing"
+
+	"indigotack/internal/lab/disco"
+	"indigotack/internal/lab/world"
+	"indigotack/internal/node"
+)
+
+// TestNodeReadsIt: what the lab's platform writes, a node takes whole.
+func TestNodeReadsIt(t *testing.T) {
+	w := world.Draw(1, 3, 4)
+	n := Node{Name: "n1", Number: 1, Nodes: 2, Zone: w.Zones[1], Listen: "127.0.0.1:1", Control: "127.0.0.1:2", Discovery: "127.0.0.1:3",
+		PeerListen: "127.0.0.1:4", Peers: []string{"127.0.0.1:5", "127.0.0.1:4"}, Seed: 1 << 63, MemoryMB: 64, Sockets: 256,
+		Known: disco.Answer{Index: 1, Snapshot: true, Endpoints: []disco.Entry{{Name: "s0", Address: "127.0.0.1:6", Status: disco.Ready}}}}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := n.Write(path, w, 100); err != nil {
+		t.Fatal(err)
+	}
+	c, err := node.LoadConfig(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Control != n.Control || len(c.Peers) != 2 || c.MemoryMB != 64 || s.Self != 1 || s.Zone != n.Zone || len(s.Classes) != len(w.Classes) ||
+		s.DrainGrace != world.DrainGrace || s.MaxAttempts != world.MaxAttempts || s.MaxHoldOff != world.MaxRetryAfter || !s.HoldOffs || s.MayOverlap {
+		t.Errorf("the node has %+v", c)
+	}
+	for i, k := range s.Classes {
+		if want := w.Classes[i]; k.Name != want.Name || k.Aim != want.Aim || k.Deadline != want.Deadline {
+			t.Errorf("class %+v, want %+v", k, want)
+		}
+	}
+}
--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -246,6 +246,25 @@
 	}
 }
 
+// Before is what was served in time ahead of the first fault: the run's own base line.
+func (f Figures) Before() float64 {
+	var sum Count
+	for _, s := range f.Seconds {
+		if len(f.Faults) == 0 || s.At+time.Second <= f.first() {
+			sum.Asked, sum.InTime = sum.Asked+s.Asked, sum.InTime+s.InTime
+		}
+	}
+	return sum.Served()
+}
+
+func (f Figures) first() time.Duration {
+	first := f.Faults[0].From
+	for _, s := range f.Faults {
+		first = min(first, s.From)
+	}
+	return first
+}
+
 // leastAsked is how many operations a second needs to tell whether service has recovered.
 const leastAsked = 10
 
--- a/internal/lab/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -96,7 +96,7 @@
 		p.Add(drawn)
 		p.Legend.Add(l.name, drawn)
 	}
-	p.Legend.Top, p.Legend.Left = false, true
+	p.Legend.Top, p.Legend.Left, p.Legend.YOffs = true, true, -1.6*vg.Centimeter // between what is near 0 and near 1
 	return p, nil
 }
 
