--- /dev/null
+++ b/internal/list/state_test.go
@@ -0,0 +1,310 @@
+package list
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func entry(name string) Entry {
+	return Entry{Name: name, Address: "127.0.0.1:1", Status: Ready, Weight: 1}
+}
+
+// drawCommand draws a command on few names, so that they meet.
+func drawCommand(t *rapid.T, s *State, n int) Command {
+	name := fmt.Sprint("s", rapid.IntRange(0, 3).Draw(t, "name"))
+	c := Command{Do: rapid.SampledFrom([]string{DoRegister, DoRegister, DoDrain, DoRemove, DoExpire}).Draw(t, "do"), Name: name}
+	if rapid.Bool().Draw(t, "conditional") {
+		v := rapid.SampledFrom([]uint64{0, s.items[name].Version, uint64(n)}).Draw(t, "if")
+		c.If = &v
+	}
+	if rapid.Bool().Draw(t, "named") {
+		c.ID = fmt.Sprint("w", rapid.IntRange(0, 20).Draw(t, "id"))
+	}
+	switch c.Do {
+	case DoRegister:
+		e := entry(name)
+		e.Weight = float64(rapid.IntRange(1, 3).Draw(t, "weight"))
+		c.Entry, c.TTL = &e, time.Duration(rapid.IntRange(0, 2).Draw(t, "ttl"))*time.Second
+	case DoExpire:
+		c.Overdue = []Lease{{name, s.items[name].Version - uint64(rapid.IntRange(0, 1).Draw(t, "old"))}}
+	}
+	return c
+}
+
+// TestState drives the state machine through drawn commands beside a plain model,
+// with a reader that follows it by changes, and a replica that follows it by
+// encoded commands and is now and then replaced from a snapshot.
+func TestState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, replica := NewState(), NewState()
+		model := map[string]Entry{}
+		results := map[string]Result{}
+		reader := map[string]Entry{}
+		var from uint64
+		for n := range rapid.IntRange(1, 80).Draw(t, "commands") {
+			c := drawCommand(t, s, n)
+			before, has := s.version, s.items[c.Name].Version
+			got := s.Apply(c)
+			if old, repeated := results[c.ID]; repeated && c.ID != "" {
+				if got != old || s.version != before {
+					t.Fatalf("a repeat of %s comes to %+v, at first %+v", c.ID, got, old)
+				}
+			} else {
+				step(t, model, c, has, got, s.version-before)
+				if c.ID != "" {
+					results[c.ID] = got
+				}
+			}
+			raw, err := c.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			back, err := Decode(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r := replica.Apply(back); r != got {
+				t.Fatalf("a replica comes to %+v, not %+v", r, got)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "replace") == 0 {
+				replica = copied(t, replica)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "look") == 0 {
+				follow(t, reader, &from, s)
+			}
+		}
+		follow(t, reader, &from, s)
+		for name, e := range model {
+			if reader[name] != e {
+				t.Fatalf("the reader has %+v, the model %+v", reader[name], e)
+			}
+		}
+		if len(reader) != len(model) || !reflect.DeepEqual(s.Items(), replica.Items()) || s.version != replica.version {
+			t.Fatalf("reader, model and replica have %d, %d and %d entries", len(reader), len(model), replica.Len())
+		}
+	})
+}
+
+// step checks one command against the model and carries it out there.
+func step(t *rapid.T, model map[string]Entry, c Command, has uint64, got Result, made uint64) {
+	_, there := model[c.Name]
+	if c.If != nil && *c.If != has && c.Do != DoExpire {
+		if got.Code != Conflict || made != 0 {
+			t.Fatalf("%+v at version %d: %+v", c, has, got)
+		}
+		return
+	}
+	switch c.Do {
+	case DoRegister:
+		if changed := model[c.Name] != *c.Entry; got.Code != Done || (made == 1) != changed {
+			t.Fatalf("registering: %+v, %d changes", got, made)
+		}
+		model[c.Name] = *c.Entry
+	case DoExpire:
+		if there && c.Overdue[0].Version == has {
+			delete(model, c.Name)
+		}
+	case DoDrain, DoRemove:
+		if (got.Code == Done) != there {
+			t.Fatalf("%s of one that is there (%v): %+v", c.Do, there, got)
+		}
+		if e := model[c.Name]; there && c.Do == DoDrain {
+			e.Status = Draining
+			model[c.Name] = e
+		} else if there {
+			delete(model, c.Name)
+		}
+	}
+}
+
+func copied(t *rapid.T, s *State) *State {
+	raw, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := FromSnapshot(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// follow lets a reader catch up by the answer for its version.
+func follow(t *rapid.T, reader map[string]Entry, from *uint64, s *State) {
+	a := s.Since(*from)
+	if a.Index < *from || !a.Snapshot && int(a.Index-*from) != len(a.Endpoints) {
+		t.Fatalf("from %d comes %d with %d changes", *from, a.Index, len(a.Endpoints))
+	}
+	if a.Snapshot {
+		clear(reader)
+	}
+	for _, e := range a.Endpoints {
+		reader[e.Name] = e
+		if e.Status == Gone {
+			delete(reader, e.Name)
+		}
+	}
+	*from = a.Index
+}
+
+// TestFarBehind: a reader whose version has been trimmed away gets the whole list, one just within gets all changes.
+func TestFarBehind(t *testing.T) {
+	s := NewState()
+	for i := range keepChanges + 5 {
+		e := entry("s")
+		e.SinceMS = int64(i)
+		s.Apply(Command{Do: DoRegister, Entry: &e})
+	}
+	if a := s.Since(4); !a.Snapshot || len(a.Endpoints) != 1 {
+		t.Errorf("a trimmed version gets %d changes", len(a.Endpoints))
+	}
+	if a := s.Since(5); a.Snapshot || len(a.Endpoints) != keepChanges {
+		t.Errorf("the oldest version that is kept gets %d changes, whole list %v", len(a.Endpoints), a.Snapshot)
+	}
+	if len(s.known) > keepWrites {
+		t.Errorf("%d writes are known", len(s.known))
+	}
+}
+
+// TestRestore: the copy's entries, a version past all that was given out, a new epoch, and no changes to tell it by.
+func TestRestore(t *testing.T) {
+	s := NewState()
+	s.Apply(Command{Do: DoBegin, Epoch: "first"})
+	a, b := entry("a"), entry("b")
+	s.Apply(Command{Do: DoRegister, Entry: &a})
+	image, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Apply(Command{Do: DoRegister, Entry: &b})
+	before := s.Version()
+	if r := s.Apply(Command{Do: DoRestore, Epoch: "second", Image: image}); r.Code != Done || r.Version <= before+1000 {
+		t.Errorf("%+v after version %d", r, before)
+	}
+	if got := s.Since(before); !got.Snapshot || len(got.Endpoints) != 1 || got.Epoch != "second" {
+		t.Errorf("a reader of version %d gets %+v", before, got)
+	}
+	if r := s.Apply(Command{Do: DoRestore, Epoch: "third", Image: []byte(`{"v":1,"items":[{}]}`)}); r.Code != Invalid || s.Epoch() != "second" {
+		t.Errorf("a bad copy: %+v", r)
+	}
+}
+
+// TestBadCommands change nothing.
+func TestBadCommands(t *testing.T) {
+	long := strings.Repeat("x", MaxText+1)
+	bad := map[string]func(*Entry){"name": func(e *Entry) { e.Name = "" }, "long": func(e *Entry) { e.Zone = long }, "status": func(e *Entry) { e.Status = Gone },
+		"address": func(e *Entry) { e.Address = "nowhere" }, "weight": func(e *Entry) { e.Weight = math.NaN() }, "since": func(e *Entry) { e.SinceMS = -1 }}
+	s := NewState()
+	for name, spoil := range bad {
+		e := entry("a")
+		spoil(&e)
+		if r := s.Apply(Command{Do: DoRegister, Entry: &e}); r.Code != Invalid {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+	e := entry("a")
+	for _, c := range []Command{{Do: "dance"}, {Do: DoRegister}, {Do: DoRegister, Entry: &e, TTL: time.Millisecond}, {Do: DoRegister, Entry: &e, ID: long},
+		{Do: DoDrain}, {Do: DoBegin}, {Do: DoExpire, Overdue: make([]Lease, MaxExpire+1)}} {
+		if r := s.Apply(c); r.Code != Invalid || s.Version() != 0 {
+			t.Errorf("%+v: %+v", c, r)
+		}
+	}
+}
+
+// TestLeases: with whatever renewals and times, nothing expires before its time,
+// no more than a quarter does in a window, and what is kept goes on by itself.
+func TestLeases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "entries")
+		const ttl = 5 * time.Second
+		var items []Item
+		last := map[string]time.Duration{}
+		for i := range n {
+			items = append(items, Item{Entry: entry(fmt.Sprint("s", i)), Version: uint64(i + 1), TTL: ttl})
+			last[items[i].Entry.Name] = 0
+		}
+		l := NewLeases(items, 0)
+		var now time.Duration
+		var went []time.Duration
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			for range rapid.IntRange(0, n).Draw(t, "renewals") {
+				name := fmt.Sprint("s", rapid.IntRange(0, n-1).Draw(t, "who"))
+				if _, there := last[name]; l.Renew(name, now) != there {
+					t.Fatalf("renewing %s, which is there (%v)", name, there)
+				} else if there {
+					last[name] = now
+				}
+			}
+			held := len(last)
+			due, kept := l.Due(now)
+			recent := 0
+			for _, at := range went {
+				if now-at < expiryWindow {
+					recent++
+				}
+			}
+			if most := max(expiryLeast, int(expiryShare*float64(held+recent))); len(due)+recent > most {
+				t.Fatalf("%d expire, after %d in the window, of %d", len(due), recent, held)
+			}
+			if len(due) > 0 && kept > 0 {
+				t.Fatal("some expire while others are kept")
+			}
+			for _, d := range due {
+				if now-last[d.Name] <= ttl {
+					t.Fatalf("%s expires %v after its renewal", d.Name, now-last[d.Name])
+				}
+				delete(last, d.Name)
+				went = append(went, now)
+			}
+		}
+		for name := range last { // all return but two at most
+			if len(last) > expiryLeast && name != "s0" && name != "s1" {
+				l.Renew(name, now+time.Minute)
+			}
+		}
+		if _, kept := l.Due(now + time.Minute); kept > 0 {
+			t.Fatalf("%d are still kept", kept)
+		}
+	})
+}
+
+func FuzzFromSnapshot(f *testing.F) {
+	s := NewState()
+	e := entry("a")
+	s.Apply(Command{Do: DoRegister, Entry: &e, ID: "w"})
+	raw, _ := s.Snapshot()
+	f.Add(raw)
+	f.Add([]byte(`{"v":1,"version":3,"changes":[{"version":3}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := FromSnapshot(raw)
+		if err != nil {
+			return
+		}
+		s.Since(0)
+		s.Since(s.Version() / 2)
+		again, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := FromSnapshot(again); err != nil {
+			t.Fatalf("a state that was read can't be read again: %v", err)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"v":1,"do":"register","entry":{"name":"a","address":"a:1","status":"ready"}}`))
+	f.Add([]byte(`{"v":2}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if c, err := Decode(raw); err == nil {
+			NewState().Apply(c)
+		}
+	})
+}
