--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -52,11 +52,12 @@
 		Taken: 1 - (1-a.Taken)*(1-b.Taken)}
 }
 
-// Pod is what the boxes of one pod share: the keys they have begun. It is not safe for concurrent use.
+// Pod is what the boxes of one pod share: the keys they have begun. It keeps all
+// of a run, since a job may wait for longer than the window. It is not safe for
+// concurrent use.
 type Pod struct {
 	window time.Duration
 	begun  map[string]time.Duration
-	swept  time.Duration
 }
 
 // NewPod makes a pod that drops a key for window.
@@ -66,14 +67,6 @@
 
 // first tells whether a job with that key, arrived then, is to run, and notes that it begins now.
 func (p *Pod) first(key string, arrived, now time.Duration) bool {
-	if now-p.swept > p.window { // each key stays for two windows at most
-		for k, t := range p.begun {
-			if now-t > p.window {
-				delete(p.begun, k)
-			}
-		}
-		p.swept = now
-	}
 	if t, ok := p.begun[key]; ok && arrived <= t+p.window {
 		return false
 	}
@@ -280,10 +273,10 @@
 		return append(outs, Out{What: Fell})
 	}
 	j.Work += extra
+	in := &job{Job: j, arrived: b.now}
 	if b.trouble.Fails > 0 && b.chance.Float64() < b.trouble.Fails {
-		return append(outs, Out{What: Begun, Num: j.Num}, Out{What: Done, Num: j.Num, Status: 500})
+		return append(outs, b.fail(in)...)
 	}
-	in := &job{Job: j, arrived: b.now}
 	switch {
 	case len(b.running) < b.m.Slots && len(b.waiting) == 0:
 		outs = b.start(in, outs)
@@ -296,6 +289,15 @@
 	return outs
 }
 
+// fail answers at once that the job has failed. It may have had its effect, so its pod knows the key.
+func (b *Box) fail(j *job) []Out {
+	first := Out{What: Begun, Num: j.Num}
+	if j.Key != "" && !b.pod.first(j.Key, j.arrived, b.now) {
+		first.What = Dropped
+	}
+	return []Out{first, {What: Done, Num: j.Num, Status: 500}}
+}
+
 // pushedOver notes work sent to a cold box and tells whether it is too much.
 func (b *Box) pushedOver(work float64) bool {
 	b.sent = append(b.sent, parcel{b.now, work})
--- a/internal/lab/box/box_test.go
+++ b/internal/lab/box/box_test.go
@@ -16,16 +16,21 @@
 }
 
 // TestEveryJobEndsOnce: whatever happens to a box, a job begins at most once, is
-// answered once, and no more work is done than the machine can.
+// answered once, no more work is done than the machine can, and no key begins
+// again for a job that came within the window.
 func TestEveryJobEndsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := machine(t)
 		m.ErrorRate = 0
-		b := New(m, NewPod(1250*time.Millisecond), 1, 0, rapid.Bool().Draw(t, "cold"))
+		const window = 1250 * time.Millisecond
+		b := New(m, NewPod(window), 1, 0, rapid.Bool().Draw(t, "cold"))
 		begun, over := map[uint64]bool{}, map[uint64]bool{}
 		work := map[uint64]time.Duration{}
 		var now, finished time.Duration
 		fell := false
+		keys, came := map[uint64]string{}, map[uint64]time.Duration{}
+		lastBegun := -time.Hour // of the key "k", or a little before
+		var looked time.Duration
 		see := func(outs []Out) {
 			for _, o := range outs {
 				switch {
@@ -35,6 +40,13 @@
 					t.Fatalf("job %d begins twice, or after its end", o.Num)
 				case o.What == Begun:
 					begun[o.Num] = true
+					if keys[o.Num] == "" {
+						continue
+					}
+					if came[o.Num] <= lastBegun+window {
+						t.Fatalf("the key begins again for job %d, which came %v after it began", o.Num, came[o.Num]-lastBegun)
+					}
+					lastBegun = looked
 				case (o.What == Done || o.What == Turned) && over[o.Num]:
 					t.Fatalf("job %d ends twice", o.Num)
 				case o.What == Done || o.What == Turned:
@@ -47,15 +59,17 @@
 		}
 		n := rapid.IntRange(1, 200).Draw(t, "events")
 		for i := range uint64(n) {
+			looked = now
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
 				see(b.Leave(now, rapid.Uint64Range(0, i).Draw(t, "num")))
 			case 1:
-				see(b.Suffer(now, Trouble{Hangs: rapid.Bool().Draw(t, "hangs"), Slower: 2}))
+				see(b.Suffer(now, Trouble{Hangs: rapid.Bool().Draw(t, "hangs"), Slower: 2, Fails: rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "fails")}))
 			default:
 				work[i] = time.Duration(rapid.IntRange(1, 300).Draw(t, "work")) * time.Millisecond
-				see(b.Arrive(now, Job{Num: i, Work: work[i], Key: rapid.SampledFrom([]string{"", "", "k"}).Draw(t, "key")}, 0))
+				keys[i], came[i] = rapid.SampledFrom([]string{"", "", "k"}).Draw(t, "key"), now
+				see(b.Arrive(now, Job{Num: i, Work: work[i], Key: keys[i]}, 0))
 			}
 			if b.Held() > m.Slots+m.Queue {
 				t.Fatalf("%d jobs in %d slots and %d places", b.Held(), m.Slots, m.Queue)
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -31,11 +31,15 @@
 	ops   sync.WaitGroup
 	// Late is told how late each operation was sent: the lab's own lateness.
 	Late func(time.Duration)
+	// Disturbed tells whether something is, or was just now, done to a node or to
+	// the way to it, so that a connection's end says nothing of what the node has read.
+	Disturbed func(node string) bool
 }
 
 // New makes clients that reach nodes by way of front.
 func New(log *history.Log, front *Front, book *load.Book, seed uint64) *Clients {
-	c := &Clients{log: log, front: front, book: book, seed: seed, Late: func(time.Duration) {}}
+	c := &Clients{log: log, front: front, book: book, seed: seed, Late: func(time.Duration) {},
+		Disturbed: func(string) bool { return false }}
 	c.pool = pool{idle: map[string][]kept{}, extra: func(cn *conn) {
 		log.Add(history.Event{Kind: history.Extra, Node: cn.node, ID: cn.lastID})
 	}}
@@ -146,7 +150,7 @@
 		return node, c.unreached(op, id, node)
 	}
 	r, keep := c.exchange(cn, op, id, try, wait)
-	if r.how == history.Broken && cn.used && !r.begun && !c.book.Met(id) {
+	if r.how == history.Broken && cn.used && !r.begun && !c.Disturbed(node) && !c.book.Met(id) {
 		// The node's close crossed the request: it goes out once more.
 		c.log.Add(history.Event{Kind: history.Cross, Op: op.N, ID: id, Node: node})
 		cn.Close()
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -64,6 +64,8 @@
 	closing  sync.Mutex
 	closes   []func()
 	start    time.Duration // of the load
+
+	disturbed disturbed
 }
 
 // Play plays an experiment to its end. The error says why it could not be played.
@@ -266,7 +268,7 @@
 		return err
 	}
 	clients := client.New(f.log, f.front, f.book, f.o.Seed)
-	clients.Late = late.Add
+	clients.Late, clients.Disturbed = late.Add, f.disturbed.is
 	f.start = f.log.Now() + 200*time.Millisecond
 	steps := make(chan error, 1)
 	go func() { steps <- f.carryOut(ctx) }()
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -61,6 +61,7 @@
 }
 
 func (f *fleet) tell(how string, s spec.Step) {
+	f.disturbed.note(f.touched(s), how == "begin")
 	f.log.Add(history.Event{Kind: history.Fault, How: how, Detail: s.Name, Nodes: f.touched(s), Also: append(slices.Clone(s.On), s.To...)})
 }
 
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -169,6 +169,9 @@
 	return p.Signal(syscall.SIGKILL)
 }
 
+// quitTime is what an overdue process has to write down what it does.
+const quitTime = time.Second
+
 // Term orders the process to end. One that still runs after patience is killed,
 // which the history tells as an end that was not as ordered.
 func (p *Proc) Term(patience time.Duration) error {
@@ -185,6 +188,12 @@
 	case <-time.After(patience):
 	}
 	p.say("overdue", fmt.Sprintf("still runs %v after SIGTERM", patience), true)
+	p.cmd.Process.Signal(syscall.SIGQUIT) // a Go program writes into its log what it hangs on
+	select {
+	case <-p.exited:
+		return nil
+	case <-time.After(quitTime):
+	}
 	if err := p.cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
