Add the list service's replicas on raft, and runs under drawn faults that check them

Nodes depend on a discovery that the project does not have. indigolist keeps the list on hashicorp/raft in a folder: reads and watches in the platform's form with an epoch, current reads, conditional writes with ids that repeat safely, renewals beside the log, expiry with judgement, bounds with Retry-After, /healthz, /readyz, /metrics, a stop that hands leadership on.

internal/lab/quorum starts real replicas with links between them, lets clients write, read and watch, kills, pauses and cuts by seed, and judges: writes and current reads by porcupine, watches for gaps, order and agreement.

--- /dev/null
+++ b/cmd/indigolist/quorum_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"indigotack/internal/lab/quorum"
+)
+
+// TestMain runs the program itself where a test has started it anew.
+func TestMain(m *testing.M) {
+	if os.Getenv("INDIGOLIST_AS_PROGRAM") == "1" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func dirOf(t *testing.T, seed uint64) string {
+	if d := os.Getenv("QDIR"); d != "" {
+		return fmt.Sprintf("%s/%d", d, seed)
+	}
+	return t.TempDir()
+}
+
+// TestQuorum: three replicas under kills, pauses, cuts and delays. Writes and
+// current reads are linearizable; watches are gapless, ordered and alike.
+func TestQuorum(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		o, err := quorum.Play(context.Background(), quorum.Options{Seed: seed, Replicas: 3, Clients: 4, Length: 6 * time.Second, Dir: dirOf(t, seed),
+			Command: []string{os.Args[0]}, Env: []string{"INDIGOLIST_AS_PROGRAM=1"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(o.Line())
+		for _, b := range o.Broken {
+			t.Error(b)
+		}
+		if o.Changes == 0 {
+			t.Error("nothing was written")
+		}
+	}
+}
--- /dev/null
+++ b/internal/list/server/config.go
@@ -0,0 +1,80 @@
+// Package server is one replica of the list service: raft and its folder, reads,
+// watches and writes over HTTP, and the expiry of entries.
+package server
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Config is what a replica is told.
+type Config struct {
+	Name     string        `koanf:"name"`     // of this replica
+	Folder   string        `koanf:"folder"`   // where its log and snapshots are
+	Listen   string        `koanf:"listen"`   // HTTP
+	Raft     string        `koanf:"raft"`     // where the other replicas reach it; not needed alone
+	Begin    bool          `koanf:"begin"`    // begin the cluster if the folder is empty: for one replica of several, once
+	Election time.Duration `koanf:"election"` // without a word from the leader for so long, up to twice, another is elected
+	Replicas []Replica     `koanf:"replica"`  // all of them, this one included; none: it is alone
+
+	MaxWatchers int     `koanf:"max_watchers"` // calls that may be held at once
+	MaxWrites   float64 `koanf:"max_writes"`   // writes a second for one client, twice as many at once
+}
+
+// Replica is one of the cluster, as this one reaches it.
+type Replica struct {
+	Name string `koanf:"name"`
+	Raft string `koanf:"raft"`
+	HTTP string `koanf:"http"`
+}
+
+// Default is the configuration of one process on a folder.
+func Default() Config {
+	return Config{Name: "r0", Listen: "127.0.0.1:8500", Election: 500 * time.Millisecond, MaxWatchers: 20000, MaxWrites: 200}
+}
+
+// Check says what is wrong with a configuration, by its keys.
+func (c Config) Check() error {
+	var errs []error
+	bad := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	address := func(key, value string) {
+		_, _, err := net.SplitHostPort(value)
+		bad(err == nil, "%s: %q is not host:port", key, value)
+	}
+	bad(c.Name != "", "name: missing")
+	bad(c.Folder != "", "folder: missing; it is where the log and the snapshots go")
+	address("listen", c.Listen)
+	bad(c.Election >= 50*time.Millisecond && c.Election <= time.Minute, "election: %v is not between 50ms and 1m", c.Election)
+	bad(c.MaxWatchers > 0, "max_watchers: %d is not above 0", c.MaxWatchers)
+	bad(c.MaxWrites > 0, "max_writes: %v is not above 0", c.MaxWrites)
+	if len(c.Replicas) == 0 {
+		return errors.Join(errs...)
+	}
+	address("raft", c.Raft)
+	names := map[string]bool{}
+	for i, r := range c.Replicas {
+		bad(r.Name != "" && !names[r.Name], "replica %d: name %q is missing or there twice", i+1, r.Name)
+		names[r.Name] = true
+		address(fmt.Sprintf("replica %s: raft", r.Name), r.Raft)
+		address(fmt.Sprintf("replica %s: http", r.Name), r.HTTP)
+	}
+	bad(names[c.Name], "replica: %s itself is not among them", c.Name)
+	bad(len(c.Replicas)%2 == 1 && len(c.Replicas) <= 5, "replica: there are %d, want 1, 3 or 5", len(c.Replicas))
+	return errors.Join(errs...)
+}
+
+// find gives a replica by name.
+func (c Config) find(name string) (Replica, bool) {
+	for _, r := range c.Replicas {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return Replica{}, false
+}
--- /dev/null
+++ b/internal/list/server/expiry.go
@@ -0,0 +1,160 @@
+package server
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+const (
+	expiryEvery = 100 * time.Millisecond
+	// stall is how late the loop may be before its own deadlines mean nothing: a
+	// process that stood still has not heard the renewals of that time.
+	stall = time.Second
+)
+
+// expiry keeps the deadlines while this replica leads.
+type expiry struct {
+	start   time.Time
+	machine *machine
+	apply   func(list.Command) (list.Result, error)
+	log     *slog.Logger
+
+	mu     sync.Mutex
+	leases *list.Leases // nil while another leads
+	kept   int          // overdue entries that are held back
+	count  int          // expired so far
+}
+
+func (x *expiry) now() time.Duration { return time.Since(x.start) }
+
+// lead begins with every entry's full time, once all that was done before is known here.
+func (x *expiry) lead() {
+	x.machine.mu.RLock()
+	items := x.machine.state.Items()
+	x.mu.Lock() // under the other lock, so that no change falls between the two
+	x.leases, x.kept = list.NewLeases(items, x.now()), 0
+	x.mu.Unlock()
+	x.machine.mu.RUnlock()
+}
+
+func (x *expiry) follow() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.leases, x.kept = nil, 0
+}
+
+// applied keeps the leases in step with the list. The caller holds the machine's lock.
+func (x *expiry) applied(c list.Command, state *list.State) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.leases == nil {
+		return
+	}
+	switch c.Do {
+	case list.DoRegister:
+		if i, ok := state.Item(c.Entry.Name); ok {
+			x.leases.Set(i, x.now())
+		}
+	case list.DoDrain:
+		if i, ok := state.Item(c.Name); ok {
+			x.leases.Set(i, x.now())
+		}
+	case list.DoRemove:
+		if _, there := state.Item(c.Name); !there {
+			x.leases.Drop(c.Name)
+		}
+	case list.DoRestore:
+		x.leases = list.NewLeases(state.Items(), x.now())
+	}
+}
+
+// renew gives entries their full time and lists those that have no lease. ok is
+// false where this replica does not lead.
+func (x *expiry) renew(names []string) (unknown []string, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.leases == nil {
+		return nil, false
+	}
+	for _, n := range names {
+		if !x.leases.Renew(n, x.now()) {
+			unknown = append(unknown, n)
+		}
+	}
+	return unknown, true
+}
+
+// run expires what is due until ctx ends.
+func (x *expiry) run(ctx context.Context) {
+	t := time.NewTicker(expiryEvery)
+	defer t.Stop()
+	last := x.now()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		now := x.now()
+		if now-last > expiryEvery+stall {
+			x.log.Warn("this process stood still: every entry gets its full time again", "for", now-last)
+			x.again()
+		}
+		last = now
+		x.once(now)
+	}
+}
+
+// again gives every entry its full time, if this replica leads.
+func (x *expiry) again() {
+	x.mu.Lock()
+	leads := x.leases != nil
+	x.mu.Unlock()
+	if leads {
+		x.lead()
+	}
+}
+
+func (x *expiry) once(now time.Duration) {
+	x.mu.Lock()
+	if x.leases == nil {
+		x.mu.Unlock()
+		return
+	}
+	due, kept := x.leases.Due(now)
+	if (kept > 0) != (x.kept > 0) {
+		if kept > 0 {
+			x.log.Error("too many entries are overdue at once: none is dropped until fewer are", "overdue", kept)
+		} else {
+			x.log.Info("entries expire again")
+		}
+	}
+	x.kept = kept
+	x.mu.Unlock()
+	for len(due) > 0 {
+		some := due[:min(len(due), list.MaxExpire)]
+		due = due[len(some):]
+		if _, err := x.apply(list.Command{Do: list.DoExpire, Overdue: some}); err != nil {
+			x.log.Warn("entries are overdue and stay", "entries", len(some), "err", err)
+			x.again()
+			return
+		}
+		x.mu.Lock()
+		x.count += len(some)
+		x.mu.Unlock()
+		for _, l := range some {
+			x.log.Info("expired", "entry", l.Name)
+		}
+	}
+}
+
+// figures tells what is held back and what has expired.
+func (x *expiry) figures() (kept, expired int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.kept, x.count
+}
--- /dev/null
+++ b/internal/list/server/reads.go
@@ -0,0 +1,124 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// maxHold bounds a watch, as the protocol does.
+const maxHold = time.Minute
+
+// behind is how long a call that has seen more than this replica waits for it, whatever its hold.
+const behind = time.Second
+
+// query is what a read asks for.
+type query struct {
+	from    uint64
+	hold    time.Duration
+	epoch   string // that the reader knows, or empty
+	current bool   // as of now, not as this replica has it
+}
+
+func parseQuery(r *http.Request) (q query, err error) {
+	v := r.URL.Query()
+	if s := v.Get("from"); s != "" {
+		if q.from, err = strconv.ParseUint(s, 10, 64); err != nil {
+			return q, fmt.Errorf("from: %q is not a version", s)
+		}
+	}
+	if s := v.Get("hold_ms"); s != "" {
+		ms, err := strconv.ParseUint(s, 10, 32)
+		if err != nil {
+			return q, fmt.Errorf("hold_ms: %q is not a time in milliseconds", s)
+		}
+		q.hold = min(maxHold, time.Duration(ms)*time.Millisecond)
+	}
+	q.epoch, q.current = v.Get("epoch"), v.Get("current") == "1"
+	return q, nil
+}
+
+// instances answers reads and watches.
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	q, err := parseQuery(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+		return
+	}
+	if q.current {
+		if !s.replica.leads() {
+			s.passOn(w, r)
+			return
+		}
+		if err := s.replica.current(); err != nil {
+			refuse(w, http.StatusServiceUnavailable, "not-leading", err.Error(), time.Second)
+			return
+		}
+	}
+	version, epoch := s.hub.has()
+	if epoch == "" {
+		refuse(w, http.StatusServiceUnavailable, "not-begun", "this replica has no list yet", time.Second)
+		return
+	}
+	if q.epoch != "" && q.epoch != epoch {
+		q.from = 0 // another list: all of it
+	}
+	if q.from > 0 && q.from >= version && !s.hold(w, r, q) {
+		return
+	}
+	s.answer(w, q)
+}
+
+// hold waits until there is something newer than what the reader has. It is
+// false where the call has been answered, or has no caller any more.
+func (s *Server) hold(w http.ResponseWriter, r *http.Request, q query) bool {
+	wait := q.hold
+	if version, _ := s.hub.has(); q.from > version {
+		wait = max(wait, behind)
+	}
+	if wait == 0 {
+		return true
+	}
+	watcher, full := s.hub.wait(q.from, s.c.MaxWatchers)
+	if full {
+		refuse(w, http.StatusTooManyRequests, "watchers", "too many calls are held here", time.Second)
+		return false
+	}
+	if watcher == nil {
+		return true
+	}
+	defer s.hub.leave(watcher)
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	select {
+	case <-watcher.wake:
+	case <-ctx.Done():
+		return r.Context().Err() == nil
+	case <-s.ctx.Done():
+	}
+	return true
+}
+
+// answer writes what is newer than the reader's version. A reader that has seen
+// more than this replica is never given less: with an epoch it is told to ask
+// elsewhere; without one it hears that nothing is newer.
+func (s *Server) answer(w http.ResponseWriter, q query) {
+	version, epoch := s.hub.has()
+	if q.epoch != "" && q.epoch != epoch {
+		q.from = 0
+	}
+	if q.from > version && q.epoch != "" {
+		refuse(w, http.StatusServiceUnavailable, "behind", fmt.Sprintf("this replica has version %d", version), 0)
+		return
+	}
+	raw, err := s.hub.answer(q.from)
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, "encoding", err.Error(), 0)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.Write(raw) // a reader that has left needs nothing
+}
--- /dev/null
+++ b/internal/list/server/routes.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"indigotack/internal/list"
+)
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", s.instances)
+	mux.HandleFunc("PUT /registry/instances/{name}", s.write(list.DoRegister))
+	mux.HandleFunc("DELETE /registry/instances/{name}", s.write(list.DoRemove))
+	mux.HandleFunc("POST /registry/instances/{name}/drain", s.write(list.DoDrain))
+	mux.HandleFunc("POST /registry/renew", s.leading(s.renew))
+	mux.HandleFunc("GET /registry/members", s.members)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.figures.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// ready says yes once this replica has a list and knows who leads.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	_, epoch := s.hub.has()
+	if epoch == "" || s.replica.leader() == "" {
+		refuse(w, http.StatusServiceUnavailable, "not-ready", "no list yet, or no leader is known", time.Second)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Member is one replica as another sees it.
+type Member struct {
+	Name   string `json:"name"`
+	Leads  bool   `json:"leads"`
+	Votes  bool   `json:"votes"`
+	Itself bool   `json:"itself"` // the one that answers
+}
+
+func (s *Server) members(w http.ResponseWriter, _ *http.Request) {
+	f := s.replica.raft.GetConfiguration()
+	if err := f.Error(); err != nil {
+		refuse(w, http.StatusServiceUnavailable, "members", err.Error(), time.Second)
+		return
+	}
+	var all []Member
+	for _, m := range f.Configuration().Servers {
+		name := string(m.ID)
+		all = append(all, Member{name, name == s.replica.leader(), m.Suffrage == 0, name == s.c.Name})
+	}
+	writeJSON(w, http.StatusOK, all)
+}
+
+// figures are what /metrics shows.
+type figures struct{ registry *prometheus.Registry }
+
+func newFigures(s *Server) *figures {
+	f := &figures{prometheus.NewRegistry()}
+	gauge := func(name, help string, value func() float64) {
+		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "indigolist", Name: name, Help: help}, value))
+	}
+	gauge("entries", "entries in the list", func() float64 {
+		s.machine.mu.RLock()
+		defer s.machine.mu.RUnlock()
+		return float64(s.machine.state.Len())
+	})
+	gauge("version", "version of the list", func() float64 { v, _ := s.hub.has(); return float64(v) })
+	gauge("watchers", "calls that are held", func() float64 { return float64(s.hub.watchers()) })
+	gauge("leads", "1 if this replica leads", func() float64 {
+		if s.replica.leads() {
+			return 1
+		}
+		return 0
+	})
+	gauge("overdue_kept", "overdue entries that are held back, as too many are", func() float64 { kept, _ := s.expiry.figures(); return float64(kept) })
+	f.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "indigolist", Name: "expired_total",
+		Help: "entries expired by this replica"}, func() float64 { _, n := s.expiry.figures(); return float64(n) }))
+	return f
+}
--- /dev/null
+++ b/internal/list/server/server.go
@@ -0,0 +1,143 @@
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+// Server is one replica.
+type Server struct {
+	c       Config
+	log     *slog.Logger
+	machine *machine
+	hub     *hub
+	replica *replica
+	expiry  *expiry
+	rates   *rates
+	figures *figures
+	http    *http.Server
+	stop    context.CancelFunc
+	ctx     context.Context // of everything that a call may wait for
+	tasks   sync.WaitGroup
+}
+
+const (
+	headTime = 5 * time.Second
+	readTime = 30 * time.Second // for a whole call, its body included
+	idleTime = 2 * time.Minute
+	maxHead  = 16 << 10
+	endTime  = 5 * time.Second // for calls that are open at the end
+)
+
+// Run serves until ctx ends, and then hands on what it holds. The error says
+// what kept it from serving, or from ending in order.
+func Run(ctx context.Context, c Config, log *slog.Logger) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s := &Server{c: c, log: log, rates: newRates(c.MaxWrites)}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	defer s.stop()
+	if err := s.open(); err != nil {
+		ln.Close()
+		return err
+	}
+	s.tasks.Go(func() { s.hub.run(s.ctx.Done()) })
+	s.tasks.Go(func() { s.expiry.run(s.ctx) })
+	s.tasks.Go(s.followLeader)
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(ln) }()
+	log.Info("serving", "replica", c.Name, "listen", ln.Addr().String(), "folder", c.Folder, "replicas", max(1, len(c.Replicas)))
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-served:
+	}
+	return errors.Join(err, s.end())
+}
+
+func (s *Server) open() error {
+	s.machine = &machine{state: list.NewState()}
+	s.hub = newHub(s.machine)
+	s.expiry = &expiry{start: time.Now(), machine: s.machine, log: s.log, apply: func(c list.Command) (list.Result, error) { return s.replica.apply(c) }}
+	s.machine.applied = func(c list.Command, _ list.Result) {
+		s.expiry.applied(c, s.machine.state)
+		s.hub.publish(s.machine.state.Version(), s.machine.state.Epoch())
+	}
+	var err error
+	if s.replica, err = openReplica(s.c, s.machine, s.log); err != nil {
+		return err
+	}
+	s.figures = newFigures(s)
+	return nil
+}
+
+// followLeader does what a leader has to do at its beginning and its end.
+func (s *Server) followLeader() {
+	for {
+		select {
+		case leads := <-s.replica.raft.LeaderCh():
+			if !leads {
+				s.expiry.follow()
+				s.log.Info("another leads, or nobody", "leader", s.replica.leader())
+				continue
+			}
+			if err := s.beginLeading(); err != nil {
+				s.log.Warn("leading ended before it began", "err", err)
+			}
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) beginLeading() error {
+	if err := s.replica.current(); err != nil {
+		return err
+	}
+	if _, epoch := s.hub.has(); epoch == "" {
+		if _, err := s.replica.apply(list.Command{Do: list.DoBegin, Epoch: newEpoch()}); err != nil {
+			return err
+		}
+	}
+	s.expiry.lead()
+	s.log.Info("this replica leads")
+	return nil
+}
+
+// newEpoch names a list that begins or is restored.
+func newEpoch() string {
+	b := make([]byte, 8)
+	rand.Read(b) // never fails
+	return hex.EncodeToString(b)
+}
+
+// end hands leadership on, lets open calls finish and closes the folder.
+func (s *Server) end() error {
+	s.log.Info("ending")
+	err := s.replica.stop(len(s.c.Replicas) > 1)
+	s.stop() // watchers are answered with what there is
+	ctx, cancel := context.WithTimeout(context.Background(), endTime)
+	defer cancel()
+	if e := s.http.Shutdown(ctx); e != nil {
+		s.http.Close()
+	}
+	s.tasks.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/list/server/writes.go
@@ -0,0 +1,208 @@
+package server
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+const (
+	maxBody  = 64 << 10 // bytes of a write
+	maxNames = 1000     // of one renewal
+)
+
+// Write is the body of a write. All of it is optional but the entry of a registration.
+type Write struct {
+	Entry *list.Entry `json:"entry,omitempty"`
+	TTLms int64       `json:"ttl_ms,omitempty"` // 0: it stays until it is removed
+	If    *uint64     `json:"if,omitempty"`     // the version that the entry must have; 0: it must be absent
+	ID    string      `json:"id,omitempty"`     // the same for a repeat, which then does not apply twice
+}
+
+// Renewal is the body of a renewal, and its answer.
+type Renewal struct {
+	Names   []string `json:"names,omitempty"`
+	Unknown []string `json:"unknown,omitempty"` // those that have no lease: register them again
+}
+
+// Refusal is the body of every answer that is not 200.
+type Refusal struct {
+	Code    string `json:"code"`
+	Why     string `json:"why"`
+	Version uint64 `json:"version,omitempty"` // of the list
+	Entry   uint64 `json:"entry,omitempty"`   // the version in the way, at a conflict
+}
+
+func refuse(w http.ResponseWriter, status int, code, why string, after time.Duration) {
+	refuseWith(w, status, Refusal{Code: code, Why: why}, after)
+}
+
+func refuseWith(w http.ResponseWriter, status int, body Refusal, after time.Duration) {
+	if after > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	}
+	writeJSON(w, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(raw) // a caller that has left needs nothing
+}
+
+// forwarded marks a call that another replica has passed on.
+const forwarded = "X-Indigo-Forwarded"
+
+// leading wraps what only the leader can do: the others pass it on.
+func (s *Server) leading(do http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(forwarded) == "" { // else it has been counted there
+			client, _, _ := net.SplitHostPort(r.RemoteAddr)
+			if wait, ok := s.rates.allow(cmp.Or(r.Header.Get("X-Client"), client), time.Now()); !ok {
+				refuse(w, http.StatusTooManyRequests, "rate", "too many writes of one client", wait)
+				return
+			}
+		}
+		if !s.replica.leads() {
+			s.passOn(w, r)
+			return
+		}
+		do(w, r)
+	}
+}
+
+// passOn has the leader answer a call.
+func (s *Server) passOn(w http.ResponseWriter, r *http.Request) {
+	leader, known := s.c.find(s.replica.leader())
+	if r.Header.Get(forwarded) != "" || !known || leader.Name == s.c.Name {
+		refuse(w, http.StatusServiceUnavailable, "no-leader", "no replica is known to lead", time.Second)
+		return
+	}
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	proxy := &httputil.ReverseProxy{
+		Rewrite: func(p *httputil.ProxyRequest) {
+			p.SetURL(&url.URL{Scheme: "http", Host: leader.HTTP})
+			p.Out.Header.Set(forwarded, s.c.Name)
+		},
+		Transport: passing,
+		ErrorLog:  s.http.ErrorLog,
+		ErrorHandler: func(w http.ResponseWriter, _ *http.Request, err error) {
+			refuse(w, http.StatusGatewayTimeout, "unknown", fmt.Sprintf("the leader %s did not answer, so it may be done or not: %v", leader.Name, err), time.Second)
+		},
+	}
+	proxy.ServeHTTP(w, r)
+}
+
+// passing waits for the leader a little longer than the leader waits for the log.
+var passing = &http.Transport{ResponseHeaderTimeout: applyTime + time.Second, MaxIdleConnsPerHost: 32, IdleConnTimeout: idleTime,
+	DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		refuse(w, http.StatusRequestEntityTooLarge, "large", fmt.Sprintf("a write of over %d bytes", maxBody), time.Second)
+	case err != nil:
+		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+	}
+	return body, err == nil
+}
+
+// readJSON reads a body; an empty one is an empty object.
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, ok := readBody(w, r)
+	if !ok || len(body) == 0 {
+		return ok
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+		return false
+	}
+	return true
+}
+
+// write makes a handler of a command on one entry.
+func (s *Server) write(do string) http.HandlerFunc {
+	return s.leading(func(w http.ResponseWriter, r *http.Request) {
+		var body Write
+		if !readJSON(w, r, &body) {
+			return
+		}
+		c := list.Command{Do: do, Name: r.PathValue("name"), ID: body.ID, If: body.If}
+		if do == list.DoRegister {
+			if body.Entry == nil || body.Entry.Name != c.Name {
+				refuse(w, http.StatusBadRequest, "bad", "entry: missing, or of another name than the call's", 0)
+				return
+			}
+			c.Entry, c.Name = body.Entry, ""
+			if body.TTLms < 0 || body.TTLms > int64(list.MaxTTL/time.Millisecond) {
+				refuse(w, http.StatusBadRequest, "bad", fmt.Sprintf("ttl_ms: %d is not between 0 and %d", body.TTLms, list.MaxTTL/time.Millisecond), 0)
+				return
+			}
+			c.TTL = time.Duration(body.TTLms) * time.Millisecond
+		}
+		if err := c.Check(); err != nil {
+			refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+			return
+		}
+		result, err := s.replica.apply(c)
+		s.finish(w, result, err)
+	})
+}
+
+// statuses of results that changed nothing.
+var statuses = map[list.Code]int{list.Conflict: http.StatusConflict, list.Absent: http.StatusNotFound, list.Full: http.StatusInsufficientStorage,
+	list.Invalid: http.StatusBadRequest}
+
+func (s *Server) finish(w http.ResponseWriter, r list.Result, err error) {
+	switch {
+	case errors.Is(err, errNotLeading):
+		refuse(w, http.StatusServiceUnavailable, "not-leading", err.Error(), time.Second)
+	case err != nil:
+		refuse(w, http.StatusGatewayTimeout, "unknown", err.Error(), time.Second)
+	case r.Code != list.Done:
+		refuseWith(w, statuses[r.Code], Refusal{string(r.Code), r.Why, r.Version, r.Entry}, 0)
+	default:
+		writeJSON(w, http.StatusOK, r)
+	}
+}
+
+// renew takes renewals, which stay out of the log.
+func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
+	var body Renewal
+	if !readJSON(w, r, &body) {
+		return
+	}
+	if len(body.Names) == 0 || len(body.Names) > maxNames {
+		refuse(w, http.StatusBadRequest, "bad", fmt.Sprintf("names: %d, want 1 to %d", len(body.Names), maxNames), 0)
+		return
+	}
+	unknown, ok := s.expiry.renew(body.Names)
+	if !ok {
+		refuse(w, http.StatusServiceUnavailable, "not-leading", "this replica does not lead yet", time.Second)
+		return
+	}
+	writeJSON(w, http.StatusOK, Renewal{Unknown: unknown})
+}
