--- a/cmd/indigolab/play.go
+++ b/cmd/indigolab/play.go
@@ -28,48 +28,58 @@
 	dir  string    // under which each run gets a folder
 }
 
-// newPlayer finds the node's program: in bin, beside indigolab, or built from the project around the working folder.
+// newPlayer finds the node's program.
 func newPlayer(ctx context.Context, out, log io.Writer, bin, dir string) (*player, func(), error) {
-	p := &player{out: out, log: log, dir: dir}
+	node, done, err := findProgram(ctx, log, bin, "indigotack")
+	if err != nil {
+		return nil, nil, err
+	}
+	return &player{out: out, log: log, dir: dir, node: node}, done, nil
+}
+
+// findProgram gives the absolute path of a program of the project: in the folder
+// bin, beside indigolab, or built from the project around the working folder. done
+// removes what was built.
+func findProgram(ctx context.Context, log io.Writer, bin, name string) (path string, done func(), err error) {
 	nothing := func() {}
 	if bin != "" {
-		p.node = filepath.Join(bin, "indigotack")
-		if _, err := os.Stat(p.node); err != nil {
-			return nil, nil, unplayed{fmt.Errorf("--bin: %w; build with: go build -o %s/ ./cmd/...", err, bin)}
+		path = filepath.Join(bin, name)
+		if !fileThere(path) {
+			return "", nil, unplayed{fmt.Errorf("--bin: there is no %s; build with: go build -o %s/ ./cmd/...", path, bin)}
 		}
-		return p.absolute(nothing)
+		return absolute(path, nothing)
 	}
 	if self, err := os.Executable(); err == nil {
-		if beside := filepath.Join(filepath.Dir(self), "indigotack"); fileThere(beside) {
-			p.node = beside
-			return p.absolute(nothing)
+		if beside := filepath.Join(filepath.Dir(self), name); fileThere(beside) {
+			return absolute(beside, nothing)
 		}
 	}
 	root, err := projectRoot()
 	if err != nil {
-		return nil, nil, unplayed{err}
+		return "", nil, unplayed{err}
 	}
 	built, err := os.MkdirTemp("", "indigolab")
 	if err != nil {
-		return nil, nil, unplayed{err}
+		return "", nil, unplayed{err}
 	}
-	done := func() { os.RemoveAll(built) }
-	p.node = filepath.Join(built, "indigotack")
-	cmd := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", p.node, "./cmd/indigotack")
+	done = func() { os.RemoveAll(built) }
+	path = filepath.Join(built, name)
+	cmd := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", path, "./cmd/"+name)
 	cmd.Dir, cmd.Stderr = root, log
 	if err := cmd.Run(); err != nil {
 		done()
-		return nil, nil, unplayed{fmt.Errorf("building the node in %s: %w", root, err)}
+		return "", nil, unplayed{fmt.Errorf("building %s in %s: %w", name, root, err)}
 	}
-	return p.absolute(done)
+	return absolute(path, done)
 }
 
-func (p *player) absolute(done func()) (*player, func(), error) {
-	var err error
-	if p.node, err = filepath.Abs(p.node); err != nil {
-		return nil, nil, unplayed{err}
+func absolute(path string, done func()) (string, func(), error) {
+	path, err := filepath.Abs(path)
+	if err != nil {
+		done()
+		return "", nil, unplayed{err}
 	}
-	return p, done, nil
+	return path, done, nil
 }
 
 func fileThere(path string) bool {
--- /dev/null
+++ b/cmd/indigolab/quorum.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"indigotack/internal/lab/quorum"
+)
+
+// quorumFlags are what a series of quorum runs takes.
+type quorumFlags struct {
+	seed            uint64
+	runs, together  int
+	replicas, users int
+	length          time.Duration
+	out, bin        string
+}
+
+func quorumCommand() *cobra.Command {
+	var f quorumFlags
+	c := &cobra.Command{
+		Use:   "quorum",
+		Short: "play replicas of the list service under drawn faults, and check every client's history",
+		Long: `Each run starts real replicas with links between them, lets clients write, read and watch, and kills, pauses,
+cuts off or slows replicas as its seed draws. Writes and current reads have to be linearizable (porcupine); watches
+gapless, in order, and the same for all. A run takes its length and about a second.`,
+		Example: "  indigolab quorum\n  indigolab quorum --runs 200 --together 4 --replicas 5",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return f.play(c) },
+	}
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "the first seed")
+	c.Flags().IntVar(&f.runs, "runs", 1, "how many runs, a seed each")
+	c.Flags().IntVar(&f.together, "together", 1, "how many at once")
+	c.Flags().IntVar(&f.replicas, "replicas", 3, "1, 3 or 5")
+	c.Flags().IntVar(&f.users, "clients", 4, "clients that write and read")
+	c.Flags().DurationVar(&f.length, "length", 6*time.Second, "of each run's work and faults")
+	c.Flags().StringVar(&f.out, "out", "logs/lab", "the folder under which each run gets one of its own")
+	c.Flags().StringVar(&f.bin, "bin", "", "the folder with the indigolist to play with (default: beside indigolab, or built from the project)")
+	return c
+}
+
+func (f *quorumFlags) play(c *cobra.Command) error {
+	if f.runs < 1 || f.together < 1 || f.users < 1 || f.length < time.Second || (f.replicas != 1 && f.replicas != 3 && f.replicas != 5) {
+		return unplayed{errors.New("--runs, --together and --clients are 1 or more, --length 1s or more, --replicas 1, 3 or 5")}
+	}
+	program, done, err := findProgram(c.Context(), c.ErrOrStderr(), f.bin, "indigolist")
+	if err != nil {
+		return err
+	}
+	defer done()
+	var mu sync.Mutex // of the results and the output
+	broken, unsure := 0, 0
+	var g errgroup.Group
+	g.SetLimit(f.together)
+	for i := range f.runs {
+		g.Go(func() error {
+			o, err := f.one(c.Context(), program, f.seed+uint64(i))
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				return unplayed{fmt.Errorf("seed %d: %w", f.seed+uint64(i), err)}
+			}
+			fmt.Fprintln(c.OutOrStdout(), o.Line())
+			if len(o.Broken) > 0 {
+				broken++
+			} else if o.Unsure {
+				unsure++
+			}
+			return nil
+		})
+	}
+	err = g.Wait()
+	fmt.Fprintf(c.OutOrStdout(), "%s quorum: %d runs of %v with %d replicas, %d broken, %d not decided\n", map[bool]string{true: "PASS", false: "FAIL"}[broken == 0],
+		f.runs, f.length, f.replicas, broken, unsure)
+	switch {
+	case broken > 0:
+		return failed
+	case err != nil:
+		return err
+	case unsure > 0:
+		return unplayed{errors.New("some histories could not be decided in their time")}
+	}
+	return nil
+}
+
+func (f *quorumFlags) one(ctx context.Context, program string, seed uint64) (quorum.Outcome, error) {
+	dir, err := filepath.Abs(filepath.Join(f.out, fmt.Sprintf("quorum-%d-%s", seed, time.Now().UTC().Format("20060102T150405.000"))))
+	if err != nil {
+		return quorum.Outcome{}, err
+	}
+	return quorum.Play(ctx, quorum.Options{Seed: seed, Replicas: f.replicas, Clients: f.users, Length: f.length, Dir: dir, Command: []string{program}})
+}
--- a/internal/lab/quorum/client.go
+++ b/internal/lab/quorum/client.go
@@ -35,7 +35,7 @@
 
 const (
 	tryTime = 1500 * time.Millisecond // for one try of a write
-	opTime  = 8 * time.Second         // after which a write is given up, its end unknown
+	opTime  = 4 * time.Second         // at most, after which a write is given up, its end unknown
 )
 
 // worker is one client.
@@ -89,8 +89,14 @@
 
 // write tries one write, under one id, until its end is known or its time is over.
 func (w *worker) write(o *op, id string) {
-	for until := time.Now().Add(opTime); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
-		status, body := w.call(o, id)
+	patience := time.Duration(w.chance.Int64N(int64(opTime)))
+	wait := tryTime
+	if w.chance.IntN(3) == 0 { // the first answer may well be lost, and the write is repeated under its id
+		wait = time.Duration(1+w.chance.IntN(8)) * time.Millisecond
+	}
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		status, body := w.call(o, id, wait)
+		wait = tryTime
 		switch status {
 		case http.StatusOK:
 			var r list.Result
@@ -108,8 +114,8 @@
 	}
 }
 
-func (w *worker) call(o *op, id string) (int, []byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), tryTime)
+func (w *worker) call(o *op, id string, wait time.Duration) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	body := server.Write{ID: id, If: o.cond}
 	method, path := http.MethodDelete, "/registry/instances/"+o.name
