Add the list service's client: several replicas, what to believe, a kept list, writes with retry

Programs that follow the list must serve on through whatever fails of it. internal/list/client watches over all replicas with jittered waits, never goes back to an older list, holds back for 30 s a list of another epoch that lost most entries or is of no higher version, keeps the list in a checksummed file, and repeats a write under one id until its end is known. The forms of calls move to internal/list, one definition for both ends.

A first rule, never to return to an epoch that another has followed, was wrong: the property test found that a client that began with a replica that lagged behind a restore stayed there for good. A restore's version is past all others, so versions tell.

Measured: drawn histories with restores and lagging replicas never go back and reach the present; a kept file cut at any byte is told as damaged.

--- a/internal/lab/quorum/client.go
+++ b/internal/lab/quorum/client.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"indigotack/internal/list"
-	"indigotack/internal/list/server"
 )
 
 // The entries that clients write: few, so that they meet.
@@ -105,7 +104,7 @@
 				return
 			}
 		case http.StatusConflict, http.StatusNotFound:
-			var r server.Refusal
+			var r list.Refusal
 			if json.Unmarshal(body, &r) == nil {
 				o.known, o.status, o.version = true, status, r.Entry
 				return
@@ -117,7 +116,7 @@
 func (w *worker) call(o *op, id string, wait time.Duration) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	body := server.Write{ID: id, If: o.cond}
+	body := list.Write{ID: id, If: o.cond}
 	method, path := http.MethodDelete, "/registry/instances/"+o.name
 	switch o.do {
 	case "register":
--- /dev/null
+++ b/internal/list/client/belief.go
@@ -0,0 +1,151 @@
+// Package client reads, watches and writes the list of servers, and goes on with
+// what it has while the list service fails: one replica, the leader, or all of it.
+package client
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+// View is the list as a client believes it.
+type View struct {
+	Epoch   string       `json:"epoch"`
+	Version uint64       `json:"version"`
+	Entries []list.Entry `json:"entries"` // by name
+}
+
+// Two kinds of list of another epoch are held back. One that lacks more than
+// lostShare of what was known, and says of none of it that it leaves, is more
+// likely a service that lost its state than a fleet that vanished. And one of no
+// higher version is either that, or a replica that was cut off before a restore:
+// a restore goes past every version that was given out.
+const (
+	lostShare = 0.5
+	lostLeast = 2 // a list of one or two entries says nothing
+)
+
+// Verdict is what became of an answer.
+type Verdict int
+
+// The verdicts.
+const (
+	Nothing Verdict = iota // it brings nothing new
+	Taken                  // the view has changed
+	Stale                  // it is older than what is known: whoever gave it lags, or is cut off
+	Kept                   // it is held back for now
+	Gap                    // it does not fit what is known: ask for the whole list
+)
+
+// Belief decides what to believe. It is pure; times are of one monotonic clock.
+// It is not safe for concurrent use.
+type Belief struct {
+	hold    time.Duration // how long a list that lost most is held back
+	epoch   string
+	version uint64
+	entries map[string]list.Entry
+	next    *candidate
+	whole   bool // what came did not fit
+}
+
+// candidate is a list that is held back.
+type candidate struct {
+	since time.Duration
+	list.Answer
+}
+
+// NewBelief begins with a view of before, which may be empty.
+func NewBelief(hold time.Duration, before View) *Belief {
+	b := &Belief{hold: hold, epoch: before.Epoch, version: before.Version, entries: map[string]list.Entry{}}
+	for _, e := range before.Entries {
+		b.entries[e.Name] = e
+	}
+	return b
+}
+
+// Ask is what the next call has to name: the version to go on from, and its epoch.
+// While a list is held back, and after a gap, the whole list is asked for.
+func (b *Belief) Ask() (from uint64, epoch string) {
+	if b.next != nil || b.whole {
+		return 0, ""
+	}
+	return b.version, b.epoch
+}
+
+// View is the list as it is believed.
+func (b *Belief) View() View {
+	return View{b.epoch, b.version, slices.SortedFunc(maps.Values(b.entries), func(x, y list.Entry) int { return cmp.Compare(x.Name, y.Name) })}
+}
+
+// Take judges the answer to a call that named version from.
+func (b *Belief) Take(now time.Duration, from uint64, a list.Answer) Verdict {
+	switch {
+	case a.Epoch != b.epoch && (b.epoch != "" || len(b.entries) > 0):
+		return b.other(now, a)
+	case a.Index < b.version:
+		return Stale
+	case a.Index == b.version && a.Epoch == b.epoch:
+		b.next, b.whole = nil, false // also when the list that is known is back
+		return Nothing
+	case !a.Snapshot && from != b.version:
+		b.whole = true
+		return Gap
+	}
+	b.accept(a)
+	return Taken
+}
+
+// other judges a list of another epoch.
+func (b *Belief) other(now time.Duration, a list.Answer) Verdict {
+	if !a.Snapshot {
+		b.whole = true
+		return Gap
+	}
+	if a.Index <= b.version || b.lost(a) {
+		if b.next == nil || b.next.Epoch != a.Epoch {
+			b.next = &candidate{since: now}
+		}
+		b.next.Answer = a
+		if now-b.next.since < b.hold {
+			return Kept
+		}
+	}
+	b.accept(a)
+	return Taken
+}
+
+// lost tells whether a list lacks most of what was known, though it was not leaving.
+func (b *Belief) lost(a list.Answer) bool {
+	there := map[string]bool{}
+	for _, e := range a.Endpoints {
+		there[e.Name] = true
+	}
+	known, gone := 0, 0
+	for name, e := range b.entries {
+		if e.Status == list.Draining {
+			continue
+		}
+		known++
+		if !there[name] {
+			gone++
+		}
+	}
+	return known > lostLeast && float64(gone) > lostShare*float64(known)
+}
+
+func (b *Belief) accept(a list.Answer) {
+	if a.Snapshot {
+		clear(b.entries)
+	}
+	for _, e := range a.Endpoints {
+		b.entries[e.Name] = e
+		if e.Status == list.Gone {
+			delete(b.entries, e.Name)
+		}
+	}
+	b.epoch, b.version = a.Epoch, a.Index
+	b.next, b.whole = nil, false
+}
--- /dev/null
+++ b/internal/list/client/client_test.go
@@ -0,0 +1,189 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"indigotack/internal/list"
+)
+
+const enough = 30 * time.Second // only a hang takes so long
+
+// TestBelief: whatever replica answers, up to date or lagging, a belief never
+// goes back, is always a list that was, and reaches the present one.
+func TestBelief(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := list.NewState()
+		s.Apply(list.Command{Do: list.DoBegin, Epoch: "e0"})
+		were := map[string][]list.Entry{} // the list at each epoch and version
+		note := func() { were[fmt.Sprint(s.Epoch(), s.Version())] = s.Since(0).Endpoints }
+		note()
+		copies := []*list.State{copied(t, s)} // replicas, as far as they are
+		b := NewBelief(time.Second, View{})
+		var now time.Duration
+		ask := func(of *list.State) {
+			from, epoch := b.Ask()
+			if epoch != of.Epoch() {
+				from = 0
+			}
+			before := b.View()
+			verdict := b.Take(now, from, of.Since(from))
+			v := b.View()
+			if v.Epoch == before.Epoch && v.Version < before.Version {
+				t.Fatalf("from version %d back to %d", before.Version, v.Version)
+			}
+			if want, ok := were[fmt.Sprint(v.Epoch, v.Version)]; v.Epoch != "" && (!ok || len(want)+len(v.Entries) > 0 && !reflect.DeepEqual(want, v.Entries)) {
+				t.Fatalf("at %s %d it believes %v, the list was %v (%d)", v.Epoch, v.Version, v.Entries, want, verdict)
+			}
+		}
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2:
+				e := list.Entry{Name: fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "name")), Address: "a:1", Status: list.Ready, Weight: float64(n)}
+				s.Apply(list.Command{Do: list.DoRegister, Entry: &e})
+				note()
+			case 3:
+				s.Apply(list.Command{Do: list.DoRemove, Name: fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "name"))})
+				note()
+			case 4:
+				copies = append(copies, copied(t, s))
+			case 5:
+				raw, err := copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")].Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.Apply(list.Command{Do: list.DoRestore, Epoch: fmt.Sprint("e", n+1), Image: raw})
+				note()
+			case 6, 7:
+				ask(copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")])
+			default:
+				ask(s)
+			}
+		}
+		for range 4 {
+			ask(s)
+			now += 2 * time.Second // past what is held back
+		}
+		if v := b.View(); v.Version != s.Version() || v.Epoch != s.Epoch() {
+			t.Fatalf("it stays at %s %d, the list is at %s %d", v.Epoch, v.Version, s.Epoch(), s.Version())
+		}
+	})
+}
+
+func copied(t *rapid.T, s *list.State) *list.State {
+	raw, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := list.FromSnapshot(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestLostList: an epoch that begins anew is believed only after its time, and then the one before is no more.
+func TestLostList(t *testing.T) {
+	var before View
+	before.Epoch, before.Version = "a", 9
+	for i := range 6 {
+		before.Entries = append(before.Entries, list.Entry{Name: fmt.Sprint("s", i), Status: list.Ready})
+	}
+	b := NewBelief(30*time.Second, before)
+	empty := list.Answer{Index: 1, Epoch: "b", Snapshot: true}
+	if got := b.Take(0, 9, empty); got != Kept || len(b.View().Entries) != 6 {
+		t.Errorf("at first: %d, with %d entries", got, len(b.View().Entries))
+	}
+	if got := b.Take(29*time.Second, 0, empty); got != Kept {
+		t.Errorf("before its time: %d", got)
+	}
+	full := list.Answer{Index: 7, Epoch: "b", Snapshot: true, Endpoints: before.Entries}
+	if got := b.Take(30*time.Second, 0, full); got != Taken {
+		t.Errorf("registered anew: %d", got)
+	}
+	if got := b.Take(31*time.Second, 7, list.Answer{Index: 10, Epoch: "a", Snapshot: true}); got != Kept {
+		t.Errorf("the epoch before: %d", got)
+	}
+	b = NewBelief(30*time.Second, before)
+	b.Take(0, 9, empty)
+	if got := b.Take(30*time.Second, 0, empty); got != Taken || len(b.View().Entries) != 0 {
+		t.Errorf("after its time: %d", got)
+	}
+}
+
+// TestFollow: over an address that refuses, one that fails and one that serves; the kept list is there at the next start.
+func TestFollow(t *testing.T) {
+	var failing atomic.Bool
+	ok := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if failing.Load() {
+			http.Error(w, "no", http.StatusInternalServerError)
+			return
+		}
+		if r.URL.Query().Get("from") != "" {
+			<-r.Context().Done()
+			return
+		}
+		json.NewEncoder(w).Encode(list.Answer{Index: 3, Epoch: "e", Snapshot: true, Endpoints: []list.Entry{{Name: "s", Address: "a:1", Status: list.Ready}}})
+	}))
+	bad := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.Write([]byte("{")) }))
+	defer bad.Close()
+	file := filepath.Join(t.TempDir(), "list")
+	c := Config{Addresses: []string{"127.0.0.1:1", bad.Listener.Addr().String(), ok.Listener.Addr().String()}, File: file}
+	k, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	changed, ended := k.Changed(), make(chan bool)
+	go func() { k.Follow(ctx); close(ended) }()
+	select {
+	case <-changed:
+	case <-time.After(enough):
+		t.Fatal("no list comes")
+	}
+	failing.Store(true)
+	ok.CloseClientConnections()
+	cancel()
+	<-ended
+	ok.Close()
+	k.Close()
+	again, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, told := again.View(); v.Version != 3 || len(v.Entries) != 1 || !told.IsZero() {
+		t.Errorf("the next start has %+v, told at %v", v, told)
+	}
+}
+
+// TestCutFile: a kept list that is cut anywhere is told as damaged, never believed.
+func TestCutFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "list")
+	if err := save(path, View{Epoch: "e", Version: 3, Entries: []list.Entry{{Name: "s"}}}); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range whole {
+		if err := os.WriteFile(path, whole[:n], 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if v, err := load(path); err == nil {
+			t.Fatalf("cut after %d of %d bytes it gives %+v", n, len(whole), v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/list/client/write.go
@@ -0,0 +1,134 @@
+package client
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+// Refused is the answer of a service that did not do what was asked.
+type Refused struct {
+	Status int
+	list.Refusal
+}
+
+func (r *Refused) Error() string { return fmt.Sprintf("the list service says %s: %s", r.Code, r.Why) }
+
+func refusal(status int, body []byte) error {
+	r := &Refused{Status: status}
+	if json.Unmarshal(body, &r.Refusal) != nil || r.Code == "" {
+		r.Code, r.Why = "odd", fmt.Sprintf("status %d with no reason that can be read", status)
+	}
+	return r
+}
+
+// ErrUnknown marks a write that may have been done or not, or may still be.
+var ErrUnknown = errors.New("it is not known whether it was done")
+
+const (
+	tryTime  = 8 * time.Second // for one call; a replica answers within its own five or six
+	betweens = 100 * time.Millisecond
+)
+
+// Register puts an entry into the list. ttl 0 keeps it until it is removed; with
+// another, it has to be renewed. cond, if there is one, is the version that the
+// entry must have, 0 for none. Every write is repeated under one id until its end
+// is known or ctx ends.
+func (k *Client) Register(ctx context.Context, e list.Entry, ttl time.Duration, cond *uint64) (list.Result, error) {
+	return k.write(ctx, http.MethodPut, "/registry/instances/"+url.PathEscape(e.Name), list.Write{Entry: &e, TTLms: ttl.Milliseconds(), If: cond})
+}
+
+// Drain says that an entry finishes what it holds and takes nothing new.
+func (k *Client) Drain(ctx context.Context, name string, cond *uint64) (list.Result, error) {
+	return k.write(ctx, http.MethodPost, "/registry/instances/"+url.PathEscape(name)+"/drain", list.Write{If: cond})
+}
+
+// Remove takes an entry off the list.
+func (k *Client) Remove(ctx context.Context, name string, cond *uint64) (list.Result, error) {
+	return k.write(ctx, http.MethodDelete, "/registry/instances/"+url.PathEscape(name), list.Write{If: cond})
+}
+
+func (k *Client) write(ctx context.Context, method, path string, w list.Write) (list.Result, error) {
+	id := make([]byte, 16)
+	rand.Read(id) // never fails
+	w.ID = hex.EncodeToString(id)
+	var r list.Result
+	err := k.send(ctx, method, path, w, &r)
+	return r, err
+}
+
+// Renew gives entries their full time again and names those that have to be registered anew.
+func (k *Client) Renew(ctx context.Context, names []string) (unknown []string, err error) {
+	var r list.Renewal
+	err = k.send(ctx, http.MethodPost, "/registry/renew", list.Renewal{Names: names}, &r)
+	return r.Unknown, err
+}
+
+// Current reads the list as it is now, not as some replica has it.
+func (k *Client) Current(ctx context.Context) (list.Answer, error) {
+	var a list.Answer
+	err := k.send(ctx, http.MethodGet, "/registry/instances?current=1", nil, &a)
+	return a, err
+}
+
+// Members lists the replicas.
+func (k *Client) Members(ctx context.Context) ([]list.Member, error) {
+	var all []list.Member
+	err := k.send(ctx, http.MethodGet, "/registry/members", nil, &all)
+	return all, err
+}
+
+// send makes a call that can be repeated, at one replica after the other, until
+// one gives an answer that is final.
+func (k *Client) send(ctx context.Context, method, path string, body, into any) error {
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	for {
+		err := k.once(ctx, method, path, raw, into)
+		if err == nil || final(err) {
+			return err
+		}
+		k.turn()
+		if !pause(ctx, betweens) {
+			return fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+	}
+}
+
+func (k *Client) once(ctx context.Context, method, path string, raw []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTime)
+	defer cancel()
+	status, body, err := k.call(ctx, method, k.address(), path, raw)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return refusal(status, body)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("an answer that can't be read: %w", err)
+	}
+	return nil
+}
+
+// final tells whether a refusal would only come again: what is wrong is the call, or the list as it is.
+func final(err error) bool {
+	var r *Refused
+	if !errors.As(err, &r) || r.Status == http.StatusTooManyRequests {
+		return false
+	}
+	return r.Status < 500 || r.Status == http.StatusInsufficientStorage
+}
--- a/internal/list/server/routes.go
+++ b/internal/list/server/routes.go
@@ -34,24 +34,16 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Member is one replica as another sees it.
-type Member struct {
-	Name   string `json:"name"`
-	Leads  bool   `json:"leads"`
-	Votes  bool   `json:"votes"`
-	Itself bool   `json:"itself"` // the one that answers
-}
-
 func (s *Server) members(w http.ResponseWriter, _ *http.Request) {
 	f := s.replica.raft.GetConfiguration()
 	if err := f.Error(); err != nil {
 		refuse(w, http.StatusServiceUnavailable, "members", err.Error(), time.Second)
 		return
 	}
-	var all []Member
+	var all []list.Member
 	for _, m := range f.Configuration().Servers {
 		name := string(m.ID)
-		all = append(all, Member{name, name == s.replica.leader(), m.Suffrage == 0, name == s.c.Name})
+		all = append(all, list.Member{Name: name, Leads: name == s.replica.leader(), Votes: m.Suffrage == 0, Itself: name == s.c.Name})
 	}
 	writeJSON(w, http.StatusOK, all)
 }
--- a/internal/list/server/writes.go
+++ b/internal/list/server/writes.go
@@ -23,33 +23,11 @@
 	maxNames = 1000     // of one renewal
 )
 
-// Write is the body of a write. All of it is optional but the entry of a registration.
-type Write struct {
-	Entry *list.Entry `json:"entry,omitempty"`
-	TTLms int64       `json:"ttl_ms,omitempty"` // 0: it stays until it is removed
-	If    *uint64     `json:"if,omitempty"`     // the version that the entry must have; 0: it must be absent
-	ID    string      `json:"id,omitempty"`     // the same for a repeat, which then does not apply twice
-}
-
-// Renewal is the body of a renewal, and its answer.
-type Renewal struct {
-	Names   []string `json:"names,omitempty"`
-	Unknown []string `json:"unknown,omitempty"` // those that have no lease: register them again
-}
-
-// Refusal is the body of every answer that is not 200.
-type Refusal struct {
-	Code    string `json:"code"`
-	Why     string `json:"why"`
-	Version uint64 `json:"version,omitempty"` // of the list
-	Entry   uint64 `json:"entry,omitempty"`   // the version in the way, at a conflict
-}
-
 func refuse(w http.ResponseWriter, status int, code, why string, after time.Duration) {
-	refuseWith(w, status, Refusal{Code: code, Why: why}, after)
+	refuseWith(w, status, list.Refusal{Code: code, Why: why}, after)
 }
 
-func refuseWith(w http.ResponseWriter, status int, body Refusal, after time.Duration) {
+func refuseWith(w http.ResponseWriter, status int, body list.Refusal, after time.Duration) {
 	if after > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 	}
@@ -146,7 +124,7 @@
 // write makes a handler of a command on one entry.
 func (s *Server) write(do string) http.HandlerFunc {
 	return s.leading(func(w http.ResponseWriter, r *http.Request) {
-		var body Write
+		var body list.Write
 		if !readJSON(w, r, &body) {
 			return
 		}
@@ -183,7 +161,7 @@
 	case err != nil:
 		refuse(w, http.StatusGatewayTimeout, "unknown", err.Error(), time.Second)
 	case r.Code != list.Done:
-		refuseWith(w, statuses[r.Code], Refusal{string(r.Code), r.Why, r.Version, r.Entry}, 0)
+		refuseWith(w, statuses[r.Code], list.Refusal{Code: string(r.Code), Why: r.Why, Version: r.Version, Entry: r.Entry}, 0)
 	default:
 		writeJSON(w, http.StatusOK, r)
 	}
@@ -191,7 +169,7 @@
 
 // renew takes renewals, which stay out of the log.
 func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
-	var body Renewal
+	var body list.Renewal
 	if !readJSON(w, r, &body) {
 		return
 	}
@@ -204,5 +182,5 @@
 		refuse(w, http.StatusServiceUnavailable, "not-leading", "this replica does not lead yet", time.Second)
 		return
 	}
-	writeJSON(w, http.StatusOK, Renewal{Unknown: unknown})
+	writeJSON(w, http.StatusOK, list.Renewal{Unknown: unknown})
 }
--- a/internal/list/state.go
+++ b/internal/list/state.go
@@ -104,6 +104,7 @@
 	case DoBegin:
 		if s.epoch == "" {
 			s.epoch = c.Epoch
+			s.version++ // so that no list that has begun is at version 0, which is that of a reader who has none
 		}
 		return Result{}
 	case DoRegister:
