Judge keys and drains by when the node sent, not by when the network let it through

So attempts carry when the node wrote their last byte, and the rule on keys, like that on drains, is judged by that.

The list service's own client now follows in each quorum run and has to hold the last list.

--- a/internal/lab/backend/conn.go
+++ b/internal/lab/backend/conn.go
@@ -117,7 +117,10 @@
 	e.Also = s.host.enter(a)
 	defer s.host.leave(a)
 	a.arrived = s.host.log.Now()
-	e.T = a.arrived
+	e.T, e.Sent = a.arrived, a.arrived
+	if c.stream != nil {
+		e.Sent = a.arrived - time.Since(c.stream.LastSent())
+	}
 	s.host.log.Add(e)
 	if req.Header.Get("Idempotency-Key") != op.Key {
 		s.host.log.Add(history.Event{Kind: history.Arrive, ID: id, Box: s.m.Name, Node: c.node, Bad: true, How: "another key"})
--- a/internal/lab/backend/server.go
+++ b/internal/lab/backend/server.go
@@ -147,7 +147,7 @@
 	if a == nil {
 		return
 	}
-	e := history.Event{ID: a.id, Box: s.m.Name, How: o.Why}
+	e := history.Event{ID: a.id, Box: s.m.Name, Pod: s.m.Pod, How: o.Why}
 	if op := s.host.book.Find(a.id); op != nil {
 		e.Key, e.Op = op.Key, op.N
 	}
--- a/internal/lab/link/tcp.go
+++ b/internal/lab/link/tcp.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -203,6 +204,7 @@
 	link *state
 	once sync.Once
 	gone chan struct{} // closed once it is over
+	sent atomic.Int64  // when the opener's last piece was read, since base
 	snip struct {      // what may still pass before it is reset
 		sync.Mutex
 		drawn bool
@@ -244,6 +246,11 @@
 	s.end()
 }
 
+var base = time.Now()
+
+// LastSent is when the end that connected last wrote something, whenever the link lets it pass.
+func (s *Stream) LastSent() time.Time { return base.Add(time.Duration(s.sent.Load())) }
+
 // LeftByOpener asks the kernel whether the end that connected has ended its
 // side, whatever the link still holds back.
 func (s *Stream) LeftByOpener() bool {
@@ -305,6 +312,9 @@
 	for {
 		buf := *pieces.Get().(*[]byte)
 		n, err := from.Read(buf[:piece])
+		if way == Forward && n > 0 {
+			s.sent.Store(int64(time.Since(base)))
+		}
 		now := s.link.now.Load().Shape
 		p := part{data: buf[:n], err: err}
 		lag := now.lag(chance)
--- a/internal/lab/quorum/play.go
+++ b/internal/lab/quorum/play.go
@@ -71,6 +71,10 @@
 	if err := c.begin(ctx); err != nil {
 		return Outcome{}, err
 	}
+	own, err := newFollower(c)
+	if err != nil {
+		return Outcome{}, err
+	}
 	faults := draw(c.o.Seed, c.o.Replicas, c.o.Length)
 	working, stop := context.WithTimeout(ctx, c.o.Length)
 	defer stop()
@@ -91,7 +95,8 @@
 		watching = append(watching, v)
 		watch.Go(func() { v.run(watched, final.Load) })
 	}
-	err := c.carryOut(working, c.log.Now(), faults)
+	watch.Go(func() { own.run(watched) })
+	err = c.carryOut(working, c.log.Now(), faults)
 	work.Wait()
 	if err == nil {
 		err = c.ready(ctx)
@@ -100,13 +105,19 @@
 	if err == nil {
 		last, err = c.final(ctx)
 	}
+	var left []string
+	if err == nil {
+		left = own.reach(last)
+	}
 	final.Store(last.Index) // 0 after an error, which ends the watchers
 	done()
 	watch.Wait()
 	if err != nil {
 		return Outcome{}, err
 	}
-	return c.judge(faults, workers, watching, last), nil
+	o := c.judge(faults, workers, watching, last)
+	o.Broken = append(append(o.Broken, left...), own.wrong...)
+	return o, nil
 }
 
 // final reads the list once all is well again.
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -89,6 +89,7 @@
 	AnswerSlack    = 16 * time.Millisecond
 	IdleClose      = 10 * time.Second
 	ConnectTimeout = 100 * time.Millisecond
+	KeyWindow      = 1200 * time.Millisecond // for which a pod drops a key
 	MaxAttempts    = 5
 	MaxRetryAfter  = 2 * time.Second
 	SocketSlack    = 50 * time.Millisecond // each time limit is longer by this on sockets
