--- /dev/null
+++ b/cmd/indigoctl/list.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// flags that all list commands take.
+type listFlags struct {
+	addresses string
+	json      bool
+	wait      time.Duration
+	cond      int64
+}
+
+func listCommand() *cobra.Command {
+	var f listFlags
+	c := &cobra.Command{
+		Use:   "list",
+		Short: "the list of servers: read it, watch it, change it",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.PersistentFlags().StringVar(&f.addresses, "list", cmp.Or(os.Getenv("INDIGO_LIST"), "127.0.0.1:8500"), "addresses of the list service's replicas, separated by commas")
+	c.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON in place of tables")
+	c.PersistentFlags().DurationVar(&f.wait, "wait", 10*time.Second, "how long to try")
+	c.AddCommand(f.get(), f.watch(), f.register(), f.drain(), f.remove(), f.members())
+	return c
+}
+
+// with runs a command against the service, for as long as it may take.
+func (f *listFlags) with(do func(context.Context, *cobra.Command, *client.Client, []string) error) func(*cobra.Command, []string) error {
+	return func(c *cobra.Command, args []string) error {
+		k, err := client.New(client.Config{Addresses: strings.Split(f.addresses, ",")})
+		if err != nil {
+			return err
+		}
+		defer k.Close()
+		ctx, cancel := context.WithTimeout(c.Context(), f.wait)
+		defer cancel()
+		err = do(ctx, c, k, args)
+		if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, client.ErrUnknown) {
+			return fmt.Errorf("%w (asked %s for %v; is it running, and does it have a leader?)", err, f.addresses, f.wait)
+		}
+		return err
+	}
+}
+
+// condition is the version that the entry must have, if one was given.
+func (f *listFlags) condition() *uint64 {
+	if f.cond < 0 {
+		return nil
+	}
+	v := uint64(f.cond)
+	return &v
+}
+
+func (f *listFlags) conditional(c *cobra.Command) *cobra.Command {
+	c.Flags().Int64Var(&f.cond, "if", -1, "only if the entry has this version; 0: only if it is not there")
+	return c
+}
+
+func (f *listFlags) print(w io.Writer, v any, table func(*tabwriter.Writer)) error {
+	if f.json {
+		e := json.NewEncoder(w)
+		e.SetIndent("", " ")
+		return e.Encode(v)
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	table(t)
+	return t.Flush()
+}
+
+func (f *listFlags) get() *cobra.Command {
+	return &cobra.Command{
+		Use:     "get [NAME]",
+		Short:   "the list as it is now, or one entry of it",
+		Example: "  indigoctl list get\n  indigoctl list get s-5be2a07c --json",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			a, err := k.Current(ctx)
+			if err != nil {
+				return err
+			}
+			if len(args) == 1 {
+				var one []list.Entry
+				for _, e := range a.Endpoints {
+					if e.Name == args[0] {
+						one = append(one, e)
+					}
+				}
+				if len(one) == 0 {
+					return fmt.Errorf("there is no %s in version %d of the list", args[0], a.Index)
+				}
+				a.Endpoints = one
+			}
+			return f.print(c.OutOrStdout(), a, func(t *tabwriter.Writer) {
+				fmt.Fprintln(t, "NAME\tSTATUS\tADDRESS\tZONE\tTYPE\tGROUP\tSINCE")
+				for _, e := range a.Endpoints {
+					fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", e.Name, e.Status, e.Address, cmp.Or(e.Zone, "-"), cmp.Or(e.Type, "-"), e.Group, since(e.SinceMS))
+				}
+				fmt.Fprintf(t, "\n%d entries, version %d, epoch %s\n", len(a.Endpoints), a.Index, a.Epoch)
+			})
+		}),
+	}
+}
+
+// since is a start of a server for a reader.
+func since(ms int64) string {
+	if ms == 0 {
+		return "long ago"
+	}
+	return time.UnixMilli(ms).UTC().Format(time.DateTime)
+}
+
+func (f *listFlags) watch() *cobra.Command {
+	return &cobra.Command{
+		Use:     "watch",
+		Short:   "follow the list until interrupted, over failures of the service",
+		Example: "  indigoctl list watch --list 127.0.0.1:8500,127.0.0.1:8501",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			log := slog.New(slog.NewTextHandler(c.ErrOrStderr(), nil))
+			k, err := client.New(client.Config{Addresses: strings.Split(f.addresses, ","), Log: log})
+			if err != nil {
+				return err
+			}
+			defer k.Close()
+			go k.Follow(c.Context())
+			before := map[string]list.Entry{}
+			for {
+				changed := k.Changed()
+				v, _ := k.View()
+				if err := f.differences(c.OutOrStdout(), v, before); err != nil {
+					return err
+				}
+				select {
+				case <-changed:
+				case <-c.Context().Done():
+					return nil
+				}
+			}
+		},
+	}
+}
+
+// differences prints what a view has that the one before had not, and takes it over.
+func (f *listFlags) differences(w io.Writer, v client.View, before map[string]list.Entry) error {
+	there := map[string]bool{}
+	var all []list.Entry
+	for _, e := range v.Entries {
+		there[e.Name] = true
+		if before[e.Name] != e {
+			all = append(all, e)
+		}
+		before[e.Name] = e
+	}
+	for name, e := range before {
+		if !there[name] {
+			e.Status = list.Gone
+			all = append(all, e)
+			delete(before, name)
+		}
+	}
+	for _, e := range all {
+		if f.json {
+			if err := json.NewEncoder(w).Encode(struct {
+				Version uint64 `json:"version"`
+				list.Entry
+			}{v.Version, e}); err != nil {
+				return err
+			}
+		} else if _, err := fmt.Fprintf(w, "%d  %-9s %s %s\n", v.Version, e.Status, e.Name, e.Address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *listFlags) register() *cobra.Command {
+	var e list.Entry
+	var ttl time.Duration
+	c := &cobra.Command{
+		Use:     "register NAME ADDRESS",
+		Short:   "put a server into the list, or change its entry",
+		Example: "  indigoctl list register s-5be2a07c 10.1.0.18:5000 --zone a --type m2 --group 3\n  indigoctl list register s-new 10.1.0.19:5000 --if 0",
+		Args:    cobra.ExactArgs(2),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			e.Name, e.Address, e.Status = args[0], args[1], list.Ready
+			r, err := k.Register(ctx, e, ttl, f.condition())
+			return f.done(c, r, err)
+		}),
+	}
+	c.Flags().StringVar(&e.Zone, "zone", "", "its zone")
+	c.Flags().StringVar(&e.Type, "type", "", "its kind of machine")
+	c.Flags().IntVar(&e.Group, "group", 0, "its pod")
+	c.Flags().Float64Var(&e.Weight, "weight", 1, "its weight")
+	c.Flags().Int64Var(&e.SinceMS, "since-ms", 0, "Unix time of its last start in milliseconds; 0: long ago")
+	c.Flags().DurationVar(&ttl, "ttl", 0, "it goes unless it is renewed within this time; 0: it stays")
+	return f.conditional(c)
+}
+
+func (f *listFlags) done(c *cobra.Command, r list.Result, err error) error {
+	if err != nil {
+		return err
+	}
+	return f.print(c.OutOrStdout(), r, func(t *tabwriter.Writer) {
+		fmt.Fprintf(t, "done: the entry has version %d, the list %d\n", r.Entry, r.Version)
+	})
+}
+
+func (f *listFlags) drain() *cobra.Command {
+	return f.conditional(&cobra.Command{
+		Use:     "drain NAME",
+		Short:   "let a server finish what it holds; nodes send it nothing new",
+		Example: "  indigoctl list drain s-5be2a07c",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			r, err := k.Drain(ctx, args[0], f.condition())
+			return f.done(c, r, err)
+		}),
+	})
+}
+
+func (f *listFlags) remove() *cobra.Command {
+	return f.conditional(&cobra.Command{
+		Use:     "remove NAME",
+		Short:   "take a server off the list",
+		Example: "  indigoctl list remove s-5be2a07c --if 41",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			r, err := k.Remove(ctx, args[0], f.condition())
+			return f.done(c, r, err)
+		}),
+	})
+}
+
+func (f *listFlags) members() *cobra.Command {
+	return &cobra.Command{
+		Use:     "members",
+		Short:   "the replicas of the list service, and which of them leads",
+		Example: "  indigoctl list members",
+		Args:    cobra.NoArgs,
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, _ []string) error {
+			all, err := k.Members(ctx)
+			if err != nil {
+				return err
+			}
+			return f.print(c.OutOrStdout(), all, func(t *tabwriter.Writer) {
+				fmt.Fprintln(t, "NAME\tROLE\tVOTES")
+				for _, m := range all {
+					role := "follows"
+					if m.Leads {
+						role = "leads"
+					}
+					fmt.Fprintf(t, "%s\t%s\t%v\n", m.Name, role, m.Votes)
+				}
+			})
+		}),
+	}
+}
--- /dev/null
+++ b/cmd/indigoctl/main.go
@@ -0,0 +1,36 @@
+// Command indigoctl is the operators' command line for the fleet's services.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "indigoctl:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "indigoctl",
+		Short: "operate the fleet's services",
+		Long: `indigoctl asks and orders the fleet's services. Every command names its own --help with an example.
+The list service is looked for at $INDIGO_LIST, or at --list: the replicas' addresses, separated by commas.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(listCommand())
+	return c
+}
--- a/internal/list/client/write.go
+++ b/internal/list/client/write.go
@@ -103,6 +103,9 @@
 		}
 		k.turn()
 		if !pause(ctx, betweens) {
+			if method == http.MethodGet {
+				return fmt.Errorf("%w: %w", ctx.Err(), err)
+			}
 			return fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
 	}
--- a/internal/list/server/server.go
+++ b/internal/list/server/server.go
@@ -63,7 +63,7 @@
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(ln) }()
-	log.Info("serving", "replica", c.Name, "listen", ln.Addr().String(), "folder", c.Folder, "replicas", max(1, len(c.Replicas)))
+	log.Info("serving", "listen", ln.Addr().String(), "folder", c.Folder, "replicas", max(1, len(c.Replicas)))
 	select {
 	case <-ctx.Done():
 		err = nil
