Let experiments use the project's own list service, and have a cut-off replica say so

Nodes have to be proved against the real list service while it fails. With discovery.replicas an experiment starts real replicas with links between them, boxes that register, renew and drain, and on each node's machine an agent that follows with the project's client.

list-minority showed a fault of the service: the client of one node watched the replica that was cut off, which held its call, and heard of a drain 4.3 s late, at the heal. A replica that has been without a leader for two election times now answers a watch that names its epoch with 503, and the client turns to another.

--- a/cmd/indigolab/commands.go
+++ b/cmd/indigolab/commands.go
@@ -30,7 +30,7 @@
 }
 
 func (f *flags) play(c *cobra.Command, experiments ...*spec.Experiment) error {
-	p, done, err := newPlayer(c.Context(), c.OutOrStdout(), c.ErrOrStderr(), f.bin, f.out)
+	p, done, err := newPlayer(c.Context(), c.OutOrStdout(), c.ErrOrStderr(), f.bin, f.out, experiments)
 	if err != nil {
 		return err
 	}
--- a/cmd/indigolab/play.go
+++ b/cmd/indigolab/play.go
@@ -25,16 +25,26 @@
 	out  io.Writer // results
 	log  io.Writer // progress
 	node string    // path of the program that nodes run
+	list string    // of the list service's, where an experiment has one
 	dir  string    // under which each run gets a folder
 }
 
-// newPlayer finds the node's program.
-func newPlayer(ctx context.Context, out, log io.Writer, bin, dir string) (*player, func(), error) {
+// newPlayer finds the programs that the experiments need.
+func newPlayer(ctx context.Context, out, log io.Writer, bin, dir string, experiments []*spec.Experiment) (*player, func(), error) {
 	node, done, err := findProgram(ctx, log, bin, "indigotack")
 	if err != nil {
 		return nil, nil, err
 	}
-	return &player{out: out, log: log, dir: dir, node: node}, done, nil
+	p := &player{out: out, log: log, dir: dir, node: node}
+	if !slices.ContainsFunc(experiments, func(e *spec.Experiment) bool { return e.List.Replicas > 0 }) {
+		return p, done, nil
+	}
+	var alsoDone func()
+	if p.list, alsoDone, err = findProgram(ctx, log, bin, "indigolist"); err != nil {
+		done()
+		return nil, nil, err
+	}
+	return p, func() { done(); alsoDone() }, nil
 }
 
 // findProgram gives the absolute path of a program of the project: in the folder
@@ -107,7 +117,7 @@
 func (p *player) play(ctx context.Context, e *spec.Experiment, seed uint64) (report.Result, error) {
 	dir := filepath.Join(p.dir, fmt.Sprintf("%s-%d-%s", e.Name, seed, time.Now().UTC().Format("20060102T150405.000")))
 	live := newLive(p.log, e.Name)
-	run, err := fleet.Play(ctx, fleet.Options{Experiment: e, Seed: seed, Dir: dir, Node: []string{p.node}, Follow: live.follow})
+	run, err := fleet.Play(ctx, fleet.Options{Experiment: e, Seed: seed, Dir: dir, Node: []string{p.node}, List: []string{p.list}, Follow: live.follow})
 	live.end()
 	if err != nil {
 		fmt.Fprintf(p.out, "LATE %s (seed %d): could not be played: %s\n", e.Name, seed, oneLine(err))
--- a/internal/lab/disco/view.go
+++ b/internal/lab/disco/view.go
@@ -5,33 +5,22 @@
 import (
 	"sync"
 	"time"
+
+	"indigotack/internal/list"
 )
 
 // Entry is one app box in discovery's form.
-type Entry struct {
-	Name    string  `json:"name"`
-	Address string  `json:"address"`
-	Zone    string  `json:"zone"`
-	Type    string  `json:"type"`
-	Group   int     `json:"group"`
-	Status  string  `json:"status"`
-	Weight  float64 `json:"weight"`
-	SinceMS int64   `json:"since_ms"`
-}
+type Entry = list.Entry
 
 // The statuses of an entry. Gone stands only among changes.
 const (
-	Ready    = "ready"
-	Draining = "draining"
-	Gone     = "gone"
+	Ready    = list.Ready
+	Draining = list.Draining
+	Gone     = list.Gone
 )
 
-// Answer is what an agent answers.
-type Answer struct {
-	Index     uint64  `json:"index"`
-	Snapshot  bool    `json:"snapshot"`
-	Endpoints []Entry `json:"endpoints"`
-}
+// Answer is what an agent answers. It knows no epochs.
+type Answer = list.Answer
 
 // Registry is the list as it is, with all its changes. It is safe for concurrent use.
 type Registry struct {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"indigotack/internal/lab/report"
 	"indigotack/internal/lab/spec"
 	"indigotack/internal/lab/world"
+	"indigotack/internal/list"
 )
 
 // Options say what is played.
@@ -35,7 +36,8 @@
 	Seed       uint64
 	Dir        string   // where history, logs and configurations go
 	Node       []string // command of a node
-	Env        []string // further environment of a node
+	List       []string // command of a replica of the list service, for experiments that have one
+	Env        []string // further environment of both
 	Follow     func(history.Event)
 }
 
@@ -56,7 +58,8 @@
 	net      *link.Net
 	book     *load.Book
 	host     *backend.Host
-	registry *disco.Registry
+	registry *disco.Registry // of the lab's own discovery
+	service  *service        // or the project's list service; nil: the former
 	group    *proc.Group
 	front    *client.Front
 	nodes    map[string]*node
@@ -113,15 +116,28 @@
 		return err
 	}
 	f.atEnd(f.host.Close)
-	for _, m := range f.w.Machines {
-		f.list(m.Name, disco.Ready, "0", false)
-	}
 	f.group = proc.NewGroup(f.log)
+	if f.e.List.Replicas > 0 {
+		if f.service, err = f.newService(); err != nil {
+			return err
+		}
+	} else {
+		for _, m := range f.w.Machines {
+			f.list(m.Name, disco.Ready, "0", false)
+		}
+	}
 	f.front = client.NewFront(f.frontNotice())
 	if err := f.connect(); err != nil {
 		return err
 	}
 	f.layNet()
+	if f.service != nil {
+		begin, cancel := context.WithTimeout(ctx, readyTime)
+		defer cancel()
+		if err := f.service.begin(begin); err != nil {
+			return err
+		}
+	}
 	return f.startNodes(ctx)
 }
 
@@ -162,10 +178,18 @@
 
 // list changes a box's entry in discovery.
 func (f *fleet) list(box, status, since string, silent bool) {
+	if f.service != nil {
+		f.service.change(box, status, since, silent)
+		return
+	}
+	f.registry.Set(f.log.Now(), f.entry(box, status, since), silent)
+}
+
+func (f *fleet) entry(box, status, since string) list.Entry {
 	i := slices.IndexFunc(f.w.Machines, func(m world.Machine) bool { return m.Name == box })
 	m := f.w.Machines[i]
 	ms, _ := strconv.ParseInt(since, 10, 64)
-	f.registry.Set(f.log.Now(), disco.Entry{Name: box, Zone: m.Zone, Type: m.Kind, Group: m.Pod, Status: status, Weight: 1, SinceMS: ms}, silent)
+	return list.Entry{Name: box, Address: f.host.Box(box).Address, Zone: m.Zone, Type: m.Kind, Group: m.Pod, Status: status, Weight: 1, SinceMS: ms}
 }
 
 // connect makes the nodes and all links between the parties.
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -59,7 +59,12 @@
 			return nil, err
 		}
 	}
-	n.agent = f.registry.Agent(n.name, f.log.Now, f.lateness(i), func(box string) string { return boxes[box] })
+	find := func(box string) string { return boxes[box] }
+	if f.service == nil {
+		n.agent = f.registry.Agent(n.name, f.log.Now, f.lateness(i), find)
+	} else if n.agent, err = f.service.agent(n.name, find); err != nil {
+		return nil, err
+	}
 	var stop func()
 	if n.agentAt, stop, err = n.agent.Serve(f.log); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/lab/fleet/service.go
@@ -0,0 +1,281 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"indigotack/internal/lab/disco"
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// service is the project's own list service in place of the lab's discovery. The
+// boxes' entries are registered, renewed and drained by a registrar; the agent
+// on each node's machine follows the service and answers its node.
+type service struct {
+	f     *fleet
+	set   *replicas.Set
+	boxes *registrar
+	tasks sync.WaitGroup
+	ctx   context.Context
+}
+
+const (
+	boxTTL     = 5 * time.Second
+	renewEvery = time.Second
+	writeTime  = time.Minute // for one write of the registrar, over the service's failures
+	registrars = "registrar" // the party that writes for the boxes
+	agentHold  = 2 * time.Second
+)
+
+func (f *fleet) newService() (*service, error) {
+	set, err := replicas.New(replicas.Options{Count: f.e.List.Replicas, Dir: filepath.Join(f.o.Dir, "list"), Command: f.o.List, Env: f.o.Env}, f.net, f.group)
+	if err != nil {
+		return nil, err
+	}
+	f.atEnd(set.Free)
+	s := &service{f: f, set: set}
+	var cancel context.CancelFunc
+	s.ctx, cancel = context.WithCancel(context.Background())
+	f.atEnd(func() { cancel(); s.tasks.Wait() })
+	doors, err := set.Doors(registrars)
+	if err != nil {
+		return nil, err
+	}
+	k, err := client.New(client.Config{Addresses: doors})
+	if err != nil {
+		return nil, err
+	}
+	s.boxes = &registrar{client: k, up: map[string]list.Entry{}, wake: make(chan struct{}, 1)}
+	return s, nil
+}
+
+// begin starts the replicas and has all boxes registered before nodes look.
+func (s *service) begin(ctx context.Context) error {
+	if err := s.set.Begin(ctx); err != nil {
+		return err
+	}
+	for _, m := range s.f.w.Machines {
+		s.boxes.ready(s.f.entry(m.Name, list.Ready, ""))
+	}
+	if !s.boxes.work(ctx) {
+		return fmt.Errorf("the boxes can't be registered: %w", ctx.Err())
+	}
+	s.tasks.Go(func() { s.boxes.run(s.ctx) })
+	for _, name := range s.f.names { // so that nodes begin with the whole list
+		for len(s.f.nodes[name].agent.List(0, s.f.log.Now()).Endpoints) < len(s.f.w.Machines) {
+			if !pause(ctx, 5*time.Millisecond) {
+				return fmt.Errorf("the agent of %s has no list: %w", name, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// change carries out what happens to a box. One that dies says nothing.
+func (s *service) change(box, status, since string, silent bool) {
+	switch {
+	case status == list.Ready:
+		s.boxes.ready(s.f.entry(box, status, since))
+	case status == list.Draining:
+		s.boxes.drain(box)
+	case silent:
+		s.boxes.lose(box)
+	default:
+		s.boxes.remove(box)
+	}
+}
+
+// agent makes the agent of a node, which hears of changes from the service.
+func (s *service) agent(node string, address func(string) string) (*disco.Agent, error) {
+	doors, err := s.set.Doors(node)
+	if err != nil {
+		return nil, err
+	}
+	k, err := client.New(client.Config{Addresses: doors, Hold: agentHold})
+	if err != nil {
+		return nil, err
+	}
+	reg := &disco.Registry{}
+	atOnce := func(bool) time.Duration { return 0 }
+	s.tasks.Go(func() { k.Follow(s.ctx); k.Close() })
+	s.tasks.Go(func() { s.feed(k, reg) })
+	return reg.Agent(node, s.f.log.Now, atOnce, address), nil
+}
+
+// feed tells an agent's registry what its client believes.
+func (s *service) feed(k *client.Client, reg *disco.Registry) {
+	held := map[string]list.Entry{}
+	for s.ctx.Err() == nil {
+		changed := k.Changed()
+		v, _ := k.View()
+		there := map[string]bool{}
+		for _, e := range v.Entries {
+			there[e.Name] = true
+			if held[e.Name] != e {
+				held[e.Name] = e
+				reg.Set(s.f.log.Now(), e, false)
+			}
+		}
+		for name, e := range held {
+			if !there[name] {
+				delete(held, name)
+				e.Status = list.Gone
+				reg.Set(s.f.log.Now(), e, false)
+			}
+		}
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+		}
+	}
+}
+
+func (s *service) find(name string) *replicas.Replica {
+	for _, r := range s.set.All {
+		if r.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+// suffer does to a replica what a step orders.
+func (s *service) suffer(ctx context.Context, do string, r *replicas.Replica, last time.Duration) error {
+	switch do {
+	case "pause":
+		if err := r.Proc().Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		pause(ctx, last)
+		return r.Proc().Signal(syscall.SIGCONT)
+	case "kill":
+		if err := r.Kill(); err != nil || !pause(ctx, last) {
+			return err
+		}
+	case "restart":
+		if err := r.Proc().Term(endTime); err != nil {
+			return err
+		}
+	}
+	return s.set.Start(r)
+}
+
+// registrar keeps the boxes' entries: what it is told goes out in that order,
+// however long the service is away.
+type registrar struct {
+	client *client.Client
+	mu     sync.Mutex
+	up     map[string]list.Entry // renewed
+	queue  []func(context.Context) error
+	wake   chan struct{}
+}
+
+func (r *registrar) add(change func(), do func(context.Context) error) {
+	r.mu.Lock()
+	change()
+	r.queue = append(r.queue, do)
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *registrar) ready(e list.Entry) {
+	r.add(func() { r.up[e.Name] = e }, func(ctx context.Context) error {
+		_, err := r.client.Register(ctx, e, boxTTL, nil)
+		return err
+	})
+}
+
+func (r *registrar) drain(name string) {
+	r.add(func() {
+		e := r.up[name]
+		e.Status = list.Draining
+		r.up[name] = e
+	}, func(ctx context.Context) error {
+		_, err := r.client.Drain(ctx, name, nil)
+		return err
+	})
+}
+
+func (r *registrar) remove(name string) {
+	r.add(func() { delete(r.up, name) }, func(ctx context.Context) error {
+		_, err := r.client.Remove(ctx, name, nil)
+		return err
+	})
+}
+
+// lose is a box that says nothing any more: its entry is left to expire.
+func (r *registrar) lose(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.up, name)
+}
+
+func (r *registrar) run(ctx context.Context) {
+	defer r.client.Close()
+	t := time.NewTicker(renewEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.wake:
+			r.work(ctx)
+		case <-t.C:
+			r.renew(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// work carries out what is queued; it is false where ctx ended first. A refusal
+// that is final, such as the drain of an entry that has gone, ends a write too.
+func (r *registrar) work(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		if len(r.queue) == 0 {
+			r.mu.Unlock()
+			return true
+		}
+		do := r.queue[0]
+		r.queue = r.queue[1:]
+		r.mu.Unlock()
+		one, cancel := context.WithTimeout(ctx, writeTime)
+		do(one)
+		cancel()
+	}
+	return false
+}
+
+func (r *registrar) renew(ctx context.Context) {
+	r.mu.Lock()
+	var names []string
+	for n := range r.up {
+		names = append(names, n)
+	}
+	r.mu.Unlock()
+	if len(names) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewEvery)
+	defer cancel()
+	unknown, err := r.client.Renew(ctx, names)
+	if err != nil {
+		return // again at the next tick
+	}
+	for _, n := range unknown {
+		r.mu.Lock()
+		e, ok := r.up[n]
+		r.mu.Unlock()
+		if ok {
+			r.ready(e)
+		}
+	}
+}
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -86,6 +86,20 @@
 
 func (f *fleet) step(ctx context.Context, s spec.Step) error {
 	last := time.Duration(s.For)
+	if f.service != nil {
+		var own, rest []string
+		for _, p := range s.On {
+			if f.service.find(p) != nil {
+				own = append(own, p)
+			} else {
+				rest = append(rest, p)
+			}
+		}
+		if len(own) > 0 && (s.Do == "kill" || s.Do == "pause" || s.Do == "restart") {
+			s.On = rest
+			return errors.Join(together(own, func(name string) error { return f.service.suffer(ctx, s.Do, f.service.find(name), last) }), f.step(ctx, s))
+		}
+	}
 	switch s.Do {
 	case "kill":
 		return f.onNodes(s, func(n *node) error {
@@ -165,6 +179,7 @@
 func over(s spec.Step, e link.Ends) (is, forward bool) {
 	in := func(side []string, party string) bool {
 		party, _, _ = strings.Cut(party, "-") // discovery may have moved
+		party, _, _ = strings.Cut(party, "/") // a replica's own calls
 		return slices.Contains(side, party)
 	}
 	if in(s.On, e.From) && in(s.To, e.To) {
--- a/internal/lab/quorum/client.go
+++ b/internal/lab/quorum/client.go
@@ -84,7 +84,7 @@
 	}
 }
 
-func (w *worker) door() string { return w.c.nodes[w.chance.IntN(len(w.c.nodes))].door }
+func (w *worker) door() string { return w.c.doors[w.chance.IntN(len(w.c.doors))] }
 
 // write tries one write, under one id, until its end is known or its time is over.
 func (w *worker) write(o *op, id string) {
--- a/internal/lab/quorum/faults.go
+++ b/internal/lab/quorum/faults.go
@@ -12,6 +12,7 @@
 
 	"indigotack/internal/lab/history"
 	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/replicas"
 )
 
 // fault is one thing that goes wrong for a while.
@@ -64,7 +65,7 @@
 func (c *cluster) names(on []int) []string {
 	var all []string
 	for _, i := range on {
-		all = append(all, c.nodes[i].name)
+		all = append(all, c.set.All[i].Name)
 	}
 	return all
 }
@@ -83,27 +84,27 @@
 func (c *cluster) suffer(ctx context.Context, name string, f fault) error {
 	switch f.do {
 	case "kill", "kill-all":
-		return c.together(f.on, func(r *replica) error {
-			if err := r.kill(); err != nil {
+		return c.together(f.on, func(r *replicas.Replica) error {
+			if err := r.Kill(); err != nil {
 				return err
 			}
 			sleep(ctx, f.last)
-			return c.start(r)
+			return c.set.Start(r)
 		})
 	case "restart":
-		return c.together(f.on, func(r *replica) error {
-			if err := r.current().Term(endTime); err != nil {
+		return c.together(f.on, func(r *replicas.Replica) error {
+			if err := r.Proc().Term(endTime); err != nil {
 				return err
 			}
-			return c.start(r)
+			return c.set.Start(r)
 		})
 	case "pause":
-		return c.together(f.on, func(r *replica) error {
-			if err := r.current().Signal(syscall.SIGSTOP); err != nil {
+		return c.together(f.on, func(r *replicas.Replica) error {
+			if err := r.Proc().Signal(syscall.SIGSTOP); err != nil {
 				return err
 			}
 			sleep(ctx, f.last)
-			return r.current().Signal(syscall.SIGCONT)
+			return r.Proc().Signal(syscall.SIGCONT)
 		})
 	}
 	c.lay(name, f)
@@ -134,11 +135,11 @@
 }
 
 // together does something to several replicas at once.
-func (c *cluster) together(on []int, do func(*replica) error) error {
+func (c *cluster) together(on []int, do func(*replicas.Replica) error) error {
 	errs := make([]error, len(on))
 	var all sync.WaitGroup
 	for k, i := range on {
-		all.Go(func() { errs[k] = do(c.nodes[i]) })
+		all.Go(func() { errs[k] = do(c.set.All[i]) })
 	}
 	all.Wait()
 	for _, err := range errs {
--- a/internal/lab/quorum/library.go
+++ b/internal/lab/quorum/library.go
@@ -19,11 +19,7 @@
 const followHold = 500 * time.Millisecond
 
 func newFollower(c *cluster) (*follower, error) {
-	var doors []string
-	for _, r := range c.nodes {
-		doors = append(doors, r.door)
-	}
-	k, err := client.New(client.Config{Addresses: doors, Hold: followHold})
+	k, err := client.New(client.Config{Addresses: c.doors, Hold: followHold})
 	return &follower{client: k}, err
 }
 
--- a/internal/lab/quorum/play.go
+++ b/internal/lab/quorum/play.go
@@ -1,3 +1,5 @@
+// Package quorum plays real replicas of the list service: clients that write,
+// read and watch, faults drawn by seed, and a check of the whole history.
 package quorum
 
 import (
@@ -16,9 +18,60 @@
 	"github.com/anishathalye/porcupine"
 
 	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/proc"
+	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list"
 )
 
+// Options say what is played.
+type Options struct {
+	Seed     uint64
+	Replicas int
+	Clients  int
+	Length   time.Duration // of the clients' work and the faults
+	Dir      string
+	Command  []string // of a replica; its configuration file is added
+	Env      []string
+}
+
+const (
+	readyTime = 30 * time.Second // only a hang takes so long
+	endTime   = 20 * time.Second
+)
+
+// cluster is the replicas of a run, and what holds them.
+type cluster struct {
+	o     Options
+	log   *history.Log
+	net   *link.Net
+	group *proc.Group
+	set   *replicas.Set
+	doors []string // where clients find the replicas
+}
+
+func newCluster(o Options, log *history.Log) (*cluster, error) {
+	c := &cluster{o: o, log: log, net: link.NewNet(o.Seed), group: proc.NewGroup(log)}
+	var err error
+	c.set, err = replicas.New(replicas.Options{Count: o.Replicas, Dir: o.Dir, Command: o.Command, Env: o.Env}, c.net, c.group)
+	if err == nil {
+		c.doors, err = c.set.Doors("clients")
+	}
+	if err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cluster) close() {
+	c.group.Close(endTime)
+	c.net.Close()
+	if c.set != nil {
+		c.set.Free()
+	}
+}
+
 // Outcome is what a run shows.
 type Outcome struct {
 	Seed    uint64
@@ -68,7 +121,7 @@
 }
 
 func (c *cluster) play(ctx context.Context) (Outcome, error) {
-	if err := c.begin(ctx); err != nil {
+	if err := c.set.Begin(ctx); err != nil {
 		return Outcome{}, err
 	}
 	own, err := newFollower(c)
@@ -99,7 +152,7 @@
 	err = c.carryOut(working, c.log.Now(), faults)
 	work.Wait()
 	if err == nil {
-		err = c.ready(ctx)
+		err = c.set.Ready(ctx)
 	}
 	var last list.Answer
 	if err == nil {
--- /dev/null
+++ b/internal/lab/replicas/replicas.go
@@ -0,0 +1,180 @@
+// Package replicas runs real replicas of the list service in a lab: their
+// folders, their processes, and a link between any two of them.
+package replicas
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/proc"
+)
+
+// Options say what is run.
+type Options struct {
+	Count   int
+	Dir     string   // under which each has its folder
+	Command []string // of a replica; its configuration file is added
+	Env     []string
+}
+
+const (
+	readyTime = 30 * time.Second       // only a hang takes so long
+	election  = 150 * time.Millisecond // links on loopback take no part of it
+)
+
+// Set is the replicas of one service.
+type Set struct {
+	o     Options
+	net   *link.Net
+	group *proc.Group
+	All   []*Replica
+	frees []func()
+}
+
+// Replica is one of them, through all its processes.
+type Replica struct {
+	Name       string
+	dir        string
+	http, raft string
+	mu         sync.Mutex
+	proc       *proc.Proc
+}
+
+// New makes the replicas' folders and links. Names are r0, r1 and so on; links
+// between them end at NAME for raft and at NAME/http for what they pass on.
+func New(o Options, net *link.Net, group *proc.Group) (*Set, error) {
+	s := &Set{o: o, net: net, group: group}
+	for i := range o.Count {
+		dir, err := filepath.Abs(filepath.Join(o.Dir, fmt.Sprint("r", i)))
+		if err != nil {
+			return nil, err
+		}
+		r := &Replica{Name: fmt.Sprint("r", i), dir: dir}
+		for _, at := range []*string{&r.http, &r.raft} {
+			address, free, err := link.Reserve()
+			if err != nil {
+				s.Free()
+				return nil, err
+			}
+			*at = address
+			s.frees = append(s.frees, free)
+		}
+		s.All = append(s.All, r)
+	}
+	for _, r := range s.All {
+		if err := s.configure(r); err != nil {
+			s.Free()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// configure lays a replica's links and writes its file.
+func (s *Set) configure(r *Replica) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "name = %q\nfolder = %q\nlisten = %q\nraft = %q\nbegin = %v\nelection = %q\nmax_writes = 100000.0\n", r.Name,
+		filepath.Join(r.dir, "data"), r.http, r.raft, r == s.All[0], election)
+	for _, o := range s.All {
+		raft, http := r.raft, r.http
+		if o != r {
+			var err error
+			if raft, err = s.net.Connect(link.Ends{From: r.Name, To: o.Name}, o.raft); err != nil {
+				return err
+			}
+			if http, err = s.net.Connect(link.Ends{From: r.Name, To: o.Name + "/http"}, o.http); err != nil {
+				return err
+			}
+		}
+		if s.o.Count > 1 {
+			fmt.Fprintf(&text, "[[replica]]\nname = %q\nraft = %q\nhttp = %q\n", o.Name, raft, http)
+		}
+	}
+	if err := os.MkdirAll(r.dir, 0o755); err != nil {
+		return fmt.Errorf("%s: %w", r.Name, err)
+	}
+	if err := os.WriteFile(r.file(), []byte(text.String()), 0o644); err != nil {
+		return fmt.Errorf("%s: %w", r.Name, err)
+	}
+	return nil
+}
+
+func (r *Replica) file() string { return filepath.Join(r.dir, "config.toml") }
+
+// Doors lays links from a party to all replicas and gives the addresses at which it finds them.
+func (s *Set) Doors(from string) ([]string, error) {
+	var all []string
+	for _, r := range s.All {
+		door, err := s.net.Connect(link.Ends{From: from, To: r.Name}, r.http)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, door)
+	}
+	return all, nil
+}
+
+// Start starts a replica's process.
+func (s *Set) Start(r *Replica) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, err := s.group.Start(proc.Spec{Name: r.Name, Command: append(append([]string(nil), s.o.Command...), "--config", r.file()), Dir: r.dir,
+		Env: append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.dir}, s.o.Env...)})
+	if err == nil {
+		r.proc = p
+	}
+	return err
+}
+
+// Proc is the replica's present process, or its last.
+func (r *Replica) Proc() *proc.Proc {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proc
+}
+
+// Begin starts all and waits until each has the list and knows the leader.
+func (s *Set) Begin(ctx context.Context) error {
+	for _, r := range s.All {
+		if err := s.Start(r); err != nil {
+			return err
+		}
+	}
+	return s.Ready(ctx)
+}
+
+// Ready waits until each replica has the list and knows the leader.
+func (s *Set) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for _, r := range s.All {
+		if err := r.Proc().WaitReady(ctx, "http://"+r.http+"/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Kill ends a replica at once; its addresses then refuse by themselves.
+func (r *Replica) Kill() error {
+	p := r.Proc()
+	if err := p.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	<-p.Exited()
+	return nil
+}
+
+// Free gives the reserved ports back. The processes and links are the group's and the network's.
+func (s *Set) Free() {
+	for _, f := range s.frees {
+		f()
+	}
+}
--- a/internal/lab/spec/check.go
+++ b/internal/lab/spec/check.go
@@ -82,6 +82,9 @@
 		}
 	}
 	bad("[net]", "loss", e.Net.Loss >= 0 && e.Net.Loss < 1, "%v is not between 0 and 1", e.Net.Loss)
+	r := e.List.Replicas
+	bad("[discovery]", "replicas", r == 0 || r == 1 || r == 3 || r == 5, "%d is not 1, 3 or 5", r)
+	bad("[discovery]", "replicas", r == 0 || e.List.Notice == 0 && e.List.Silent == 0, "notice and silent are the lab's discovery's")
 	for i, fault := range e.Faults {
 		errs = append(errs, e.checkFault(i, fault)...)
 	}
@@ -132,7 +135,7 @@
 			got, err := e.Parties([]string{name})
 			bad(key, err == nil, "%v", err)
 			if kind := a.on; err == nil && kind != "link" {
-				bad(key, slices.ContainsFunc(got, func(p string) bool { return kindOf(p) == kind }), "%s is done to a %s, and %q names none", f.Do, kind, name)
+				bad(key, slices.ContainsFunc(got, func(p string) bool { return suits(f.Do, p) }), "%s is done to a %s, and %q names none", f.Do, kind, name)
 			}
 		}
 	}
@@ -150,13 +153,12 @@
 	held := map[string][]span{}
 	var errs []error
 	for i, f := range e.Faults {
-		a := acts[f.Do]
 		if !exclusive(f.Do) || f.Share > 0 {
 			continue
 		}
 		parties, _ := e.Parties(f.On)
 		for _, p := range parties {
-			if kindOf(p) != a.on {
+			if !suits(f.Do, p) {
 				continue
 			}
 			for _, s := range held[p] {
--- a/internal/lab/spec/schedule.go
+++ b/internal/lab/spec/schedule.go
@@ -31,12 +31,16 @@
 			got = []string{name}
 		case name == "nodes":
 			got = numbered("n", e.Fleet.Nodes)
+		case name == "replicas" && e.List.Replicas > 0:
+			got = numbered("r", e.List.Replicas)
+		case slices.Contains(numbered("r", e.List.Replicas), name):
+			got = []string{name}
 		case name == "boxes":
 			got = numbered("s", e.Fleet.Boxes)
 		case slices.Contains(numbered("n", e.Fleet.Nodes), name), slices.Contains(numbered("s", e.Fleet.Boxes), name):
 			got = []string{name}
 		default:
-			return nil, fmt.Errorf("%q is nobody here; there are n0 to n%d, s0 to s%d, nodes, boxes, zone:NAME, %s and %s",
+			return nil, fmt.Errorf("%q is nobody here; there are n0 to n%d, s0 to s%d, nodes, boxes, zone:NAME, %s and %s, and replicas where discovery.replicas is given",
 				name, e.Fleet.Nodes-1, e.Fleet.Boxes-1, Clients, Discovery)
 		}
 		for _, p := range got {
@@ -63,10 +67,19 @@
 		return party
 	case strings.HasPrefix(party, "n"):
 		return "node"
+	case strings.HasPrefix(party, "r"):
+		return "replica"
 	}
 	return "box"
 }
 
+// suits tells whether something can be done to a party. What ends or stops a
+// process can be done to a replica of the list service as well as to a node.
+func suits(do, party string) bool {
+	kind := kindOf(party)
+	return kind == acts[do].on || kind == "replica" && (do == "kill" || do == "pause" || do == "restart")
+}
+
 // Zones are the zones' names.
 func (e *Experiment) Zones() []string { return world.Draw(0, e.Fleet.Zones, 0).Zones }
 
@@ -136,7 +149,7 @@
 		on, _ := e.Parties(f.On) // checked when the file was read
 		to, _ := e.Parties(f.To)
 		if a := acts[f.Do].on; a == "node" || a == "box" {
-			on = slices.DeleteFunc(on, func(p string) bool { return kindOf(p) != a })
+			on = slices.DeleteFunc(on, func(p string) bool { return !suits(f.Do, p) })
 		}
 		steps = append(steps, Step{Fault: f, On: part(r, on, f.Share), To: to})
 	}
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -105,6 +105,8 @@
 type List struct {
 	Notice Duration `toml:"notice"` // a change reaches a node so late, give or take half; 0: drawn
 	Silent Duration `toml:"silent"` // the loss of a box that says nothing; 0: drawn
+
+	Replicas int `toml:"replicas"` // of the project's own list service, in place of the lab's discovery; 0: none
 }
 
 // Fault is something that goes wrong, or an order of an operator.
--- /dev/null
+++ b/internal/list/server/contact.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// contact knows whether this replica has been without a leader for longer than an
+// election takes: then its list may be old, and a reader that has others to ask
+// is told so.
+type contact struct {
+	mu      sync.Mutex
+	lost    bool
+	changed chan struct{} // closed and replaced when lost changes
+}
+
+func newContact() *contact { return &contact{changed: make(chan struct{})} }
+
+// elections is how many election times without a leader make a replica cut off.
+const elections = 2
+
+func (c *contact) run(ctx context.Context, election time.Duration, leader func() string) {
+	t := time.NewTicker(election / 2)
+	defer t.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		if leader() != "" {
+			last = time.Now()
+		}
+		c.set(time.Since(last) >= elections*election)
+	}
+}
+
+func (c *contact) set(lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if lost == c.lost {
+		return
+	}
+	c.lost = lost
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *contact) state() (lost bool, changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost, c.changed
+}
--- a/internal/list/server/reads.go
+++ b/internal/list/server/reads.go
@@ -81,6 +81,14 @@
 	if wait == 0 {
 		return true
 	}
+	var news <-chan struct{} // of this replica's contact, for readers that have others to ask
+	if q.epoch != "" {
+		var lost bool
+		if lost, news = s.contact.state(); lost {
+			s.refuseCutOff(w)
+			return false
+		}
+	}
 	watcher, full := s.hub.wait(q.from, s.c.MaxWatchers)
 	if full {
 		refuse(w, http.StatusTooManyRequests, "watchers", "too many calls are held here", time.Second)
@@ -94,6 +102,9 @@
 	defer cancel()
 	select {
 	case <-watcher.wake:
+	case <-news:
+		s.refuseCutOff(w)
+		return false
 	case <-ctx.Done():
 		return r.Context().Err() == nil
 	case <-s.ctx.Done():
@@ -101,6 +112,12 @@
 	return true
 }
 
+// refuseCutOff tells a reader that there may be news which this replica can't have.
+// At the end of a cut it is told the same, and comes again.
+func (s *Server) refuseCutOff(w http.ResponseWriter) {
+	refuse(w, http.StatusServiceUnavailable, "cut-off", "this replica is, or was just now, without a leader; ask another", 0)
+}
+
 // answer writes what is newer than the reader's version. A reader that has seen
 // more than this replica is never given less: with an epoch it is told to ask
 // elsewhere; without one it hears that nothing is newer.
--- a/internal/list/server/server.go
+++ b/internal/list/server/server.go
@@ -24,6 +24,7 @@
 	replica *replica
 	expiry  *expiry
 	rates   *rates
+	contact *contact
 	figures *figures
 	http    *http.Server
 	stop    context.CancelFunc
@@ -49,7 +50,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	s := &Server{c: c, log: log, rates: newRates(c.MaxWrites)}
+	s := &Server{c: c, log: log, rates: newRates(c.MaxWrites), contact: newContact()}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	defer s.stop()
 	if err := s.open(); err != nil {
@@ -59,6 +60,7 @@
 	s.tasks.Go(func() { s.hub.run(s.ctx.Done()) })
 	s.tasks.Go(func() { s.expiry.run(s.ctx) })
 	s.tasks.Go(s.followLeader)
+	s.tasks.Go(func() { s.contact.run(s.ctx, c.Election, s.replica.leader) })
 	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	served := make(chan error, 1)
