Measure failovers and what a change costs with 300, 1,000 and 10,000 watchers

The list service's growth has to be known in figures. `indigolab list-cost` kills the leader of three replicas again and again, and holds watchers at one replica over raw connections while changes are made.

--- a/cmd/indigolab/quorum.go
+++ b/cmd/indigolab/quorum.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -97,3 +99,57 @@
 	}
 	return quorum.Play(ctx, quorum.Options{Seed: seed, Replicas: f.replicas, Clients: f.users, Length: f.length, Dir: dir, Command: []string{program}})
 }
+
+func listCostCommand() *cobra.Command {
+	var f quorumFlags
+	var failovers int
+	c := &cobra.Command{
+		Use:     "list-cost",
+		Short:   "measure the list service: failovers, and what a change costs with many watchers",
+		Example: "  indigolab list-cost --failovers 50",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			program, done, err := findProgram(c.Context(), c.ErrOrStderr(), f.bin, "indigolist")
+			if err != nil {
+				return err
+			}
+			defer done()
+			dir, err := os.MkdirTemp("", "listcost")
+			if err != nil {
+				return unplayed{err}
+			}
+			defer os.RemoveAll(dir)
+			o := quorum.Options{Seed: 1, Replicas: 3, Dir: dir, Command: []string{program}}
+			if err := listCost(c.Context(), c.OutOrStdout(), o, failovers); err != nil {
+				return unplayed{err}
+			}
+			return nil
+		},
+	}
+	c.Flags().IntVar(&failovers, "failovers", 50, "how many times the leader is killed")
+	c.Flags().StringVar(&f.bin, "bin", "", "the folder with the indigolist to measure (default: beside indigolab, or built from the project)")
+	return c
+}
+
+func listCost(ctx context.Context, w io.Writer, o quorum.Options, failovers int) error {
+	under := o.Dir
+	for _, watchers := range []int{300, 1000, 10000} {
+		o.Dir = filepath.Join(under, fmt.Sprint(watchers)) // each its own folders: a replica is of the cluster that it began with
+		f, err := quorum.FanOut(ctx, o, watchers)
+		if err != nil {
+			return fmt.Errorf("%d watchers: %w", watchers, err)
+		}
+		fmt.Fprintf(w, "%5d watchers: a change reaches the median after %v, 99%% after %v; %.1f kB a watcher, and %v of processor a change\n", f.Watchers,
+			f.P50.Round(10*time.Microsecond), f.P99.Round(10*time.Microsecond), f.Memory/1000, f.CPU.Round(100*time.Microsecond))
+	}
+	o.Dir = filepath.Join(under, "failovers")
+	all, err := quorum.Failovers(ctx, o, failovers)
+	if err != nil {
+		return fmt.Errorf("failovers: %w", err)
+	}
+	if len(all) > 0 {
+		fmt.Fprintf(w, "%d failovers, from the leader's kill to the end of the next write: median %v, worst %v\n", len(all),
+			all[len(all)/2].Round(time.Millisecond), all[len(all)-1].Round(time.Millisecond))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/quorum/measure.go
@@ -0,0 +1,246 @@
+package quorum
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/proc"
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// measured runs something against a fresh cluster.
+func measured(ctx context.Context, o Options, do func(*cluster, *client.Client) error) error {
+	log, err := history.New("")
+	if err != nil {
+		return err
+	}
+	c, err := newCluster(o, log)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	if err := c.set.Begin(ctx); err != nil {
+		return err
+	}
+	var addresses []string
+	for _, r := range c.set.All {
+		addresses = append(addresses, r.Address())
+	}
+	k, err := client.New(client.Config{Addresses: addresses})
+	if err != nil {
+		return err
+	}
+	defer k.Close()
+	return do(c, k)
+}
+
+// Failovers kills the leader so many times, and gives the times from the kill to
+// the end of the first write that was begun after it.
+func Failovers(ctx context.Context, o Options, times int) (all []time.Duration, err error) {
+	err = measured(ctx, o, func(c *cluster, k *client.Client) error {
+		for i := range times {
+			if _, err := write(ctx, k, i); err != nil {
+				return err
+			}
+			leader, err := leading(ctx, c, k)
+			if err != nil {
+				return err
+			}
+			before := time.Now()
+			if err := leader.Kill(); err != nil {
+				return err
+			}
+			if _, err := write(ctx, k, -i-1); err != nil {
+				return err
+			}
+			all = append(all, time.Since(before))
+			if err := c.set.Start(leader); err != nil {
+				return err
+			}
+			if err := c.set.Ready(ctx); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	slices.Sort(all)
+	return all, err
+}
+
+// write makes one change that no other call makes.
+func write(ctx context.Context, k *client.Client, n int) (list.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	return k.Register(ctx, list.Entry{Name: "s", Address: "127.0.0.1:1", Status: list.Ready, SinceMS: int64(2*max(n, -n) + n&1)}, 0, nil)
+}
+
+func leading(ctx context.Context, c *cluster, k *client.Client) (*replicas.Replica, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		members, err := k.Members(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for i, m := range members {
+			if m.Leads {
+				return c.set.All[i], nil
+			}
+		}
+		sleep(ctx, 5*time.Millisecond)
+	}
+	return nil, fmt.Errorf("nobody leads: %w", ctx.Err())
+}
+
+// Fan is what a change costs with so many watchers at one replica.
+type Fan struct {
+	Watchers int
+	P50, P99 time.Duration // from the beginning of the write to the watcher's first byte
+	Memory   float64       // of the replica for each watcher, bytes
+	CPU      time.Duration // of the replica for each change
+}
+
+const fanRounds = 10 // changes, over which the times are taken
+
+// FanOut measures changes with so many watchers held at one replica that is alone.
+func FanOut(ctx context.Context, o Options, watchers int) (f Fan, err error) {
+	o.Replicas = 1
+	err = measured(ctx, o, func(c *cluster, k *client.Client) error {
+		pid := c.set.All[0].Proc().Pid
+		empty, err := proc.UseOf(pid)
+		if err != nil {
+			return err
+		}
+		first, err := write(ctx, k, 0)
+		if err != nil {
+			return err
+		}
+		conns, err := dialAll(c.set.All[0].Address(), watchers)
+		defer func() {
+			for _, w := range conns {
+				w.Close()
+			}
+		}()
+		if err != nil {
+			return err
+		}
+		var took []time.Duration
+		version := first.Version
+		for round := range fanRounds {
+			one, err := fanRound(ctx, c, k, conns, version, round+1)
+			if err != nil {
+				return err
+			}
+			version++
+			took = append(took, one...)
+			if round == 0 { // now that each has its call held
+				held, err := proc.UseOf(pid)
+				if err != nil {
+					return err
+				}
+				f.Memory, f.CPU = float64(held.RSS-empty.RSS)/float64(watchers), -held.CPU
+			}
+		}
+		last, err := proc.UseOf(pid)
+		if err != nil {
+			return err
+		}
+		f.CPU = (f.CPU + last.CPU) / (fanRounds - 1)
+		slices.Sort(took)
+		f.Watchers, f.P50, f.P99 = watchers, took[len(took)/2], took[len(took)*99/100]
+		return nil
+	})
+	return f, err
+}
+
+func dialAll(address string, n int) ([]net.Conn, error) {
+	var all []net.Conn
+	for range n {
+		c, err := net.DialTimeout("tcp4", address, readyTime)
+		if err != nil {
+			return all, fmt.Errorf("watcher %d of %d: %w", len(all)+1, n, err)
+		}
+		all = append(all, c)
+	}
+	return all, nil
+}
+
+// fanRound has all watch from a version, makes a change, and gives the times to each.
+func fanRound(ctx context.Context, c *cluster, k *client.Client, conns []net.Conn, version uint64, n int) ([]time.Duration, error) {
+	request := fmt.Sprintf("GET /registry/instances?from=%d&hold_ms=60000 HTTP/1.1\r\nHost: list\r\n\r\n", version)
+	for _, w := range conns {
+		w.SetDeadline(time.Now().Add(readyTime))
+		if _, err := io.WriteString(w, request); err != nil {
+			return nil, err
+		}
+	}
+	if err := held(ctx, c.set.All[0].Address(), len(conns)); err != nil {
+		return nil, err
+	}
+	took, errs := make([]time.Duration, len(conns)), make([]error, len(conns))
+	start := time.Now()
+	var all sync.WaitGroup
+	for i, w := range conns {
+		all.Go(func() {
+			in := bufio.NewReaderSize(w, 1024)
+			if _, errs[i] = in.Peek(1); errs[i] != nil {
+				return
+			}
+			took[i] = time.Since(start)
+			var resp *http.Response
+			if resp, errs[i] = http.ReadResponse(in, nil); errs[i] == nil {
+				_, errs[i] = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+	begun := time.Since(start) // the readers had to be started
+	_, err := write(ctx, k, n)
+	all.Wait()
+	for i := range took {
+		took[i] -= begun
+	}
+	for _, e := range errs {
+		if e != nil {
+			return nil, e
+		}
+	}
+	return took, err
+}
+
+// held waits until the replica counts so many watchers.
+func held(ctx context.Context, address string, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	want := "\nindigolist_watchers " + strconv.FormatFloat(float64(n), 'g', -1, 64) + "\n"
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return fmt.Errorf("waiting for %d watchers: %w", n, err)
+		}
+		raw, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err == nil && strings.Contains(string(raw), want) {
+			return nil
+		}
+		if !sleep(ctx, 5*time.Millisecond) {
+			return fmt.Errorf("waiting for %d watchers: %w", n, ctx.Err())
+		}
+	}
+}
--- a/internal/lab/replicas/replicas.go
+++ b/internal/lab/replicas/replicas.go
@@ -106,6 +106,9 @@
 	return nil
 }
 
+// Address is where the replica itself listens, without a link.
+func (r *Replica) Address() string { return r.http }
+
 func (r *Replica) file() string { return filepath.Join(r.dir, "config.toml") }
 
 // Doors lays links from a party to all replicas and gives the addresses at which it finds them.
