--- a/cmd/indigoctl/list.go
+++ b/cmd/indigoctl/list.go
@@ -224,26 +224,22 @@
 }
 
 func (f *listFlags) drain() *cobra.Command {
-	return f.conditional(&cobra.Command{
-		Use:     "drain NAME",
-		Short:   "let a server finish what it holds; nodes send it nothing new",
-		Example: "  indigoctl list drain s-5be2a07c",
-		Args:    cobra.ExactArgs(1),
-		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
-			r, err := k.Drain(ctx, args[0], f.condition())
-			return f.done(c, r, err)
-		}),
-	})
+	return f.onEntry("drain", "let a server finish what it holds; nodes send it nothing new", (*client.Client).Drain)
 }
 
 func (f *listFlags) remove() *cobra.Command {
+	return f.onEntry("remove", "take a server off the list", (*client.Client).Remove)
+}
+
+// onEntry makes a command that changes one entry.
+func (f *listFlags) onEntry(verb, short string, do func(*client.Client, context.Context, string, *uint64) (list.Result, error)) *cobra.Command {
 	return f.conditional(&cobra.Command{
-		Use:     "remove NAME",
-		Short:   "take a server off the list",
-		Example: "  indigoctl list remove s-5be2a07c --if 41",
+		Use:     verb + " NAME",
+		Short:   short,
+		Example: "  indigoctl list " + verb + " s-5be2a07c\n  indigoctl list " + verb + " s-5be2a07c --if 41",
 		Args:    cobra.ExactArgs(1),
 		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
-			r, err := k.Remove(ctx, args[0], f.condition())
+			r, err := do(k, ctx, args[0], f.condition())
 			return f.done(c, r, err)
 		}),
 	})
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -15,6 +15,7 @@
 	"indigotack/internal/lab/history"
 	"indigotack/internal/lab/load"
 	"indigotack/internal/lab/world"
+	"indigotack/internal/pause"
 )
 
 // late is how long past a client's patience an answer is still waited for, to
@@ -54,7 +55,7 @@
 	for i := range ops {
 		op := &ops[i]
 		due := start + op.Due
-		if !sleep(ctx, due-c.log.Now()) {
+		if !pause.For(ctx, due-c.log.Now()) {
 			break
 		}
 		if c.log.Now()-swept > time.Second {
@@ -72,20 +73,6 @@
 	c.ops.Wait()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // result is what came of a try.
 type result struct {
 	how        string
@@ -111,11 +98,11 @@
 		if !c.again(op, last) || try >= op.Retries {
 			break
 		}
-		pause := op.Backoff[try]
+		hold := op.Backoff[try]
 		if op.Heeds && last.retryAfter > 0 {
-			pause = max(pause, min(last.retryAfter, world.MaxRetryAfter))
+			hold = max(hold, min(last.retryAfter, world.MaxRetryAfter))
 		}
-		if c.log.Now()+pause-due >= op.Class.Deadline || !sleep(ctx, pause) {
+		if c.log.Now()+hold-due >= op.Class.Deadline || !pause.For(ctx, hold) {
 			break
 		}
 	}
--- a/internal/lab/fleet/service.go
+++ b/internal/lab/fleet/service.go
@@ -12,6 +12,7 @@
 	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
 )
 
 // service is the project's own list service in place of the lab's discovery. The
@@ -69,7 +70,7 @@
 	s.tasks.Go(func() { s.boxes.run(s.ctx) })
 	for _, name := range s.f.names { // so that nodes begin with the whole list
 		for len(s.f.nodes[name].agent.List(0, s.f.log.Now()).Endpoints) < len(s.f.w.Machines) {
-			if !pause(ctx, 5*time.Millisecond) {
+			if !pause.For(ctx, 5*time.Millisecond) {
 				return fmt.Errorf("the agent of %s has no list: %w", name, ctx.Err())
 			}
 		}
@@ -152,10 +153,10 @@
 		if err := r.Proc().Signal(syscall.SIGSTOP); err != nil {
 			return err
 		}
-		pause(ctx, last)
+		pause.For(ctx, last)
 		return r.Proc().Signal(syscall.SIGCONT)
 	case "kill":
-		if err := r.Kill(); err != nil || !pause(ctx, last) {
+		if err := r.Kill(); err != nil || !pause.For(ctx, last) {
 			return err
 		}
 	case "restart":
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -15,6 +15,7 @@
 	"indigotack/internal/lab/history"
 	"indigotack/internal/lab/link"
 	"indigotack/internal/lab/spec"
+	"indigotack/internal/pause"
 )
 
 // carryOut plays the schedule, each step in its own time. A step that can't be
@@ -46,18 +47,7 @@
 
 // sleepUntil waits for a time of the load.
 func (f *fleet) sleepUntil(ctx context.Context, t time.Duration) bool {
-	return pause(ctx, f.start+t-f.log.Now())
-}
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, f.start+t-f.log.Now())
 }
 
 func (f *fleet) tell(how string, s spec.Step) {
@@ -103,7 +93,7 @@
 	switch s.Do {
 	case "kill":
 		return f.onNodes(s, func(n *node) error {
-			if err := n.kill(); err != nil || !pause(ctx, last) {
+			if err := n.kill(); err != nil || !pause.For(ctx, last) {
 				return err
 			}
 			return n.again(ctx)
@@ -114,7 +104,7 @@
 			if err := p.Signal(syscall.SIGSTOP); err != nil {
 				return err
 			}
-			pause(ctx, last)
+			pause.For(ctx, last)
 			return p.Signal(syscall.SIGCONT)
 		})
 	case "restart":
@@ -133,7 +123,7 @@
 		return f.storm(ctx, s)
 	case "cut", "mute", "refuse", "shape", "snip":
 		f.layStep(s)
-		pause(ctx, last)
+		pause.For(ctx, last)
 		f.net.Lift(s.Name)
 		return nil
 	case "crash", "vanish", "drain":
@@ -221,7 +211,7 @@
 func (f *fleet) storm(ctx context.Context, s spec.Step) error {
 	for end := f.log.Now() + time.Duration(s.For); ; {
 		f.net.Reset(func(e link.Ends) bool { is, _ := over(s, e); return is })
-		if s.Every == 0 || f.log.Now()+time.Duration(s.Every) > end || !pause(ctx, time.Duration(s.Every)) {
+		if s.Every == 0 || f.log.Now()+time.Duration(s.Every) > end || !pause.For(ctx, time.Duration(s.Every)) {
 			return nil
 		}
 	}
@@ -244,7 +234,7 @@
 	case "drain":
 		f.list(name, disco.Draining, "", false)
 		served := time.Duration(drainShare * float64(rest))
-		pause(ctx, served)
+		pause.For(ctx, served)
 		rest -= served
 		fallthrough
 	default:
@@ -252,7 +242,7 @@
 		f.net.Lay(down, link.Shape{Refuse: true}, toBox)
 		b.Crash()
 	}
-	pause(ctx, rest)
+	pause.For(ctx, rest)
 	since := strconv.FormatInt(f.log.At(f.log.Now()).UnixMilli(), 10)
 	err := b.Start(since)
 	f.net.Lift(down)
@@ -274,7 +264,7 @@
 	for _, name := range s.On {
 		f.host.Box(name).Suffer(s.Name, &t)
 	}
-	pause(ctx, time.Duration(s.For))
+	pause.For(ctx, time.Duration(s.For))
 	for _, name := range s.On {
 		f.host.Box(name).Suffer(s.Name, nil)
 	}
--- a/internal/lab/quorum/client.go
+++ b/internal/lab/quorum/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"indigotack/internal/list"
+	"indigotack/internal/pause"
 )
 
 // The entries that clients write: few, so that they meet.
@@ -80,7 +81,7 @@
 		if o.known {
 			w.last[o.name] = o.version
 		}
-		sleep(ctx, time.Duration(w.chance.IntN(20))*time.Millisecond)
+		pause.For(ctx, time.Duration(w.chance.IntN(20))*time.Millisecond)
 	}
 }
 
--- a/internal/lab/quorum/faults.go
+++ b/internal/lab/quorum/faults.go
@@ -13,6 +13,7 @@
 	"indigotack/internal/lab/history"
 	"indigotack/internal/lab/link"
 	"indigotack/internal/lab/replicas"
+	"indigotack/internal/pause"
 )
 
 // fault is one thing that goes wrong for a while.
@@ -48,7 +49,7 @@
 // carryOut plays the faults, one after the other.
 func (c *cluster) carryOut(ctx context.Context, start time.Duration, faults []fault) error {
 	for i, f := range faults {
-		if !sleep(ctx, start+f.at-c.log.Now()) {
+		if !pause.For(ctx, start+f.at-c.log.Now()) {
 			return nil
 		}
 		name := fmt.Sprintf("%d-%s", i+1, f.do)
@@ -70,17 +71,6 @@
 	return all
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *cluster) suffer(ctx context.Context, name string, f fault) error {
 	switch f.do {
 	case "kill", "kill-all":
@@ -88,7 +78,7 @@
 			if err := r.Kill(); err != nil {
 				return err
 			}
-			sleep(ctx, f.last)
+			pause.For(ctx, f.last)
 			return c.set.Start(r)
 		})
 	case "restart":
@@ -103,12 +93,12 @@
 			if err := r.Proc().Signal(syscall.SIGSTOP); err != nil {
 				return err
 			}
-			sleep(ctx, f.last)
+			pause.For(ctx, f.last)
 			return r.Proc().Signal(syscall.SIGCONT)
 		})
 	}
 	c.lay(name, f)
-	sleep(ctx, f.last)
+	pause.For(ctx, f.last)
 	c.net.Lift(name)
 	return nil
 }
--- a/internal/lab/quorum/measure.go
+++ b/internal/lab/quorum/measure.go
@@ -18,6 +18,7 @@
 	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
 )
 
 // measured runs something against a fresh cluster.
@@ -99,7 +100,7 @@
 				return c.set.All[i], nil
 			}
 		}
-		sleep(ctx, 5*time.Millisecond)
+		pause.For(ctx, 5*time.Millisecond)
 	}
 	return nil, fmt.Errorf("nobody leads: %w", ctx.Err())
 }
@@ -239,7 +240,7 @@
 		if err == nil && strings.Contains(string(raw), want) {
 			return nil
 		}
-		if !sleep(ctx, 5*time.Millisecond) {
+		if !pause.For(ctx, 5*time.Millisecond) {
 			return fmt.Errorf("waiting for %d watchers: %w", n, ctx.Err())
 		}
 	}
--- a/internal/lab/quorum/play.go
+++ b/internal/lab/quorum/play.go
@@ -22,6 +22,7 @@
 	"indigotack/internal/lab/proc"
 	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list"
+	"indigotack/internal/pause"
 )
 
 // Options say what is played.
@@ -185,7 +186,7 @@
 		if status == http.StatusOK && json.Unmarshal(body, &a) == nil {
 			return a, nil
 		}
-		sleep(ctx, 20*time.Millisecond)
+		pause.For(ctx, 20*time.Millisecond)
 	}
 	return list.Answer{}, fmt.Errorf("the list can't be read %v after the last fault: %w", readyTime, ctx.Err())
 }
--- a/internal/list/client/client.go
+++ b/internal/list/client/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"indigotack/internal/list"
+	"indigotack/internal/pause"
 )
 
 // Config says where the list is and how to follow it.
@@ -128,24 +129,13 @@
 			k.turn()
 		}
 		// Evenly over the whole wait, so that those who lost the service together do not return together.
-		if !pause(ctx, time.Duration(rand.Int64N(int64(wait))+1)) {
+		if !pause.For(ctx, time.Duration(rand.Int64N(int64(wait))+1)) {
 			return
 		}
 		wait = min(2*wait, mostWait)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // watching tells whether the next call is held until there is news; one for the whole list is not.
 func (k *Client) watching() bool {
 	k.mu.Lock()
--- a/internal/list/client/write.go
+++ b/internal/list/client/write.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"indigotack/internal/list"
+	"indigotack/internal/pause"
 )
 
 // Refused is the answer of a service that did not do what was asked.
@@ -102,7 +103,7 @@
 			return err
 		}
 		k.turn()
-		if !pause(ctx, betweens) {
+		if !pause.For(ctx, betweens) {
 			if method == http.MethodGet {
 				return fmt.Errorf("%w: %w", ctx.Err(), err)
 			}
--- a/internal/list/state.go
+++ b/internal/list/state.go
@@ -150,13 +150,22 @@
 	return Result{Entry: s.version}
 }
 
-func (s *State) drain(c Command) Result {
+// find gives the entry that a command names, as long as it meets the condition.
+func (s *State) find(c Command) (Item, Result, bool) {
 	i, there := s.items[c.Name]
 	if r, ok := s.meets(c, c.Name); !ok {
-		return r
+		return i, r, false
 	}
 	if !there {
-		return Result{Code: Absent, Why: fmt.Sprintf("there is no %s", c.Name)}
+		return i, Result{Code: Absent, Why: fmt.Sprintf("there is no %s", c.Name)}, false
+	}
+	return i, Result{}, true
+}
+
+func (s *State) drain(c Command) Result {
+	i, r, ok := s.find(c)
+	if !ok {
+		return r
 	}
 	if i.Entry.Status == Draining {
 		return Result{Entry: i.Version}
@@ -169,13 +178,10 @@
 }
 
 func (s *State) remove(c Command) Result {
-	i, there := s.items[c.Name]
-	if r, ok := s.meets(c, c.Name); !ok {
+	i, r, ok := s.find(c)
+	if !ok {
 		return r
 	}
-	if !there {
-		return Result{Code: Absent, Why: fmt.Sprintf("there is no %s", c.Name)}
-	}
 	s.leave(i.Entry)
 	return Result{Entry: s.version}
 }
