--- a/internal/lab/client/front.go
+++ b/internal/lab/client/front.go
@@ -22,6 +22,7 @@
 type door struct {
 	name, address string
 	admitted      bool
+	leaving       bool      // a planned restart is under way
 	failing       time.Time // since when it has not answered; zero: it does
 }
 
@@ -86,6 +87,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
+	case d.leaving:
 	case well:
 		d.admitted, d.failing = true, time.Time{}
 	case d.failing.IsZero():
@@ -95,6 +97,21 @@
 	}
 }
 
+// Leave sends no new clients to a node that is to be restarted, until Return.
+func (f *Front) Leave(name string) { f.leaving(name, true) }
+
+// Return has a node admitted again once it is ready.
+func (f *Front) Return(name string) { f.leaving(name, false) }
+
+func (f *Front) leaving(name string, is bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[name].leaving = is
+	if is {
+		f.nodes[name].admitted = false
+	}
+}
+
 // Admitted tells how many nodes are.
 func (f *Front) Admitted() int {
 	f.mu.Lock()
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -183,8 +183,14 @@
 	n.f.net.Lay("down-"+n.name, link.Shape{Refuse: true}, func(e link.Ends) bool { return e.From == spec.Clients && e.To == n.name })
 }
 
-// stop is a planned end.
+// arriving is how long new connections go on to come to a node that was told to
+// end, by the platform's 0.2 to 0.4 s.
+const arriving = 300 * time.Millisecond
+
+// stop is a planned end, of which the front knows.
 func (n *node) stop() error {
+	told := time.AfterFunc(arriving, func() { n.f.front.Leave(n.name) })
+	defer told.Stop()
 	err := n.current().Term(endTime)
 	n.refuse()
 	return err
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -109,6 +109,7 @@
 		})
 	case "restart":
 		return f.onNodes(s, func(n *node) error {
+			defer f.front.Return(n.name)
 			if err := n.stop(); err != nil {
 				return err
 			}
