Show that the checks of the quorum runs can fail

The runs are judged by a model for porcupine and by a comparison of watchers; both have to be shown able to find what they look for. Fourteen short histories (an old read, a lost write done twice, an ignored condition, a version that goes back and others) and five faults of watchers are each judged as they should be.

--- /dev/null
+++ b/internal/lab/quorum/model_test.go
@@ -0,0 +1,90 @@
+package quorum
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"indigotack/internal/list"
+)
+
+func at(v uint64) *uint64 { return &v }
+
+// inTurn makes operations that follow one another, a millisecond each; those of unknown end stay open.
+func inTurn(ops ...op) []porcupine.Operation {
+	for i := range ops {
+		ops[i].name, ops[i].client = "s", i
+		ops[i].from, ops[i].to = time.Duration(2*i)*time.Millisecond, time.Duration(2*i+1)*time.Millisecond
+	}
+	return operations(ops)
+}
+
+// TestModel: what a list may do passes, and each thing that it may not do is found.
+func TestModel(t *testing.T) {
+	register := func(weight float64, version uint64) op {
+		return op{do: "register", weight: weight, known: true, status: 200, version: version}
+	}
+	read := func(weight float64, status string) op {
+		return op{do: "read", known: true, status: 200, there: true, seenWeight: weight, seenStatus: status}
+	}
+	none := op{do: "read", known: true, status: 200}
+	lost := op{do: "register", weight: 9}
+	remove := op{do: "remove", known: true, status: 200, version: 7}
+	refused := op{do: "register", weight: 3, cond: at(1), known: true, status: 409, version: 5}
+	for name, c := range map[string]struct {
+		ops   []op
+		legal bool
+	}{
+		"as it should be":              {[]op{none, register(1, 5), read(1, list.Ready), register(1, 5), remove, none}, true},
+		"an old read":                  {[]op{register(1, 5), register(2, 6), read(1, list.Ready)}, false},
+		"a write that is gone":         {[]op{register(1, 5), none}, false},
+		"a lost write that was done":   {[]op{register(1, 5), lost, read(9, list.Ready)}, true},
+		"a lost write that was not":    {[]op{register(1, 5), lost, read(1, list.Ready)}, true},
+		"a lost write done twice":      {[]op{register(1, 5), lost, read(9, list.Ready), register(1, 7), read(9, list.Ready)}, false},
+		"a condition that was met":     {[]op{register(1, 5), {do: "register", weight: 2, cond: at(5), known: true, status: 200, version: 6}, read(2, list.Ready)}, true},
+		"a condition that was not met": {[]op{register(1, 5), refused, read(1, list.Ready)}, true},
+		"a condition that was ignored": {[]op{register(1, 5), {do: "register", weight: 2, cond: at(4), known: true, status: 200, version: 6}}, false},
+		"refused for nothing":          {[]op{register(1, 5), {do: "register", weight: 2, cond: at(5), known: true, status: 409, version: 5}}, false},
+		"a version that goes back":     {[]op{register(1, 5), register(2, 4)}, false},
+		"a change without a version":   {[]op{register(1, 5), register(2, 5)}, false},
+		"a drain of what is not there": {[]op{{do: "drain", known: true, status: 200, version: 5}}, false},
+		"absent though it is there":    {[]op{register(1, 5), {do: "remove", known: true, status: 404}}, false},
+	} {
+		if got := porcupine.CheckOperations(model, inTurn(c.ops...)); got != c.legal {
+			t.Errorf("%s: found legal %v", name, got)
+		}
+	}
+}
+
+// TestWatchers: a gap, a step back, a whole list without need, and two that were told different things are each found.
+func TestWatchers(t *testing.T) {
+	s := func(weight float64) list.Entry { return list.Entry{Name: "s", Weight: weight} }
+	first := list.Answer{Index: 3, Epoch: "e", Snapshot: true, Endpoints: []list.Entry{s(1)}}
+	last := list.Answer{Index: 4, Epoch: "e", Snapshot: true, Endpoints: []list.Entry{s(2)}}
+	good := list.Answer{Index: 4, Epoch: "e", Endpoints: []list.Entry{s(2)}}
+	run := func(answers ...list.Answer) *watcher {
+		v := &watcher{held: map[string]list.Entry{}, told: map[uint64]list.Entry{}}
+		for _, a := range answers {
+			v.take(a)
+		}
+		return v
+	}
+	for name, c := range map[string]struct {
+		other *watcher
+		want  string
+	}{
+		"nothing":    {run(first, good), ""},
+		"gap":        {run(first, list.Answer{Index: 5, Epoch: "e", Endpoints: []list.Entry{s(2)}}), "changes from"},
+		"back":       {run(first, list.Answer{Index: 2, Epoch: "e"}), "version 2 after 3"},
+		"whole":      {run(first, last), "whole list"},
+		"epoch":      {run(first, list.Answer{Index: 4, Epoch: "f", Endpoints: []list.Entry{s(2)}}), "epoch f"},
+		"difference": {run(first, list.Answer{Index: 4, Epoch: "e", Endpoints: []list.Entry{s(8)}}), "change 4 is"},
+	} {
+		got := strings.Join(agree([]*watcher{run(first, good), c.other}, last), "; ")
+		if (c.want == "") != (got == "") || !strings.Contains(got, c.want) {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
