--- a/cmd/indigolist/quorum_test.go
+++ b/cmd/indigolist/quorum_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -19,18 +18,11 @@
 	os.Exit(m.Run())
 }
 
-func dirOf(t *testing.T, seed uint64) string {
-	if d := os.Getenv("QDIR"); d != "" {
-		return fmt.Sprintf("%s/%d", d, seed)
-	}
-	return t.TempDir()
-}
-
 // TestQuorum: three replicas under kills, pauses, cuts and delays. Writes and
 // current reads are linearizable; watches are gapless, ordered and alike.
 func TestQuorum(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3} {
-		o, err := quorum.Play(context.Background(), quorum.Options{Seed: seed, Replicas: 3, Clients: 4, Length: 6 * time.Second, Dir: dirOf(t, seed),
+		o, err := quorum.Play(context.Background(), quorum.Options{Seed: seed, Replicas: 3, Clients: 4, Length: 6 * time.Second, Dir: t.TempDir(),
 			Command: []string{os.Args[0]}, Env: []string{"INDIGOLIST_AS_PROGRAM=1"}})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -29,7 +29,6 @@
 	"mb":    func(n int64) string { return fmt.Sprintf("%.1f", float64(n)/(1<<20)) },
 	"pct":   func(v float64) string { return fmt.Sprintf("%.1f%%", 100*v) },
 	"names": func(m any) []string { return namesOf(m) },
-	"first": func(n int, of int) int { return min(n, of) },
 }).Parse(pageText))
 
 func namesOf(m any) []string {
