Keep the lab's lines to the stated form, sum several runs up, and push a cold box over

Other checks call the lab, so its lines have to be `PASS name: figures` and `FAIL name: what broke`; the seed stood between name and colon. What does not count is now VOID, not LATE, whichever the reason, and several runs end with a line that sums them up. The check on cold boxes had no stand-in node that breaks it: one that sends all to a box that has just returned is found out.

--- a/cmd/indigolab/play.go
+++ b/cmd/indigolab/play.go
@@ -120,7 +120,7 @@
 	run, err := fleet.Play(ctx, fleet.Options{Experiment: e, Seed: seed, Dir: dir, Node: []string{p.node}, List: []string{p.list}, Follow: live.follow})
 	live.end()
 	if err != nil {
-		fmt.Fprintf(p.out, "LATE %s (seed %d): could not be played: %s\n", e.Name, seed, oneLine(err))
+		fmt.Fprintf(p.out, "VOID %s: seed %d, could not be played: %s\n", e.Name, seed, oneLine(err))
 		return report.Unplayed, unplayed{fmt.Errorf("%s: %w", e.Name, err)}
 	}
 	page, err := run.Write(dir)
@@ -135,18 +135,23 @@
 	return run.Result(), nil
 }
 
+// words begin the line of a result.
+var words = map[report.Result]string{report.Pass: "PASS", report.Fail: "FAIL", report.Unplayed: "VOID"}
+
 func oneLine(err error) string { return strings.ReplaceAll(err.Error(), "\n", "; ") }
 
-// all plays runs and tells the worst that came of them.
+// all plays runs and tells the worst that came of them; of several, also in a closing line.
 func (p *player) all(ctx context.Context, experiments []*spec.Experiment, seeds []uint64) error {
 	worst := report.Pass
 	var errs []error
+	counts := map[report.Result]int{}
 	for _, e := range experiments {
 		for _, seed := range seeds {
 			result, err := p.play(ctx, e, seed)
 			if ctx.Err() != nil {
 				return unplayed{ctx.Err()}
 			}
+			counts[result]++
 			if result == report.Fail || (result == report.Unplayed && worst == report.Pass) {
 				worst = result
 			}
@@ -155,6 +160,14 @@
 			}
 		}
 	}
+	if runs := len(experiments) * len(seeds); runs > 1 {
+		name := "all"
+		if len(experiments) == 1 {
+			name = experiments[0].Name
+		}
+		fmt.Fprintf(p.out, "%s %s: %d runs, %d passed, %d failed, %d do not count\n", words[worst], name, runs, counts[report.Pass],
+			counts[report.Fail], counts[report.Unplayed])
+	}
 	switch {
 	case worst == report.Fail:
 		return failed
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -48,6 +48,15 @@
 on = ["s1"]
 `
 
+// returned also has a box return cold, after half a second.
+const returned = short + `
+[[fault]]
+at = "100ms"
+for = "500ms"
+do = "crash"
+on = ["s1"]
+`
+
 func play(t *testing.T, mode, text string) report.Run {
 	t.Helper()
 	e, err := spec.Parse("test.toml", text)
@@ -75,6 +84,7 @@
 		"swap":   {short, []string{"own-answer"}},
 		"stray":  {short, []string{"as-sent"}},
 		"drains": {drained, []string{"drains"}},
+		"push":   {returned, []string{"cold"}},
 		"exit":   {short, []string{"processes"}},
 		"stay":   {short, []string{"processes"}},
 		"grow":   {short, []string{"limits"}},
--- a/internal/lab/fleet/standin_test.go
+++ b/internal/lab/fleet/standin_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,9 @@
 		panic(err)
 	}
 	n := &simple{mode: mode, boxes: config.Known.Endpoints}
+	if mode == "push" {
+		n.boxes = slices.DeleteFunc(n.boxes, func(e disco.Entry) bool { return e.Name != "s1" })
+	}
 	go func() { // told of changes, and heeds none
 		for index := config.Known.Index; ; {
 			resp, err := http.Get("http://" + config.Discovery + "/registry/instances?hold_ms=500&from=" + strconv.FormatUint(index, 10))
--- a/internal/lab/quorum/play.go
+++ b/internal/lab/quorum/play.go
@@ -88,11 +88,11 @@
 func (o Outcome) Line() string {
 	switch {
 	case len(o.Broken) > 0:
-		return fmt.Sprintf("FAIL quorum (seed %d): %s (and %d more)", o.Seed, o.Broken[0], len(o.Broken)-1)
+		return fmt.Sprintf("FAIL quorum: seed %d, %s (and %d more)", o.Seed, o.Broken[0], len(o.Broken)-1)
 	case o.Unsure:
-		return fmt.Sprintf("LATE quorum (seed %d): the check of %d operations took over %v", o.Seed, o.Ops, checkTime)
+		return fmt.Sprintf("VOID quorum: seed %d, the check of %d operations took over %v", o.Seed, o.Ops, checkTime)
 	}
-	return fmt.Sprintf("PASS quorum (seed %d): %d operations, %d of unknown end, %d changes, %d faults", o.Seed, o.Ops, o.Unknown, o.Changes, o.Faults)
+	return fmt.Sprintf("PASS quorum: seed %d, %d operations, %d of unknown end, %d changes, %d faults", o.Seed, o.Ops, o.Unknown, o.Changes, o.Faults)
 }
 
 // watchers is how many clients watch in a run.
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -80,7 +80,7 @@
 		want  Result
 	}{{true, "", Fail}, {true, "late", Unplayed}, {false, "", Fail}, {false, "late", Fail}} {
 		r := Run{Verdicts: []check.Verdict{{Name: "v", Timed: c.timed, Broken: bad}}, Late: c.late}
-		if got := r.Result(); got != c.want || !strings.HasPrefix(r.Line(), map[Result]string{Fail: "FAIL", Unplayed: "LATE"}[c.want]) {
+		if got := r.Result(); got != c.want || !strings.HasPrefix(r.Line(), map[Result]string{Fail: "FAIL", Unplayed: "VOID"}[c.want]) {
 			t.Errorf("%+v: %d, %s", c, got, r.Line())
 		}
 	}
--- a/internal/lab/report/run.go
+++ b/internal/lab/report/run.go
@@ -73,10 +73,9 @@
 	return ""
 }
 
-// Line is the run in one line: PASS, FAIL or LATE, its name, and its figures or what broke.
+// Line is the run in one line: PASS, FAIL or VOID, its name, and its figures, what broke or why it does not count.
 func (r Run) Line() string {
 	f := r.Figures
-	name := fmt.Sprintf("%s (seed %d)", f.Name, f.Seed)
 	switch r.Result() {
 	case Fail:
 		for _, v := range r.Verdicts {
@@ -85,13 +84,13 @@
 				if n := len(v.Broken) - 1; n > 0 {
 					more = fmt.Sprintf(" (and %d more)", n)
 				}
-				return fmt.Sprintf("FAIL %s: %s: %s%s", name, v.Name, v.Broken[0], more)
+				return fmt.Sprintf("FAIL %s: seed %d, %s: %s%s", f.Name, f.Seed, v.Name, v.Broken[0], more)
 			}
 		}
 	case Unplayed:
-		return fmt.Sprintf("LATE %s: times can't be judged: %s", name, r.Late)
+		return fmt.Sprintf("VOID %s: seed %d, the machine was too late to count: %s", f.Name, f.Seed, r.Late)
 	}
-	return fmt.Sprintf("PASS %s: asked %d, in time %.4f, late %.4f, refused %.4f, failed %.4f, attempts %.3f", name, f.All.Asked,
+	return fmt.Sprintf("PASS %s: seed %d, asked %d, in time %.4f, late %.4f, refused %.4f, failed %.4f, attempts %.3f", f.Name, f.Seed, f.All.Asked,
 		f.All.Served(), f.All.part(f.All.Late), f.All.part(f.All.Refused), f.All.part(f.All.Failed), f.Attempts)
 }
 
