Do to a replica's process what a fault orders in one place, and void unplayed quorum runs

Killing, pausing and restarting replicas stood twice, in the fleet's steps and in the quorum runs; the fleet's was a special case ahead of its own switch, so that a fault on nodes and replicas reached the nodes only when the replicas' time was over. replicas.Set.Suffer and proc.Proc.Pause serve both now. The closing line of `indigolab quorum` said PASS with runs that could not be played; it counts them and says VOID. A hand-written FNV gives way to hash/fnv, of the same values.

--- a/cmd/indigolab/quorum.go
+++ b/cmd/indigolab/quorum.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"indigotack/internal/lab/quorum"
+	"indigotack/internal/lab/report"
 )
 
 // quorumFlags are what a series of quorum runs takes.
@@ -58,7 +59,7 @@
 	}
 	defer done()
 	var mu sync.Mutex // of the results and the output
-	broken, unsure := 0, 0
+	passed, broken, unsure := 0, 0, 0
 	var g errgroup.Group
 	g.SetLimit(f.together)
 	for i := range f.runs {
@@ -74,13 +75,21 @@
 				broken++
 			} else if o.Unsure {
 				unsure++
+			} else {
+				passed++
 			}
 			return nil
 		})
 	}
 	err = g.Wait()
-	fmt.Fprintf(c.OutOrStdout(), "%s quorum: %d runs of %v with %d replicas, %d broken, %d not decided\n", map[bool]string{true: "PASS", false: "FAIL"}[broken == 0],
-		f.runs, f.length, f.replicas, broken, unsure)
+	worst := report.Pass
+	if broken > 0 {
+		worst = report.Fail
+	} else if passed < f.runs {
+		worst = report.Unplayed
+	}
+	fmt.Fprintf(c.OutOrStdout(), "%s quorum: %d runs of %v with %d replicas, %d passed, %d broken, %d not decided, %d not played\n", words[worst], f.runs,
+		f.length, f.replicas, passed, broken, unsure, f.runs-passed-broken-unsure)
 	switch {
 	case broken > 0:
 		return failed
--- a/internal/lab/backend/server.go
+++ b/internal/lab/backend/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -191,9 +193,7 @@
 }
 
 func idHash(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return h
+	h := fnv.New64a()
+	io.WriteString(h, s) // never fails
+	return h.Sum64()
 }
--- a/internal/lab/fleet/service.go
+++ b/internal/lab/fleet/service.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"indigotack/internal/lab/disco"
@@ -137,36 +136,6 @@
 	}
 }
 
-func (s *service) find(name string) *replicas.Replica {
-	for _, r := range s.set.All {
-		if r.Name == name {
-			return r
-		}
-	}
-	return nil
-}
-
-// suffer does to a replica what a step orders.
-func (s *service) suffer(ctx context.Context, do string, r *replicas.Replica, last time.Duration) error {
-	switch do {
-	case "pause":
-		if err := r.Proc().Signal(syscall.SIGSTOP); err != nil {
-			return err
-		}
-		pause.For(ctx, last)
-		return r.Proc().Signal(syscall.SIGCONT)
-	case "kill":
-		if err := r.Kill(); err != nil || !pause.For(ctx, last) {
-			return err
-		}
-	case "restart":
-		if err := r.Proc().Term(endTime); err != nil {
-			return err
-		}
-	}
-	return s.set.Start(r)
-}
-
 // registrar keeps the boxes' entries: what it is told goes out in that order,
 // however long the service is away.
 type registrar struct {
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"indigotack/internal/lab/box"
@@ -76,50 +75,16 @@
 
 func (f *fleet) step(ctx context.Context, s spec.Step) error {
 	last := time.Duration(s.For)
-	if f.service != nil {
-		var own, rest []string
-		for _, p := range s.On {
-			if f.service.find(p) != nil {
-				own = append(own, p)
-			} else {
-				rest = append(rest, p)
-			}
-		}
-		if len(own) > 0 && (s.Do == "kill" || s.Do == "pause" || s.Do == "restart") {
-			s.On = rest
-			return errors.Join(together(own, func(name string) error { return f.service.suffer(ctx, s.Do, f.service.find(name), last) }), f.step(ctx, s))
-		}
-	}
 	switch s.Do {
-	case "kill":
-		return f.onNodes(s, func(n *node) error {
-			if err := n.kill(); err != nil || !pause.For(ctx, last) {
-				return err
-			}
-			return n.again(ctx)
-		})
-	case "pause":
-		return f.onNodes(s, func(n *node) error {
-			p := n.current()
-			if err := p.Signal(syscall.SIGSTOP); err != nil {
-				return err
-			}
-			pause.For(ctx, last)
-			return p.Signal(syscall.SIGCONT)
-		})
-	case "restart":
-		return f.onNodes(s, func(n *node) error {
-			defer f.front.Return(n.name)
-			if err := n.stop(); err != nil {
-				return err
+	case "kill", "pause", "restart", "upgrade":
+		return together(s.On, func(name string) error {
+			if n := f.nodes[name]; n != nil {
+				return n.suffer(ctx, s.Do, last)
 			}
-			return n.again(ctx)
+			return f.service.set.Suffer(ctx, name, s.Do, last, endTime)
 		})
-	case "upgrade":
-		return f.onNodes(s, func(n *node) error { return n.upgrade(ctx) })
 	case "move":
-		s.On = f.names
-		return f.onNodes(s, func(n *node) error { return n.move(ctx) })
+		return together(f.names, func(name string) error { return f.nodes[name].move(ctx) })
 	case "reset":
 		return f.storm(ctx, s)
 	case "cut", "mute", "refuse", "shape", "snip":
@@ -128,11 +93,31 @@
 		f.net.Lift(s.Name)
 		return nil
 	case "crash", "vanish", "drain":
-		return f.onBoxes(s, func(name string) error { return f.loseBox(ctx, s, name) })
+		return together(s.On, func(name string) error { return f.loseBox(ctx, s, name) })
 	}
 	return f.trouble(ctx, s)
 }
 
+// suffer does to a node what a step orders.
+func (n *node) suffer(ctx context.Context, do string, last time.Duration) error {
+	switch do {
+	case "pause":
+		return n.current().Pause(ctx, last)
+	case "upgrade":
+		return n.upgrade(ctx)
+	case "kill":
+		if err := n.kill(); err != nil || !pause.For(ctx, last) {
+			return err
+		}
+	case "restart":
+		defer n.f.front.Return(n.name)
+		if err := n.stop(); err != nil {
+			return err
+		}
+	}
+	return n.again(ctx)
+}
+
 // again starts a node that has ended.
 func (n *node) again(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
@@ -140,13 +125,7 @@
 	return n.begin(ctx)
 }
 
-// onNodes does something to all nodes of a step at once.
-func (f *fleet) onNodes(s spec.Step, do func(*node) error) error {
-	return together(s.On, func(name string) error { return do(f.nodes[name]) })
-}
-
-func (f *fleet) onBoxes(s spec.Step, do func(string) error) error { return together(s.On, do) }
-
+// together does something to all of those named at once.
 func together(names []string, do func(string) error) error {
 	errs := make(chan error, len(names))
 	for _, name := range names {
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"indigotack/internal/lab/history"
+	"indigotack/internal/pause"
 )
 
 // Spec says what to start.
@@ -163,6 +164,15 @@
 	return p.cmd.Process.Signal(s)
 }
 
+// Pause has the process stand still for that time, or until ctx ends.
+func (p *Proc) Pause(ctx context.Context, last time.Duration) error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	pause.For(ctx, last)
+	return p.Signal(syscall.SIGCONT)
+}
+
 // Kill ends the process with SIGKILL.
 func (p *Proc) Kill() error {
 	p.order.Store(int32(die))
--- a/internal/lab/quorum/faults.go
+++ b/internal/lab/quorum/faults.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"indigotack/internal/lab/history"
@@ -72,30 +71,8 @@
 }
 
 func (c *cluster) suffer(ctx context.Context, name string, f fault) error {
-	switch f.do {
-	case "kill", "kill-all":
-		return c.together(f.on, func(r *replicas.Replica) error {
-			if err := r.Kill(); err != nil {
-				return err
-			}
-			pause.For(ctx, f.last)
-			return c.set.Start(r)
-		})
-	case "restart":
-		return c.together(f.on, func(r *replicas.Replica) error {
-			if err := r.Proc().Term(endTime); err != nil {
-				return err
-			}
-			return c.set.Start(r)
-		})
-	case "pause":
-		return c.together(f.on, func(r *replicas.Replica) error {
-			if err := r.Proc().Signal(syscall.SIGSTOP); err != nil {
-				return err
-			}
-			pause.For(ctx, f.last)
-			return r.Proc().Signal(syscall.SIGCONT)
-		})
+	if do, _, _ := strings.Cut(f.do, "-"); do == "kill" || do == "restart" || do == "pause" {
+		return c.together(f.on, func(r *replicas.Replica) error { return c.set.Suffer(ctx, r.Name, do, f.last, endTime) })
 	}
 	c.lay(name, f)
 	pause.For(ctx, f.last)
--- a/internal/lab/replicas/replicas.go
+++ b/internal/lab/replicas/replicas.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"indigotack/internal/lab/link"
 	"indigotack/internal/lab/proc"
+	"indigotack/internal/pause"
 )
 
 // Options say what is run.
@@ -175,6 +177,33 @@
 	return nil
 }
 
+// Suffer kills, pauses or restarts the replica of that name. A killed one is
+// started again after last, a paused one goes on then; one that is told to end
+// has patience for it.
+func (s *Set) Suffer(ctx context.Context, name, do string, last, patience time.Duration) error {
+	i := slices.IndexFunc(s.All, func(r *Replica) bool { return r.Name == name })
+	if i < 0 {
+		return fmt.Errorf("there is no replica %s", name)
+	}
+	r := s.All[i]
+	switch do {
+	case "pause":
+		return r.Proc().Pause(ctx, last)
+	case "kill":
+		if err := r.Kill(); err != nil {
+			return err
+		}
+		pause.For(ctx, last)
+	case "restart":
+		if err := r.Proc().Term(patience); err != nil {
+			return err
+		}
+	default:
+		return fmt.Errorf("%s can't be done to a replica", do)
+	}
+	return s.Start(r)
+}
+
 // Free gives the reserved ports back. The processes and links are the group's and the network's.
 func (s *Set) Free() {
 	for _, f := range s.frees {
