Add and remove replicas while they serve, back lists up, and outlive damaged and full disks

indigoctl list members add|remove and backup|restore, with their routes. The log is read whole and written anew at each start; commands carry a checksum, those without are read as before. A full disk makes a replica stand still.

--- /dev/null
+++ b/cmd/indigoctl/backup.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+	"indigotack/internal/sealed"
+)
+
+// maxBackup bounds a backup that is read, in bytes: the service takes half of it.
+const maxBackup = 64 << 20
+
+func (f *listFlags) backup() *cobra.Command {
+	return &cobra.Command{
+		Use:     "backup FILE",
+		Short:   "keep a copy of the list as it is now",
+		Example: "  indigoctl list backup list-2026-12-01.sealed",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			copy, err := k.Backup(ctx)
+			if err != nil {
+				return err
+			}
+			raw, err := sealed.Open(copy)
+			if err != nil {
+				return fmt.Errorf("the service's answer: %w", err)
+			}
+			s, err := list.FromSnapshot(raw)
+			if err != nil {
+				return err
+			}
+			if err := sealed.Write(args[0], raw); err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			return f.print(c.OutOrStdout(), describe(s), func(t *tabwriter.Writer) {
+				fmt.Fprintf(t, "%s has %d entries, version %d, epoch %s\n", args[0], s.Len(), s.Version(), s.Epoch())
+			})
+		}),
+	}
+}
+
+// copied says what a backup holds.
+type copied struct {
+	Entries int    `json:"entries"`
+	Version uint64 `json:"version"`
+	Epoch   string `json:"epoch"`
+}
+
+func describe(s *list.State) copied { return copied{s.Len(), s.Version(), s.Epoch()} }
+
+func (f *listFlags) restore() *cobra.Command {
+	var over string
+	c := &cobra.Command{
+		Use:   "restore FILE --over EPOCH",
+		Short: "put a copy in place of the list; what came after it is lost",
+		Long: `The list gets a new epoch and a version past all that were given out, so that every watcher takes the whole list.
+--over names the epoch of the list that is to go ("indigoctl list get" shows it), so that no other cluster is hit.`,
+		Example: "  indigoctl list restore list-2026-12-01.sealed --over 90f1c2ab73d0e544",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			raw, err := sealed.Read(args[0], maxBackup)
+			if err != nil {
+				return err
+			}
+			s, err := list.FromSnapshot(raw)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			if over == "" {
+				now, err := k.Current(ctx)
+				if err != nil {
+					return err
+				}
+				return fmt.Errorf("this replaces %d entries at version %d by %d of version %d; if that is meant, add --over %s", len(now.Endpoints), now.Index, s.Len(), s.Version(), now.Epoch)
+			}
+			r, err := k.Restore(ctx, sealed.Wrap(raw), over)
+			if err != nil {
+				return err
+			}
+			return f.print(c.OutOrStdout(), r, func(t *tabwriter.Writer) {
+				fmt.Fprintf(t, "done: %d entries, the list has version %d\n", s.Len(), r.Version)
+			})
+		}),
+	}
+	c.Flags().StringVar(&over, "over", "", "the epoch of the list that is to go")
+	return c
+}
--- a/cmd/indigoctl/list.go
+++ b/cmd/indigoctl/list.go
@@ -38,7 +38,7 @@
 	c.PersistentFlags().StringVar(&f.addresses, "list", cmp.Or(os.Getenv("INDIGO_LIST"), "127.0.0.1:8500"), "addresses of the list service's replicas, separated by commas")
 	c.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON in place of tables")
 	c.PersistentFlags().DurationVar(&f.wait, "wait", 10*time.Second, "how long to try")
-	c.AddCommand(f.get(), f.watch(), f.register(), f.drain(), f.remove(), f.members())
+	c.AddCommand(f.get(), f.watch(), f.register(), f.drain(), f.remove(), f.members(), f.backup(), f.restore())
 	return c
 }
 
@@ -244,28 +244,3 @@
 		}),
 	})
 }
-
-func (f *listFlags) members() *cobra.Command {
-	return &cobra.Command{
-		Use:     "members",
-		Short:   "the replicas of the list service, and which of them leads",
-		Example: "  indigoctl list members",
-		Args:    cobra.NoArgs,
-		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, _ []string) error {
-			all, err := k.Members(ctx)
-			if err != nil {
-				return err
-			}
-			return f.print(c.OutOrStdout(), all, func(t *tabwriter.Writer) {
-				fmt.Fprintln(t, "NAME\tROLE\tVOTES")
-				for _, m := range all {
-					role := "follows"
-					if m.Leads {
-						role = "leads"
-					}
-					fmt.Fprintf(t, "%s\t%s\t%v\n", m.Name, role, m.Votes)
-				}
-			})
-		}),
-	}
-}
--- a/internal/lab/fleet/service.go
+++ b/internal/lab/fleet/service.go
@@ -34,7 +34,7 @@
 )
 
 func (f *fleet) newService() (*service, error) {
-	set, err := replicas.New(replicas.Options{Count: f.e.List.Replicas, Dir: filepath.Join(f.o.Dir, "list"), Command: f.o.List, Env: f.o.Env}, f.net, f.group)
+	set, err := replicas.New(replicas.Options{Count: f.e.List.Replicas, Dir: filepath.Join(f.o.Dir, "list"), Command: f.o.List, Env: f.o.Env, Seed: f.o.Seed}, f.net, f.group)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -30,6 +30,7 @@
 	Dir     string   // its folder; its log is there too
 	Files   []*os.File
 	FDs     uint64 // limit on descriptors; 0: the lab's own
+	MayFail bool   // it may end by itself with an error of its own (status 1), as one that finds its folder damaged
 }
 
 // Group owns the processes of a run.
@@ -79,6 +80,7 @@
 	exited chan struct{}
 	state  *os.ProcessState // once exited
 	out    *capped
+	may    bool // fail
 }
 
 // Start starts a process. Its output goes to a file in its folder, as far as MaxLog.
@@ -106,7 +108,7 @@
 		out.Close()
 		return nil, fmt.Errorf("starting %s: %w", s.Name, err)
 	}
-	p := &Proc{Name: s.Name, Pid: cmd.Process.Pid, log: g.log, cmd: cmd, exited: make(chan struct{}), out: out}
+	p := &Proc{Name: s.Name, Pid: cmd.Process.Pid, log: g.log, cmd: cmd, exited: make(chan struct{}), out: out, may: s.MayFail}
 	if s.FDs > 0 {
 		limit := unix.Rlimit{Cur: s.FDs, Max: s.FDs}
 		if err := unix.Prlimit(p.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil && !errors.Is(err, unix.ESRCH) {
@@ -141,7 +143,7 @@
 	case die:
 		return status.Signaled() && status.Signal() == syscall.SIGKILL
 	default:
-		return false
+		return p.may && p.state.ExitCode() == 1
 	}
 }
 
--- a/internal/lab/quorum/faults.go
+++ b/internal/lab/quorum/faults.go
@@ -22,7 +22,7 @@
 	on       []int // replicas
 }
 
-var menu = []string{"kill", "kill-all", "pause", "cut", "cut-in", "cut-out", "late", "restart"}
+var menu = []string{"kill", "kill-all", "pause", "cut", "cut-in", "cut-out", "late", "restart", "full", "corrupt"}
 
 // draw draws the faults of a run, by seed alone: no two touch a replica at once.
 func draw(seed uint64, replicas int, length time.Duration) []fault {
@@ -71,7 +71,7 @@
 }
 
 func (c *cluster) suffer(ctx context.Context, name string, f fault) error {
-	if do, _, _ := strings.Cut(f.do, "-"); do == "kill" || do == "restart" || do == "pause" {
+	if do, _, _ := strings.Cut(f.do, "-"); do == "kill" || do == "restart" || do == "pause" || do == "full" || do == "corrupt" {
 		return c.together(f.on, func(r *replicas.Replica) error { return c.set.Suffer(ctx, r.Name, do, f.last, endTime) })
 	}
 	c.lay(name, f)
--- a/internal/lab/quorum/play.go
+++ b/internal/lab/quorum/play.go
@@ -54,7 +54,7 @@
 func newCluster(o Options, log *history.Log) (*cluster, error) {
 	c := &cluster{o: o, log: log, net: link.NewNet(o.Seed), group: proc.NewGroup(log)}
 	var err error
-	c.set, err = replicas.New(replicas.Options{Count: o.Replicas, Dir: o.Dir, Command: o.Command, Env: o.Env}, c.net, c.group)
+	c.set, err = replicas.New(replicas.Options{Count: o.Replicas, Dir: o.Dir, Command: o.Command, Env: o.Env, Seed: o.Seed}, c.net, c.group)
 	if err == nil {
 		c.doors, err = c.set.Doors("clients")
 	}
--- a/internal/lab/replicas/replicas.go
+++ b/internal/lab/replicas/replicas.go
@@ -23,12 +23,17 @@
 	Count   int
 	Dir     string   // under which each has its folder
 	Command []string // of a replica; its configuration file is added
+	Seed    uint64   // of damage
 	Env     []string
 }
 
 const (
 	readyTime = 30 * time.Second       // only a hang takes so long
 	election  = 150 * time.Millisecond // links on loopback take no part of it
+
+	// snapshotAfter is so few entries of the log that every run has snapshots made, and
+	// replicas that were away for some seconds brought up by one.
+	snapshotAfter = 64
 )
 
 // Set is the replicas of one service.
@@ -82,8 +87,8 @@
 // configure lays a replica's links and writes its file.
 func (s *Set) configure(r *Replica) error {
 	var text strings.Builder
-	fmt.Fprintf(&text, "name = %q\nfolder = %q\nlisten = %q\nraft = %q\nbegin = %v\nelection = %q\nmax_writes = 100000.0\n", r.Name,
-		filepath.Join(r.dir, "data"), r.http, r.raft, r == s.All[0], election)
+	fmt.Fprintf(&text, "name = %q\nfolder = %q\nlisten = %q\nraft = %q\nbegin = %v\nelection = %q\nsnapshot = %d\nmax_writes = 100000.0\n", r.Name,
+		r.folder(), r.http, r.raft, r == s.All[0], election, snapshotAfter)
 	for _, o := range s.All {
 		raft, http := r.raft, r.http
 		if o != r {
@@ -127,10 +132,12 @@
 }
 
 // Start starts a replica's process.
-func (s *Set) Start(r *Replica) error {
+func (s *Set) Start(r *Replica) error { return s.start(r, false) }
+
+func (s *Set) start(r *Replica, mayFail bool) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p, err := s.group.Start(proc.Spec{Name: r.Name, Command: append(append([]string(nil), s.o.Command...), "--config", r.file()), Dir: r.dir,
+	p, err := s.group.Start(proc.Spec{Name: r.Name, Command: append(append([]string(nil), s.o.Command...), "--config", r.file()), Dir: r.dir, MayFail: mayFail,
 		Env: append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.dir}, s.o.Env...)})
 	if err == nil {
 		r.proc = p
@@ -177,9 +184,10 @@
 	return nil
 }
 
-// Suffer kills, pauses or restarts the replica of that name. A killed one is
-// started again after last, a paused one goes on then; one that is told to end
-// has patience for it.
+// Suffer kills, pauses or restarts the replica of that name, fills its disk, or
+// spoils its log. A killed one is started again after last, a paused one goes on
+// then; one that is told to end has patience for it. One whose log is spoilt
+// while it is down is replaced as an operator would do it.
 func (s *Set) Suffer(ctx context.Context, name, do string, last, patience time.Duration) error {
 	i := slices.IndexFunc(s.All, func(r *Replica) bool { return r.Name == name })
 	if i < 0 {
@@ -198,6 +206,14 @@
 		if err := r.Proc().Term(patience); err != nil {
 			return err
 		}
+	case "full":
+		return r.fill(ctx, last)
+	case "corrupt":
+		if err := r.Kill(); err != nil {
+			return err
+		}
+		pause.For(ctx, last)
+		return s.replace(ctx, r)
 	default:
 		return fmt.Errorf("%s can't be done to a replica", do)
 	}
--- a/internal/list/calls.go
+++ b/internal/list/calls.go
@@ -1,5 +1,11 @@
 package list
 
+import (
+	"errors"
+	"fmt"
+	"net"
+)
+
 // Write is the body of a write. All of it is optional but the entry of a registration.
 type Write struct {
 	Entry *Entry  `json:"entry,omitempty"`
@@ -22,10 +28,30 @@
 	Entry   uint64 `json:"entry,omitempty"`   // the version in the way, at a conflict
 }
 
+// Address is where the others reach a replica.
+type Address struct {
+	Raft string `json:"raft"`
+	HTTP string `json:"http"`
+}
+
+// Check says what is wrong with the address of a replica that is to be added.
+func (a *Address) Check() error {
+	if a == nil {
+		return errors.New("address: missing")
+	}
+	for key, value := range map[string]string{"raft": a.Raft, "http": a.HTTP} {
+		if _, _, err := net.SplitHostPort(value); err != nil || len(value) > MaxText {
+			return fmt.Errorf("%s: %q is not host:port", key, value)
+		}
+	}
+	return nil
+}
+
 // Member is one replica as another sees it.
 type Member struct {
-	Name   string `json:"name"`
-	Leads  bool   `json:"leads"`
-	Votes  bool   `json:"votes"`
-	Itself bool   `json:"itself"` // the one that answers
+	Name   string   `json:"name"`
+	Leads  bool     `json:"leads"`
+	Votes  bool     `json:"votes"`             // else it learns
+	Itself bool     `json:"itself"`            // the one that answers
+	Added  *Address `json:"address,omitempty"` // of one that was added while the others served
 }
--- a/internal/list/client/write.go
+++ b/internal/list/client/write.go
@@ -58,9 +58,7 @@
 }
 
 func (k *Client) write(ctx context.Context, method, path string, w list.Write) (list.Result, error) {
-	id := make([]byte, 16)
-	rand.Read(id) // never fails
-	w.ID = hex.EncodeToString(id)
+	w.ID = newID()
 	var r list.Result
 	err := k.send(ctx, method, path, w, &r)
 	return r, err
@@ -87,11 +85,51 @@
 	return all, err
 }
 
+// AddMember adds a replica that was started on an empty folder, and waits until it
+// has its vote. Without an address it is where the others' configurations have it.
+func (k *Client) AddMember(ctx context.Context, name string, at list.Address) (m list.Member, err error) {
+	for {
+		if err = k.send(ctx, http.MethodPut, "/registry/members/"+url.PathEscape(name), at, &m); err != nil || m.Votes {
+			return m, err
+		}
+		if !pause.For(ctx, betweens) {
+			return m, fmt.Errorf("%w: it learns, and is not up to date yet; the same call goes on from here", ctx.Err())
+		}
+	}
+}
+
+// RemoveMember takes a replica out of the cluster. Its process is to be ended afterwards.
+func (k *Client) RemoveMember(ctx context.Context, name string) error {
+	var r list.Result
+	return k.send(ctx, http.MethodDelete, "/registry/members/"+url.PathEscape(name), nil, &r)
+}
+
+// Backup gives a sealed copy of the list as it is now.
+func (k *Client) Backup(ctx context.Context) ([]byte, error) {
+	var raw []byte
+	err := k.send(ctx, http.MethodGet, "/registry/backup", nil, &raw)
+	return raw, err
+}
+
+// Restore puts a copy in place of the list that has that epoch.
+func (k *Client) Restore(ctx context.Context, copy []byte, over string) (list.Result, error) {
+	var r list.Result
+	err := k.send(ctx, http.MethodPost, "/registry/restore?"+url.Values{"epoch": {over}, "id": {newID()}}.Encode(), copy, &r)
+	return r, err
+}
+
+// newID draws the id of a write.
+func newID() string {
+	id := make([]byte, 16)
+	rand.Read(id) // never fails
+	return hex.EncodeToString(id)
+}
+
 // send makes a call that can be repeated, at one replica after the other, until
-// one gives an answer that is final.
+// one gives an answer that is final. Bytes go out and come in as they are, all else as JSON.
 func (k *Client) send(ctx context.Context, method, path string, body, into any) error {
-	var raw []byte
-	if body != nil {
+	raw, asIs := body.([]byte)
+	if body != nil && !asIs {
 		var err error
 		if raw, err = json.Marshal(body); err != nil {
 			return err
@@ -122,6 +160,10 @@
 	if status != http.StatusOK {
 		return refusal(status, body)
 	}
+	if bytes, ok := into.(*[]byte); ok {
+		*bytes = body
+		return nil
+	}
 	if err := json.Unmarshal(body, into); err != nil {
 		return fmt.Errorf("an answer that can't be read: %w", err)
 	}
--- a/internal/list/command.go
+++ b/internal/list/command.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -15,8 +16,12 @@
 	DoRemove   = "remove"   // Name
 	DoExpire   = "expire"   // Overdue
 	DoRestore  = "restore"  // Image, with a new epoch
+	DoMember   = "member"   // Name, Address: where the others reach a replica
+	DoForget   = "forget"   // Name, of a replica
 )
 
+var known = []string{DoBegin, DoRegister, DoDrain, DoRemove, DoExpire, DoRestore, DoMember, DoForget}
+
 // Bounds on commands.
 const (
 	MaxID      = 64 // bytes of a write id
@@ -38,7 +43,9 @@
 	If      *uint64         `json:"if,omitempty"`  // the version that the entry must have; 0: it must be absent
 	Overdue []Lease         `json:"overdue,omitempty"`
 	Epoch   string          `json:"epoch,omitempty"`
+	Over    string          `json:"over,omitempty"` // the epoch that a restore means to replace
 	Image   json.RawMessage `json:"image,omitempty"`
+	Address *Address        `json:"address,omitempty"`
 }
 
 // Lease names an entry at the version that is meant.
@@ -89,6 +96,13 @@
 		if len(c.Overdue) > MaxExpire {
 			return fmt.Errorf("overdue: %d entries, %d at most", len(c.Overdue), MaxExpire)
 		}
+	case DoMember, DoForget:
+		if c.Name == "" || len(c.Name) > MaxText {
+			return fmt.Errorf("name: want 1 to %d bytes", MaxText)
+		}
+		if c.Do == DoMember {
+			return c.Address.Check()
+		}
 	case DoBegin, DoRestore:
 		if c.Epoch == "" || len(c.Epoch) > MaxID {
 			return fmt.Errorf("epoch: want 1 to %d bytes", MaxID)
@@ -118,5 +132,8 @@
 	if c.Form != form {
 		return c, fmt.Errorf("a command of form %d, this program knows %d", c.Form, form)
 	}
+	if !slices.Contains(known, c.Do) {
+		return c, fmt.Errorf("a command to %q, which a later program may know", c.Do)
+	}
 	return c, nil
 }
--- a/internal/list/entry.go
+++ b/internal/list/entry.go
@@ -19,6 +19,7 @@
 const (
 	MaxText    = 256   // bytes of a name, an address, a zone or a type
 	MaxEntries = 20000 // a hundred times the largest fleet of today
+	MaxMembers = 9     // replicas; raft gains nothing from more than five that vote, and replacing needs some at a time
 )
 
 // Entry is one server, in discovery's form.
--- /dev/null
+++ b/internal/list/server/backup.go
@@ -0,0 +1,60 @@
+package server
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"indigotack/internal/list"
+	"indigotack/internal/sealed"
+)
+
+// maxRestore bounds a backup that is brought back, in bytes: a full list takes an eighth.
+const maxRestore = 32 << 20
+
+// backup answers with the whole state as it is now, sealed.
+func (s *Server) backup(w http.ResponseWriter, _ *http.Request) {
+	if err := s.replica.current(); err != nil {
+		refuse(w, http.StatusServiceUnavailable, "not-leading", err.Error(), time.Second)
+		return
+	}
+	s.machine.mu.RLock()
+	raw, err := s.machine.state.Snapshot()
+	s.machine.mu.RUnlock()
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, "encoding", err.Error(), 0)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Write(sealed.Wrap(raw)) // a caller that has left needs nothing
+}
+
+// restore puts a backup in place of the list, under a new epoch. The call names
+// the epoch that it means to replace, so that it can't hit another cluster, and
+// a write id, so that a repeat does not restore twice.
+func (s *Server) restore(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, maxRestore)
+	if !ok {
+		return
+	}
+	raw, err := sealed.Open(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad", fmt.Sprintf("backup: %v", err), 0)
+		return
+	}
+	over, id := r.URL.Query().Get("epoch"), r.URL.Query().Get("id")
+	c := list.Command{Do: list.DoRestore, ID: id, Epoch: newEpoch(), Over: over, Image: raw}
+	if err := c.Check(); err != nil {
+		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+		return
+	}
+	if over == "" {
+		refuse(w, http.StatusBadRequest, "bad", "epoch: missing; it is that of the list to be replaced", 0)
+		return
+	}
+	result, err := s.replica.apply(c)
+	if err == nil && result.Code == list.Done {
+		s.log.Warn("a backup was brought back", "epoch", c.Epoch, "version", result.Version)
+	}
+	s.finish(w, result, err)
+}
--- a/internal/list/server/config.go
+++ b/internal/list/server/config.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"indigotack/internal/list"
 )
 
 // Config is what a replica is told.
@@ -14,10 +16,11 @@
 	Name     string        `koanf:"name"`     // of this replica
 	Folder   string        `koanf:"folder"`   // where its log and snapshots are
 	Listen   string        `koanf:"listen"`   // HTTP
-	Raft     string        `koanf:"raft"`     // where the other replicas reach it; not needed alone
+	Raft     string        `koanf:"raft"`     // where the other replicas reach it; without it, it stays alone
 	Begin    bool          `koanf:"begin"`    // begin the cluster if the folder is empty: for one replica of several, once
 	Election time.Duration `koanf:"election"` // without a word from the leader for so long, up to twice, another is elected
-	Replicas []Replica     `koanf:"replica"`  // all of them, this one included; none: it is alone
+	Replicas []Replica     `koanf:"replica"`  // those that begin, or that this one finds when it is added; this one included
+	Snapshot uint64        `koanf:"snapshot"` // entries of the log after which a snapshot is made; half as many are kept behind it
 
 	MaxWatchers int     `koanf:"max_watchers"` // calls that may be held at once
 	MaxWrites   float64 `koanf:"max_writes"`   // writes a second for one client, twice as many at once
@@ -32,7 +35,7 @@
 
 // Default is the configuration of one process on a folder.
 func Default() Config {
-	return Config{Name: "r0", Listen: "127.0.0.1:8500", Election: 500 * time.Millisecond, MaxWatchers: 20000, MaxWrites: 200}
+	return Config{Name: "r0", Listen: "127.0.0.1:8500", Election: 500 * time.Millisecond, Snapshot: 8192, MaxWatchers: 20000, MaxWrites: 200}
 }
 
 // Check says what is wrong with a configuration, by its keys.
@@ -53,10 +56,13 @@
 	bad(c.Election >= 50*time.Millisecond && c.Election <= time.Minute, "election: %v is not between 50ms and 1m", c.Election)
 	bad(c.MaxWatchers > 0, "max_watchers: %d is not above 0", c.MaxWatchers)
 	bad(c.MaxWrites > 0, "max_writes: %v is not above 0", c.MaxWrites)
+	bad(c.Snapshot >= 16, "snapshot: %d entries are too few, want 16 or more", c.Snapshot)
+	if c.Raft != "" || len(c.Replicas) > 0 {
+		address("raft", c.Raft)
+	}
 	if len(c.Replicas) == 0 {
 		return errors.Join(errs...)
 	}
-	address("raft", c.Raft)
 	names := map[string]bool{}
 	for i, r := range c.Replicas {
 		bad(r.Name != "" && !names[r.Name], "replica %d: name %q is missing or there twice", i+1, r.Name)
@@ -65,7 +71,8 @@
 		address(fmt.Sprintf("replica %s: http", r.Name), r.HTTP)
 	}
 	bad(names[c.Name], "replica: %s itself is not among them", c.Name)
-	bad(len(c.Replicas)%2 == 1 && len(c.Replicas) <= 5, "replica: there are %d, want 1, 3 or 5", len(c.Replicas))
+	bad(!c.Begin || len(c.Replicas)%2 == 1 && len(c.Replicas) <= 5, "replica: %d are to begin, want 1, 3 or 5", len(c.Replicas))
+	bad(len(c.Replicas) <= list.MaxMembers, "replica: there are %d, %d at most", len(c.Replicas), list.MaxMembers)
 	return errors.Join(errs...)
 }
 
--- a/internal/list/server/machine.go
+++ b/internal/list/server/machine.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -8,6 +9,7 @@
 	"github.com/hashicorp/raft"
 
 	"indigotack/internal/list"
+	"indigotack/internal/sealed"
 )
 
 // machine is the list's state under raft. Others read it under its lock.
@@ -15,17 +17,46 @@
 	mu      sync.RWMutex
 	state   *list.State
 	applied func(c list.Command, r list.Result) // under the lock; c is empty after a restore
+	broken  func(error)                         // told once, where the log can't be followed any further
+	end     error                               // why that is so
 }
 
-// Apply carries out one entry of the log. One that can't be read is of a later
-// program: going on without it would make this replica differ from the others.
-func (m *machine) Apply(l *raft.Log) any {
-	c, err := list.Decode(l.Data)
-	if err != nil {
-		panic(fmt.Sprintf("log entry %d: %v", l.Index, err))
+// encode gives the form of a command in the log: sealed, so that one damaged on
+// the disk is noticed.
+func encode(c list.Command) ([]byte, error) {
+	raw, err := c.Encode()
+	return sealed.Wrap(raw), err
+}
+
+// decode reads a command off the log. The first programs logged them without a seal.
+func decode(raw []byte) (list.Command, error) {
+	if len(raw) > 0 && raw[0] != '{' {
+		var err error
+		if raw, err = sealed.Open(raw); err != nil {
+			return list.Command{}, err
+		}
 	}
+	return list.Decode(raw)
+}
+
+// errBroken is what becomes of commands after one that could not be read.
+var errBroken = errors.New("this replica can't follow the log any further")
+
+// Apply carries out one entry of the log. One that can't be read is damaged, or of
+// a later program: going on without it would make this replica differ from the
+// others, so it applies nothing any more, and ends.
+func (m *machine) Apply(l *raft.Log) any {
+	c, err := decode(l.Data)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	switch {
+	case m.end != nil:
+		return m.end
+	case err != nil:
+		m.end = fmt.Errorf("%w: entry %d: %w", errBroken, l.Index, err)
+		m.broken(m.end)
+		return m.end
+	}
 	r := m.state.Apply(c)
 	m.applied(c, r)
 	return r
@@ -35,6 +66,9 @@
 func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	if m.end != nil {
+		return nil, m.end
+	}
 	raw, err := m.state.Snapshot()
 	return snapshot(raw), err
 }
@@ -60,6 +94,13 @@
 	return nil
 }
 
+// member finds where a replica is that was added while the others served.
+func (m *machine) member(name string) (list.Address, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Member(name)
+}
+
 type snapshot []byte
 
 func (s snapshot) Persist(out raft.SnapshotSink) error {
--- /dev/null
+++ b/internal/list/server/members.go
@@ -0,0 +1,148 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"indigotack/internal/list"
+)
+
+func (s *Server) members(w http.ResponseWriter, _ *http.Request) {
+	servers, err := s.replica.servers()
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, "members", err.Error(), time.Second)
+		return
+	}
+	all := []list.Member{}
+	for _, m := range servers {
+		all = append(all, s.describe(m))
+	}
+	writeJSON(w, http.StatusOK, all)
+}
+
+func (s *Server) describe(m raft.Server) list.Member {
+	name := string(m.ID)
+	d := list.Member{Name: name, Leads: name == s.replica.leader(), Votes: m.Suffrage == raft.Voter, Itself: name == s.c.Name}
+	if a, ok := s.machine.member(name); ok {
+		d.Added = &a
+	}
+	return d
+}
+
+// addMember adds a replica that has been started on an empty folder. It learns at
+// first; a call that finds it up to date gives it its vote, so that a replica
+// that never comes up takes no part in any majority. The caller repeats the call
+// until the answer says that it votes. Without an address it is meant to be where
+// the others' configurations have it, such as one whose folder was lost.
+func (s *Server) addMember(w http.ResponseWriter, r *http.Request) {
+	var at list.Address
+	if !readJSON(w, r, &at) {
+		return
+	}
+	c := list.Command{Do: list.DoMember, Name: r.PathValue("name"), Address: &at}
+	known, ok := addresses{s.c, s.machine}.find(c.Name)
+	if at == (list.Address{}) && ok {
+		at = known
+	}
+	if err := c.Check(); err != nil {
+		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+		return
+	}
+	servers, err := s.replica.servers()
+	if err != nil {
+		s.finish(w, list.Result{}, fmt.Errorf("%w: %w", errNotLeading, err))
+		return
+	}
+	is := func(m raft.Server) bool { return string(m.ID) == c.Name }
+	i := slices.IndexFunc(servers, is)
+	if i < 0 && len(servers) >= list.MaxMembers {
+		refuse(w, http.StatusInsufficientStorage, string(list.Full), fmt.Sprintf("there are %d replicas already", len(servers)), 0)
+		return
+	}
+	if known != at {
+		if result, err := s.replica.apply(c); err != nil || result.Code != list.Done {
+			s.finish(w, result, err)
+			return
+		}
+	}
+	switch {
+	case i < 0:
+		err = judge(s.replica.raft.AddNonvoter(raft.ServerID(c.Name), raft.ServerAddress(c.Name), 0, applyTime).Error())
+	case servers[i].Suffrage != raft.Voter && s.upToDate(r.Context(), at):
+		err = judge(s.replica.raft.AddVoter(raft.ServerID(c.Name), raft.ServerAddress(c.Name), 0, applyTime).Error())
+	}
+	if err == nil {
+		servers, err = s.replica.servers()
+	}
+	if i = slices.IndexFunc(servers, is); err != nil || i < 0 {
+		s.finish(w, list.Result{}, gone(err))
+		return
+	}
+	writeJSON(w, http.StatusOK, s.describe(servers[i]))
+}
+
+// gone stands for a change that was made and is gone again: another call was faster.
+func gone(err error) error {
+	if err == nil {
+		err = errors.New("it has been removed meanwhile")
+	}
+	return fmt.Errorf("%w: %w", errNotLeading, err)
+}
+
+// upToDate tells whether a replica answers, and has the list as it is here.
+func (s *Server) upToDate(ctx context.Context, at list.Address) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*behind)
+	defer cancel()
+	version, epoch := s.hub.has()
+	q := url.Values{"from": {strconv.FormatUint(version, 10)}, "epoch": {epoch}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.HTTP+"/registry/instances?"+q.Encode(), nil)
+	if err != nil {
+		return false
+	}
+	resp, err := passing.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody)) // for the connection's sake alone
+	return resp.StatusCode == http.StatusOK
+}
+
+// removeMember takes a replica out of the cluster. A leader that is to go hands
+// leadership on first, and its successor removes it.
+func (s *Server) removeMember(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	servers, err := s.replica.servers()
+	if err != nil {
+		s.finish(w, list.Result{}, fmt.Errorf("%w: %w", errNotLeading, err))
+		return
+	}
+	there := slices.ContainsFunc(servers, func(m raft.Server) bool { return string(m.ID) == name })
+	others := slices.ContainsFunc(servers, func(m raft.Server) bool { return string(m.ID) != name && m.Suffrage == raft.Voter })
+	switch {
+	case !there:
+		refuse(w, http.StatusNotFound, string(list.Absent), "there is no replica "+name, 0)
+		return
+	case !others:
+		refuse(w, http.StatusConflict, string(list.Conflict), name+" is the only one that votes", 0)
+		return
+	case name == s.c.Name:
+		err = s.replica.raft.LeadershipTransfer().Error()
+		refuse(w, http.StatusServiceUnavailable, "not-leading", fmt.Sprintf("this replica is to go, and hands leadership on (%v)", err), time.Second)
+		return
+	}
+	if err = judge(s.replica.raft.RemoveServer(raft.ServerID(name), 0, applyTime).Error()); err == nil {
+		_, err = s.replica.apply(list.Command{Do: list.DoForget, Name: name})
+	}
+	version, _ := s.hub.has()
+	s.finish(w, list.Result{Version: version}, err)
+}
--- a/internal/list/server/reads.go
+++ b/internal/list/server/reads.go
@@ -49,7 +49,7 @@
 	}
 	if q.current {
 		if !s.replica.leads() {
-			s.passOn(w, r)
+			s.passOn(w, r, maxBody)
 			return
 		}
 		if err := s.replica.current(); err != nil {
--- a/internal/list/server/replica.go
+++ b/internal/list/server/replica.go
@@ -6,25 +6,19 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
-	"go.etcd.io/bbolt"
 
 	"indigotack/internal/list"
 )
 
 const (
 	applyTime     = 5 * time.Second // a write that is not in the log by then has an unknown end
-	openTime      = 5 * time.Second // for the folder's lock, which a process that is ending may hold
 	keepSnapshots = 2
-	snapshotAfter = 8192 // log entries
-	trailing      = 4096 // log entries kept behind a snapshot, for replicas that lag a little
 	raftPool      = 3
 	raftTime      = 5 * time.Second  // for a call to another replica; one that hangs holds up what is sent there
 	stopTime      = 10 * time.Second // only a call that hangs takes so long
@@ -36,47 +30,46 @@
 	store   *raftboltdb.BoltStore
 	trans   raft.Transport
 	closers []io.Closer
+	ending  chan struct{} // closed when it ends
 }
 
 // openReplica opens the folder and takes part in the cluster.
 func openReplica(c Config, m *machine, log *slog.Logger) (r *replica, err error) {
-	r = &replica{}
+	opened := &replica{ending: make(chan struct{})}
+	r = opened
 	defer func() {
 		if err != nil {
-			r.close()
+			opened.close()
 		}
 	}()
-	if err := os.MkdirAll(c.Folder, 0o755); err != nil {
-		return nil, fmt.Errorf("folder: %w", err)
-	}
-	path := filepath.Join(c.Folder, "log.db")
-	r.store, err = raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: openTime}})
+	store, lock, err := openStore(c.Folder)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w; another process may hold it, or it is damaged: a replica of several can be started on an empty folder, and gets all from the others", path, err)
+		return nil, err
 	}
-	r.closers = append(r.closers, r.store)
+	r.store = store
+	r.closers = append(r.closers, store, lock)
 	logger := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: lines{log}, DisableTime: true})
 	snaps, err := raft.NewFileSnapshotStoreWithLogger(c.Folder, keepSnapshots, logger)
 	if err != nil {
 		return nil, fmt.Errorf("snapshots in %s: %w", c.Folder, err)
 	}
-	if err := r.listen(c, logger); err != nil {
+	if err := r.listen(c, m, logger); err != nil {
 		return nil, err
 	}
 	conf := raft.DefaultConfig()
 	conf.LocalID, conf.Logger = raft.ServerID(c.Name), logger
 	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = c.Election, c.Election, c.Election/2
 	conf.CommitTimeout = c.Election / 20
-	conf.SnapshotThreshold, conf.TrailingLogs = snapshotAfter, trailing
-	if r.raft, err = raft.NewRaft(conf, m, r.store, r.store, snaps, r.trans); err != nil {
+	conf.SnapshotThreshold, conf.TrailingLogs = c.Snapshot, c.Snapshot/2
+	if r.raft, err = raft.NewRaft(conf, m, r.store, patient{r.store, log, r.ending}, snaps, r.trans); err != nil {
 		return nil, fmt.Errorf("starting raft on %s: %w", c.Folder, err)
 	}
 	return r, r.begin(c)
 }
 
 // listen opens the address for the other replicas; one that is alone has none.
-func (r *replica) listen(c Config, logger hclog.Logger) error {
-	if len(c.Replicas) <= 1 {
+func (r *replica) listen(c Config, m *machine, logger hclog.Logger) error {
+	if c.Raft == "" {
 		_, r.trans = raft.NewInmemTransport(raft.ServerAddress(c.Name))
 		return nil
 	}
@@ -87,7 +80,7 @@
 	// One call at a time to each: with more, raft sends in a pipeline, which hangs for good when
 	// the other end breaks off while it is full (docs/findings/raft-pipeline.md).
 	t, err := raft.NewTCPTransportWithConfig(c.Raft, own, &raft.NetworkTransportConfig{MaxPool: raftPool, MaxRPCsInFlight: 1, Timeout: raftTime,
-		Logger: logger, ServerAddressProvider: addresses{c}})
+		Logger: logger, ServerAddressProvider: addresses{c, m}})
 	if err != nil {
 		return fmt.Errorf("raft: listening at %s: %w", c.Raft, err)
 	}
@@ -96,13 +89,25 @@
 	return nil
 }
 
-// addresses finds the others where this replica's own configuration has them.
-type addresses struct{ c Config }
+// addresses finds the others where they were added while the cluster served, and
+// else where this replica's own configuration has them.
+type addresses struct {
+	c Config
+	m *machine
+}
+
+func (a addresses) find(name string) (list.Address, bool) {
+	if at, ok := a.m.member(name); ok {
+		return at, true
+	}
+	o, ok := a.c.find(name)
+	return list.Address{Raft: o.Raft, HTTP: o.HTTP}, ok
+}
 
 func (a addresses) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
-	other, ok := a.c.find(string(id))
+	other, ok := a.find(string(id))
 	if !ok {
-		return "", fmt.Errorf("replica %s is not in the configuration", id)
+		return "", fmt.Errorf("it is not known where replica %s is", id)
 	}
 	return raft.ServerAddress(other.Raft), nil
 }
@@ -140,20 +145,43 @@
 var errNotLeading = errors.New("this replica does not lead")
 
 func (r *replica) apply(c list.Command) (list.Result, error) {
-	raw, err := c.Encode()
+	raw, err := encode(c)
 	if err != nil {
 		return list.Result{}, err
 	}
 	f := r.raft.Apply(raw, applyTime)
-	switch err := f.Error(); {
+	if err := judge(f.Error()); err != nil {
+		return list.Result{}, err
+	}
+	switch r := f.Response().(type) {
+	case list.Result:
+		return r, nil
+	case error:
+		return list.Result{}, fmt.Errorf("%w: %w", errUnknown, r)
+	}
+	return list.Result{}, errUnknown
+}
+
+// judge tells a write that was certainly not done from one of unknown end.
+func judge(err error) error {
+	switch {
 	case err == nil:
-		return f.Response().(list.Result), nil
+		return nil
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipTransferInProgress), errors.Is(err, raft.ErrEnqueueTimeout),
 		errors.Is(err, raft.ErrRaftShutdown):
-		return list.Result{}, fmt.Errorf("%w: %w", errNotLeading, err)
+		return fmt.Errorf("%w: %w", errNotLeading, err)
 	default:
-		return list.Result{}, fmt.Errorf("%w: %w", errUnknown, err)
+		return fmt.Errorf("%w: %w", errUnknown, err)
+	}
+}
+
+// servers are the replicas as raft has them.
+func (r *replica) servers() ([]raft.Server, error) {
+	f := r.raft.GetConfiguration()
+	if err := f.Error(); err != nil {
+		return nil, err
 	}
+	return f.Configuration().Servers, nil
 }
 
 // current waits until this replica, as the leader, has all that was done before the call.
@@ -165,10 +193,11 @@
 }
 
 // stop hands leadership on, if there is whom to, and ends.
-func (r *replica) stop(others bool) error {
-	if others && r.leads() {
+func (r *replica) stop() error {
+	if servers, err := r.servers(); err == nil && len(servers) > 1 && r.leads() {
 		r.raft.LeadershipTransfer().Error() // without a successor the others elect one in their time
 	}
+	close(r.ending)
 	ended := make(chan error, 1)
 	go func() { ended <- r.raft.Shutdown().Error() }()
 	var err error
--- a/internal/list/server/routes.go
+++ b/internal/list/server/routes.go
@@ -16,8 +16,12 @@
 	mux.HandleFunc("PUT /registry/instances/{name}", s.write(list.DoRegister))
 	mux.HandleFunc("DELETE /registry/instances/{name}", s.write(list.DoRemove))
 	mux.HandleFunc("POST /registry/instances/{name}/drain", s.write(list.DoDrain))
-	mux.HandleFunc("POST /registry/renew", s.leading(s.renew))
+	mux.HandleFunc("POST /registry/renew", s.leading(maxBody, s.renew))
 	mux.HandleFunc("GET /registry/members", s.members)
+	mux.HandleFunc("PUT /registry/members/{name}", s.leading(maxBody, s.addMember))
+	mux.HandleFunc("DELETE /registry/members/{name}", s.leading(maxBody, s.removeMember))
+	mux.HandleFunc("GET /registry/backup", s.leading(maxBody, s.backup))
+	mux.HandleFunc("POST /registry/restore", s.leading(maxRestore, s.restore))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.figures.registry, promhttp.HandlerOpts{}))
@@ -34,20 +38,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (s *Server) members(w http.ResponseWriter, _ *http.Request) {
-	f := s.replica.raft.GetConfiguration()
-	if err := f.Error(); err != nil {
-		refuse(w, http.StatusServiceUnavailable, "members", err.Error(), time.Second)
-		return
-	}
-	var all []list.Member
-	for _, m := range f.Configuration().Servers {
-		name := string(m.ID)
-		all = append(all, list.Member{Name: name, Leads: name == s.replica.leader(), Votes: m.Suffrage == 0, Itself: name == s.c.Name})
-	}
-	writeJSON(w, http.StatusOK, all)
-}
-
 // figures are what /metrics shows.
 type figures struct{ registry *prometheus.Registry }
 
--- a/internal/list/server/server.go
+++ b/internal/list/server/server.go
@@ -29,6 +29,7 @@
 	http    *http.Server
 	stop    context.CancelFunc
 	ctx     context.Context // of everything that a call may wait for
+	broken  chan error      // why this replica has to end
 	tasks   sync.WaitGroup
 }
 
@@ -50,7 +51,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	s := &Server{c: c, log: log, rates: newRates(c.MaxWrites), contact: newContact()}
+	s := &Server{c: c, log: log, rates: newRates(c.MaxWrites), contact: newContact(), broken: make(chan error, 1)}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	defer s.stop()
 	if err := s.open(); err != nil {
@@ -65,17 +66,18 @@
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(ln) }()
-	log.Info("serving", "listen", ln.Addr().String(), "folder", c.Folder, "replicas", max(1, len(c.Replicas)))
+	log.Info("serving", "listen", ln.Addr().String(), "folder", c.Folder, "named", len(c.Replicas))
 	select {
 	case <-ctx.Done():
 		err = nil
 	case err = <-served:
+	case err = <-s.broken:
 	}
 	return errors.Join(err, s.end())
 }
 
 func (s *Server) open() error {
-	s.machine = &machine{state: list.NewState()}
+	s.machine = &machine{state: list.NewState(), broken: func(err error) { s.broken <- err }}
 	s.hub = newHub(s.machine)
 	s.expiry = &expiry{start: time.Now(), machine: s.machine, log: s.log, apply: func(c list.Command) (list.Result, error) { return s.replica.apply(c) }}
 	s.machine.applied = func(c list.Command, _ list.Result) {
@@ -133,7 +135,7 @@
 // end hands leadership on, lets open calls finish and closes the folder.
 func (s *Server) end() error {
 	s.log.Info("ending")
-	err := s.replica.stop(len(s.c.Replicas) > 1)
+	err := s.replica.stop()
 	s.stop() // watchers are answered with what there is
 	ctx, cancel := context.WithTimeout(context.Background(), endTime)
 	defer cancel()
--- a/internal/list/server/writes.go
+++ b/internal/list/server/writes.go
@@ -48,8 +48,9 @@
 // forwarded marks a call that another replica has passed on.
 const forwarded = "X-Indigo-Forwarded"
 
-// leading wraps what only the leader can do: the others pass it on.
-func (s *Server) leading(do http.HandlerFunc) http.HandlerFunc {
+// leading wraps what only the leader can do: the others pass it on, with a body
+// of most bytes at most.
+func (s *Server) leading(most int64, do http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(forwarded) == "" { // else it has been counted there
 			client, _, _ := net.SplitHostPort(r.RemoteAddr)
@@ -59,7 +60,7 @@
 			}
 		}
 		if !s.replica.leads() {
-			s.passOn(w, r)
+			s.passOn(w, r, most)
 			return
 		}
 		do(w, r)
@@ -67,13 +68,14 @@
 }
 
 // passOn has the leader answer a call.
-func (s *Server) passOn(w http.ResponseWriter, r *http.Request) {
-	leader, known := s.c.find(s.replica.leader())
-	if r.Header.Get(forwarded) != "" || !known || leader.Name == s.c.Name {
+func (s *Server) passOn(w http.ResponseWriter, r *http.Request, most int64) {
+	name := s.replica.leader()
+	leader, known := addresses{s.c, s.machine}.find(name)
+	if r.Header.Get(forwarded) != "" || !known || name == s.c.Name {
 		refuse(w, http.StatusServiceUnavailable, "no-leader", "no replica is known to lead", time.Second)
 		return
 	}
-	body, ok := readBody(w, r)
+	body, ok := readBody(w, r, most)
 	if !ok {
 		return
 	}
@@ -86,7 +88,7 @@
 		Transport: passing,
 		ErrorLog:  s.http.ErrorLog,
 		ErrorHandler: func(w http.ResponseWriter, _ *http.Request, err error) {
-			refuse(w, http.StatusGatewayTimeout, "unknown", fmt.Sprintf("the leader %s did not answer, so it may be done or not: %v", leader.Name, err), time.Second)
+			refuse(w, http.StatusGatewayTimeout, "unknown", fmt.Sprintf("the leader %s did not answer, so it may be done or not: %v", name, err), time.Second)
 		},
 	}
 	proxy.ServeHTTP(w, r)
@@ -96,12 +98,12 @@
 var passing = &http.Transport{ResponseHeaderTimeout: applyTime + time.Second, MaxIdleConnsPerHost: 32, IdleConnTimeout: idleTime,
 	DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	var long *http.MaxBytesError
 	switch {
 	case errors.As(err, &long):
-		refuse(w, http.StatusRequestEntityTooLarge, "large", fmt.Sprintf("a write of over %d bytes", maxBody), time.Second)
+		refuse(w, http.StatusRequestEntityTooLarge, "large", fmt.Sprintf("a write of over %d bytes", most), time.Second)
 	case err != nil:
 		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
 	}
@@ -110,7 +112,7 @@
 
 // readJSON reads a body; an empty one is an empty object.
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	body, ok := readBody(w, r)
+	body, ok := readBody(w, r, maxBody)
 	if !ok || len(body) == 0 {
 		return ok
 	}
@@ -123,7 +125,7 @@
 
 // write makes a handler of a command on one entry.
 func (s *Server) write(do string) http.HandlerFunc {
-	return s.leading(func(w http.ResponseWriter, r *http.Request) {
+	return s.leading(maxBody, func(w http.ResponseWriter, r *http.Request) {
 		var body list.Write
 		if !readJSON(w, r, &body) {
 			return
--- a/internal/list/state.go
+++ b/internal/list/state.go
@@ -42,11 +42,12 @@
 	changes ring[Change]
 	writes  ring[written]
 	known   map[string]Result // of writes
+	members map[string]Address
 }
 
 // NewState makes an empty list without an epoch.
 func NewState() *State {
-	return &State{items: map[string]Item{}, known: map[string]Result{}, changes: ring[Change]{most: keepChanges}, writes: ring[written]{most: keepWrites}}
+	return &State{items: map[string]Item{}, known: map[string]Result{}, members: map[string]Address{}, changes: ring[Change]{most: keepChanges}, writes: ring[written]{most: keepWrites}}
 }
 
 // Version is that of the list.
@@ -58,6 +59,12 @@
 // Len is the number of entries.
 func (s *State) Len() int { return len(s.items) }
 
+// Member gives the address of a replica that was added while the others served.
+func (s *State) Member(name string) (Address, bool) {
+	a, ok := s.members[name]
+	return a, ok
+}
+
 // Item gives an entry by name.
 func (s *State) Item(name string) (Item, bool) {
 	i, ok := s.items[name]
@@ -120,6 +127,15 @@
 			}
 		}
 		return Result{}
+	case DoMember:
+		if _, there := s.members[c.Name]; !there && len(s.members) >= MaxMembers {
+			return Result{Code: Full, Why: fmt.Sprintf("%d replicas have been added already", len(s.members))}
+		}
+		s.members[c.Name] = *c.Address
+		return Result{}
+	case DoForget:
+		delete(s.members, c.Name)
+		return Result{}
 	}
 	return s.restore(c)
 }
@@ -223,17 +239,18 @@
 
 // image is the form of a snapshot and of a backup.
 type image struct {
-	Form    int       `json:"v"`
-	Epoch   string    `json:"epoch"`
-	Version uint64    `json:"version"`
-	Items   []Item    `json:"items"`
-	Changes []Change  `json:"changes"`
-	Writes  []written `json:"writes"`
+	Form    int                `json:"v"`
+	Epoch   string             `json:"epoch"`
+	Version uint64             `json:"version"`
+	Items   []Item             `json:"items"`
+	Changes []Change           `json:"changes"`
+	Writes  []written          `json:"writes"`
+	Members map[string]Address `json:"members,omitempty"`
 }
 
 // Snapshot encodes the whole state.
 func (s *State) Snapshot() ([]byte, error) {
-	return json.Marshal(image{form, s.epoch, s.version, s.Items(), s.changes.all(), s.writes.all()})
+	return json.Marshal(image{form, s.epoch, s.version, s.Items(), s.changes.all(), s.writes.all(), s.members})
 }
 
 // FromSnapshot decodes a state and says what is wrong with one that could not have been.
@@ -265,12 +282,18 @@
 	for _, w := range in.Writes {
 		s.remember(w)
 	}
+	for name, a := range in.Members {
+		s.members[name] = a
+	}
 	return s, nil
 }
 
 // restore puts a copy in place of the state, with a version past all that can
 // have been given out since the copy was made, and nothing to be told by changes.
 func (s *State) restore(c Command) Result {
+	if c.Over != s.epoch {
+		return Result{Code: Conflict, Why: fmt.Sprintf("the list has epoch %s, not %s", s.epoch, c.Over)}
+	}
 	from, err := FromSnapshot(c.Image)
 	if err != nil {
 		return Result{Code: Invalid, Why: err.Error()}
@@ -278,6 +301,7 @@
 	from.epoch = c.Epoch
 	from.version = max(from.version, s.version) + restoreJump
 	from.changes = ring[Change]{most: keepChanges}
+	from.members = s.members // the copy says nothing of the replicas of today
 	*s = *from
 	return Result{}
 }
--- a/internal/list/state_test.go
+++ b/internal/list/state_test.go
@@ -184,15 +184,18 @@
 	}
 	s.Apply(Command{Do: DoRegister, Entry: &b})
 	before := s.Version()
-	if r := s.Apply(Command{Do: DoRestore, Epoch: "second", Image: image}); r.Code != Done || r.Version <= before+1000 {
+	if r := s.Apply(Command{Do: DoRestore, Epoch: "second", Over: "first", Image: image}); r.Code != Done || r.Version <= before+1000 {
 		t.Errorf("%+v after version %d", r, before)
 	}
 	if got := s.Since(before); !got.Snapshot || len(got.Endpoints) != 1 || got.Epoch != "second" {
 		t.Errorf("a reader of version %d gets %+v", before, got)
 	}
-	if r := s.Apply(Command{Do: DoRestore, Epoch: "third", Image: []byte(`{"v":1,"items":[{}]}`)}); r.Code != Invalid || s.Epoch() != "second" {
+	if r := s.Apply(Command{Do: DoRestore, Epoch: "third", Over: "second", Image: []byte(`{"v":1,"items":[{}]}`)}); r.Code != Invalid || s.Epoch() != "second" {
 		t.Errorf("a bad copy: %+v", r)
 	}
+	if r := s.Apply(Command{Do: DoRestore, Epoch: "third", Over: "first", Image: image}); r.Code != Conflict || s.Epoch() != "second" {
+		t.Errorf("a copy over another list than is meant: %+v", r)
+	}
 }
 
 // TestBadCommands change nothing.
