Have a node follow the list service by itself, and define the list once for both ends

New optional keys list (addresses) and list_file; without them calls, waits and holds are as before. The client's first wait after a failure is up to 250 ms, so that a thousand clients that lost a replica make four tries a millisecond.

--- a/internal/list/client/client.go
+++ b/internal/list/client/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,6 +28,10 @@
 	Hold      time.Duration // of a watch; 0: DefaultHold
 	HoldBack  time.Duration // of a list of another epoch that lost most entries; 0: DefaultHoldBack
 	Log       *slog.Logger  // nil: none
+
+	// Taken, if there is one, gets every answer that changed the view, in order, from
+	// the goroutine that follows. It must not call the client.
+	Taken func(list.Answer)
 }
 
 const (
@@ -37,7 +42,7 @@
 
 	grace     = 2 * time.Second // for an answer, past the hold
 	dialTime  = time.Second
-	firstWait = 50 * time.Millisecond
+	firstWait = 250 * time.Millisecond // for a thousand clients that lost one replica, four tries a millisecond
 	mostWait  = 5 * time.Second
 	maxAnswer = 64 << 20 // bytes of a list
 )
@@ -59,13 +64,8 @@
 // New makes a client. It begins with the kept list, if there is one that can be
 // read; one that can't is told in the log.
 func New(c Config) (*Client, error) {
-	if len(c.Addresses) == 0 {
-		return nil, errors.New("list client: no address")
-	}
-	for _, a := range c.Addresses {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			return nil, fmt.Errorf("list client: address: %w", err)
-		}
+	if err := checkAddresses(c.Addresses); err != nil {
+		return nil, err
 	}
 	if c.Hold == 0 {
 		c.Hold = DefaultHold
@@ -89,6 +89,30 @@
 	return k, nil
 }
 
+func checkAddresses(all []string) error {
+	if len(all) == 0 {
+		return errors.New("list client: no address")
+	}
+	for _, a := range all {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return fmt.Errorf("list client: address: %w", err)
+		}
+	}
+	return nil
+}
+
+// SetAddresses goes on at other addresses, from the next call on. What is known stays.
+func (k *Client) SetAddresses(all []string) error {
+	if err := checkAddresses(all); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.c.Addresses, k.at = slices.Clone(all), rand.IntN(len(all))
+	k.mu.Unlock()
+	k.http.CloseIdleConnections()
+	return nil
+}
+
 // View is the list as it is believed, and when the service last answered; zero
 // if it never has. A list that is kept serves on for ever.
 func (k *Client) View() (v View, told time.Time) {
@@ -109,14 +133,14 @@
 
 // Follow watches the list until ctx ends, over whatever failures of the service.
 func (k *Client) Follow(ctx context.Context) {
-	wait := firstWait
+	wait := backoff{firstWait}
 	for ctx.Err() == nil {
 		verdict, err := k.watch(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil && (verdict == Taken || verdict == Nothing && k.watching()):
-			wait = firstWait
+			wait = backoff{firstWait}
 			continue
 		case err != nil:
 			k.log.Warn("the list service does not answer; the last list stands", "address", k.address(), "err", err)
@@ -128,14 +152,23 @@
 		if verdict != Kept {
 			k.turn()
 		}
-		// Evenly over the whole wait, so that those who lost the service together do not return together.
-		if !pause.For(ctx, time.Duration(rand.Int64N(int64(wait))+1)) {
+		if !pause.For(ctx, wait.next(rand.Int64N)) {
 			return
 		}
-		wait = min(2*wait, mostWait)
 	}
 }
 
+// backoff is the longest that the next wait may be.
+type backoff struct{ most time.Duration }
+
+// next draws a wait evenly from the whole range, so that those who lost the
+// service together do not return together, and doubles the range up to mostWait.
+func (b *backoff) next(draw func(int64) int64) time.Duration {
+	d := time.Duration(draw(int64(b.most)) + 1)
+	b.most = min(2*b.most, mostWait)
+	return d
+}
+
 // watching tells whether the next call is held until there is news; one for the whole list is not.
 func (k *Client) watching() bool {
 	k.mu.Lock()
@@ -180,6 +213,9 @@
 	if err := json.Unmarshal(body, &a); err != nil {
 		return Nothing, fmt.Errorf("an answer that can't be read: %w", err)
 	}
+	for _, err := range a.Odd {
+		k.log.Warn("an entry of the list is passed over", "err", err)
+	}
 	return k.take(from, a), nil
 }
 
@@ -196,6 +232,9 @@
 		k.changed = make(chan struct{})
 	}
 	k.mu.Unlock()
+	if verdict == Taken && k.c.Taken != nil {
+		k.c.Taken(a)
+	}
 	if verdict == Taken && k.c.File != "" {
 		if err := save(k.c.File, v); err != nil {
 			k.log.Warn("the list is not kept for the next start", "err", err)
--- a/internal/list/client/client_test.go
+++ b/internal/list/client/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -187,3 +188,27 @@
 		}
 	}
 }
+
+// TestReturn: 300 clients that lost the service at one moment come back spread over the waits that they have by then.
+func TestReturn(t *testing.T) {
+	const clients, bin = 300, 100 * time.Millisecond
+	chance := rand.New(rand.NewPCG(1, 1))
+	for _, away := range []time.Duration{time.Second, 10 * time.Second, time.Minute} {
+		at := map[time.Duration]int{}
+		for range clients {
+			wait, now := backoff{firstWait}, time.Duration(0)
+			for now < away {
+				now += wait.next(chance.Int64N)
+			}
+			at[now/bin]++
+			if now > away+mostWait {
+				t.Errorf("away for %v, one is back only after %v", away, now)
+			}
+		}
+		for when, n := range at {
+			if n > clients/4 {
+				t.Errorf("away for %v: %d of %d come back in the %v from %v on", away, n, clients, bin, when*bin)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/list/client/platform_test.go
@@ -0,0 +1,96 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+func entryJSON(name, address, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m2","group":3,"status":%q,"weight":1.5,"since_ms":7}`, name, address, status)
+}
+
+// TestFollowSurvives: a discovery that fails in one way after another gets
+// the version last seen each time, and its news arrive.
+func TestFollowSurvives(t *testing.T) {
+	froms := make(chan string, 100)
+	calls := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		froms <- r.URL.Query().Get("from")
+		calls++
+		switch calls {
+		case 1:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 2:
+			panic(http.ErrAbortHandler) // a reset
+		case 3:
+			fmt.Fprint(w, `{"index":`)
+		case 4:
+			<-r.Context().Done() // silent until the node gives up
+		case 5:
+			fmt.Fprintf(w, `{"index":43,"snapshot":false,"endpoints":[%s]}`, entryJSON("s", "127.0.0.1:1", "draining"))
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	defer s.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	lists := make(chan list.Answer, 10)
+	d := NewPlatform(s.Listener.Addr().String(), false, 41, slog.New(slog.DiscardHandler), func(l list.Answer) { lists <- l }, func() { t.Error("told a failure") })
+	d.hold = time.Millisecond
+	go d.follow(ctx, false)
+	select {
+	case l := <-lists:
+		if l.Index != 43 || l.Snapshot || len(l.Endpoints) != 1 {
+			t.Errorf("%+v", l)
+		}
+	case <-time.After(enough):
+		t.Fatal("no list comes")
+	}
+	for i := range 6 {
+		want := "41"
+		if i == 5 {
+			want = "43"
+		}
+		if from := <-froms; from != want {
+			t.Errorf("call %d is from %s, want %s", i+1, from, want)
+		}
+	}
+}
+
+// TestAskedDiscovery: where the module asks, it is told of a failure and asks again itself.
+func TestAskedDiscovery(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Query().Get("from") {
+		case "": // the whole list
+			fmt.Fprint(w, `{"index":42,"snapshot":true,"endpoints":[]}`)
+		case "41":
+			fmt.Fprint(w, `{"index":50,"snapshot":false,"endpoints":[]}`)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer s.Close()
+	lists, failures := make(chan list.Answer, 10), make(chan bool, 10)
+	d := NewPlatform(s.Listener.Addr().String(), true, 41, slog.New(slog.DiscardHandler), func(l list.Answer) { lists <- l }, func() { failures <- true })
+	for _, c := range []struct {
+		fetch bool
+		index uint64
+	}{{false, 50}, {true, 42}} {
+		d.Ask(context.Background(), c.fetch, true)
+		if l := <-lists; l.Index != c.index {
+			t.Errorf("list %d, want %d", l.Index, c.index)
+		}
+		<-failures
+	}
+	if len(lists) != 0 || len(failures) != 0 {
+		t.Error("a failed watch goes on by itself")
+	}
+}
--- a/internal/list/entry.go
+++ b/internal/list/entry.go
@@ -3,6 +3,7 @@
 package list
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -63,4 +64,53 @@
 	Epoch     string  `json:"epoch,omitempty"`
 	Snapshot  bool    `json:"snapshot"`
 	Endpoints []Entry `json:"endpoints"`
+	Odd       []error `json:"-"` // what is wrong with entries that were read and passed over
+}
+
+// UnmarshalJSON reads an answer. An entry that can't be used must not cost a
+// reader the others, so it is passed over.
+func (a *Answer) UnmarshalJSON(raw []byte) error {
+	type plain Answer // without this method
+	in := struct {
+		*plain
+		Endpoints []json.RawMessage `json:"endpoints"`
+	}{plain: (*plain)(a)}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return err
+	}
+	a.Endpoints, a.Odd = []Entry{}, nil
+	for _, one := range in.Endpoints {
+		var e Entry
+		err := json.Unmarshal(one, &e)
+		if err == nil {
+			err = e.usable()
+		}
+		if err != nil {
+			a.Odd = append(a.Odd, fmt.Errorf("entry %s: %w", one[:min(len(one), 200)], err))
+			continue
+		}
+		a.Endpoints = append(a.Endpoints, e)
+	}
+	return nil
+}
+
+// usable says what is wrong with an entry that is read. One that has left needs no address.
+func (e Entry) usable() error {
+	if e.Name == "" {
+		return errors.New("no name")
+	}
+	switch e.Status {
+	case Gone:
+		return nil
+	case Ready, Draining:
+	default:
+		return fmt.Errorf("unknown status %q", e.Status)
+	}
+	if _, _, err := net.SplitHostPort(e.Address); err != nil {
+		return fmt.Errorf("address: %w", err)
+	}
+	if e.SinceMS < 0 || e.Weight < 0 {
+		return errors.New("negative since_ms or weight")
+	}
+	return nil
 }
--- a/internal/list/state_test.go
+++ b/internal/list/state_test.go
@@ -1,6 +1,7 @@
 package list
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"reflect"
@@ -278,6 +279,45 @@
 	})
 }
 
+func entryJSON(name, address, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m2","group":3,"status":%q,"weight":1.5,"since_ms":7}`, name, address, status)
+}
+
+// TestMalformedEntriesAreSkipped, whoever wrote them; the others are read.
+func TestMalformedEntriesAreSkipped(t *testing.T) {
+	var l Answer
+	err := json.Unmarshal([]byte(`{"index":4,"snapshot":true,"endpoints":[`+strings.Join([]string{
+		entryJSON("good", "127.0.0.1:1", "ready"), `5`, `null`, `{"name":5}`, entryJSON("", "127.0.0.1:1", "ready"),
+		entryJSON("odd", "127.0.0.1:1", "odd"), entryJSON("nowhere", "127.0.0.1", "ready"), entryJSON("left", "", "gone"),
+		`{"name":"late","address":"127.0.0.1:1","status":"ready","since_ms":-1}`}, ",")+`]}`), &l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := l.Endpoints
+	want := Entry{Name: "good", Address: "127.0.0.1:1", Zone: "a", Type: "m2", Group: 3, Status: Ready, Weight: 1.5, SinceMS: 7}
+	if len(got) != 2 || got[0] != want || got[1].Name != "left" || len(l.Odd) != 7 || l.Index != 4 || !l.Snapshot {
+		t.Errorf("%+v, want good and left", l)
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(`{"index":4,"snapshot":true,"endpoints":[null,{"name":"a","address":"a:1","status":"ready"}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var a Answer
+		if json.Unmarshal(raw, &a) != nil {
+			return
+		}
+		again, err := json.Marshal(a)
+		var b Answer
+		if err == nil {
+			err = json.Unmarshal(again, &b)
+		}
+		if a.Odd = nil; err != nil || !reflect.DeepEqual(a, b) {
+			t.Fatalf("%+v is read again as %+v, %v", a, b, err)
+		}
+	})
+}
+
 func FuzzFromSnapshot(f *testing.F) {
 	s := NewState()
 	e := entry("a")
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/pause"
 	"indigotack/internal/wire"
 )
 
@@ -206,7 +207,7 @@
 
 // run expires idle connections until ctx ends.
 func (p *pool) run(ctx context.Context) {
-	for sleep(ctx, max(p.idleTime()/8, 50*time.Millisecond)) {
+	for pause.For(ctx, max(p.idleTime()/8, 50*time.Millisecond)) {
 		p.expire(time.Now())
 	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"indigotack/decide"
+	"indigotack/internal/list"
 	"indigotack/internal/wire"
 )
 
@@ -23,9 +24,11 @@
 // Config is what a node is told at its start.
 type Config struct {
 	Name      string
-	Listen    string // where clients connect
-	Discovery string // where the list of servers comes from
-	Control   string // where operators call; empty: nowhere
+	Listen    string   // where clients connect
+	Discovery string   // where the list of servers comes from, unless List says so
+	List      []string // addresses of the project's own list service; it goes before Discovery
+	ListFile  string   // where the list is kept for the next start; empty: nowhere
+	Control   string   // where operators call; empty: nowhere
 	Seed      int64
 	MemoryMB  int
 	Sockets   int // file descriptors
@@ -34,8 +37,8 @@
 	PeerListen string           // where other nodes' messages come; empty: nowhere
 	Peers      []netip.AddrPort // of all nodes, by their numbers; invalid: not to be reached
 
-	known list // the servers as the node last had them
-	file  any  // all of the file, as JSON has it
+	known list.Answer // the servers as the node last had them
+	file  any         // all of the file, as JSON has it
 }
 
 // LoadConfig reads the configuration file at path.
@@ -53,18 +56,20 @@
 
 func parseConfig(raw []byte) (Config, error) {
 	var in struct {
-		Name      string `json:"name"`
-		Listen    string `json:"listen"`
-		Discovery string `json:"discovery"`
-		Control   string `json:"control"`
-		Seed      string `json:"seed"`
+		Name      string   `json:"name"`
+		Listen    string   `json:"listen"`
+		Discovery string   `json:"discovery"`
+		List      []string `json:"list"`
+		ListFile  string   `json:"list_file"`
+		Control   string   `json:"control"`
+		Seed      string   `json:"seed"`
 		Limits    struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
 		PeerListen string          `json:"peer_listen"`
 		Peers      []string        `json:"peers"`
-		Known      list            `json:"known"`
+		Known      list.Answer     `json:"known"`
 		Settings   json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
@@ -77,7 +82,14 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
-	for _, a := range []struct{ key, value string }{{"listen", in.Listen}, {"discovery", in.Discovery}} {
+	addresses := []struct{ key, value string }{{"listen", in.Listen}}
+	for _, a := range in.List {
+		addresses = append(addresses, struct{ key, value string }{"list", a})
+	}
+	if len(in.List) == 0 || in.Discovery != "" {
+		addresses = append(addresses, struct{ key, value string }{"discovery", in.Discovery})
+	}
+	for _, a := range addresses {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return Config{}, fmt.Errorf("%s: %w", a.key, err)
 		}
@@ -89,7 +101,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
-	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Control: in.Control, Seed: int64(seed),
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, Control: in.Control, Seed: int64(seed),
 		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known,
 		file: decodeAny(raw)}
 	if settings.MayMessage {
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -10,7 +10,7 @@
 
 const goodConfig = `{"name":"n3","listen":"127.0.0.1:5000","discovery":"127.0.0.1:8500","seed":"fc1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":100,"sockets":512},"peers":[],
-"known":{"index":41,"snapshot":true,"endpoints":[{"name":"s"}]},
+"known":{"index":41,"snapshot":true,"endpoints":[{"name":"s","address":"127.0.0.1:1","status":"ready"}]},
 "settings":{"balancers":5,"slot_no":3,"caps":{"connect_timeout_ns":120000000,"max_attempts":4},
 "classes":[{"name":"saldo","effect":"retryable","aim_ns":250000000}],"membership_mode":"pushed"}}`
 
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	if c.Name != "n3" || c.Listen != "127.0.0.1:5000" || c.Discovery != "127.0.0.1:8500" || c.Sockets != 512 || c.MemoryMB != 100 ||
-		uint64(c.Seed) != 0xfc1f30d27a5be964 || c.known.Index != 41 || len(c.known.Entries) != 1 ||
+		uint64(c.Seed) != 0xfc1f30d27a5be964 || c.known.Index != 41 || len(c.known.Endpoints) != 1 ||
 		c.Settings.Self != 3 || c.Settings.ConnectTimeout != 120*time.Millisecond || c.Settings.Classes[0].Name != "saldo" {
 		t.Errorf("%+v", c)
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"indigotack/internal/pause"
 )
 
 const (
@@ -37,7 +39,7 @@
 			said = true
 			n.log.Error("operators are not served, trying again", "err", err)
 		}
-		sleep(ctx, controlWait)
+		pause.For(ctx, controlWait)
 	}
 }
 
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/list"
 )
 
 // operate opens a node's address for operators.
@@ -224,7 +225,7 @@
 	id := make(chan decide.ServerID, 2)
 	n.post(func() {
 		id <- n.ids.of("s-0")
-		n.follow(list{Snapshot: true}, decide.ListFull)
+		n.follow(list.Answer{Snapshot: true}, decide.ListFull)
 		id <- n.ids.of("s-0")
 	})
 	if a, b := wait(t, id, "its number"), wait(t, id, "its number"); a != b || !n.backends.isHeld(a) {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/pause"
 )
 
 const (
@@ -440,8 +441,8 @@
 
 // outlive returns when ctx ends, or all connections have for some time.
 func (l *limited) outlive(ctx context.Context) {
-	for ok := sleep(ctx, outliveLeast); ok && len(l.slots) > 0; {
-		ok = sleep(ctx, backoffLow)
+	for ok := pause.For(ctx, outliveLeast); ok && len(l.slots) > 0; {
+		ok = pause.For(ctx, shortWait)
 	}
 }
 
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/pause"
 )
 
 const (
@@ -435,7 +436,7 @@
 	for {
 		c, err := u.AcceptUnix()
 		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || !sleep(ctx, backoffLow) {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || !pause.For(ctx, shortWait) {
 				return
 			}
 			continue
--- /dev/null
+++ b/internal/node/lists.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// lists is where a node's list of servers comes from. Its methods do not block,
+// and are the loop's alone.
+type lists interface {
+	// Follow takes lists as they are pushed, the whole one first if that is said.
+	Follow(ctx context.Context, whole bool)
+	// Ask does what the module asks for where lists are not pushed.
+	Ask(ctx context.Context, fetch, watch bool)
+}
+
+// listHold is short, so that a node soon notices a replica that is cut off without a word.
+const listHold = 5 * time.Second
+
+var states = map[string]decide.ServerState{list.Ready: decide.Ready, list.Draining: decide.Draining, list.Gone: decide.Gone}
+
+func kindOf(l list.Answer) decide.ListKind {
+	if l.Snapshot {
+		return decide.ListFull
+	}
+	return decide.ListChanges
+}
+
+// newLists makes the client of the project's list service, where it is
+// configured, else the follower of the platform's discovery.
+func (n *Node) newLists() (lists, error) {
+	listed := func(l list.Answer) { n.post(func() { n.follow(l, kindOf(l)) }) }
+	failed := func() { n.post(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) }
+	if len(n.cfg.List) == 0 {
+		return client.NewPlatform(n.cfg.Discovery, n.cfg.Settings.AskForList, n.cfg.known.Index, n.log, listed, failed), nil
+	}
+	k, err := client.New(client.Config{Addresses: n.cfg.List, File: n.cfg.ListFile, Hold: listHold, Log: n.log, Taken: listed})
+	if err != nil {
+		return nil, err
+	}
+	if v, _ := k.View(); v.Version > 0 { // kept by the process before
+		n.cfg.known = list.Answer{Index: v.Version, Epoch: v.Epoch, Snapshot: true, Endpoints: v.Entries}
+	}
+	return &service{k: k, listed: listed}, nil
+}
+
+// service is the list service with its several replicas. It pushes lists for ever,
+// so a module that asks is told what is there.
+type service struct {
+	k        *client.Client
+	listed   func(list.Answer)
+	watching bool
+}
+
+func (s *service) Follow(ctx context.Context, _ bool) {
+	if !s.watching {
+		s.watching = true
+		go s.k.Follow(ctx)
+	}
+}
+
+func (s *service) Ask(ctx context.Context, fetch, watch bool) {
+	if v, _ := s.k.View(); fetch && v.Version > 0 {
+		s.listed(list.Answer{Index: v.Version, Epoch: v.Epoch, Snapshot: true, Endpoints: v.Entries})
+	}
+	if fetch || watch {
+		s.Follow(ctx, false)
+	}
+}
+
+// moveLists goes on where a new configuration says.
+func (n *Node) moveLists(cfg Config) {
+	switch l := n.lists.(type) {
+	case *service:
+		if slices.Equal(cfg.List, n.cfg.List) {
+			return
+		}
+		if err := l.k.SetAddresses(cfg.List); err != nil {
+			n.log.Error("the list service does not move", "err", err)
+			return
+		}
+		n.log.Info("the list service moves", "to", cfg.List)
+		n.cfg.List = cfg.List
+	case *client.Platform:
+		if cfg.Discovery != n.cfg.Discovery {
+			n.log.Info("discovery moves", "to", cfg.Discovery)
+			n.cfg.Discovery = cfg.Discovery
+			l.Move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/lists_test.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/list"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func entryJSON(name, address, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m2","group":3,"status":%q,"weight":1.5,"since_ms":7}`, name, address, status)
+}
+
+func TestIDs(t *testing.T) {
+	a, b := newIDs(), newIDs()
+	if a.of("s-1") != a.of("s-1") || a.of("s-1") == a.of("s-2") {
+		t.Error("one name has two numbers, or two names one")
+	}
+	if b.of("s-2") != a.of("s-2") {
+		t.Error("numbers depend on the order of the names")
+	}
+	a.hash = func(s string) uint32 { return uint32(strings.Count(s, "\x00")) }
+	x, y := a.of("x"), a.of("y")
+	if x == y || a.of("x") != x || a.of("y") != y {
+		t.Errorf("names with one hash get numbers %d and %d", x, y)
+	}
+	a.forget("x")
+	if a.of("z") != x {
+		t.Error("a forgotten number stays taken")
+	}
+}
+
+func TestSinceOnTheModulesClock(t *testing.T) {
+	n := New(testConfig("127.0.0.1:1"), quiet)
+	before := time.Now().UnixMilli()
+	if now := n.now(); now < time.Duration(before)*time.Millisecond || now > time.Duration(before)*time.Millisecond+enough {
+		t.Errorf("the module's clock reads %v at Unix time %d ms", now, before)
+	}
+}
+
+func TestFollowSetsAddresses(t *testing.T) {
+	n := New(testConfig("127.0.0.1:1"), quiet)
+	apply := func(kind decide.ListKind, entries ...string) {
+		var l list.Answer
+		text := fmt.Sprintf(`{"index":1,"snapshot":%v,"endpoints":[%s]}`, kind != decide.ListChanges, strings.Join(entries, ","))
+		if err := json.Unmarshal([]byte(text), &l); err != nil {
+			t.Fatal(err)
+		}
+		n.follow(l, kind)
+	}
+	check := func(when string, want map[string]string) {
+		t.Helper()
+		if len(n.listed) != len(want) || len(n.backends.backends) != len(want) {
+			t.Errorf("%s: %d listed, %d in the pool, want %d", when, len(n.listed), len(n.backends.backends), len(want))
+		}
+		for name, address := range want {
+			if b := n.backends.backends[n.listed[name]]; b == nil || b.address != address {
+				t.Errorf("%s: %s is at %+v, want %s", when, name, b, address)
+			}
+		}
+		if n.front.ready.Load() != (len(want) > 0) {
+			t.Errorf("%s: ready is wrong", when)
+		}
+	}
+	check("at the start", nil)
+	apply(decide.ListCached, entryJSON("a", "127.0.0.1:1", "ready"), entryJSON("b", "127.0.0.1:2", "draining"))
+	check("cached", map[string]string{"a": "127.0.0.1:1", "b": "127.0.0.1:2"})
+	apply(decide.ListChanges, entryJSON("a", "127.0.0.1:3", "ready"), entryJSON("b", "", "gone"), entryJSON("c", "", "gone"))
+	check("changes", map[string]string{"a": "127.0.0.1:3"})
+	apply(decide.ListFull, entryJSON("d", "127.0.0.1:4", "ready"))
+	check("full", map[string]string{"d": "127.0.0.1:4"})
+	apply(decide.ListFull)
+	check("empty", nil)
+}
+
+// TestListService: a node that follows the list service takes the list from whichever
+// replica answers, and a later process starts from what was kept, with no service at all.
+func TestListService(t *testing.T) {
+	server, _ := echoServer(t)
+	replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") != "" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"index":7,"epoch":"e","snapshot":true,"endpoints":[%s]}`, entryJSON("s", server, "ready"))
+	}))
+	file := filepath.Join(t.TempDir(), "list")
+	at := replica.Listener.Addr().String()
+	for _, c := range []struct {
+		when string
+		list []string
+	}{{"with one replica of two", []string{"127.0.0.1:1", at}}, {"with none", []string{"127.0.0.1:1"}}} {
+		n := startNodeWith(t, func(n *Node) { n.cfg.List, n.cfg.ListFile = c.list, file })
+		for until := time.Now().Add(enough); !n.front.ready.Load(); time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Fatalf("%s: not ready", c.when)
+			}
+		}
+		if a := do(t, n.request(t, "GET", "saldo", "x", "20", nil)); a.body != "x" {
+			t.Errorf("%s: answer %+v", c.when, a)
+		}
+		n.stopNow(t)
+		replica.CloseClientConnections()
+	}
+	replica.Close()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,11 +10,14 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/list"
+	"indigotack/internal/pause"
 )
 
 const (
@@ -24,6 +27,8 @@
 	uploadMost   = time.Hour             // for a long request to come, at half of the slowest rate and with long waits
 	spareSockets = 48                    // descriptors for discovery, operators, listeners and runtime
 	clientPart   = 0.5                   // of the other descriptors
+	peersAgain   = time.Second           // between two tries to open the socket for other nodes
+	shortWait    = 50 * time.Millisecond // between two looks at something that ends soon, or after an error that may come again at once
 )
 
 // Node is one load-balancing proxy node.
@@ -35,15 +40,15 @@
 	calls chan func() // the same for operators, ahead of the inbox
 	ended chan struct{}
 
-	backends  *pool
-	discovery *discovery
-	front     *frontend
-	stats     *stats
-	file      any                   // the configuration file last taken; for Reread
-	peers     atomic.Pointer[peers] // nil: this node has no socket for them
-	links     links
-	meeting   string     // where processes of this node meet; empty: nowhere
-	Overlap   func(bool) // told when another process of this node begins and ends to share its limits; may be nil
+	backends *pool
+	lists    lists
+	front    *frontend
+	stats    *stats
+	file     any                   // the configuration file last taken; for Reread
+	peers    atomic.Pointer[peers] // nil: this node has no socket for them
+	links    links
+	meeting  string     // where processes of this node meet; empty: nowhere
+	Overlap  func(bool) // told when another process of this node begins and ends to share its limits; may be nil
 
 	// The rest belongs to the loop.
 	ctx      context.Context
@@ -91,24 +96,18 @@
 	n.backends.forwards = &n.stats.forwards
 	n.front = newFrontend(n, clients)
 	n.front.room, n.backends.room = newRoom(cfg.MemoryMB), newRoom(cfg.MemoryMB)
-	n.discovery = newDiscovery(cfg.Discovery, cfg.Settings.AskForList, cfg.known.Index, log,
-		func(l list) { n.post(func() { n.follow(l, kindOf(l)) }) },
-		func() { n.post(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) })
 	return n
 }
 
-func kindOf(l list) decide.ListKind {
-	if l.Snapshot {
-		return decide.ListFull
-	}
-	return decide.ListChanges
-}
-
 // Run serves clients on ln until ctx ends, then finishes what is open.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	n.ctx = inner
+	var err error
+	if n.lists, err = n.newLists(); err != nil {
+		return err
+	}
 	if n.meeting == "" && n.hears() {
 		n.listenPeers(inner)
 	}
@@ -121,9 +120,12 @@
 			n.log.Warn("nothing is taken over", "err", err)
 		}
 	}
+	for _, err := range n.cfg.known.Odd {
+		n.log.Warn("list entry skipped", "err", err)
+	}
 	n.post(func() { n.follow(n.cfg.known, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
-		n.post(func() { n.discovery.begin(inner, func(ctx context.Context) { n.discovery.follow(ctx, old != nil) }) })
+		n.post(func() { n.lists.Follow(inner, old != nil) })
 	}
 	if old != nil {
 		n.succeed(ctx, old)
@@ -134,7 +136,7 @@
 		}
 		go n.awaitSuccessor(inner)
 	}
-	err := n.front.serve(ctx, ln)
+	err = n.front.serve(ctx, ln)
 	stop()
 	<-n.ended
 	return err
@@ -155,7 +157,7 @@
 	}
 	n.log.Error("nothing is heard from other nodes, trying again", "err", err)
 	go func() {
-		for sleep(ctx, backoffHigh) {
+		for pause.For(ctx, peersAgain) {
 			if p, err := listenPeers(n.cfg.PeerListen, n.cfg.Peers, n.log); err == nil {
 				n.startPeers(p)
 				return
@@ -288,9 +290,9 @@
 	case decide.SendMessage:
 		n.message(a)
 	case decide.Subscribe:
-		n.discovery.ask(n.ctx, false, a.On)
+		n.lists.Ask(n.ctx, false, a.On)
 	case decide.FetchList:
-		n.discovery.ask(n.ctx, true, n.cfg.Settings.AskForList)
+		n.lists.Ask(n.ctx, true, n.cfg.Settings.AskForList)
 	case decide.Log:
 		n.log.Info("module: " + a.Line)
 	default:
@@ -476,19 +478,11 @@
 
 // follow takes a list from discovery: addresses for the sockets, the rest for
 // the module.
-func (n *Node) follow(l list, kind decide.ListKind) {
-	entries := l.entries(n.log)
+func (n *Node) follow(l list.Answer, kind decide.ListKind) {
+	entries := slices.Clone(l.Endpoints)
 	// In one order whatever the list's, as the numbers of names that share a
 	// hash depend on it.
-	slices.SortFunc(entries, func(a, b entry) int {
-		switch {
-		case a.Name < b.Name:
-			return -1
-		case a.Name > b.Name:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
 	u := decide.ListUpdate{Kind: kind, Version: l.Index}
 	missing := map[string]bool{}
 	if kind != decide.ListChanges {
@@ -498,7 +492,7 @@
 	}
 	for _, e := range entries {
 		id, state := n.ids.of(e.Name), states[e.Status]
-		u.Entries = append(u.Entries, decide.Server{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: state,
+		u.Entries = append(u.Entries, decide.Server{ID: id, Zone: e.Zone, Kind: e.Type, Cell: e.Group, State: state,
 			Size: e.Weight, StartedAt: time.Duration(e.SinceMS) * time.Millisecond})
 		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
 			n.listed[e.Name] = id
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"indigotack/internal/pause"
 )
 
 // maxMessage is the longest datagram between nodes; a longer one breaks the protocol.
@@ -93,7 +95,7 @@
 	for ctx.Err() == nil && !p.muted.Load() {
 		n, addr, err := p.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			if ctx.Err() == nil && !p.muted.Load() && !sleep(ctx, backoffLow) { // an error here is of one datagram; none may spin
+			if ctx.Err() == nil && !p.muted.Load() && !pause.For(ctx, shortWait) { // an error here is of one datagram; none may spin
 				return
 			}
 			continue
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -138,11 +138,7 @@
 			n.handle(decide.SettingsChanged{Settings: cfg.Settings})
 			n.front.rules.Store(newRules(cfg.Settings, n.front.rules.Load()))
 		}
-		if cfg.Discovery != n.cfg.Discovery {
-			n.log.Info("discovery moves", "to", cfg.Discovery)
-			n.cfg.Discovery = cfg.Discovery
-			n.discovery.move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
-		}
+		n.moveLists(cfg)
 		n.stats.sighupApplied.Add(1)
 	})
 }
