Play nodes on the list service without agents, a crowd of clients, spoilt logs and full disks

An experiment may have nodes follow the service directly, and further clients (followers) that must reach the list as it is, never go back, and know of a change within a bound.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -189,7 +189,11 @@
 	i := slices.IndexFunc(f.w.Machines, func(m world.Machine) bool { return m.Name == box })
 	m := f.w.Machines[i]
 	ms, _ := strconv.ParseInt(since, 10, 64)
-	return list.Entry{Name: box, Address: f.host.Box(box).Address, Zone: m.Zone, Type: m.Kind, Group: m.Pod, Status: status, Weight: 1, SinceMS: ms}
+	address := f.host.Box(box).Address
+	if f.service != nil && f.service.doors != nil {
+		address = f.service.doors[box]
+	}
+	return list.Entry{Name: box, Address: address, Zone: m.Zone, Type: m.Kind, Group: m.Pod, Status: status, Weight: 1, SinceMS: ms}
 }
 
 // connect makes the nodes and all links between the parties.
@@ -254,6 +258,7 @@
 		return link.Shape{Delay: d, Jitter: time.Duration(f.w.Jitter * float64(d))}
 	}
 	isNode := func(name string) bool { return f.nodes[name] != nil }
+	f.net.Lay("net", shape(f.w.Same), func(e link.Ends) bool { return e.From == "nodes" }) // in no zone
 	messages := func(e link.Ends) bool { return isNode(e.From) && isNode(e.To) }
 	f.net.Lay("net", shape(f.w.Client), func(e link.Ends) bool { return e.From == spec.Clients })
 	f.net.Lay("net", shape(f.w.Same), func(e link.Ends) bool { return zones[e.To] != "" && zones[e.From] == zones[e.To] && !messages(e) })
@@ -297,7 +302,10 @@
 	steps := make(chan error, 1)
 	go func() { steps <- f.carryOut(ctx) }()
 	clients.Run(ctx, f.start, f.ops)
-	return <-steps
+	if err := <-steps; err != nil || f.service == nil {
+		return err
+	}
+	return f.service.await(ctx)
 }
 
 // admitted waits until the front lets clients to all nodes.
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -25,10 +25,11 @@
 	name, zone string
 	dir, tmp   string
 	listen     string
-	accept     *os.File // the clients' socket, where the platform holds it
-	agent      *disco.Agent
+	accept     *os.File     // the clients' socket, where the platform holds it
+	agent      *disco.Agent // nil: it follows the list service by itself
 	agentAt    string
-	discovery  string // where the node finds its agent
+	discovery  string   // where the node finds its agent
+	list       []string // where it finds the list service
 	peerListen netip.AddrPort
 	peers      []string
 
@@ -53,32 +54,43 @@
 	if err := n.reserve(); err != nil {
 		return nil, err
 	}
+	if err := n.connect(); err != nil {
+		return nil, err
+	}
+	door, err := f.net.Connect(link.Ends{From: spec.Clients, To: n.name}, n.listen)
+	if err != nil {
+		return nil, err
+	}
+	f.front.Add(n.name, n.zone, door)
+	return n, nil
+}
+
+// connect lays the node's links to the boxes, and to whoever tells it the list.
+func (n *node) connect() (err error) {
+	f := n.f
+	if f.e.List.Direct {
+		n.list, err = f.service.set.Doors(n.name)
+		return err
+	}
 	boxes := map[string]string{}
 	for _, m := range f.w.Machines {
 		if boxes[m.Name], err = f.net.Connect(link.Ends{From: n.name, To: m.Name}, f.host.Box(m.Name).Address); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	find := func(box string) string { return boxes[box] }
 	if f.service == nil {
-		n.agent = f.registry.Agent(n.name, f.log.Now, f.lateness(i), find)
+		n.agent = f.registry.Agent(n.name, f.log.Now, f.lateness(n.number), find)
 	} else if n.agent, err = f.service.agent(n.name, find); err != nil {
-		return nil, err
+		return err
 	}
 	var stop func()
 	if n.agentAt, stop, err = n.agent.Serve(f.log); err != nil {
-		return nil, err
+		return err
 	}
 	f.atEnd(stop)
-	if n.discovery, err = f.net.Connect(link.Ends{From: n.name, To: spec.Discovery}, n.agentAt); err != nil {
-		return nil, err
-	}
-	door, err := f.net.Connect(link.Ends{From: spec.Clients, To: n.name}, n.listen)
-	if err != nil {
-		return nil, err
-	}
-	f.front.Add(n.name, n.zone, door)
-	return n, nil
+	n.discovery, err = f.net.Connect(link.Ends{From: n.name, To: spec.Discovery}, n.agentAt)
+	return err
 }
 
 // reserve chooses the addresses that the node listens at.
@@ -114,8 +126,11 @@
 	f := n.f
 	n.starts++
 	c := platform.Node{Name: n.name, Number: n.number, Nodes: f.e.Fleet.Nodes, Zone: n.zone, Listen: n.listen, Control: control,
-		Discovery: n.discovery, Known: n.agent.List(0, f.log.Now()), Seed: f.o.Seed<<16 + uint64(n.number)<<8 + n.starts,
+		Discovery: n.discovery, List: n.list, ListFile: filepath.Join(n.dir, "list"), Seed: f.o.Seed<<16 + uint64(n.number)<<8 + n.starts,
 		MemoryMB: f.e.Fleet.MemoryMB, Sockets: f.e.Fleet.Sockets}
+	if n.agent != nil {
+		c.Known = n.agent.List(0, f.log.Now())
+	}
 	if f.e.Fleet.Messages {
 		c.PeerListen, c.Peers = n.peerListen.String(), n.peers
 	}
--- a/internal/lab/fleet/service.go
+++ b/internal/lab/fleet/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"indigotack/internal/lab/disco"
+	"indigotack/internal/lab/link"
 	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
@@ -21,8 +22,10 @@
 	f     *fleet
 	set   *replicas.Set
 	boxes *registrar
+	doors map[string]string // to boxes, of all nodes; nil: each has its own
 	tasks sync.WaitGroup
 	ctx   context.Context
+	crowd *crowd // nil: none
 }
 
 const (
@@ -60,6 +63,11 @@
 	if err := s.set.Begin(ctx); err != nil {
 		return err
 	}
+	if s.f.e.List.Direct {
+		if err := s.commonDoors(); err != nil {
+			return err
+		}
+	}
 	for _, m := range s.f.w.Machines {
 		s.boxes.ready(s.f.entry(m.Name, list.Ready, ""))
 	}
@@ -67,6 +75,9 @@
 		return fmt.Errorf("the boxes can't be registered: %w", ctx.Err())
 	}
 	s.tasks.Go(func() { s.boxes.run(s.ctx) })
+	if err := s.startFollowers(); err != nil || s.f.e.List.Direct {
+		return err
+	}
 	for _, name := range s.f.names { // so that nodes begin with the whole list
 		for len(s.f.nodes[name].agent.List(0, s.f.log.Now()).Endpoints) < len(s.f.w.Machines) {
 			if !pause.For(ctx, 5*time.Millisecond) {
@@ -77,6 +88,21 @@
 	return nil
 }
 
+// commonDoors lays one link to each box that all nodes find in the list: without
+// agents there is nobody to tell each node its own.
+func (s *service) commonDoors() error {
+	s.doors = map[string]string{}
+	for _, m := range s.f.w.Machines {
+		door, err := s.f.net.Connect(link.Ends{From: "nodes", To: m.Name}, s.f.host.Box(m.Name).Address)
+		if err != nil {
+			return err
+		}
+		s.doors[m.Name] = door
+	}
+	s.f.layNet()
+	return nil
+}
+
 // change carries out what happens to a box. One that dies says nothing.
 func (s *service) change(box, status, since string, silent bool) {
 	switch {
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -76,7 +76,7 @@
 func (f *fleet) step(ctx context.Context, s spec.Step) error {
 	last := time.Duration(s.For)
 	switch s.Do {
-	case "kill", "pause", "restart", "upgrade":
+	case "kill", "pause", "restart", "upgrade", "full", "corrupt":
 		return together(s.On, func(name string) error {
 			if n := f.nodes[name]; n != nil {
 				return n.suffer(ctx, s.Do, last)
--- a/internal/lab/platform/config.go
+++ b/internal/lab/platform/config.go
@@ -21,6 +21,8 @@
 	Listen     string
 	Control    string
 	Discovery  string
+	List       []string // the list service, which the node then follows by itself
+	ListFile   string
 	PeerListen string   // empty: nodes have no messages
 	Peers      []string // by number, its own included
 	Known      disco.Answer
@@ -50,6 +52,10 @@
 func (n Node) config(w world.World, rate float64) object {
 	c := object{"name": n.Name, "listen": n.Listen, "discovery": n.Discovery, "control": n.Control, "seed": fmt.Sprintf("%016x", n.Seed),
 		"limits": object{"cores": 1.0, "memory_mb": n.MemoryMB, "sockets": n.Sockets}, "known": n.Known, "settings": n.settings(w, rate)}
+	if len(n.List) > 0 {
+		delete(c, "discovery")
+		c["list"], c["list_file"] = n.List, n.ListFile
+	}
 	if n.PeerListen != "" {
 		c["peer_listen"], c["peers"] = n.PeerListen, n.Peers
 	}
--- a/internal/lab/spec/check.go
+++ b/internal/lab/spec/check.go
@@ -45,6 +45,8 @@
 	"crash":     {on: "box", lasts: true, about: "its process dies; it returns cold after for"},
 	"vanish":    {on: "box", lasts: true, about: "its machine is lost without a word; it returns cold after for"},
 	"drain":     {on: "box", lasts: true, about: "listed as draining, then gone; it returns cold after for"},
+	"full":      {on: "replica", lasts: true, about: "its disk takes nothing"},
+	"corrupt":   {on: "replica", lasts: true, about: "SIGKILL, its log is spoilt, and it is started after for, or replaced if it notices"},
 	"move":      {on: "discovery", about: "discovery gets another address, told by SIGHUP; the old one ends after 1.5 s"},
 }
 
@@ -55,6 +57,8 @@
 	leastDrain  = 4 * time.Second // grace, and the box's end after it
 	mostNodes   = 300
 	mostBoxes   = 1000
+
+	mostFollowers = 10000
 )
 
 func (e *Experiment) check() []error {
@@ -85,6 +89,8 @@
 	r := e.List.Replicas
 	bad("[discovery]", "replicas", r == 0 || r == 1 || r == 3 || r == 5, "%d is not 1, 3 or 5", r)
 	bad("[discovery]", "replicas", r == 0 || e.List.Notice == 0 && e.List.Silent == 0, "notice and silent are the lab's discovery's")
+	bad("[discovery]", "direct", r > 0 || !e.List.Direct && e.List.Followers == 0, "direct and followers need replicas")
+	bad("[discovery]", "followers", e.List.Followers >= 0 && e.List.Followers <= mostFollowers, "%d is not between 0 and %d", e.List.Followers, mostFollowers)
 	for i, fault := range e.Faults {
 		errs = append(errs, e.checkFault(i, fault)...)
 	}
@@ -174,7 +180,7 @@
 
 func exclusive(do string) bool {
 	switch do {
-	case "kill", "pause", "restart", "upgrade", "crash", "vanish", "drain":
+	case "kill", "pause", "restart", "upgrade", "crash", "vanish", "drain", "full", "corrupt":
 		return true
 	}
 	return false
@@ -229,6 +235,9 @@
 			errs = append(errs, e.at("[bounds]", 0, "p99", "%q is not a duration, want a number with its unit", v))
 		}
 	}
+	if b.Followers > 0 && e.List.Followers == 0 {
+		errs = append(errs, e.at("[bounds]", 0, "followers", "there are none"))
+	}
 	if b.Recovered > 0 && len(e.Faults) == 0 && e.Draw == nil {
 		errs = append(errs, e.at("[bounds]", 0, "recovered", "there is no fault to recover from"))
 	}
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -106,7 +106,9 @@
 	Notice Duration `toml:"notice"` // a change reaches a node so late, give or take half; 0: drawn
 	Silent Duration `toml:"silent"` // the loss of a box that says nothing; 0: drawn
 
-	Replicas int `toml:"replicas"` // of the project's own list service, in place of the lab's discovery; 0: none
+	Replicas  int  `toml:"replicas"`  // of the project's own list service, in place of the lab's discovery; 0: none
+	Direct    bool `toml:"direct"`    // nodes follow the service by themselves, without an agent
+	Followers int  `toml:"followers"` // further clients that follow the service
 }
 
 // Fault is something that goes wrong, or an order of an operator.
@@ -139,11 +141,12 @@
 
 // Bounds is what the run has to keep to beside the rules. Absent ones are not checked.
 type Bounds struct {
-	Served    float64            `toml:"served"`  // least share of operations answered within their aim
-	Failed    *float64           `toml:"failed"`  // most that end failed, broken, silent or unreached
-	Refused   *float64           `toml:"refused"` // most that end refused
-	Class     map[string]float64 `toml:"class"`   // least share served, by class
-	P99       map[string]string  `toml:"p99"`     // most, by class, of served ones
+	Served    float64            `toml:"served"`    // least share of operations answered within their aim
+	Failed    *float64           `toml:"failed"`    // most that end failed, broken, silent or unreached
+	Refused   *float64           `toml:"refused"`   // most that end refused
+	Class     map[string]float64 `toml:"class"`     // least share served, by class
+	P99       map[string]string  `toml:"p99"`       // most, by class, of served ones
+	Followers Duration           `toml:"followers"` // until 99% of them know of a change, from the first on
 	Recovered Duration           `toml:"recovered"`
 	Level     float64            `toml:"recovered_at"` // part of what was served before the first fault that counts as recovered; 0: recoveredAt
 	Attempts  float64            `toml:"attempts"`     // most attempts at boxes for an operation, in the mean
