Keep duties in the list service: sessions, queues, grants with fences, fenced writes

A session is renewed as a whole, after its leader has proved to a quorum that it leads; a grant's fence is its version; a write may name a fence and is turned down in the same step unless it comes from the holder. Grants are paced, four at once for a duty and then one in two seconds. Changes of duties take versions of the one sequence and wake no watcher of the list.

--- a/internal/list/calls.go
+++ b/internal/list/calls.go
@@ -12,6 +12,7 @@
 	TTLms int64   `json:"ttl_ms,omitempty"` // 0: it stays until it is removed
 	If    *uint64 `json:"if,omitempty"`     // the version that the entry must have; 0: it must be absent
 	ID    string  `json:"id,omitempty"`     // the same for a repeat, which then does not apply twice
+	Fence *Fence  `json:"fence,omitempty"`  // of the duty that the writer holds; 409 if it does not
 }
 
 // Renewal is the body of a renewal, and its answer.
@@ -55,3 +56,35 @@
 	Itself bool     `json:"itself"`            // the one that answers
 	Added  *Address `json:"address,omitempty"` // of one that was added while the others served
 }
+
+// SessionCall is the body of a session's opening.
+type SessionCall struct {
+	Process string `json:"process"`
+	TTLms   int64  `json:"ttl_ms"`
+	Word    Word   `json:"word"`
+}
+
+// SessionRenewal is the body of a renewal of sessions, and its answer.
+type SessionRenewal struct {
+	Sessions []string `json:"sessions,omitempty"`
+	Unknown  []string `json:"unknown,omitempty"` // those that have ended
+}
+
+// Wishes is the body of a campaign, and of a giving up.
+type Wishes struct {
+	Duties []Wish `json:"duties"`
+}
+
+// DutyAnswer is what a read or a watch of duties gets: all of them, or those of a session.
+type DutyAnswer struct {
+	Index    uint64    `json:"index"`
+	Epoch    string    `json:"epoch,omitempty"`
+	Duties   []Duty    `json:"duties"`
+	Sessions []Session `json:"sessions,omitempty"` // where all are asked for
+}
+
+// DutyOrder is the body of an operator's order on a duty.
+type DutyOrder struct {
+	Process string `json:"process,omitempty"`
+	On      bool   `json:"on,omitempty"` // of a block: to lay it, not to lift it
+}
--- a/internal/list/command.go
+++ b/internal/list/command.go
@@ -18,9 +18,18 @@
 	DoRestore  = "restore"  // Image, with a new epoch
 	DoMember   = "member"   // Name, Address: where the others reach a replica
 	DoForget   = "forget"   // Name, of a replica
+
+	DoSession  = "session"  // Session: open, or change its word
+	DoClose    = "close"    // Sessions, Grant
+	DoCampaign = "campaign" // Session's ID, Wishes, Grant
+	DoGiveUp   = "give-up"  // Session's ID, Wishes (their names), Grant
+	DoYield    = "yield"    // Name, To
+	DoBlock    = "block"    // Name, To, On
+	DoGrant    = "grant"    // Grant
 )
 
-var known = []string{DoBegin, DoRegister, DoDrain, DoRemove, DoExpire, DoRestore, DoMember, DoForget}
+var known = []string{DoBegin, DoRegister, DoDrain, DoRemove, DoExpire, DoRestore, DoMember, DoForget,
+	DoSession, DoClose, DoCampaign, DoGiveUp, DoYield, DoBlock, DoGrant}
 
 // Bounds on commands.
 const (
@@ -46,6 +55,14 @@
 	Over    string          `json:"over,omitempty"` // the epoch that a restore means to replace
 	Image   json.RawMessage `json:"image,omitempty"`
 	Address *Address        `json:"address,omitempty"`
+
+	Fence    *Fence   `json:"fence,omitempty"` // of the holder that writes
+	Session  *Session `json:"session,omitempty"`
+	Sessions []string `json:"sessions,omitempty"`
+	Wishes   []Wish   `json:"wishes,omitempty"`
+	Grant    []string `json:"grant,omitempty"` // duties that may be given on in this step
+	To       string   `json:"to,omitempty"`    // a process
+	On       bool     `json:"on,omitempty"`
 }
 
 // Lease names an entry at the version that is meant.
@@ -64,6 +81,7 @@
 	Absent   Code = "absent"   // there is no such entry
 	Full     Code = "full"     // the list takes no more entries
 	Invalid  Code = "invalid"
+	Fenced   Code = "fenced" // the writer does not hold the duty that it names
 )
 
 // Result is what a command came to.
@@ -107,6 +125,8 @@
 		if c.Epoch == "" || len(c.Epoch) > MaxID {
 			return fmt.Errorf("epoch: want 1 to %d bytes", MaxID)
 		}
+	case DoSession, DoClose, DoCampaign, DoGiveUp, DoYield, DoBlock, DoGrant:
+		return c.checkDuty()
 	default:
 		return fmt.Errorf("do: %q is nothing that is done here", c.Do)
 	}
--- /dev/null
+++ b/internal/list/server/duties.go
@@ -0,0 +1,147 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+// openSession opens the session that the call names, or changes its word.
+func (s *Server) openSession(w http.ResponseWriter, r *http.Request) {
+	var body list.SessionCall
+	if !readJSON(w, r, &body) {
+		return
+	}
+	if body.TTLms < 0 || body.TTLms > int64(list.MaxSessionTTL/time.Millisecond) {
+		refuse(w, http.StatusBadRequest, "bad", fmt.Sprintf("ttl_ms: %d, want %d to %d", body.TTLms, list.MinSessionTTL/time.Millisecond, list.MaxSessionTTL/time.Millisecond), 0)
+		return
+	}
+	s.duty(w, list.Command{Do: list.DoSession, Session: &list.Session{ID: r.PathValue("id"), Process: body.Process,
+		TTL: time.Duration(body.TTLms) * time.Millisecond, Word: body.Word}})
+}
+
+func (s *Server) closeSession(w http.ResponseWriter, r *http.Request) {
+	s.duty(w, list.Command{Do: list.DoClose, Sessions: []string{r.PathValue("id")}})
+}
+
+// wish makes a handler of a campaign or a giving up.
+func (s *Server) wish(do string) http.HandlerFunc {
+	return s.leading(maxBody, func(w http.ResponseWriter, r *http.Request) {
+		var body list.Wishes
+		if readJSON(w, r, &body) {
+			s.duty(w, list.Command{Do: do, Session: &list.Session{ID: r.PathValue("id")}, Wishes: body.Duties})
+		}
+	})
+}
+
+// order makes a handler of an operator's order.
+func (s *Server) order(do string) http.HandlerFunc {
+	return s.leading(maxBody, func(w http.ResponseWriter, r *http.Request) {
+		var body list.DutyOrder
+		if readJSON(w, r, &body) {
+			s.duty(w, list.Command{Do: do, Name: r.PathValue("name"), To: body.Process, On: body.On})
+		}
+	})
+}
+
+func (s *Server) duty(w http.ResponseWriter, c list.Command) {
+	if err := c.Check(); err != nil {
+		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+		return
+	}
+	result, err := s.sessions.do(c)
+	s.finish(w, result, err)
+}
+
+// renewSessions takes renewals, which stay out of the log. Before it answers, this
+// replica proves to a quorum that it still leads: a later leader then gives these
+// sessions their full time after now.
+func (s *Server) renewSessions(w http.ResponseWriter, r *http.Request) {
+	var body list.SessionRenewal
+	if !readJSON(w, r, &body) {
+		return
+	}
+	if len(body.Sessions) == 0 || len(body.Sessions) > maxNames {
+		refuse(w, http.StatusBadRequest, "bad", fmt.Sprintf("sessions: %d, want 1 to %d", len(body.Sessions), maxNames), 0)
+		return
+	}
+	if err := s.replica.verify(); err != nil {
+		s.finish(w, list.Result{}, err)
+		return
+	}
+	unknown, ok := s.sessions.renew(body.Sessions)
+	if !ok {
+		refuse(w, http.StatusServiceUnavailable, "not-leading", "this replica does not lead yet", time.Second)
+		return
+	}
+	writeJSON(w, http.StatusOK, list.SessionRenewal{Unknown: unknown})
+}
+
+// readDuties answers reads and watches of duties, as this replica has them.
+func (s *Server) readDuties(w http.ResponseWriter, r *http.Request) {
+	q, err := parseQuery(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+		return
+	}
+	if q.current {
+		if !s.replica.leads() {
+			s.passOn(w, r, maxBody)
+			return
+		}
+		if err := s.replica.current(); err != nil {
+			s.finish(w, list.Result{}, err)
+			return
+		}
+	}
+	if q.from > 0 && q.hold > 0 && !s.holdDuties(w, r, q) {
+		return
+	}
+	s.machine.mu.RLock()
+	a := list.DutyAnswer{Index: s.machine.state.DutiesVersion(), Epoch: s.machine.state.Epoch(), Duties: []list.Duty{}}
+	session := r.URL.Query().Get("session")
+	all, known := s.machine.state.Duties(session)
+	if session == "" {
+		a.Sessions = s.machine.state.Sessions()
+	}
+	s.machine.mu.RUnlock()
+	if !known {
+		refuse(w, http.StatusNotFound, string(list.Absent), "there is no session "+session, 0)
+		return
+	}
+	a.Duties = append(a.Duties, all...)
+	writeJSON(w, http.StatusOK, a)
+}
+
+// holdDuties waits until a duty changes after the reader's version. It is false where the call has been answered.
+func (s *Server) holdDuties(w http.ResponseWriter, r *http.Request, q query) bool {
+	lost, news := s.contact.state()
+	if lost {
+		s.refuseCutOff(w)
+		return false
+	}
+	watcher, full := s.dutyHub.wait(q.from, s.c.MaxWatchers)
+	if full {
+		refuse(w, http.StatusTooManyRequests, "watchers", "too many calls are held here", time.Second)
+		return false
+	}
+	if watcher == nil {
+		return true
+	}
+	defer s.dutyHub.leave(watcher)
+	ctx, cancel := context.WithTimeout(r.Context(), q.hold)
+	defer cancel()
+	select {
+	case <-watcher.wake:
+	case <-news:
+		s.refuseCutOff(w)
+		return false
+	case <-ctx.Done():
+		return r.Context().Err() == nil
+	case <-s.ctx.Done():
+	}
+	return true
+}
--- a/internal/list/server/hub.go
+++ b/internal/list/server/hub.go
@@ -18,28 +18,33 @@
 	machine *machine
 	mu      sync.Mutex
 	waiting map[*watcher]bool
-	version uint64
+	version uint64 // of all
+	newest  uint64 // of the last change that watchers are told of
 	epoch   string
 	answers map[uint64][]byte // for this version and epoch
 	news    chan struct{}
 }
 
 type watcher struct {
-	from uint64
-	wake chan struct{}
+	from  uint64
+	ahead bool // it has seen more than this replica had: it waits for that
+	wake  chan struct{}
 }
 
 func newHub(m *machine) *hub {
 	return &hub{machine: m, waiting: map[*watcher]bool{}, answers: map[uint64][]byte{}, news: make(chan struct{}, 1)}
 }
 
-// publish says that the list may have changed. It does not wait.
-func (h *hub) publish(version uint64, epoch string) {
+// publish says that there is a version, and the newest that watchers are to be
+// told of. It does not wait.
+func (h *hub) publish(version, newest uint64, epoch string) {
 	h.mu.Lock()
-	if version != h.version || epoch != h.epoch {
-		h.version, h.epoch = version, epoch
-		clear(h.answers)
+	if version == h.version && epoch == h.epoch {
+		h.mu.Unlock()
+		return
 	}
+	h.version, h.newest, h.epoch = version, newest, epoch
+	clear(h.answers)
 	h.mu.Unlock()
 	select {
 	case h.news <- struct{}{}:
@@ -71,7 +76,7 @@
 	defer h.mu.Unlock()
 	n := 0
 	for w := range h.waiting {
-		if w.from >= h.version {
+		if w.from >= h.newest && !(w.ahead && w.from <= h.version) {
 			continue
 		}
 		delete(h.waiting, w)
@@ -88,13 +93,13 @@
 func (h *hub) wait(from uint64, most int) (w *watcher, full bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.version > from {
+	if h.newest > from {
 		return nil, false
 	}
 	if len(h.waiting) >= most {
 		return nil, true
 	}
-	w = &watcher{from, make(chan struct{})}
+	w = &watcher{from, from > h.version, make(chan struct{})}
 	h.waiting[w] = true
 	return w, false
 }
@@ -133,6 +138,13 @@
 	return raw, nil
 }
 
+// old tells whether there is something to tell whoever has version from.
+func (h *hub) old(from uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return from < h.newest
+}
+
 // has tells the version and epoch that watchers are told of.
 func (h *hub) has() (version uint64, epoch string) {
 	h.mu.Lock()
--- a/internal/list/server/reads.go
+++ b/internal/list/server/reads.go
@@ -57,7 +57,7 @@
 			return
 		}
 	}
-	version, epoch := s.hub.has()
+	_, epoch := s.hub.has()
 	if epoch == "" {
 		refuse(w, http.StatusServiceUnavailable, "not-begun", "this replica has no list yet", time.Second)
 		return
@@ -65,7 +65,7 @@
 	if q.epoch != "" && q.epoch != epoch {
 		q.from = 0 // another list: all of it
 	}
-	if q.from > 0 && q.from >= version && !s.hold(w, r, q) {
+	if q.from > 0 && !s.hub.old(q.from) && !s.hold(w, r, q) {
 		return
 	}
 	s.answer(w, q)
--- a/internal/list/server/routes.go
+++ b/internal/list/server/routes.go
@@ -22,6 +22,14 @@
 	mux.HandleFunc("DELETE /registry/members/{name}", s.leading(maxBody, s.removeMember))
 	mux.HandleFunc("GET /registry/backup", s.leading(maxBody, s.backup))
 	mux.HandleFunc("POST /registry/restore", s.leading(maxRestore, s.restore))
+	mux.HandleFunc("PUT /registry/sessions/{id}", s.leading(maxBody, s.openSession))
+	mux.HandleFunc("DELETE /registry/sessions/{id}", s.leading(maxBody, s.closeSession))
+	mux.HandleFunc("POST /registry/sessions/renew", s.leading(maxBody, s.renewSessions))
+	mux.HandleFunc("POST /registry/sessions/{id}/campaign", s.wish(list.DoCampaign))
+	mux.HandleFunc("POST /registry/sessions/{id}/give-up", s.wish(list.DoGiveUp))
+	mux.HandleFunc("GET /registry/duties", s.readDuties)
+	mux.HandleFunc("POST /registry/duties/{name}/yield", s.order(list.DoYield))
+	mux.HandleFunc("POST /registry/duties/{name}/block", s.order(list.DoBlock))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.figures.registry, promhttp.HandlerOpts{}))
@@ -62,5 +70,7 @@
 	gauge("overdue_kept", "overdue entries that are held back, as too many are", func() float64 { kept, _ := s.expiry.figures(); return float64(kept) })
 	f.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "indigolist", Name: "expired_total",
 		Help: "entries expired by this replica"}, func() float64 { _, n := s.expiry.figures(); return float64(n) }))
+	f.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "indigolist", Name: "lapsed_total",
+		Help: "sessions that lapsed at this replica"}, func() float64 { return float64(s.sessions.figures()) }))
 	return f
 }
--- a/internal/list/server/server.go
+++ b/internal/list/server/server.go
@@ -17,20 +17,22 @@
 
 // Server is one replica.
 type Server struct {
-	c       Config
-	log     *slog.Logger
-	machine *machine
-	hub     *hub
-	replica *replica
-	expiry  *expiry
-	rates   *rates
-	contact *contact
-	figures *figures
-	http    *http.Server
-	stop    context.CancelFunc
-	ctx     context.Context // of everything that a call may wait for
-	broken  chan error      // why this replica has to end
-	tasks   sync.WaitGroup
+	c        Config
+	log      *slog.Logger
+	machine  *machine
+	hub      *hub
+	replica  *replica
+	dutyHub  *hub
+	expiry   *expiry
+	sessions *sessions
+	rates    *rates
+	contact  *contact
+	figures  *figures
+	http     *http.Server
+	stop     context.CancelFunc
+	ctx      context.Context // of everything that a call may wait for
+	broken   chan error      // why this replica has to end
+	tasks    sync.WaitGroup
 }
 
 const (
@@ -59,7 +61,9 @@
 		return err
 	}
 	s.tasks.Go(func() { s.hub.run(s.ctx.Done()) })
+	s.tasks.Go(func() { s.dutyHub.run(s.ctx.Done()) })
 	s.tasks.Go(func() { s.expiry.run(s.ctx) })
+	s.tasks.Go(func() { s.sessions.run(s.ctx) })
 	s.tasks.Go(s.followLeader)
 	s.tasks.Go(func() { s.contact.run(s.ctx, c.Election, s.replica.leader) })
 	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
@@ -78,11 +82,16 @@
 
 func (s *Server) open() error {
 	s.machine = &machine{state: list.NewState(), broken: func(err error) { s.broken <- err }}
-	s.hub = newHub(s.machine)
-	s.expiry = &expiry{start: time.Now(), machine: s.machine, log: s.log, apply: func(c list.Command) (list.Result, error) { return s.replica.apply(c) }}
+	s.hub, s.dutyHub = newHub(s.machine), newHub(s.machine)
+	apply := func(c list.Command) (list.Result, error) { return s.replica.apply(c) }
+	s.expiry = &expiry{start: time.Now(), machine: s.machine, log: s.log, apply: apply}
+	s.sessions = &sessions{start: time.Now(), machine: s.machine, log: s.log, apply: apply}
 	s.machine.applied = func(c list.Command, _ list.Result) {
 		s.expiry.applied(c, s.machine.state)
-		s.hub.publish(s.machine.state.Version(), s.machine.state.Epoch())
+		s.sessions.applied(c)
+		state := s.machine.state
+		s.hub.publish(state.Version(), state.ListVersion(), state.Epoch())
+		s.dutyHub.publish(state.DutiesVersion(), state.DutiesVersion(), state.Epoch())
 	}
 	var err error
 	if s.replica, err = openReplica(s.c, s.machine, s.log); err != nil {
@@ -99,6 +108,7 @@
 		case leads := <-s.replica.raft.LeaderCh():
 			if !leads {
 				s.expiry.follow()
+				s.sessions.follow()
 				s.log.Info("another leads, or nobody", "leader", s.replica.leader())
 				continue
 			}
@@ -121,6 +131,7 @@
 		}
 	}
 	s.expiry.lead()
+	s.sessions.lead()
 	s.log.Info("this replica leads")
 	return nil
 }
--- a/internal/list/server/server_test.go
+++ b/internal/list/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,6 +18,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"indigotack/internal/lab/link"
 	"indigotack/internal/list"
 )
@@ -322,27 +325,27 @@
 
 // TestGrow: one replica grows to three while it serves; the first is removed, though it leads, and the others serve on.
 func TestGrow(t *testing.T) {
-	raft := map[string]string{}
+	at := map[string]string{}
 	for _, name := range []string{"r0", "r1", "r2"} {
-		at, free, err := link.Reserve()
+		address, free, err := link.Reserve()
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer free()
-		raft[name] = at
+		at[name] = address
 	}
-	first, stop := serve(t, t.TempDir(), func(c *Config) { c.Raft = raft["r0"] })
+	first, stop := serve(t, t.TempDir(), func(c *Config) { c.Raft = at["r0"] })
 	defer stop()
 	put(t, first, "a", "")
 	urls := []string{first}
 	for _, name := range []string{"r1", "r2"} {
 		url, stop := begin(t, t.TempDir(), func(c *Config) {
-			c.Name, c.Raft = name, raft[name]
-			c.Replicas = []Replica{{"r0", raft["r0"], strings.TrimPrefix(first, "http://")}, {name, raft[name], c.Listen}}
+			c.Name, c.Raft = name, at[name]
+			c.Replicas = []Replica{{"r0", at["r0"], strings.TrimPrefix(first, "http://")}, {name, at[name], c.Listen}}
 		})
 		defer stop()
 		urls = append(urls, url)
-		body := fmt.Sprintf(`{"raft":%q,"http":%q}`, raft[name], strings.TrimPrefix(url, "http://"))
+		body := fmt.Sprintf(`{"raft":%q,"http":%q}`, at[name], strings.TrimPrefix(url, "http://"))
 		for until := time.Now().Add(enough); ; {
 			status, answer := call(t, "PUT", first+"/registry/members/"+name, body)
 			if status == 200 && strings.Contains(answer, `"votes":true`) {
@@ -378,3 +381,20 @@
 		t.Errorf("the members are %s", body)
 	}
 }
+
+// TestLateFacts: raft's own facts that come once the store is closed end their goroutine, as raft would crash at an error.
+func TestLateFacts(t *testing.T) {
+	stop, ended := make(chan struct{}), make(chan bool)
+	close(stop)
+	go func() {
+		defer close(ended)
+		patient{failing{}, slog.New(slog.DiscardHandler), stop}.SetUint64(nil, 1)
+		t.Error("raft is told of an error")
+	}()
+	<-ended
+}
+
+// failing is a store that takes nothing.
+type failing struct{ raft.StableStore }
+
+func (failing) SetUint64([]byte, uint64) error { return errors.New("closed") }
--- /dev/null
+++ b/internal/list/server/sessions.go
@@ -0,0 +1,219 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"indigotack/internal/list"
+)
+
+// One duty is granted at most paceBurst times at once, and then once in paceEvery,
+// so that candidates that crash in a loop do not pass it around.
+const (
+	paceBurst = 4
+	paceEvery = 2 * time.Second
+)
+
+// sessions keeps the deadlines of sessions while this replica leads, and paces grants.
+type sessions struct {
+	start   time.Time
+	machine *machine
+	apply   func(list.Command) (list.Result, error)
+	log     *slog.Logger
+
+	mu        sync.Mutex
+	deadlines *list.Deadlines // nil while another leads
+	doomed    map[string]bool // due, and not known to have ended: none of them can be renewed
+	pace      map[string]*rate.Limiter
+	lapsed    int // so far
+}
+
+func (x *sessions) now() time.Duration { return time.Since(x.start) }
+
+// lead begins with every session's full time, once all that was done before is known here.
+func (x *sessions) lead() {
+	x.machine.mu.RLock()
+	defer x.machine.mu.RUnlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.deadlines, x.doomed, x.pace = list.NewDeadlines(x.machine.state.Sessions(), x.now()), map[string]bool{}, map[string]*rate.Limiter{}
+}
+
+func (x *sessions) follow() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.deadlines = nil
+}
+
+// applied keeps the deadlines in step. The caller holds the machine's lock.
+func (x *sessions) applied(c list.Command) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.deadlines == nil {
+		return
+	}
+	switch c.Do {
+	case list.DoSession:
+		if !x.doomed[c.Session.ID] {
+			x.deadlines.Set(*c.Session, x.now())
+		}
+	case list.DoClose:
+		for _, id := range c.Sessions {
+			x.deadlines.Drop(id)
+			delete(x.doomed, id)
+		}
+	}
+}
+
+// renew gives sessions their full time and lists those that have ended. The caller
+// has proved since the call came that this replica leads.
+func (x *sessions) renew(ids []string) (unknown []string, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.deadlines == nil {
+		return nil, false
+	}
+	for _, id := range ids {
+		if !x.deadlines.Renew(id, x.now()) {
+			unknown = append(unknown, id)
+		}
+	}
+	return unknown, true
+}
+
+// paced gives those of the duties that may be granted now.
+func (x *sessions) paced(names []string) (may []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, n := range names {
+		l := x.pace[n]
+		if l == nil {
+			if x.pace == nil {
+				return nil // it does not lead
+			}
+			l = rate.NewLimiter(rate.Every(paceEvery), paceBurst)
+			x.pace[n] = l
+		}
+		if l.Allow() {
+			may = append(may, n)
+		}
+	}
+	return may
+}
+
+// freed names the duties that a command of a session may free, or finds free.
+func (x *sessions) freed(c list.Command) (names []string) {
+	x.machine.mu.RLock()
+	defer x.machine.mu.RUnlock()
+	look := func(id, name string) {
+		if d, ok := x.machine.state.Duty(name); !ok && c.Do == list.DoCampaign || ok && (d.Holder == id || d.Holder == "") && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	switch c.Do {
+	case list.DoCampaign, list.DoGiveUp:
+		for _, w := range c.Wishes {
+			look(c.Session.ID, w.Duty)
+		}
+	case list.DoClose:
+		for _, id := range c.Sessions {
+			all, _ := x.machine.state.Duties(id)
+			for _, d := range all {
+				look(id, d.Name)
+			}
+		}
+	}
+	return names
+}
+
+// do applies a command on duties, with leave to grant what it frees as far as the pace allows.
+func (x *sessions) do(c list.Command) (list.Result, error) {
+	c.Grant = x.paced(x.freed(c))
+	return x.apply(c)
+}
+
+// run ends sessions that are due, and grants what was held back, until ctx ends.
+func (x *sessions) run(ctx context.Context) {
+	t := time.NewTicker(expiryEvery)
+	defer t.Stop()
+	last := x.now()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		now := x.now()
+		if now-last > expiryEvery+stall { // it has not heard the renewals of that time
+			x.again()
+		}
+		last = now
+		x.once(now)
+	}
+}
+
+// again gives every session its full time, but for those that are doomed.
+func (x *sessions) again() {
+	x.machine.mu.RLock()
+	defer x.machine.mu.RUnlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.deadlines == nil {
+		return
+	}
+	all := slices.DeleteFunc(x.machine.state.Sessions(), func(s list.Session) bool { return x.doomed[s.ID] })
+	x.deadlines = list.NewDeadlines(all, x.now())
+}
+
+func (x *sessions) once(now time.Duration) {
+	x.mu.Lock()
+	if x.deadlines == nil {
+		x.mu.Unlock()
+		return
+	}
+	for _, id := range x.deadlines.Due(now) {
+		x.doomed[id] = true
+		x.lapsed++
+		x.log.Info("a session lapses", "session", id)
+	}
+	var ids []string
+	for id := range x.doomed {
+		ids = append(ids, id)
+	}
+	x.mu.Unlock()
+	if len(ids) > 0 {
+		slices.Sort(ids)
+		if _, err := x.do(list.Command{Do: list.DoClose, Sessions: ids}); err != nil {
+			x.log.Warn("sessions that lapsed are not ended yet", "sessions", len(ids), "err", err)
+		}
+	}
+	x.machine.mu.RLock()
+	waiting := x.machine.state.Waiting()
+	x.machine.mu.RUnlock()
+	if may := x.paced(waiting); len(may) > 0 {
+		if _, err := x.apply(list.Command{Do: list.DoGrant, Grant: may}); err != nil {
+			x.log.Warn("duties stay free", "duties", len(may), "err", err)
+		}
+	}
+}
+
+// figures tells how many sessions have lapsed here.
+func (x *sessions) figures() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.lapsed
+}
+
+// verify proves to a quorum that this replica leads now.
+func (r *replica) verify() error {
+	if err := r.raft.VerifyLeader().Error(); err != nil {
+		return fmt.Errorf("%w: %w", errNotLeading, err)
+	}
+	return nil
+}
--- a/internal/list/server/store.go
+++ b/internal/list/server/store.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"runtime"
 	"runtime/debug"
 	"time"
 
@@ -204,11 +205,13 @@
 
 // patient keeps raft's own facts (its term, its vote). Raft has no answer to a
 // disk that takes nothing but to crash, so this waits until it does: a replica
-// whose disk is full stands still, as one that is paused.
+// whose disk is full stands still, as one that is paused. At the end, when the
+// store may be closed while another replica's call is still at work, the goroutine
+// of that call ends, and the call with it unanswered.
 type patient struct {
 	raft.StableStore
 	log  *slog.Logger
-	stop <-chan struct{} // closed at the end, after which errors are passed on
+	stop <-chan struct{} // closed at the end
 }
 
 func (p patient) Set(key, value []byte) error {
@@ -225,12 +228,16 @@
 		if err == nil {
 			return nil
 		}
+		select {
+		case <-p.stop:
+			runtime.Goexit()
+		default:
+		}
 		if !told {
 			p.log.Error("the disk takes nothing, so this replica stands still until it does", "err", err)
 		}
 		select {
 		case <-p.stop:
-			return err
 		case <-time.After(fullWait):
 		}
 	}
--- a/internal/list/server/writes.go
+++ b/internal/list/server/writes.go
@@ -130,7 +130,7 @@
 		if !readJSON(w, r, &body) {
 			return
 		}
-		c := list.Command{Do: do, Name: r.PathValue("name"), ID: body.ID, If: body.If}
+		c := list.Command{Do: do, Name: r.PathValue("name"), ID: body.ID, If: body.If, Fence: body.Fence}
 		if do == list.DoRegister {
 			if body.Entry == nil || body.Entry.Name != c.Name {
 				refuse(w, http.StatusBadRequest, "bad", "entry: missing, or of another name than the call's", 0)
@@ -154,7 +154,7 @@
 
 // statuses of results that changed nothing.
 var statuses = map[list.Code]int{list.Conflict: http.StatusConflict, list.Absent: http.StatusNotFound, list.Full: http.StatusInsufficientStorage,
-	list.Invalid: http.StatusBadRequest}
+	list.Invalid: http.StatusBadRequest, list.Fenced: http.StatusConflict}
 
 func (s *Server) finish(w http.ResponseWriter, r list.Result, err error) {
 	switch {
--- a/internal/list/state.go
+++ b/internal/list/state.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -43,11 +44,13 @@
 	writes  ring[written]
 	known   map[string]Result // of writes
 	members map[string]Address
+	duties  duties
+	trimmed uint64 // the version of the last change that is no longer kept; no reader of an older one can be told by changes
 }
 
 // NewState makes an empty list without an epoch.
 func NewState() *State {
-	return &State{items: map[string]Item{}, known: map[string]Result{}, members: map[string]Address{}, changes: ring[Change]{most: keepChanges}, writes: ring[written]{most: keepWrites}}
+	return &State{items: map[string]Item{}, known: map[string]Result{}, members: map[string]Address{}, duties: newDuties(), changes: ring[Change]{most: keepChanges}, writes: ring[written]{most: keepWrites}}
 }
 
 // Version is that of the list.
@@ -91,7 +94,10 @@
 			return r
 		}
 	}
-	r := s.apply(c)
+	r, ok := s.fenced(c.Fence)
+	if ok {
+		r = s.apply(c)
+	}
 	r.Version = s.version
 	if c.ID != "" {
 		s.remember(written{c.ID, r})
@@ -136,8 +142,10 @@
 	case DoForget:
 		delete(s.members, c.Name)
 		return Result{}
+	case DoRestore:
+		return s.restore(c)
 	}
-	return s.restore(c)
+	return s.applyDuty(c)
 }
 
 // meets tells whether an entry has the version that the command asks for; absent, it has 0.
@@ -211,7 +219,17 @@
 // change gives a change the next number.
 func (s *State) change(e Entry) {
 	s.version++
-	s.changes.push(Change{s.version, e})
+	if old, full := s.changes.push(Change{s.version, e}); full {
+		s.trimmed = old.Version
+	}
+}
+
+// ListVersion is that of the last change of an entry.
+func (s *State) ListVersion() uint64 {
+	if n := s.changes.len(); n > 0 {
+		return s.changes.at(n - 1).Version
+	}
+	return s.trimmed
 }
 
 // Since is the answer to whoever has the list of version from: the changes after
@@ -224,14 +242,15 @@
 		a.Index = from
 		return a
 	}
-	if from == 0 || s.changes.len() == 0 || s.changes.at(0).Version > from+1 {
+	if from < max(s.trimmed, 1) {
 		a.Snapshot = true
 		for _, i := range s.Items() {
 			a.Endpoints = append(a.Endpoints, i.Entry)
 		}
 		return a
 	}
-	for k := s.changes.len() - int(s.version-from); k < s.changes.len(); k++ {
+	first := sort.Search(s.changes.len(), func(k int) bool { return s.changes.at(k).Version > from })
+	for k := first; k < s.changes.len(); k++ {
 		a.Endpoints = append(a.Endpoints, s.changes.at(k).Entry)
 	}
 	return a
@@ -246,11 +265,13 @@
 	Changes []Change           `json:"changes"`
 	Writes  []written          `json:"writes"`
 	Members map[string]Address `json:"members,omitempty"`
+	Duties  duties             `json:"duties"`
+	Trimmed *uint64            `json:"trimmed,omitempty"` // absent in the first programs' images, whose changes have all versions
 }
 
 // Snapshot encodes the whole state.
 func (s *State) Snapshot() ([]byte, error) {
-	return json.Marshal(image{form, s.epoch, s.version, s.Items(), s.changes.all(), s.writes.all(), s.members})
+	return json.Marshal(image{form, s.epoch, s.version, s.Items(), s.changes.all(), s.writes.all(), s.members, s.duties, &s.trimmed})
 }
 
 // FromSnapshot decodes a state and says what is wrong with one that could not have been.
@@ -273,10 +294,16 @@
 		}
 		s.items[i.Entry.Name] = i
 	}
+	s.trimmed = in.Version - uint64(len(in.Changes))
+	if in.Trimmed != nil {
+		s.trimmed = *in.Trimmed
+	}
+	last := s.trimmed
 	for k, c := range in.Changes {
-		if c.Version != in.Version-uint64(len(in.Changes)-1-k) {
+		if c.Version <= last || c.Version > in.Version || k >= keepChanges {
 			return nil, fmt.Errorf("a snapshot of version %d whose change %d of %d has version %d", in.Version, k+1, len(in.Changes), c.Version)
 		}
+		last = c.Version
 		s.changes.push(c)
 	}
 	for _, w := range in.Writes {
@@ -285,6 +312,13 @@
 	for name, a := range in.Members {
 		s.members[name] = a
 	}
+	if in.Duties.Duties == nil && in.Duties.Sessions == nil {
+		return s, nil // of a program that knew no duties
+	}
+	if err := in.Duties.check(in.Version); err != nil {
+		return nil, fmt.Errorf("a snapshot: %w", err)
+	}
+	s.duties = in.Duties
 	return s, nil
 }
 
@@ -300,8 +334,8 @@
 	}
 	from.epoch = c.Epoch
 	from.version = max(from.version, s.version) + restoreJump
-	from.changes = ring[Change]{most: keepChanges}
-	from.members = s.members // the copy says nothing of the replicas of today
+	from.changes, from.trimmed = ring[Change]{most: keepChanges}, from.version
+	from.members, from.duties = s.members, s.duties // the copy says nothing of the replicas and the holders of today
 	*s = *from
 	return Result{}
 }
