--- a/internal/list/calls.go
+++ b/internal/list/calls.go
@@ -57,6 +57,13 @@
 	Added  *Address `json:"address,omitempty"` // of one that was added while the others served
 }
 
+// Items is the list with what the service knows of each entry, as it is now.
+type Items struct {
+	Index uint64 `json:"index"`
+	Epoch string `json:"epoch"`
+	Items []Item `json:"items"`
+}
+
 // SessionCall is the body of a session's opening.
 type SessionCall struct {
 	Process string `json:"process"`
--- a/internal/list/client/write.go
+++ b/internal/list/client/write.go
@@ -39,22 +39,24 @@
 	betweens = 100 * time.Millisecond
 )
 
+func entryPath(name string) string { return "/registry/instances/" + url.PathEscape(name) }
+
 // Register puts an entry into the list. ttl 0 keeps it until it is removed; with
 // another, it has to be renewed. cond, if there is one, is the version that the
 // entry must have, 0 for none. Every write is repeated under one id until its end
 // is known or ctx ends.
 func (k *Client) Register(ctx context.Context, e list.Entry, ttl time.Duration, cond *uint64) (list.Result, error) {
-	return k.write(ctx, http.MethodPut, "/registry/instances/"+url.PathEscape(e.Name), list.Write{Entry: &e, TTLms: ttl.Milliseconds(), If: cond})
+	return k.write(ctx, http.MethodPut, entryPath(e.Name), list.Write{Entry: &e, TTLms: ttl.Milliseconds(), If: cond})
 }
 
 // Drain says that an entry finishes what it holds and takes nothing new.
 func (k *Client) Drain(ctx context.Context, name string, cond *uint64) (list.Result, error) {
-	return k.write(ctx, http.MethodPost, "/registry/instances/"+url.PathEscape(name)+"/drain", list.Write{If: cond})
+	return k.write(ctx, http.MethodPost, entryPath(name)+"/drain", list.Write{If: cond})
 }
 
 // Remove takes an entry off the list.
 func (k *Client) Remove(ctx context.Context, name string, cond *uint64) (list.Result, error) {
-	return k.write(ctx, http.MethodDelete, "/registry/instances/"+url.PathEscape(name), list.Write{If: cond})
+	return k.write(ctx, http.MethodDelete, entryPath(name), list.Write{If: cond})
 }
 
 func (k *Client) write(ctx context.Context, method, path string, w list.Write) (list.Result, error) {
@@ -78,6 +80,13 @@
 	return a, err
 }
 
+// Items reads the list as it is now, with the entries' versions and times to live.
+func (k *Client) Items(ctx context.Context) (list.Items, error) {
+	var a list.Items
+	err := k.send(ctx, http.MethodGet, "/registry/items", nil, &a)
+	return a, err
+}
+
 // Members lists the replicas.
 func (k *Client) Members(ctx context.Context) ([]list.Member, error) {
 	var all []list.Member
--- a/internal/list/duties.go
+++ b/internal/list/duties.go
@@ -118,8 +118,9 @@
 	return c
 }
 
-// DutiesVersion is that of the last change of a duty.
-func (s *State) DutiesVersion() uint64 { return s.duties.Changed }
+// DutiesVersion is that of the last change of a duty; 1, that of a list that has
+// just begun, if there was none.
+func (s *State) DutiesVersion() uint64 { return max(s.duties.Changed, 1) }
 
 // Duties gives all duties by name, or those that a session holds or waits for.
 func (s *State) Duties(session string) (all []Duty, known bool) {
--- a/internal/list/server/reads.go
+++ b/internal/list/server/reads.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"indigotack/internal/list"
 )
 
 // maxHold bounds a watch, as the protocol does.
@@ -71,6 +73,18 @@
 	s.answer(w, q)
 }
 
+// items answers with the list as it is now, and what is known of each entry.
+func (s *Server) items(w http.ResponseWriter, _ *http.Request) {
+	if err := s.replica.current(); err != nil {
+		refuse(w, http.StatusServiceUnavailable, "not-leading", err.Error(), time.Second)
+		return
+	}
+	s.machine.mu.RLock()
+	a := list.Items{Index: s.machine.state.Version(), Epoch: s.machine.state.Epoch(), Items: s.machine.state.Items()}
+	s.machine.mu.RUnlock()
+	writeJSON(w, http.StatusOK, a)
+}
+
 // hold waits until there is something newer than what the reader has. It is
 // false where the call has been answered, or has no caller any more.
 func (s *Server) hold(w http.ResponseWriter, r *http.Request, q query) bool {
--- a/internal/list/server/routes.go
+++ b/internal/list/server/routes.go
@@ -20,6 +20,7 @@
 	mux.HandleFunc("GET /registry/members", s.members)
 	mux.HandleFunc("PUT /registry/members/{name}", s.leading(maxBody, s.addMember))
 	mux.HandleFunc("DELETE /registry/members/{name}", s.leading(maxBody, s.removeMember))
+	mux.HandleFunc("GET /registry/items", s.leading(maxBody, s.items))
 	mux.HandleFunc("GET /registry/backup", s.leading(maxBody, s.backup))
 	mux.HandleFunc("POST /registry/restore", s.leading(maxRestore, s.restore))
 	mux.HandleFunc("PUT /registry/sessions/{id}", s.leading(maxBody, s.openSession))
