--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -29,6 +29,7 @@
 	List      []string // addresses of the project's own list service; it goes before Discovery
 	ListFile  string   // where the list is kept for the next start; empty: nowhere
 	Control   string   // where operators call; empty: nowhere
+	Fences    string   // folder for the fences seen there; empty: they are forgotten with the process
 	Seed      int64
 	MemoryMB  int
 	Sockets   int // file descriptors
@@ -62,6 +63,7 @@
 		List      []string `json:"list"`
 		ListFile  string   `json:"list_file"`
 		Control   string   `json:"control"`
+		Fences    string   `json:"fence_folder"`
 		Seed      string   `json:"seed"`
 		Limits    struct {
 			MemoryMB int `json:"memory_mb"`
@@ -101,7 +103,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
-	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, Control: in.Control, Seed: int64(seed),
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, Control: in.Control, Fences: in.Fences, Seed: int64(seed),
 		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known,
 		file: decodeAny(raw)}
 	if settings.MayMessage {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -82,7 +82,13 @@
 	})
 }
 
+// answerMaintenance takes a call, unless it names a fence and a later holder of
+// that duty has called here.
 func (n *Node) answerMaintenance(w http.ResponseWriter, r *http.Request, on bool) {
+	if status, err := n.fences.CheckRequest(r); err != nil {
+		http.Error(w, err.Error(), status)
+		return
+	}
 	switch err := n.maintain(r.Context(), r.PathValue("id"), on); {
 	case errors.Is(err, errUnknown):
 		http.Error(w, err.Error(), http.StatusNotFound)
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/fence"
 	"indigotack/internal/list"
 )
 
@@ -257,3 +259,21 @@
 	default:
 	}
 }
+
+// TestFencedMaintenance: an earlier holder's call is turned down, a later one's and one without a fence are taken.
+func TestFencedMaintenance(t *testing.T) {
+	n := startNode(t, refusing(t))
+	for _, c := range []struct {
+		value string
+		want  int
+	}{{"conductor 7", 200}, {"conductor 7", 200}, {"conductor 6", 409}, {"", 200}, {"other 1", 200}, {"odd", 400}, {"conductor 9", 200}, {"conductor 8", 409}} {
+		r := httptest.NewRequest("POST", "/backends/s-0/maint", nil)
+		if c.value != "" {
+			r.Header.Set(fence.Header, c.value)
+		}
+		w := httptest.NewRecorder()
+		if n.controlMux().ServeHTTP(w, r); w.Code != c.want {
+			t.Errorf("%q: %d %s, want %d", c.value, w.Code, w.Body, c.want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/fence"
 	"indigotack/internal/list"
 	"indigotack/internal/pause"
 )
@@ -42,6 +43,8 @@
 
 	backends *pool
 	lists    lists
+	fences   *fence.Guard // of those who order maintenance
+	unfit    error        // why it can not run; nil: it can
 	front    *frontend
 	stats    *stats
 	file     any                   // the configuration file last taken; for Reread
@@ -91,6 +94,9 @@
 		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{}, banned: map[string]bool{},
 		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes),
 		file: cfg.file}
+	if n.fences, n.unfit = fence.Open(cfg.Fences); n.unfit != nil {
+		n.fences, _ = fence.Open("") // of memory alone, which can't fail
+	}
 	clients := int(clientPart * float64(cfg.Sockets-spareSockets))
 	n.backends = newPool(cfg.Settings, cfg.Sockets-spareSockets-clients)
 	n.backends.forwards = &n.stats.forwards
@@ -104,7 +110,10 @@
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	n.ctx = inner
-	var err error
+	err := n.unfit
+	if err != nil {
+		return err
+	}
 	if n.lists, err = n.newLists(); err != nil {
 		return err
 	}
