--- /dev/null
+++ b/cmd/indigoctl/duty.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"indigotack/internal/duty"
+	"indigotack/internal/fence"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+func dutyCommand() *cobra.Command {
+	var f listFlags
+	c := &cobra.Command{
+		Use:   "duty",
+		Short: "jobs that one process holds at a time: who holds them, and who is next",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	f.add(c)
+	c.AddCommand(f.duties(), f.showDuty(), f.yield(), f.block(true), f.block(false), f.runDuty())
+	return c
+}
+
+func (f *listFlags) duties() *cobra.Command {
+	return &cobra.Command{
+		Use:     "ls",
+		Short:   "all duties with their holders",
+		Example: "  indigoctl duty ls",
+		Args:    cobra.NoArgs,
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, _ []string) error {
+			a, err := k.Duties(ctx)
+			if err != nil {
+				return err
+			}
+			return f.print(c.OutOrStdout(), a, func(t *tabwriter.Writer) {
+				fmt.Fprintln(t, "DUTY\tHOLDER\tFENCE\tWAITING\tBLOCKED\tNOTE")
+				for _, d := range a.Duties {
+					fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\n", d.Name, holder(d), d.Fence, len(d.Queue), cmp.Or(strings.Join(d.Blocked, ","), "-"), note(d))
+				}
+				fmt.Fprintf(t, "\n%d duties, %d sessions, version %d\n", len(a.Duties), len(a.Sessions), a.Index)
+			})
+		}),
+	}
+}
+
+func holder(d list.Duty) string {
+	switch {
+	case d.Holder == "":
+		return "nobody"
+	case d.Asked:
+		return d.Process + " (asked to hand on)"
+	}
+	return d.Process
+}
+
+func note(d list.Duty) string {
+	if d.Word == nil {
+		return "-"
+	}
+	return cmp.Or(strings.TrimSpace(d.Word.Note+" "+d.Word.Address+" "+d.Word.Version), "-")
+}
+
+func (f *listFlags) showDuty() *cobra.Command {
+	return &cobra.Command{
+		Use:     "show DUTY",
+		Short:   "one duty with its queue",
+		Example: "  indigoctl duty show keeper",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			a, err := k.Duties(ctx)
+			if err != nil {
+				return err
+			}
+			for _, d := range a.Duties {
+				if d.Name != args[0] {
+					continue
+				}
+				return f.print(c.OutOrStdout(), d, func(t *tabwriter.Writer) {
+					fmt.Fprintf(t, "duty\t%s\nholder\t%s\nfence\t%d\nsession\t%s\nword\t%s\nblocked\t%s\n", d.Name, holder(d), d.Fence, cmp.Or(d.Holder, "-"), note(d), cmp.Or(strings.Join(d.Blocked, ", "), "nobody"))
+					for i, q := range d.Queue {
+						fmt.Fprintf(t, "waiting %d\t%s, priority %d, since version %d\n", i+1, q.Process, q.Priority, q.Since)
+					}
+				})
+			}
+			return fmt.Errorf("there is no duty %s; \"indigoctl duty ls\" shows those there are", args[0])
+		}),
+	}
+}
+
+func (f *listFlags) yield() *cobra.Command {
+	var to string
+	c := &cobra.Command{
+		Use:     "yield DUTY",
+		Short:   "ask the holder to hand on; it ends its work in order first",
+		Example: "  indigoctl duty yield keeper\n  indigoctl duty yield keeper --to ops-2",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			if err := k.Yield(ctx, args[0], to); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), "the holder has been asked; \"indigoctl duty show\" tells who has it")
+			return nil
+		}),
+	}
+	c.Flags().StringVar(&to, "to", "", "the process that is to have it next; it must be waiting for it")
+	return c
+}
+
+func (f *listFlags) block(on bool) *cobra.Command {
+	use, short, done := "block", "keep a process from holding a duty; a holder is asked to hand on", "blocked"
+	if !on {
+		use, short, done = "unblock", "let a blocked process hold a duty again", "let again"
+	}
+	return &cobra.Command{
+		Use:     use + " DUTY PROCESS",
+		Short:   short,
+		Example: "  indigoctl duty " + use + " keeper ops-1",
+		Args:    cobra.ExactArgs(2),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			if err := k.Block(ctx, args[0], args[1], on); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s is %s at %s\n", args[1], done, args[0])
+			return nil
+		}),
+	}
+}
+
+// runDuty runs a command of any kind while this process holds a duty.
+func (f *listFlags) runDuty() *cobra.Command {
+	var process string
+	var ttl time.Duration
+	c := &cobra.Command{
+		Use:   "run DUTY -- COMMAND [ARG...]",
+		Short: "run a command while holding a duty, on as many machines as you like",
+		Long: `It waits until it holds the duty, runs the command, and gives the duty up when the command ends by itself. The
+command gets SIGTERM when the duty has to be handed on, and SIGKILL if it has not ended within an eighth of the TTL.
+$INDIGO_DUTY and $INDIGO_FENCE tell it the duty and its fence; whoever takes its orders should turn down a lower one.`,
+		Example: "  indigoctl duty run nightly-report -- /usr/local/bin/report --all",
+		Args:    cobra.MinimumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			k, err := client.New(client.Config{Addresses: strings.Split(f.addresses, ",")})
+			if err != nil {
+				return err
+			}
+			defer k.Close()
+			p, err := duty.Open(duty.Config{Client: k, Process: process, TTL: ttl, Word: list.Word{Note: args[1]}})
+			if err != nil {
+				return err
+			}
+			err = p.Run(c.Context(), args[0], func(ctx context.Context, fenced duty.Fence) error {
+				return runCommand(ctx, c, args[1:], fenced, ttl)
+			})
+			return errors.Join(err, p.Close(ttl))
+		},
+	}
+	name, _ := os.Hostname() // empty where there is none, which Open tells
+	c.Flags().StringVar(&process, "process", name, "the name of this process, the same over its restarts")
+	c.Flags().DurationVar(&ttl, "ttl", duty.DefaultTTL, "after so long without a word from here, others get the duty")
+	return c
+}
+
+func runCommand(ctx context.Context, c *cobra.Command, args []string, f duty.Fence, ttl time.Duration) error {
+	cmd := exec.CommandContext(ctx, args[0], args[1:]...)
+	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, c.OutOrStdout(), c.ErrOrStderr()
+	cmd.Env = append(os.Environ(), "INDIGO_DUTY="+f.Duty, fmt.Sprintf("INDIGO_FENCE=%d", f.Fence), "INDIGO_FENCE_HEADER="+fence.Header+": "+fence.Format(f))
+	cmd.Cancel = func() error { return cmd.Process.Signal(syscall.SIGTERM) }
+	cmd.WaitDelay = ttl / 10 // under the part of the TTL that work has to stop in
+	return cmd.Run()
+}
--- a/cmd/indigoctl/list.go
+++ b/cmd/indigoctl/list.go
@@ -35,11 +35,16 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
+	f.add(c)
+	c.AddCommand(f.get(), f.watch(), f.register(), f.drain(), f.remove(), f.members(), f.backup(), f.restore())
+	return c
+}
+
+// add gives a command and those under it the flags.
+func (f *listFlags) add(c *cobra.Command) {
 	c.PersistentFlags().StringVar(&f.addresses, "list", cmp.Or(os.Getenv("INDIGO_LIST"), "127.0.0.1:8500"), "addresses of the list service's replicas, separated by commas")
 	c.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON in place of tables")
 	c.PersistentFlags().DurationVar(&f.wait, "wait", 10*time.Second, "how long to try")
-	c.AddCommand(f.get(), f.watch(), f.register(), f.drain(), f.remove(), f.members(), f.backup(), f.restore())
-	return c
 }
 
 // with runs a command against the service, for as long as it may take.
--- /dev/null
+++ b/internal/conf/conf.go
@@ -0,0 +1,44 @@
+// Package conf puts a program's configuration together: its defaults, a TOML file, and
+// the flags that were given, of which each wins over those before it.
+package conf
+
+import (
+	"fmt"
+
+	"github.com/go-viper/mapstructure/v2"
+	"github.com/knadh/koanf/parsers/toml/v2"
+	"github.com/knadh/koanf/providers/file"
+	"github.com/knadh/koanf/providers/posflag"
+	"github.com/knadh/koanf/v2"
+	"github.com/spf13/pflag"
+)
+
+// FileFlag is the flag that names the file.
+const FileFlag = "config"
+
+// Load changes c, which has the defaults, by the file that --config names, if it
+// does, and by the other flags that were given. An unknown key is an error.
+func Load[T any](c *T, flags *pflag.FlagSet) error {
+	k := koanf.New(".")
+	path := flags.Lookup(FileFlag).Value.String()
+	if path != "" {
+		if err := k.Load(file.Provider(path), toml.Parser()); err != nil {
+			return fmt.Errorf("--%s %s: %w", FileFlag, path, err)
+		}
+	}
+	given := pflag.NewFlagSet("given", pflag.ContinueOnError)
+	flags.Visit(func(f *pflag.Flag) {
+		if f.Name != FileFlag {
+			given.AddFlag(f)
+		}
+	})
+	if err := k.Load(posflag.Provider(given, ".", k), nil); err != nil {
+		return err
+	}
+	err := k.UnmarshalWithConf("", c, koanf.UnmarshalConf{DecoderConfig: &mapstructure.DecoderConfig{Result: c, TagName: "koanf", ErrorUnused: true,
+		DecodeHook: mapstructure.StringToTimeDurationHookFunc(), WeaklyTypedInput: false}})
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/keeper/core_test.go
@@ -0,0 +1,96 @@
+package keeper
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"indigotack/internal/list"
+)
+
+// TestJudge: whatever comes and goes, an entry is removed only if it was draining
+// without a lease, at that version, and silent at every look for as long as stated.
+func TestJudge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Patience{Settle: 10 * time.Second, Orphan: 60 * time.Second}
+		c := NewCore(p)
+		type state struct {
+			item   list.Item
+			silent time.Duration // since when it is silent and draining as it is; below 0: it is not
+		}
+		all := map[string]*state{}
+		var now time.Duration
+		version := uint64(1)
+		for range rapid.IntRange(1, 60).Draw(t, "looks") {
+			now += time.Duration(rapid.IntRange(1, 20).Draw(t, "s")) * time.Second
+			name := fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "who"))
+			if rapid.IntRange(0, 3).Draw(t, "change") == 0 {
+				version++
+				e := list.Entry{Name: name, Address: name + ":1", Status: rapid.SampledFrom([]string{list.Ready, list.Draining, list.Draining}).Draw(t, "status")}
+				all[name] = &state{list.Item{Entry: e, Version: version, TTL: time.Duration(rapid.IntRange(0, 1).Draw(t, "ttl")) * time.Second}, -1}
+			}
+			l := Look{At: now, Answers: map[string]bool{}}
+			for name, s := range all {
+				l.Items = append(l.Items, s.item)
+				if rapid.IntRange(0, 7).Draw(t, "answers") == 0 {
+					l.Answers[name] = true
+				}
+				switch quiet := s.item.Entry.Status == list.Draining && s.item.TTL == 0 && !l.Answers[name]; {
+				case !quiet:
+					s.silent = -1
+				case s.silent < 0:
+					s.silent = now
+				}
+			}
+			_, repairs := c.Judge(l)
+			want := 0
+			for _, s := range all {
+				if s.silent >= 0 && now-s.silent >= p.Orphan {
+					want++
+				}
+			}
+			if len(repairs) != want {
+				t.Fatalf("at %v %v are removed, want %d", now, repairs, want)
+			}
+			for _, r := range repairs {
+				if s := all[r.Name]; s.silent < 0 || now-s.silent < p.Orphan || r.Version != s.item.Version {
+					t.Fatalf("at %v %+v is removed, which is %+v", now, r, *s)
+				}
+			}
+		}
+	})
+}
+
+// TestFindings: each kind is reported once it has lasted, and not when it is over.
+func TestFindings(t *testing.T) {
+	c := NewCore(Patience{Settle: 10 * time.Second, Orphan: time.Hour})
+	item := func(name, address, status string) list.Item {
+		return list.Item{Entry: list.Entry{Name: name, Address: address, Status: status}, Version: 1}
+	}
+	wrong := Look{Items: []list.Item{item("a", "x:1", list.Ready), item("b", "x:1", list.Draining)},
+		Nodes: []NodeLook{{Name: "n0"}, {Name: "n1", Up: true}, {Name: "n2", Up: true, Ready: true, Discovered: 5}, {Name: "n3", Up: true, Ready: true, Discovered: -1}}}
+	right := Look{Items: wrong.Items[:1], Answers: map[string]bool{"a": true}, Nodes: []NodeLook{{Name: "n0", Up: true, Ready: true, Discovered: 1}}}
+	kinds := func(at time.Duration, l Look) (all []string) {
+		l.At = at
+		findings, _ := c.Judge(l)
+		for _, f := range findings {
+			all = append(all, f.What+" "+f.Who)
+		}
+		return all
+	}
+	want := fmt.Sprint([]string{"differs n2", "orphan b", "silent a", "twice b", "unreachable n0", "unready n1"})
+	for _, k := range []struct {
+		at   time.Duration
+		look Look
+		want string
+	}{{0, wrong, "[]"}, {9 * time.Second, wrong, "[]"}, {10 * time.Second, wrong, want}, {11 * time.Second, right, "[]"}, {12 * time.Second, wrong, "[]"}} {
+		if got := fmt.Sprint(kinds(k.at, k.look)); got != k.want {
+			t.Errorf("at %v: %s, want %s", k.at, got, k.want)
+		}
+	}
+	if n := discovered("app.forwards:3|c\napp.discovered:12|g\n"); n != 12 {
+		t.Errorf("a node's figures say %d", n)
+	}
+}
