--- /dev/null
+++ b/cmd/indigolab/duties.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"indigotack/internal/lab/duties"
+	"indigotack/internal/lab/report"
+)
+
+// dutyFlags are what a series of runs with duties takes.
+type dutyFlags struct {
+	seed           uint64
+	runs, together int
+	replicas       int
+	crew           duties.CrewOptions
+	length         time.Duration
+	out, bin       string
+	guard          string
+}
+
+func dutiesCommand() *cobra.Command {
+	var f dutyFlags
+	c := &cobra.Command{
+		Use:   "duties",
+		Short: "play processes that hold duties under drawn faults, and check that one holds them at a time",
+		Long: `Each run starts real replicas of the list service and real workers that act on a resource while they hold a duty, and
+kills, pauses, cuts off and restarts them as its seed draws. No act under a lower fence may follow one under a higher, no two
+holders' acts may interleave, grants and fenced writes must be those of a lock (porcupine). Of two seeds one has a resource
+that checks fences, and processes that stand still; the other has neither, so that time alone keeps holders apart.`,
+		Example: "  indigolab duties\n  indigolab duties --runs 200 --together 3",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return f.play(c) },
+	}
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "the first seed")
+	c.Flags().IntVar(&f.runs, "runs", 2, "how many runs, a seed each")
+	c.Flags().IntVar(&f.together, "together", 1, "how many at once")
+	c.Flags().IntVar(&f.replicas, "replicas", 3, "1, 3 or 5")
+	c.Flags().IntVar(&f.crew.Workers, "workers", 3, "processes")
+	c.Flags().IntVar(&f.crew.Duties, "duties", 2, "that all of them want")
+	c.Flags().DurationVar(&f.crew.TTL, "ttl", time.Second, "of their sessions")
+	c.Flags().DurationVar(&f.crew.Deaf, "deaf", 0, "a broken stand-in: work goes on for so long after it is told to stop")
+	c.Flags().StringVar(&f.guard, "guard", "by-seed", "does the resource check fences: yes, no or by-seed")
+	c.Flags().DurationVar(&f.length, "length", 8*time.Second, "of each run's faults")
+	c.Flags().StringVar(&f.out, "out", "logs/lab", "the folder under which each run gets one of its own")
+	c.Flags().StringVar(&f.bin, "bin", "", "the folder with the indigolist to play with (default: beside indigolab, or built from the project)")
+	return c
+}
+
+func (f *dutyFlags) play(c *cobra.Command) error {
+	if f.runs < 1 || f.together < 1 || f.crew.Workers < 1 || f.crew.Duties < 1 || f.length < time.Second || (f.replicas != 1 && f.replicas != 3 && f.replicas != 5) {
+		return unplayed{errors.New("--runs, --together, --workers and --duties are 1 or more, --length 1s or more, --replicas 1, 3 or 5")}
+	}
+	program, done, err := findProgram(c.Context(), c.ErrOrStderr(), f.bin, "indigolist")
+	if err != nil {
+		return err
+	}
+	defer done()
+	var mu sync.Mutex // of the results and the output
+	passed, broken, grants := 0, 0, 0
+	var g errgroup.Group
+	g.SetLimit(f.together)
+	for i := range f.runs {
+		g.Go(func() error {
+			o, err := f.one(c.Context(), program, f.seed+uint64(i))
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				return unplayed{fmt.Errorf("seed %d: %w", f.seed+uint64(i), err)}
+			}
+			fmt.Fprintln(c.OutOrStdout(), o.Line())
+			grants += o.Grants
+			switch {
+			case len(o.Broken) > 0:
+				broken++
+			case !o.Unsure:
+				passed++
+			}
+			return nil
+		})
+	}
+	err = g.Wait()
+	worst := report.Pass
+	if broken > 0 {
+		worst = report.Fail
+	} else if passed < f.runs {
+		worst = report.Unplayed
+	}
+	fmt.Fprintf(c.OutOrStdout(), "%s duties: %d runs of %v, %d passed, %d broken, %d not played or not decided, %d grants\n", words[worst], f.runs, f.length, passed, broken,
+		f.runs-passed-broken, grants)
+	switch {
+	case broken > 0:
+		return failed
+	case err != nil:
+		return err
+	case passed < f.runs:
+		return unplayed{errors.New("some histories could not be decided in their time")}
+	}
+	return nil
+}
+
+func (f *dutyFlags) one(ctx context.Context, program string, seed uint64) (duties.Outcome, error) {
+	dir, err := filepath.Abs(filepath.Join(f.out, fmt.Sprintf("duties-%d-%s", seed, time.Now().UTC().Format("20060102T150405.000"))))
+	if err != nil {
+		return duties.Outcome{}, err
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return duties.Outcome{}, err
+	}
+	crew := f.crew
+	crew.Command = []string{own, "duty-worker"}
+	crew.Guarded = f.guard == "yes" || f.guard == "by-seed" && seed%2 == 0
+	return duties.Play(ctx, duties.Options{Crew: crew, Seed: seed, Replicas: f.replicas, Length: f.length, Dir: dir, List: []string{program}})
+}
+
+// dutyWorkerCommand is the process of a worker; the lab starts it.
+func dutyWorkerCommand() *cobra.Command {
+	var o duties.WorkerOptions
+	var addresses, names string
+	c := &cobra.Command{
+		Use:    "duty-worker",
+		Short:  "a process that holds duties, as the lab starts it",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			o.List, o.Duties = strings.Split(addresses, ","), strings.Split(names, ",")
+			return duties.Work(c.Context(), o, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		},
+	}
+	c.Flags().StringVar(&o.Process, "process", "", "its name")
+	c.Flags().StringVar(&addresses, "list", "", "addresses of the list service")
+	c.Flags().StringVar(&o.Resource, "resource", "", "what it acts on")
+	c.Flags().StringVar(&names, "duties", "", "those it wants")
+	c.Flags().DurationVar(&o.TTL, "ttl", time.Second, "of its session")
+	c.Flags().DurationVar(&o.Every, "every", 4*time.Millisecond, "between two acts on one duty")
+	c.Flags().StringVar(&o.Log, "log", "acts.jsonl", "its history")
+	c.Flags().BoolVar(&o.Spread, "spread", false, "duties are shared out evenly")
+	c.Flags().DurationVar(&o.Deaf, "deaf", 0, "work goes on for so long after it is told to stop")
+	return c
+}
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -21,5 +21,8 @@
 	if f.service != nil && f.service.crowd != nil {
 		o.Verdicts = append(o.Verdicts, f.service.crowd.verdicts(time.Duration(f.e.Bounds.Followers))...)
 	}
+	if f.service != nil && f.service.workers != nil {
+		o.Verdicts = append(o.Verdicts, f.service.dutyVerdicts(time.Duration(f.e.Bounds.Holder))...)
+	}
 	return o
 }
--- a/internal/lab/fleet/service.go
+++ b/internal/lab/fleet/service.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"sync"
 	"time"
 
+	"indigotack/internal/lab/check"
 	"indigotack/internal/lab/disco"
+	"indigotack/internal/lab/duties"
 	"indigotack/internal/lab/link"
 	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list"
@@ -26,6 +29,8 @@
 	tasks sync.WaitGroup
 	ctx   context.Context
 	crowd *crowd // nil: none
+
+	workers *duties.Crew // nil: none
 }
 
 const (
@@ -75,6 +80,9 @@
 		return fmt.Errorf("the boxes can't be registered: %w", ctx.Err())
 	}
 	s.tasks.Go(func() { s.boxes.run(s.ctx) })
+	if err := s.startWorkers(ctx); err != nil {
+		return err
+	}
 	if err := s.startFollowers(); err != nil || s.f.e.List.Direct {
 		return err
 	}
@@ -103,6 +111,58 @@
 	return nil
 }
 
+// startWorkers starts those that hold duties, and waits until all duties are held.
+func (s *service) startWorkers(ctx context.Context) error {
+	d := s.f.e.Duties
+	if d.Workers == 0 {
+		return nil
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	s.workers, err = duties.NewCrew(duties.CrewOptions{Workers: d.Workers, Duties: d.Count, TTL: time.Duration(d.TTL), Guarded: d.Guard, Spread: d.Spread,
+		Dir: filepath.Join(s.f.o.Dir, "workers"), Command: []string{own, "duty-worker"}, Env: s.f.o.Env}, s.set, s.f.net, s.f.group)
+	if err != nil {
+		return err
+	}
+	s.f.atEnd(s.workers.Close)
+	if err := s.workers.Start(); err != nil {
+		return err
+	}
+	return s.workers.Await(ctx, duties.Now())
+}
+
+// dutyVerdicts says what the workers' resource saw, and how long a duty had no holder.
+func (s *service) dutyVerdicts(bound time.Duration) []check.Verdict {
+	acts, _ := s.workers.Resource.Acts()
+	v := check.Verdict{Name: "duties", Rule: "one process holds a duty at a time: no act under a lower fence after one under a higher, none interleaved", Seen: len(acts)}
+	broken, sure, err := s.workers.Judge()
+	if err != nil {
+		broken = append(broken, err.Error())
+	}
+	if !sure {
+		broken = append(broken, "the search for an order of the grants took too long")
+	}
+	for _, b := range broken {
+		v.Broken = append(v.Broken, check.Finding{Text: b})
+	}
+	if bound == 0 {
+		return []check.Verdict{v}
+	}
+	gaps := duties.Gaps(acts)
+	in := check.Verdict{Name: "bound holder", Timed: true, Seen: len(gaps), Rule: fmt.Sprintf("no duty is without a holder for over %v", bound)}
+	if len(gaps) > 0 {
+		in.Rule += fmt.Sprintf(" (%v at most, %d changes)", gaps[0].Took.Round(time.Millisecond), len(gaps))
+	}
+	for _, g := range gaps {
+		if g.Took > bound {
+			in.Broken = append(in.Broken, check.Finding{Text: fmt.Sprintf("%s had none for %v", g.Duty, g.Took.Round(time.Millisecond))})
+		}
+	}
+	return []check.Verdict{v, in}
+}
+
 // change carries out what happens to a box. One that dies says nothing.
 func (s *service) change(box, status, since string, silent bool) {
 	switch {
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -81,6 +81,9 @@
 			if n := f.nodes[name]; n != nil {
 				return n.suffer(ctx, s.Do, last)
 			}
+			if c := f.service.workers; c != nil && strings.HasPrefix(name, "d") {
+				return c.Suffer(ctx, name, s.Do, last, endTime)
+			}
 			return f.service.set.Suffer(ctx, name, s.Do, last, endTime)
 		})
 	case "move":
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -57,6 +57,7 @@
 	Net    Net      `toml:"net"`
 	List   List     `toml:"discovery"`
 	Faults []Fault  `toml:"fault"`
+	Duties Duties   `toml:"duties"`
 	Draw   *Draw    `toml:"draw"`
 	Bounds Bounds   `toml:"bounds"`
 
@@ -111,6 +112,15 @@
 	Followers int  `toml:"followers"` // further clients that follow the service
 }
 
+// Duties says which processes hold duties, beside the nodes.
+type Duties struct {
+	Workers int      `toml:"workers"` // d0, d1 and so on; 0: none
+	Count   int      `toml:"count"`   // of duties that all of them want
+	TTL     Duration `toml:"ttl"`     // of their sessions
+	Guard   bool     `toml:"guard"`   // the resource on which they act checks fences
+	Spread  bool     `toml:"spread"`  // duties are shared out evenly
+}
+
 // Fault is something that goes wrong, or an order of an operator.
 type Fault struct {
 	At  Duration `toml:"at"`
@@ -146,6 +156,7 @@
 	Refused   *float64           `toml:"refused"`   // most that end refused
 	Class     map[string]float64 `toml:"class"`     // least share served, by class
 	P99       map[string]string  `toml:"p99"`       // most, by class, of served ones
+	Holder    Duration           `toml:"holder"`    // the longest that a duty may be without a holder
 	Followers Duration           `toml:"followers"` // until 99% of them know of a change, from the first on
 	Recovered Duration           `toml:"recovered"`
 	Level     float64            `toml:"recovered_at"` // part of what was served before the first fault that counts as recovered; 0: recoveredAt
