--- a/cmd/indigolab/duties.go
+++ b/cmd/indigolab/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -124,6 +125,79 @@
 	return duties.Play(ctx, duties.Options{Crew: crew, Seed: seed, Replicas: f.replicas, Length: f.length, Dir: dir, List: []string{program}})
 }
 
+func dutyCostCommand() *cobra.Command {
+	var bin string
+	var times int
+	c := &cobra.Command{
+		Use:     "duty-cost",
+		Short:   "measure duties: the time without a holder, and what held duties take",
+		Example: "  indigolab duty-cost --times 50",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			program, done, err := findProgram(c.Context(), c.ErrOrStderr(), bin, "indigolist")
+			if err != nil {
+				return err
+			}
+			defer done()
+			own, err := os.Executable()
+			if err != nil {
+				return unplayed{err}
+			}
+			dir, err := os.MkdirTemp("", "dutycost")
+			if err != nil {
+				return unplayed{err}
+			}
+			defer os.RemoveAll(dir)
+			o := duties.Options{Seed: 1, Replicas: 3, Dir: dir, List: []string{program}, Crew: duties.CrewOptions{Workers: 3, TTL: time.Second, Command: []string{own, "duty-worker"}}}
+			if err := dutyCost(c.Context(), c.OutOrStdout(), o, times); err != nil {
+				return unplayed{err}
+			}
+			return nil
+		},
+	}
+	c.Flags().IntVar(&times, "times", 50, "how many times each kind of change is made")
+	c.Flags().StringVar(&bin, "bin", "", "the folder with the indigolist to measure (default: beside indigolab, or built from the project)")
+	return c
+}
+
+// election is that of the lab's replicas, up to twice of which one may take.
+const election = 300 * time.Millisecond
+
+func dutyCost(ctx context.Context, w io.Writer, o duties.Options, times int) error {
+	under := o.Dir
+	var mu sync.Mutex // of the output
+	var g errgroup.Group
+	for _, kind := range duties.Kinds {
+		g.Go(func() error {
+			o := o
+			o.Dir = filepath.Join(under, kind)
+			all, err := duties.Changes(ctx, o, kind, times)
+			if err != nil {
+				return fmt.Errorf("%s: %w", kind, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Fprintf(w, "%-8s %d changes: without a holder for %v in the median, %v at the worst; %v on paper\n", kind, len(all),
+				all[len(all)/2].Round(time.Millisecond), all[len(all)-1].Round(time.Millisecond), duties.Bound(kind, o.Crew.TTL, election))
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	o.Crew.Workers = 10
+	for _, n := range []int{10, 100, 1000} {
+		o.Dir = filepath.Join(under, fmt.Sprint(n))
+		c, err := duties.Costs(ctx, o, n)
+		if err != nil {
+			return fmt.Errorf("%d duties: %w", n, err)
+		}
+		fmt.Fprintf(w, "%4d duties in 10 processes: held after %v, %d to %d by each; workers take %v of processor a second in all, replicas %v\n", c.Duties, c.Settled.Round(10*time.Millisecond),
+			c.Held[0], c.Held[len(c.Held)-1], c.Workers.Round(100*time.Microsecond), c.Replicas.Round(100*time.Microsecond))
+	}
+	return nil
+}
+
 // dutyWorkerCommand is the process of a worker; the lab starts it.
 func dutyWorkerCommand() *cobra.Command {
 	var o duties.WorkerOptions
--- a/internal/lab/duties/crew.go
+++ b/internal/lab/duties/crew.go
@@ -1,6 +1,7 @@
 package duties
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +25,7 @@
 	TTL     time.Duration
 	Guarded bool // the resource checks fences
 	Spread  bool
+	Rest    time.Duration // between two acts on one duty; 0: as many as the resource can take
 	Deaf    time.Duration // a broken stand-in, see WorkerOptions
 	Dir     string
 	Command []string // of a worker; its flags are added
@@ -87,7 +89,9 @@
 	actShare = time.Millisecond
 )
 
-func (o CrewOptions) every() time.Duration { return max(actEvery, time.Duration(o.Duties)*actShare) }
+func (o CrewOptions) every() time.Duration {
+	return max(o.Rest, actEvery, time.Duration(o.Duties)*actShare)
+}
 
 func (m *member) log() string { return filepath.Join(m.dir, "acts.jsonl") }
 
@@ -106,10 +110,23 @@
 	defer m.mu.Unlock()
 	p, err := c.group.Start(proc.Spec{Name: m.name, Command: append(slices.Clone(c.o.Command), m.args...), Dir: m.dir,
 		Env: append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.dir}, c.o.Env...)})
-	if err == nil {
-		m.proc = p
+	if err != nil {
+		return err
+	}
+	m.proc = p
+	return m.begun(p)
+}
+
+// begun waits until a worker has noted its start: before that, a signal to end
+// finds nobody who listens.
+func (m *member) begun(p *proc.Proc) error {
+	mark := fmt.Appendf(nil, `"run":"%s-%d"`, m.name, p.Pid)
+	for until := time.Now().Add(readyTime); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if raw, err := os.ReadFile(m.log()); err == nil && bytes.Contains(raw, mark) || !p.Running() {
+			return nil // one that ended by itself is told by the group
+		}
 	}
-	return err
+	return fmt.Errorf("%s does not begin", m.name)
 }
 
 // Suffer kills, pauses or restarts a worker. A killed one is started again after
--- /dev/null
+++ b/internal/lab/duties/measure.go
@@ -0,0 +1,180 @@
+package duties
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/proc"
+	"indigotack/internal/pause"
+)
+
+// Kinds are the ways in which a holder can be followed by another.
+var Kinds = []string{"kill", "pause", "cut", "restart", "upgrade"}
+
+// betweenChanges keeps the pace at which the service grants one duty out of the times.
+const betweenChanges = 2200 * time.Millisecond
+
+// Changes has the holder of a duty suffer so many times, and gives the times from
+// its last act to the first of the next, in order of length.
+func Changes(ctx context.Context, o Options, kind string, times int) (all []time.Duration, err error) {
+	o.Crew.Duties, o.Crew.Guarded = 1, true
+	l, err := Begin(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	for i := range times {
+		pause.For(ctx, betweenChanges)
+		if err := l.Held(ctx); err != nil {
+			return nil, err
+		}
+		before := l.Crew.last()
+		if err := l.change(ctx, kind, before.Process, i); err != nil {
+			return nil, err
+		}
+		if err := l.Crew.followed(ctx, before.Fence.Fence); err != nil {
+			return nil, err
+		}
+	}
+	acts, _ := l.Crew.Resource.Acts()
+	for _, g := range Gaps(acts) {
+		all = append(all, g.Took)
+	}
+	slices.Sort(all)
+	return all, l.Crew.End(endTime)
+}
+
+// change does to a holder what the kind says, until another has its duty by then.
+func (l *Lab) change(ctx context.Context, kind, who string, n int) error {
+	last := 2 * l.o.Crew.TTL
+	switch kind {
+	case "cut":
+		name := fmt.Sprint("cut", n)
+		l.net.Lay(name, link.Shape{Hold: link.Both, Cut: true}, func(e link.Ends) bool { return e.From == who && e.To != "resource" })
+		pause.For(ctx, last)
+		l.net.Lift(name)
+		return nil
+	case "kill":
+		last = 0
+	}
+	return l.Crew.Suffer(ctx, who, kind, last, endTime)
+}
+
+// last is the last act that was taken.
+func (c *Crew) last() Act {
+	acts, _ := c.Resource.Acts()
+	return acts[len(acts)-1]
+}
+
+// followed waits for an act under a higher fence.
+func (c *Crew) followed(ctx context.Context, fence uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for c.last().Fence.Fence <= fence {
+		if !pause.For(ctx, time.Millisecond) {
+			return fmt.Errorf("nobody follows the holder under fence %d: %w", fence, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// Bound is the longest that a duty may be without a holder on paper, but for the
+// calls themselves: the lease, if a renewal was answered just before, the looks at
+// it, and an election that may be under way. One that hands on leaves the election.
+func Bound(kind string, ttl, election time.Duration) time.Duration {
+	const looks = 100 * time.Millisecond // between the service's looks at deadlines
+	if kind == "restart" || kind == "upgrade" {
+		return election
+	}
+	return ttl + looks + election
+}
+
+// Cost is what held duties take.
+type Cost struct {
+	Duties   int
+	Held     []int         // by each process, the fewest first
+	Workers  time.Duration // processor time of all workers in a second
+	Replicas time.Duration // and of all replicas
+	Settled  time.Duration // from the start of the workers until every duty is held
+}
+
+// costTime is how long the processor times are taken.
+const costTime = 10 * time.Second
+
+// Costs measures so many duties that are shared out evenly and hardly act.
+func Costs(ctx context.Context, o Options, duties int) (c Cost, err error) {
+	o.Crew.Duties, o.Crew.Spread, o.Crew.Guarded, o.Crew.Rest = duties, true, true, costTime/2
+	began := time.Now()
+	l, err := Begin(ctx, o)
+	if err != nil {
+		return c, err
+	}
+	defer l.Close()
+	c.Duties, c.Settled = duties, time.Since(began)
+	pause.For(ctx, costTime) // what was granted to the first that came goes to whom it belongs
+	pids := func() (workers, replicas []int) {
+		for _, m := range l.Crew.all {
+			workers = append(workers, m.proc.Pid)
+		}
+		for _, r := range l.Set.All {
+			replicas = append(replicas, r.Proc().Pid)
+		}
+		return workers, replicas
+	}
+	workers, replicas := pids()
+	w0, err := used(workers)
+	if err != nil {
+		return c, err
+	}
+	r0, err := used(replicas)
+	if err != nil {
+		return c, err
+	}
+	pause.For(ctx, costTime)
+	w1, err := used(workers)
+	if err != nil {
+		return c, err
+	}
+	r1, err := used(replicas)
+	if err != nil {
+		return c, err
+	}
+	c.Workers, c.Replicas = (w1-w0)/time.Duration(costTime/time.Second), (r1-r0)/time.Duration(costTime/time.Second)
+	c.Held = l.Crew.shares()
+	return c, l.Crew.End(endTime)
+}
+
+func used(pids []int) (sum time.Duration, err error) {
+	for _, pid := range pids {
+		u, err := proc.UseOf(pid)
+		if err != nil {
+			return 0, err
+		}
+		sum += u.CPU
+	}
+	return sum, nil
+}
+
+// shares counts the duties that each process acted on last, the fewest first.
+func (c *Crew) shares() (all []int) {
+	acts, _ := c.Resource.Acts()
+	by := map[string]string{}
+	for _, a := range acts {
+		by[a.Duty] = a.Process
+	}
+	count := map[string]int{}
+	for _, m := range c.all {
+		count[m.name] = 0
+	}
+	for _, p := range by {
+		count[p]++
+	}
+	for _, n := range count {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
--- a/internal/list/duties.go
+++ b/internal/list/duties.go
@@ -217,10 +217,10 @@
 	s.tidy(d)
 }
 
-// tidy forgets a duty that has never been granted, and that nobody wants any more.
-// One that was keeps its fence: its name may be used again.
+// tidy forgets a duty that nobody holds, wants or is kept from. Its name may be
+// used again: fences are versions, so a later grant has a higher one all the same.
 func (s *State) tidy(d *Duty) {
-	if d.Fence == 0 && d.Holder == "" && len(d.Queue) == 0 && len(d.Blocked) == 0 {
+	if d.Holder == "" && len(d.Queue) == 0 && len(d.Blocked) == 0 {
 		delete(s.duties.Duties, d.Name)
 	}
 }
--- /dev/null
+++ b/internal/list/server/duties_test.go
@@ -0,0 +1,112 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+func duty(t *testing.T, url, query string) list.DutyAnswer {
+	t.Helper()
+	status, body := call(t, "GET", url+"/registry/duties"+query, "")
+	var a list.DutyAnswer
+	if err := json.Unmarshal([]byte(body), &a); status != 200 || err != nil {
+		t.Fatalf("%s: %d %s", query, status, body)
+	}
+	return a
+}
+
+// TestDutyOverHTTP: a session lapses, the next has its duty with a higher fence, and
+// the earlier holder's writes are turned down; over a restart on the same folder.
+func TestDutyOverHTTP(t *testing.T) {
+	folder := t.TempDir()
+	url, stop := serve(t, folder, nil)
+	open := func(id string) {
+		t.Helper()
+		if status, body := call(t, "PUT", url+"/registry/sessions/"+id, fmt.Sprintf(`{"process":"p-%s","ttl_ms":600}`, id)); status != 200 {
+			t.Fatal(status, body)
+		}
+		if status, body := call(t, "POST", url+"/registry/sessions/"+id+"/campaign", `{"duties":[{"duty":"d"}]}`); status != 200 {
+			t.Fatal(status, body)
+		}
+	}
+	open("x")
+	first := duty(t, url, "?session=x")
+	if len(first.Duties) != 1 || first.Duties[0].Holder != "x" {
+		t.Fatalf("%+v", first)
+	}
+	fenced := func(f uint64) (int, string) {
+		return put(t, url, "a", fmt.Sprintf(`,"fence":{"duty":"d","fence":%d}`, f))
+	}
+	if status, body := fenced(first.Duties[0].Fence); status != 200 {
+		t.Error(status, body)
+	}
+	stop()
+	url, stop = serve(t, folder, nil)
+	defer stop()
+	open("y")
+	from := duty(t, url, "?session=y").Index
+	for until := time.Now().Add(enough); ; {
+		if status, body := call(t, "POST", url+"/registry/sessions/renew", `{"sessions":["y"]}`); status != 200 || strings.Contains(body, `"y"`) {
+			t.Fatal(status, body)
+		}
+		a := duty(t, url, fmt.Sprintf("?session=y&from=%d&hold_ms=100", from))
+		if len(a.Duties) == 1 && a.Duties[0].Holder == "y" {
+			if a.Duties[0].Fence <= first.Duties[0].Fence {
+				t.Errorf("fence %d after %d", a.Duties[0].Fence, first.Duties[0].Fence)
+			}
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatalf("x does not lapse: %+v", a)
+		}
+	}
+	if status, body := fenced(first.Duties[0].Fence); status != 409 || !strings.Contains(body, `"fenced"`) {
+		t.Errorf("the earlier holder's write: %d %s", status, body)
+	}
+	if status, body := call(t, "POST", url+"/registry/sessions/renew", `{"sessions":["x"]}`); status != 200 || !strings.Contains(body, `"x"`) {
+		t.Errorf("a renewal of one that lapsed: %d %s", status, body)
+	}
+	if status, _ := call(t, "GET", url+"/registry/duties?session=x", ""); status != 404 {
+		t.Errorf("its duties: %d", status)
+	}
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{{"PUT", "/registry/sessions/z", `{"process":"p","ttl_ms":1}`, 400}, {"PUT", "/registry/sessions/z", `{"ttl_ms":1000}`, 400}, {"POST", "/registry/sessions/z/campaign", `{"duties":[{"duty":"d"}]}`, 404},
+		{"POST", "/registry/sessions/y/campaign", `{"duties":[{}]}`, 400}, {"POST", "/registry/duties/none/yield", "", 404}, {"POST", "/registry/duties/d/block", "", 400},
+		{"POST", "/registry/sessions/renew", "{}", 400}, {"GET", "/registry/duties?from=x", "", 400}, {"GET", "/registry/items", "", 200}} {
+		if status, body := call(t, c.method, url+c.path, c.body); status != c.want {
+			t.Errorf("%s %s: %d %s, want %d", c.method, c.path, status, body, c.want)
+		}
+	}
+}
+
+// TestPace: candidates that crash in a loop do not pass a duty around faster than is stated.
+func TestPace(t *testing.T) {
+	url, stop := serve(t, t.TempDir(), nil)
+	defer stop()
+	start := time.Now()
+	for i := range 20 {
+		id := fmt.Sprint("x", i)
+		call(t, "PUT", url+"/registry/sessions/"+id, `{"process":"p","ttl_ms":60000}`)
+		call(t, "POST", url+"/registry/sessions/"+id+"/campaign", `{"duties":[{"duty":"d"}]}`)
+		call(t, "DELETE", url+"/registry/sessions/"+id, "")
+	}
+	call(t, "PUT", url+"/registry/sessions/last", `{"process":"p","ttl_ms":60000}`)
+	call(t, "POST", url+"/registry/sessions/last/campaign", `{"duties":[{"duty":"d"}]}`)
+	for until := time.Now().Add(enough); ; time.Sleep(5 * time.Millisecond) {
+		if d := duty(t, url, "").Duties; len(d) == 1 && d[0].Holder == "last" {
+			break
+		} else if time.Now().After(until) {
+			t.Fatalf("the last does not come to hold it: %+v", d)
+		}
+	}
+	if took := time.Since(start); took < paceEvery/2 {
+		t.Errorf("20 crashes and a holder took %v only", took)
+	}
+}
