--- a/internal/list/calls.go
+++ b/internal/list/calls.go
@@ -1,6 +1,7 @@
 package list
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -64,6 +65,14 @@
 	Items []Item `json:"items"`
 }
 
+// Put is the body of a record's write. Without a value the record goes.
+type Put struct {
+	Value json.RawMessage `json:"value,omitempty"`
+	If    *uint64         `json:"if,omitempty"`
+	ID    string          `json:"id,omitempty"`
+	Fence *Fence          `json:"fence,omitempty"`
+}
+
 // SessionCall is the body of a session's opening.
 type SessionCall struct {
 	Process string `json:"process"`
--- a/internal/list/command.go
+++ b/internal/list/command.go
@@ -26,10 +26,12 @@
 	DoYield    = "yield"    // Name, To
 	DoBlock    = "block"    // Name, To, On
 	DoGrant    = "grant"    // Grant
+
+	DoPut = "put" // Name, Value: a record; without a value it goes
 )
 
 var known = []string{DoBegin, DoRegister, DoDrain, DoRemove, DoExpire, DoRestore, DoMember, DoForget,
-	DoSession, DoClose, DoCampaign, DoGiveUp, DoYield, DoBlock, DoGrant}
+	DoSession, DoClose, DoCampaign, DoGiveUp, DoYield, DoBlock, DoGrant, DoPut}
 
 // Bounds on commands.
 const (
@@ -56,6 +58,8 @@
 	Image   json.RawMessage `json:"image,omitempty"`
 	Address *Address        `json:"address,omitempty"`
 
+	Value json.RawMessage `json:"value,omitempty"` // of a record
+
 	Fence    *Fence   `json:"fence,omitempty"` // of the holder that writes
 	Session  *Session `json:"session,omitempty"`
 	Sessions []string `json:"sessions,omitempty"`
@@ -127,6 +131,8 @@
 		}
 	case DoSession, DoClose, DoCampaign, DoGiveUp, DoYield, DoBlock, DoGrant:
 		return c.checkDuty()
+	case DoPut:
+		return c.checkRecord()
 	default:
 		return fmt.Errorf("do: %q is nothing that is done here", c.Do)
 	}
--- a/internal/list/state.go
+++ b/internal/list/state.go
@@ -45,12 +45,15 @@
 	known   map[string]Result // of writes
 	members map[string]Address
 	duties  duties
-	trimmed uint64 // the version of the last change that is no longer kept; no reader of an older one can be told by changes
+	records map[string]Record
+
+	recordBytes int    // of all records' values
+	trimmed     uint64 // the version of the last change that is no longer kept; no reader of an older one can be told by changes
 }
 
 // NewState makes an empty list without an epoch.
 func NewState() *State {
-	return &State{items: map[string]Item{}, known: map[string]Result{}, members: map[string]Address{}, duties: newDuties(), changes: ring[Change]{most: keepChanges}, writes: ring[written]{most: keepWrites}}
+	return &State{items: map[string]Item{}, known: map[string]Result{}, members: map[string]Address{}, duties: newDuties(), records: map[string]Record{}, changes: ring[Change]{most: keepChanges}, writes: ring[written]{most: keepWrites}}
 }
 
 // Version is that of the list.
@@ -144,6 +147,8 @@
 		return Result{}
 	case DoRestore:
 		return s.restore(c)
+	case DoPut:
+		return s.put(c)
 	}
 	return s.applyDuty(c)
 }
@@ -266,12 +271,13 @@
 	Writes  []written          `json:"writes"`
 	Members map[string]Address `json:"members,omitempty"`
 	Duties  duties             `json:"duties"`
+	Records []Record           `json:"records,omitempty"`
 	Trimmed *uint64            `json:"trimmed,omitempty"` // absent in the first programs' images, whose changes have all versions
 }
 
 // Snapshot encodes the whole state.
 func (s *State) Snapshot() ([]byte, error) {
-	return json.Marshal(image{form, s.epoch, s.version, s.Items(), s.changes.all(), s.writes.all(), s.members, s.duties, &s.trimmed})
+	return json.Marshal(image{form, s.epoch, s.version, s.Items(), s.changes.all(), s.writes.all(), s.members, s.duties, s.allRecords(), &s.trimmed})
 }
 
 // FromSnapshot decodes a state and says what is wrong with one that could not have been.
@@ -312,6 +318,9 @@
 	for name, a := range in.Members {
 		s.members[name] = a
 	}
+	if err := s.takeRecords(in.Records, in.Version); err != nil {
+		return nil, fmt.Errorf("a snapshot: %w", err)
+	}
 	if in.Duties.Duties == nil && in.Duties.Sessions == nil {
 		return s, nil // of a program that knew no duties
 	}
