Add the plan and the machine of staged releases, their conductor, and release plan

A conductor's death at each of 116, 60 and 135 calls of a good release, one whose gate fails and one whose servers never come up: the next brings it to its end. Drawn failures (before and after the effect), deaths and orders: never more out than allowed, nothing carried out that is not on record. Three mutations are found (intent not written, one more out, a way back that replaces a server which serves). Not yet: what carries its actions out on servers, gates' figures, experiments.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -35,6 +35,19 @@
 	if err := k.Load(posflag.Provider(given, ".", k), nil); err != nil {
 		return err
 	}
+	return into(k, c, path)
+}
+
+// File changes c, which has the defaults, by a TOML file. An unknown key is an error.
+func File[T any](c *T, path string) error {
+	k := koanf.New(".")
+	if err := k.Load(file.Provider(path), toml.Parser()); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return into(k, c, path)
+}
+
+func into[T any](k *koanf.Koanf, c *T, path string) error {
 	err := k.UnmarshalWithConf("", c, koanf.UnmarshalConf{DecoderConfig: &mapstructure.DecoderConfig{Result: c, TagName: "koanf", ErrorUnused: true,
 		DecodeHook: mapstructure.StringToTimeDurationHookFunc(), WeaklyTypedInput: false}})
 	if err != nil {
--- a/internal/list/entry.go
+++ b/internal/list/entry.go
@@ -32,7 +32,8 @@
 	Group   int     `json:"group"`
 	Status  string  `json:"status"`
 	Weight  float64 `json:"weight"`
-	SinceMS int64   `json:"since_ms"` // Unix time of the server's last start; 0: long ago
+	SinceMS int64   `json:"since_ms"`          // Unix time of the server's last start; 0: long ago
+	Version string  `json:"version,omitempty"` // of its program, if somebody says; nodes pass over it
 }
 
 // Check says what is wrong with an entry that is to be registered.
@@ -40,7 +41,7 @@
 	if e.Name == "" {
 		return errors.New("name: missing")
 	}
-	for key, text := range map[string]string{"name": e.Name, "address": e.Address, "zone": e.Zone, "type": e.Type} {
+	for key, text := range map[string]string{"name": e.Name, "address": e.Address, "zone": e.Zone, "type": e.Type, "version": e.Version} {
 		if len(text) > MaxText {
 			return fmt.Errorf("%s: %d bytes, %d at most", key, len(text), MaxText)
 		}
--- /dev/null
+++ b/internal/release/conductor.go
@@ -0,0 +1,204 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// Store keeps a release's record. Save fails with ErrTaken where the record has
+// another version than was loaded, or the conductor's fence is not the last.
+type Store interface {
+	Load(ctx context.Context) (raw []byte, version uint64, err error)
+	Save(ctx context.Context, raw []byte, version uint64) (uint64, error)
+	// Order gives an operator's order that has not been taken, and takes it.
+	Order(ctx context.Context) (order, who string, err error)
+}
+
+// ErrTaken ends a conductor that another has followed.
+var ErrTaken = errors.New("release: another conductor has it")
+
+// Fleet carries out what a release wants.
+type Fleet interface {
+	// View tells what else does not serve.
+	View(ctx context.Context) (View, error)
+	// Do carries an action out, or a part of it. It is done once done is true, and
+	// may be called again at any time, also for one that was done.
+	Do(ctx context.Context, a Action) (done bool, err error)
+	// Counts tells what the named servers, and the rest, have done in the last while.
+	Counts(ctx context.Context, named []string, last time.Duration) (those, rest Counts, err error)
+}
+
+// Conductor carries a release out. It is the work of a duty.
+type Conductor struct {
+	Store Store
+	Fleet Fleet
+	Every time.Duration // between two looks
+	Log   *slog.Logger
+	Clock func() time.Duration // a monotonic clock; nil: the machine's
+
+	state   *State
+	version uint64
+	began   time.Duration // of this conductor, by its clock
+	from    time.Duration // the release's clock then
+}
+
+const (
+	doTime   = 10 * time.Second // for one action, or a part of it
+	together = 16               // actions carried out at once
+)
+
+func (c *Conductor) now() time.Duration { return c.from + c.Clock() - c.began }
+
+// Run carries the release on from its record until it is over and nothing is out,
+// until ctx ends, or another conductor has it.
+func (c *Conductor) Run(ctx context.Context) error {
+	raw, version, err := c.Store.Load(ctx)
+	if err != nil {
+		return fmt.Errorf("release: loading the record: %w", err)
+	}
+	if c.state, err = Decode(raw); err != nil {
+		return err
+	}
+	if c.Clock == nil {
+		start := time.Now()
+		c.Clock = func() time.Duration { return time.Since(start) }
+	}
+	c.version, c.began, c.from = version, c.Clock(), c.state.Clock
+	t := time.NewTicker(c.Every)
+	defer t.Stop()
+	for {
+		if err := c.once(ctx); err != nil {
+			return err
+		}
+		if c.state.Phase.Over() && len(c.state.Actions()) == 0 {
+			return nil
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// once makes one round: orders, what begins, what is carried out, what came of it.
+func (c *Conductor) once(ctx context.Context) error {
+	if err := c.obey(ctx); err != nil {
+		return err
+	}
+	view, err := c.Fleet.View(ctx)
+	if err != nil { // nothing new begins on a guess
+		c.Log.Warn("the fleet can't be seen", "err", err)
+	} else {
+		c.state.Step(c.now(), view)
+	}
+	if err := c.save(ctx); err != nil {
+		return err
+	}
+	for _, r := range c.carryOut(ctx, c.state.Actions()) {
+		if r.done || r.err != nil {
+			c.state.Done(c.now(), r.action, r.err)
+		}
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	c.judge(ctx)
+	return c.save(ctx)
+}
+
+func (c *Conductor) obey(ctx context.Context) error {
+	order, who, err := c.Store.Order(ctx)
+	if err != nil || order == "" {
+		return err
+	}
+	if err := c.state.Order(c.now(), order, who); err != nil {
+		c.state.note(c.now(), "not followed: %v, ordered by %s", err, who)
+		c.Log.Warn("an order is not followed", "err", err, "by", who)
+	}
+	return nil
+}
+
+// save writes the record, if there is anything new in it.
+func (c *Conductor) save(ctx context.Context) error {
+	c.state.Clock = c.now()
+	raw, err := Encode(c.state)
+	if err != nil {
+		return err
+	}
+	if c.version, err = c.Store.Save(ctx, raw, c.version); err != nil {
+		return fmt.Errorf("release: writing the record: %w", err)
+	}
+	return nil
+}
+
+// result is what came of an action.
+type result struct {
+	action Action
+	done   bool
+	err    error
+}
+
+func (c *Conductor) carryOut(ctx context.Context, all []Action) []result {
+	results := make([]result, len(all))
+	room := make(chan bool, together)
+	var open sync.WaitGroup
+	for i, a := range all {
+		room <- true
+		open.Go(func() {
+			defer func() { <-room }()
+			call, cancel := context.WithTimeout(ctx, doTime)
+			defer cancel()
+			done, err := c.Fleet.Do(call, a)
+			results[i] = result{a, done, err}
+		})
+	}
+	open.Wait()
+	return results
+}
+
+// judge asks for a verdict once a wave has soaked.
+func (c *Conductor) judge(ctx context.Context) {
+	s := c.state
+	if !s.Soaked(c.now()) {
+		return
+	}
+	var named []string
+	for _, t := range s.targetsOf(s.Wave) {
+		named = append(named, t.Name)
+	}
+	those, rest, err := c.Fleet.Counts(ctx, named, c.now()-s.Since)
+	if err != nil {
+		c.Log.Warn("the gate has no figures", "err", err)
+		return
+	}
+	verdict := s.Plan.Gate.Judge(those, rest, len(named) == len(s.Targets))
+	s.Judged(c.now(), verdict, fmt.Sprintf("gate: %s, %d of %d failed and %d were late, of the rest %d of %d and %d", verdict, those.Failed, those.Requests, those.Late,
+		rest.Failed, rest.Requests, rest.Late))
+}
+
+// Encode gives the form of a record.
+func Encode(s *State) ([]byte, error) { return json.Marshal(s) }
+
+// Decode reads a record. One of a later form is an error.
+func Decode(raw []byte) (*State, error) {
+	s := &State{}
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, fmt.Errorf("release: a record that can't be read: %w", err)
+	}
+	if s.Form != form {
+		return nil, fmt.Errorf("release: a record of form %d, this program knows %d", s.Form, form)
+	}
+	if err := s.Plan.Check(); err != nil {
+		return nil, fmt.Errorf("release: the record's plan: %w", err)
+	}
+	if s.Wave < 0 || s.Wave >= len(s.Plan.Waves) || len(s.Targets) == 0 || len(s.Targets) > MaxTargets {
+		return nil, fmt.Errorf("release: a record at wave %d of %d with %d servers", s.Wave+1, len(s.Plan.Waves), len(s.Targets))
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/release/plan.go
@@ -0,0 +1,186 @@
+// Package release takes servers, or the program's nodes, from one version to
+// another: in waves, judged by gates, with a halt and a way back. The plan and the
+// machine are pure.
+package release
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"path"
+	"slices"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+// Plan is what a release is to do. Times in its file have units, as in "30s".
+type Plan struct {
+	Name   string `koanf:"name" json:"name"`
+	From   string `koanf:"from" json:"from"` // version
+	To     string `koanf:"to" json:"to"`
+	What   What   `koanf:"what" json:"what"`
+	Limits Limits `koanf:"limits" json:"limits"`
+	Waves  []Wave `koanf:"wave" json:"waves"`
+
+	Soak     time.Duration `koanf:"soak" json:"soak_ns"` // after a wave's last server is back, before it is judged
+	Gate     Gate          `koanf:"gate" json:"gate"`
+	Halt     string        `koanf:"halt" json:"halt"` // wait, or back
+	Deadline Deadline      `koanf:"deadline" json:"deadline"`
+}
+
+// What selects the servers: those that match all that is given. Names may have * and ?.
+type What struct {
+	Zones []string `koanf:"zones" json:"zones,omitempty"`
+	Types []string `koanf:"types" json:"types,omitempty"`
+	Names []string `koanf:"names" json:"names,omitempty"`
+}
+
+// Limits say how many servers may be out at once, for whatever reason.
+type Limits struct {
+	Out  int `koanf:"out" json:"out"`   // in all
+	Zone int `koanf:"zone" json:"zone"` // in a zone; 0: as many as in all
+	Pod  int `koanf:"pod" json:"pod"`   // in a pod of a type; 0: as many as in all
+}
+
+// Wave is a number or a share of the servers; the last takes all that are left.
+type Wave struct {
+	Count int     `koanf:"count" json:"count,omitempty"`
+	Share float64 `koanf:"share" json:"share,omitempty"`
+}
+
+// Gate compares the released servers with the rest over the soak.
+type Gate struct {
+	Least  int     `koanf:"least" json:"least"`   // requests that each part must have had, else it is undecided
+	Failed float64 `koanf:"failed" json:"failed"` // the released part's share of failures may be so much above the rest's
+	Late   float64 `koanf:"late" json:"late"`     // the same, of requests past their aim
+	Most   float64 `koanf:"most" json:"most"`     // failures of either part above this share are an incident of its own; 0: 0.1
+}
+
+// Deadline says how long a step may take.
+type Deadline struct {
+	Drain   time.Duration `koanf:"drain" json:"drain_ns"`
+	Replace time.Duration `koanf:"replace" json:"replace_ns"`
+	Ready   time.Duration `koanf:"ready" json:"ready_ns"`
+	Judge   time.Duration `koanf:"judge" json:"judge_ns"` // past the soak, for a gate to decide
+}
+
+// What a halt may do by itself.
+const (
+	HaltWait = "wait"
+	HaltBack = "back"
+)
+
+// Bounds on plans.
+const (
+	MaxTargets = 2000
+	maxWaves   = 50
+	mostTime   = 24 * time.Hour
+)
+
+// Default is a careful plan but for its name, versions and servers.
+func Default() Plan {
+	return Plan{Limits: Limits{Out: 1}, Waves: []Wave{{Count: 1}, {Share: 0.1}, {Share: 0.5}, {Share: 1}}, Soak: 30 * time.Second, Halt: HaltWait,
+		Gate:     Gate{Least: 200, Failed: 0.01, Late: 0.05, Most: 0.1},
+		Deadline: Deadline{Drain: time.Minute, Replace: 2 * time.Minute, Ready: time.Minute, Judge: 2 * time.Minute}}
+}
+
+// Check says what is wrong with a plan, by its keys.
+func (p Plan) Check() error {
+	var errs []error
+	bad := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	text := func(key, value string) {
+		bad(value != "" && len(value) <= list.MaxText, "%s: want 1 to %d bytes", key, list.MaxText)
+	}
+	text("name", p.Name)
+	text("from", p.From)
+	text("to", p.To)
+	bad(p.From != p.To, "to: %q is the version that is there already", p.To)
+	for _, n := range p.What.Names {
+		_, err := path.Match(n, "")
+		bad(err == nil, "what.names: %q is no pattern", n)
+	}
+	l := p.Limits
+	bad(l.Out >= 1, "limits.out: %d is under 1, so nothing could ever be released", l.Out)
+	bad(l.Zone >= 0 && l.Zone <= l.Out, "limits.zone: %d is not between 0 and limits.out", l.Zone)
+	bad(l.Pod >= 0 && l.Pod <= l.Out, "limits.pod: %d is not between 0 and limits.out", l.Pod)
+	bad(len(p.Waves) >= 1 && len(p.Waves) <= maxWaves, "wave: there are %d, want 1 to %d", len(p.Waves), maxWaves)
+	for i, w := range p.Waves {
+		bad((w.Count > 0) != (w.Share > 0) && w.Count >= 0 && w.Share >= 0 && w.Share <= 1, "wave %d: give either count, above 0, or share, above 0 and at most 1", i+1)
+	}
+	span := func(key string, d time.Duration, least time.Duration) {
+		bad(d >= least && d <= mostTime, "%s: %v is not between %v and %v", key, d, least, mostTime)
+	}
+	span("soak", p.Soak, 0)
+	span("deadline.drain", p.Deadline.Drain, time.Second)
+	span("deadline.replace", p.Deadline.Replace, time.Second)
+	span("deadline.ready", p.Deadline.Ready, time.Second)
+	span("deadline.judge", p.Deadline.Judge, 0)
+	g := p.Gate
+	bad(g.Least >= 0, "gate.least: %d is under 0", g.Least)
+	for key, v := range map[string]float64{"gate.failed": g.Failed, "gate.late": g.Late, "gate.most": g.Most} {
+		bad(v >= 0 && v <= 1, "%s: %v is not between 0 and 1", key, v)
+	}
+	bad(p.Halt == HaltWait || p.Halt == HaltBack, "halt: %q is neither %q nor %q", p.Halt, HaltWait, HaltBack)
+	return errors.Join(errs...)
+}
+
+// Matches tells whether a server is one of those that the plan is about.
+func (p Plan) Matches(e list.Entry) bool {
+	one := func(all []string, is string) bool { return len(all) == 0 || slices.Contains(all, is) }
+	named := len(p.What.Names) == 0 || slices.ContainsFunc(p.What.Names, func(n string) bool {
+		ok, err := path.Match(n, e.Name)
+		return ok && err == nil
+	})
+	return one(p.What.Zones, e.Zone) && one(p.What.Types, e.Type) && named
+}
+
+// ends gives, for each wave, how many of n servers are released by its end.
+func (p Plan) ends(n int) (all []int) {
+	done := 0
+	for i, w := range p.Waves {
+		if w.Count > 0 {
+			done += w.Count
+		} else {
+			done = max(done, int(math.Ceil(w.Share*float64(n))))
+		}
+		done = min(done, n)
+		if i == len(p.Waves)-1 {
+			done = n
+		}
+		all = append(all, done)
+	}
+	return all
+}
+
+// order puts servers in the order of their release: zones in turn, pods in turn
+// within a zone, so that a wave is spread as wide as it can be.
+func order(all []Target) []Target {
+	count := map[string]int{} // servers of a zone, of a pod in a zone
+	type ranked struct {
+		Target
+		pod, zone int // the how manieth of it
+	}
+	var in []ranked
+	for _, t := range slices.SortedFunc(slices.Values(all), func(a, b Target) int { return compare(a.Name, b.Name) }) {
+		pod := t.pod()
+		in = append(in, ranked{t, count[pod], 0})
+		count[pod]++
+	}
+	slices.SortStableFunc(in, func(a, b ranked) int { return a.pod - b.pod })
+	for i := range in {
+		zone := "zone " + in[i].Zone
+		in[i].zone = count[zone]
+		count[zone]++
+	}
+	slices.SortStableFunc(in, func(a, b ranked) int { return a.zone - b.zone })
+	var out []Target
+	for _, r := range in {
+		out = append(out, r.Target)
+	}
+	return out
+}
