--- /dev/null
+++ b/internal/agent/calls.go
@@ -0,0 +1,105 @@
+// Package agent keeps the servers of one machine running: it starts, watches and
+// replaces their processes, keeps their entries in the list, and takes orders from
+// the holder of a release's duty.
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"indigotack/internal/fence"
+	"indigotack/internal/list"
+)
+
+// RecordPrefix begins the keys of agents' records in the list service.
+const RecordPrefix = "agent/"
+
+// Card is what an agent tells of itself in its record.
+type Card struct {
+	Machine string   `json:"machine"`
+	Address string   `json:"address"` // where it takes calls
+	Servers []string `json:"servers"` // that it keeps
+}
+
+// Status is a server as its agent sees it.
+type Status struct {
+	Name     string     `json:"name"`
+	Entry    list.Entry `json:"entry"`
+	Version  string     `json:"version"`         // that its process has, or had last
+	Want     string     `json:"want"`            // that it is to have
+	Running  bool       `json:"running"`         // its process is there
+	Ready    bool       `json:"ready"`           // it answers
+	Restarts int        `json:"restarts"`        // of this version, by itself
+	Why      string     `json:"why,omitempty"`   // it is not ready
+	Since    int64      `json:"since_ms"`        // Unix time of the process's start
+	Quiet    bool       `json:"quiet,omitempty"` // it is not to be listed as ready: it is being replaced
+}
+
+// Order is what a server is to be.
+type Order struct {
+	Version string `json:"version"`
+	Quiet   bool   `json:"quiet"` // it stays draining in the list until an order without quiet
+}
+
+const maxCall = 64 << 10 // bytes of a call or an answer
+
+// ErrStale is the refusal of an order whose holder has been followed by another.
+var ErrStale = errors.New("agent: another holds the duty")
+
+// Caller calls agents.
+type Caller struct {
+	HTTP *http.Client
+}
+
+// Status asks an agent for a server.
+func (c Caller) Status(ctx context.Context, address, server string) (Status, error) {
+	var s Status
+	return s, c.call(ctx, http.MethodGet, address, server, nil, nil, &s)
+}
+
+// Order tells an agent what a server is to be, under a fence; it does not wait for it.
+func (c Caller) Order(ctx context.Context, address, server string, o Order, f list.Fence) (Status, error) {
+	var s Status
+	return s, c.call(ctx, http.MethodPut, address, server, o, &f, &s)
+}
+
+func (c Caller) call(ctx context.Context, method, address, server string, body any, f *list.Fence, into any) error {
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/servers/"+url.PathEscape(server), bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	if f != nil {
+		req.Header.Set(fence.Header, fence.Format(*f))
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return fmt.Errorf("agent at %s: %w", address, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxCall))
+	switch {
+	case err != nil:
+		return fmt.Errorf("agent at %s: %w", address, err)
+	case resp.StatusCode == http.StatusConflict:
+		return fmt.Errorf("%w: %s", ErrStale, bytes.TrimSpace(text))
+	case resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("agent at %s: %s: %s", address, resp.Status, bytes.TrimSpace(text))
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("agent at %s: %w", address, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,105 @@
+package agent
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+// Config is what an agent is told.
+type Config struct {
+	Machine string        `koanf:"machine"` // its name, the same over restarts
+	Listen  string        `koanf:"listen"`  // for calls
+	Address string        `koanf:"address"` // where others reach it; empty: at listen
+	List    []string      `koanf:"list"`    // replicas of the list service
+	Folder  string        `koanf:"folder"`  // for what it has to know after a restart
+	TTL     time.Duration `koanf:"ttl"`     // of its servers' entries
+	Servers []Server      `koanf:"server"`
+}
+
+// Server is one server that the agent keeps. In its command and folder {version}
+// stands for the version.
+type Server struct {
+	Name    string        `koanf:"name"`
+	Address string        `koanf:"address"` // where nodes reach it
+	Zone    string        `koanf:"zone"`
+	Type    string        `koanf:"type"`
+	Group   int           `koanf:"group"`
+	Weight  float64       `koanf:"weight"`
+	Version string        `koanf:"version"` // with which it begins on an empty folder
+	Command []string      `koanf:"command"`
+	Dir     string        `koanf:"dir"`
+	Ready   string        `koanf:"ready"` // path that answers 200 once it is ready; empty: once it takes connections
+	Grace   time.Duration `koanf:"grace"` // between SIGTERM and SIGKILL
+}
+
+// Default is the configuration but for names, addresses and servers.
+func Default() Config { return Config{Listen: "127.0.0.1:8800", TTL: 10 * time.Second} }
+
+const (
+	defaultGrace = 10 * time.Second
+	mostServers  = 200 // on one machine
+	versionMark  = "{version}"
+)
+
+// Check says what is wrong with a configuration, by its keys.
+func (c Config) Check() error {
+	var errs []error
+	bad := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	address := func(key, value string) {
+		_, _, err := net.SplitHostPort(value)
+		bad(err == nil, "%s: %q is not host:port", key, value)
+	}
+	bad(c.Machine != "", "machine: missing; it names this agent, the same over restarts")
+	bad(c.Folder != "", "folder: missing; it is for versions and fences")
+	address("listen", c.Listen)
+	if c.Address != "" {
+		address("address", c.Address)
+	}
+	bad(len(c.List) > 0, "list: missing; it has the addresses of the list service")
+	for _, a := range c.List {
+		address("list", a)
+	}
+	bad(c.TTL >= list.MinTTL && c.TTL <= list.MaxTTL, "ttl: %v is not between %v and %v", c.TTL, list.MinTTL, list.MaxTTL)
+	bad(len(c.Servers) >= 1 && len(c.Servers) <= mostServers, "server: there are %d, want 1 to %d", len(c.Servers), mostServers)
+	names := map[string]bool{}
+	for _, s := range c.Servers {
+		bad(s.Name != "" && len(s.Name) <= list.MaxText && !names[s.Name], "server: name %q is missing, too long or there twice", s.Name)
+		names[s.Name] = true
+		address("server "+s.Name+": address", s.Address)
+		bad(len(s.Command) > 0, "server %s: command: missing", s.Name)
+		bad(s.Version != "", "server %s: version: missing", s.Name)
+		bad(s.Weight >= 0, "server %s: weight: %v is under 0", s.Name, s.Weight)
+		bad(s.Grace >= 0, "server %s: grace: %v is under 0", s.Name, s.Grace)
+		bad(s.Ready == "" || strings.HasPrefix(s.Ready, "/"), "server %s: ready: %q is no path", s.Name, s.Ready)
+	}
+	return errors.Join(errs...)
+}
+
+func (s Server) grace() time.Duration {
+	if s.Grace == 0 {
+		return defaultGrace
+	}
+	return s.Grace
+}
+
+// command gives what is started for a version.
+func (s Server) command(version string) (args []string, dir string) {
+	for _, a := range s.Command {
+		args = append(args, strings.ReplaceAll(a, versionMark, version))
+	}
+	return args, strings.ReplaceAll(s.Dir, versionMark, version)
+}
+
+// entry is the server's entry in the list.
+func (s Server) entry(status, version string, since int64) list.Entry {
+	return list.Entry{Name: s.Name, Address: s.Address, Zone: s.Zone, Type: s.Type, Group: s.Group, Weight: s.Weight, Status: status, SinceMS: since, Version: version}
+}
