--- a/internal/release/conductor.go
+++ b/internal/release/conductor.go
@@ -197,6 +197,9 @@
 	if err := s.Plan.Check(); err != nil {
 		return nil, fmt.Errorf("release: the record's plan: %w", err)
 	}
+	if s.Goal != s.Plan.From && s.Goal != s.Plan.To {
+		return nil, fmt.Errorf("release: a record whose goal is %q", s.Goal)
+	}
 	if s.Wave < 0 || s.Wave >= len(s.Plan.Waves) || len(s.Targets) == 0 || len(s.Targets) > MaxTargets {
 		return nil, fmt.Errorf("release: a record at wave %d of %d with %d servers", s.Wave+1, len(s.Plan.Waves), len(s.Targets))
 	}
--- a/internal/release/machine.go
+++ b/internal/release/machine.go
@@ -72,6 +72,7 @@
 	Form    int           `json:"v"`
 	Plan    Plan          `json:"plan"`
 	Phase   Phase         `json:"phase"`
+	Goal    string        `json:"goal"`          // the version to which servers go now
 	Why     string        `json:"why,omitempty"` // of a halt
 	Wave    int           `json:"wave"`
 	Since   time.Duration `json:"since_ns"` // when the phase began
@@ -100,7 +101,7 @@
 	if len(servers) == 0 || len(servers) > MaxTargets {
 		return nil, fmt.Errorf("the plan is about %d servers, want 1 to %d", len(servers), MaxTargets)
 	}
-	s := &State{Form: form, Plan: p, Phase: Running, Targets: order(servers)}
+	s := &State{Form: form, Plan: p, Phase: Running, Goal: p.To, Targets: order(servers)}
 	for i := range s.Targets {
 		t := &s.Targets[i]
 		if t.Step = Waiting; t.Version == p.To {
@@ -159,14 +160,6 @@
 	Out []Target
 }
 
-// wanted is the version to which servers go now.
-func (s *State) wanted() string {
-	if s.Phase == Back || s.Phase == Failed || s.Phase == Returned {
-		return s.Plan.From
-	}
-	return s.Plan.To
-}
-
 // Step moves the release on: steps past their deadline, waves, the beginning of
 // further servers. It is to be written before Actions are carried out.
 func (s *State) Step(now time.Duration, v View) {
@@ -214,7 +207,7 @@
 			open = true
 			continue
 		}
-		if t.Version == s.wanted() {
+		if t.Version == s.Goal {
 			continue
 		}
 		open = true
@@ -292,6 +285,7 @@
 // lifted as it is; the rest is replaced once more.
 func (s *State) goBack(now time.Duration, why string) {
 	s.enter(now, Back, "%s", why)
+	s.Goal = s.Plan.From
 	for i := range s.Targets {
 		t := &s.Targets[i]
 		if !t.out() {
@@ -327,7 +321,7 @@
 	if s.holding() && (t.Step == Maint || t.Step == Drain || t.Step == Lift) {
 		return t.Version
 	}
-	return s.wanted()
+	return s.Goal
 }
 
 // Done notes the end of an action, which is to be written before the next begins.
