--- a/cmd/indigolab/quorum.go
+++ b/cmd/indigolab/quorum.go
@@ -187,12 +187,12 @@
 		}
 		fmt.Fprintf(w, "%5d callers: %.0f writes a second, %.0f entries renewed a second\n", callers, r.Writes, r.Renewed)
 	}
-	for _, n := range []int{1, 10} {
-		took, err := quorum.Arrival(ctx, fresh(fmt.Sprint("arrival", n)), 200*n, 300*n)
+	for _, n := range [][2]int{{200, 300}, {2000, 300}, {200, 3000}} {
+		took, err := quorum.Arrival(ctx, fresh(fmt.Sprint("arrival", n)), n[0], n[1])
 		if err != nil {
-			return fmt.Errorf("%d servers arrive: %w", 200*n, err)
+			return fmt.Errorf("%d servers arrive: %w", n[0], err)
 		}
-		fmt.Fprintf(w, "%5d servers register and %d clients come at once: all have all after %v\n", 200*n, 300*n, took.Round(time.Millisecond))
+		fmt.Fprintf(w, "%5d servers register and %d clients come at once: all have all after %v\n", n[0], n[1], took.Round(time.Millisecond))
 	}
 	for _, entries := range []int{100, 1000} {
 		s, err := quorum.SideBySide(ctx, fresh(fmt.Sprint("side", entries)), entries, 300)
--- a/internal/lab/quorum/measure.go
+++ b/internal/lab/quorum/measure.go
@@ -18,11 +18,13 @@
 	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
+	"indigotack/internal/list/server"
 	"indigotack/internal/pause"
 )
 
 // measured runs something against a fresh cluster.
 func measured(ctx context.Context, o Options, do func(*cluster, *client.Client) error) error {
+	o.Snapshot = int(server.Default().Snapshot) // as in service
 	log, err := history.New("")
 	if err != nil {
 		return err
--- a/internal/lab/quorum/play.go
+++ b/internal/lab/quorum/play.go
@@ -36,6 +36,7 @@
 	Env      []string
 
 	Election time.Duration // of the replicas; 0: a short one
+	Snapshot int           // entries of the log after which a replica makes one; 0: few
 }
 
 const (
@@ -56,7 +57,7 @@
 func newCluster(o Options, log *history.Log) (*cluster, error) {
 	c := &cluster{o: o, log: log, net: link.NewNet(o.Seed), group: proc.NewGroup(log)}
 	var err error
-	c.set, err = replicas.New(replicas.Options{Count: o.Replicas, Dir: o.Dir, Command: o.Command, Env: o.Env, Seed: o.Seed, Election: o.Election}, c.net, c.group)
+	c.set, err = replicas.New(replicas.Options{Count: o.Replicas, Dir: o.Dir, Command: o.Command, Env: o.Env, Seed: o.Seed, Election: o.Election, Snapshot: o.Snapshot}, c.net, c.group)
 	if err == nil {
 		c.doors, err = c.set.Doors("clients")
 	}
--- a/internal/lab/replicas/replicas.go
+++ b/internal/lab/replicas/replicas.go
@@ -27,6 +27,7 @@
 	Seed    uint64   // of damage
 
 	Election time.Duration // 0: a short one, of which links on loopback take no part
+	Snapshot int           // entries of the log after which one is made; 0: so few that every run has some
 	Env      []string
 }
 
@@ -91,7 +92,7 @@
 func (s *Set) configure(r *Replica) error {
 	var text strings.Builder
 	fmt.Fprintf(&text, "name = %q\nfolder = %q\nlisten = %q\nraft = %q\nbegin = %v\nelection = %q\nsnapshot = %d\nmax_writes = 100000.0\n", r.Name,
-		r.folder(), r.http, r.raft, r == s.All[0], cmp.Or(s.o.Election, election), snapshotAfter)
+		r.folder(), r.http, r.raft, r == s.All[0], cmp.Or(s.o.Election, election), cmp.Or(s.o.Snapshot, snapshotAfter))
 	for _, o := range s.All {
 		raft, http := r.raft, r.http
 		if o != r {
--- a/internal/list/client/client.go
+++ b/internal/list/client/client.go
@@ -227,7 +227,9 @@
 	}
 	var v View
 	if verdict == Taken {
-		v = k.belief.View()
+		if k.c.File != "" {
+			v = k.belief.View()
+		}
 		close(k.changed)
 		k.changed = make(chan struct{})
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -23,17 +23,18 @@
 
 // Config is what a node is told at its start.
 type Config struct {
-	Name      string
-	Listen    string   // where clients connect
-	Discovery string   // where the list of servers comes from, unless List says so
-	List      []string // addresses of the project's own list service; it goes before Discovery
-	ListFile  string   // where the list is kept for the next start; empty: nowhere
-	Control   string   // where operators call; empty: nowhere
-	Fences    string   // folder for the fences seen there; empty: they are forgotten with the process
-	Seed      int64
-	MemoryMB  int
-	Sockets   int // file descriptors
-	Settings  decide.Settings
+	Name         string
+	Listen       string   // where clients connect
+	Discovery    string   // where the list of servers comes from, unless List says so
+	List         []string // addresses of the project's own list service; it goes before Discovery
+	ListFile     string   // where the list is kept for the next start; empty: nowhere
+	Control      string   // where operators call; empty: nowhere
+	Fences       string   // folder for the fences seen there; empty: they are forgotten with the process
+	BackendStats bool     // the figures for operators tell servers apart
+	Seed         int64
+	MemoryMB     int
+	Sockets      int // file descriptors
+	Settings     decide.Settings
 
 	PeerListen string           // where other nodes' messages come; empty: nowhere
 	Peers      []netip.AddrPort // of all nodes, by their numbers; invalid: not to be reached
@@ -57,15 +58,16 @@
 
 func parseConfig(raw []byte) (Config, error) {
 	var in struct {
-		Name      string   `json:"name"`
-		Listen    string   `json:"listen"`
-		Discovery string   `json:"discovery"`
-		List      []string `json:"list"`
-		ListFile  string   `json:"list_file"`
-		Control   string   `json:"control"`
-		Fences    string   `json:"fence_folder"`
-		Seed      string   `json:"seed"`
-		Limits    struct {
+		Name         string   `json:"name"`
+		Listen       string   `json:"listen"`
+		Discovery    string   `json:"discovery"`
+		List         []string `json:"list"`
+		ListFile     string   `json:"list_file"`
+		Control      string   `json:"control"`
+		Fences       string   `json:"fence_folder"`
+		BackendStats bool     `json:"backend_stats"`
+		Seed         string   `json:"seed"`
+		Limits       struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
@@ -103,7 +105,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
-	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, Control: in.Control, Fences: in.Fences, Seed: int64(seed),
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, Control: in.Control, Fences: in.Fences, BackendStats: in.BackendStats, Seed: int64(seed),
 		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known,
 		file: decodeAny(raw)}
 	if settings.MayMessage {
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -167,9 +167,14 @@
 
 // TestNamesBreakNoLine: a class named by someone careless stays one word.
 func TestNamesBreakNoLine(t *testing.T) {
-	s := newStats([]decide.Class{{Name: "a.b:1|c\napp.x"}})
+	s := newStats([]decide.Class{{Name: "a.b:1|c\napp.x"}}, true)
 	s.count("a.b:1|c\napp.x", aborted)
 	s.count("nobody's", aborted)
+	for code, late := range map[decide.OutcomeCode]bool{decide.OK: true, decide.Full: false, decide.Reset: false, decide.Moot: false, decide.Cancelled: false} {
+		s.attempt("b c", code, late)
+	}
+	s.attempt("left", decide.OK, false)
+	s.forget("left")
 	var b strings.Builder
 	s.write(&b)
 	for _, line := range strings.Split(strings.TrimSuffix(b.String(), "\n"), "\n") {
@@ -179,7 +184,8 @@
 			t.Errorf("line %q", line)
 		}
 	}
-	if !strings.Contains(b.String(), "app.results.a_b_1_c_app_x.aborted:1|c\n") {
+	if !strings.Contains(b.String(), "app.results.a_b_1_c_app_x.aborted:1|c\n") ||
+		!strings.Contains(b.String(), "app.backends.b_c.succeeded:1|c\napp.backends.b_c.failed:2|c\napp.backends.b_c.late:1|c\n") || strings.Contains(b.String(), "left") {
 		t.Errorf("figures\n%s", b.String())
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -92,7 +93,7 @@
 func New(cfg Config, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), calls: make(chan func()), told: make(chan struct{}), ended: make(chan struct{}),
 		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{}, banned: map[string]bool{},
-		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes),
+		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes, cfg.BackendStats),
 		file: cfg.file}
 	if n.fences, n.unfit = fence.Open(cfg.Fences); n.unfit != nil {
 		n.fences, _ = fence.Open("") // of memory alone, which can't fail
@@ -479,12 +480,23 @@
 	if res.code == decide.OK {
 		n.finish(r.id, answer{status: http.StatusOK, header: res.header, body: res.body})
 	}
+	n.stats.attempt(n.ids.byID[server], res.code, took > n.aim(r.class))
 	over := r.done
 	n.handle(decide.AttemptEnded{ID: r.id, Attempt: number, Server: server, Over: over, Spent: res.spent, Elapsed: took,
 		Code: res.code, Report: res.report})
 	n.forget(r)
 }
 
+// aim is the time in which an answer of a class has its full worth; without a class, any.
+func (n *Node) aim(class string) time.Duration {
+	for _, c := range n.cfg.Settings.Classes {
+		if c.Name == class {
+			return c.Aim
+		}
+	}
+	return math.MaxInt64
+}
+
 // follow takes a list from discovery: addresses for the sockets, the rest for
 // the module.
 func (n *Node) follow(l list.Answer, kind decide.ListKind) {
@@ -514,6 +526,7 @@
 			n.backends.remove(n.ids.of(name))
 			if delete(n.listed, name); !n.banned[name] {
 				n.ids.forget(name)
+				n.stats.forget(name)
 			}
 		}
 	}
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -31,10 +32,17 @@
 
 	mu      sync.RWMutex
 	results map[string]*[outcomes]atomic.Int64 // by class; one that was dropped keeps its count
+	servers map[string]*attempts               // nil: they are not told apart
 }
 
-func newStats(classes []decide.Class) *stats {
+// attempts are those of one server that ended and say something of it.
+type attempts struct{ succeeded, failed, late int64 } // late ones have succeeded
+
+func newStats(classes []decide.Class, servers bool) *stats {
 	s := &stats{results: map[string]*[outcomes]atomic.Int64{}}
+	if servers {
+		s.servers = map[string]*attempts{}
+	}
 	s.add(classes)
 	return s
 }
@@ -59,6 +67,40 @@
 	}
 }
 
+// attempt takes the end of an attempt at a server. One that the node called off, or
+// never sent, says nothing of it.
+func (s *stats) attempt(server string, code decide.OutcomeCode, late bool) {
+	if s.servers == nil || server == "" || code == decide.Moot || code == decide.Cancelled {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.servers[server]
+	if a == nil {
+		a = &attempts{}
+		s.servers[server] = a
+	}
+	switch {
+	case code != decide.OK:
+		a.failed++
+	case late:
+		a.late++
+		a.succeeded++
+	default:
+		a.succeeded++
+	}
+}
+
+// forget drops the figures of a server that has left the list.
+func (s *stats) forget(server string) {
+	if s.servers == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.servers, server)
+}
+
 // write gives the figures as lines of text, classes in the order of their names.
 func (s *stats) write(w io.Writer) {
 	s.mu.RLock()
@@ -73,6 +115,10 @@
 			fmt.Fprintf(w, "app.results.%s.%s:%d|c\n", label(name), r, s.results[name][o].Load())
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
+		a := s.servers[name]
+		fmt.Fprintf(w, "app.backends.%s.succeeded:%d|c\napp.backends.%s.failed:%d|c\napp.backends.%s.late:%d|c\n", label(name), a.succeeded, label(name), a.failed, label(name), a.late)
+	}
 	for _, f := range []struct {
 		name, kind string
 		value      *atomic.Int64
--- a/internal/release/conductor.go
+++ b/internal/release/conductor.go
@@ -15,8 +15,10 @@
 type Store interface {
 	Load(ctx context.Context) (raw []byte, version uint64, err error)
 	Save(ctx context.Context, raw []byte, version uint64) (uint64, error)
-	// Order gives an operator's order that has not been taken, and takes it.
-	Order(ctx context.Context) (order, who string, err error)
+	// Order gives the operator's order that waits, if one does.
+	Order(ctx context.Context) (id, order, who string, err error)
+	// Taken makes room for the next order, once the record says that this one was taken.
+	Taken(ctx context.Context) error
 }
 
 // ErrTaken ends a conductor that another has followed.
@@ -88,7 +90,8 @@
 
 // once makes one round: orders, what begins, what is carried out, what came of it.
 func (c *Conductor) once(ctx context.Context) error {
-	if err := c.obey(ctx); err != nil {
+	told, err := c.obey(ctx)
+	if err != nil {
 		return err
 	}
 	view, err := c.Fleet.View(ctx)
@@ -100,6 +103,11 @@
 	if err := c.save(ctx); err != nil {
 		return err
 	}
+	if told {
+		if err := c.Store.Taken(ctx); err != nil {
+			return err
+		}
+	}
 	for _, r := range c.carryOut(ctx, c.state.Actions()) {
 		if r.done || r.err != nil {
 			c.state.Done(c.now(), r.action, r.err)
@@ -112,16 +120,22 @@
 	return c.save(ctx)
 }
 
-func (c *Conductor) obey(ctx context.Context) error {
-	order, who, err := c.Store.Order(ctx)
-	if err != nil || order == "" {
-		return err
+// obey follows the order that waits, and tells whether there is one. Its id goes
+// into the record, so that it is followed once.
+func (c *Conductor) obey(ctx context.Context) (told bool, err error) {
+	id, order, who, err := c.Store.Order(ctx)
+	if err != nil || id == "" {
+		return false, err
+	}
+	if id == c.state.Taken {
+		return true, nil
 	}
+	c.state.Taken = id
 	if err := c.state.Order(c.now(), order, who); err != nil {
 		c.state.note(c.now(), "not followed: %v, ordered by %s", err, who)
 		c.Log.Warn("an order is not followed", "err", err, "by", who)
 	}
-	return nil
+	return true, nil
 }
 
 // save writes the record, if there is anything new in it.
--- a/internal/release/machine.go
+++ b/internal/release/machine.go
@@ -80,6 +80,7 @@
 	History []Note        `json:"history"`  // the last mostNotes
 	Clock   time.Duration `json:"clock_ns"` // when this was written; the next conductor goes on from there
 	Resume  Phase         `json:"resume,omitempty"`
+	Taken   string        `json:"taken,omitempty"` // the id of the last order
 }
 
 // Note is one line of a release's history.
--- a/internal/release/machine_test.go
+++ b/internal/release/machine_test.go
@@ -25,7 +25,8 @@
 	calls    int
 	dieAt    int // the call at which the conductor dies; 0: never
 	servers  map[string]*server
-	order    string
+	order    string // that waits
+	orders   int    // so far
 	bad      string // servers that don't come up in this version
 	worse    bool   // the new version fails its requests
 	fails    func() failure
@@ -84,10 +85,19 @@
 	return w.version, nil
 }
 
-func (w *world) Order(ctx context.Context) (string, string, error) {
-	o := w.order
+func (w *world) Order(ctx context.Context) (string, string, string, error) {
+	if w.order == "" {
+		return "", "", "", w.call(ctx)
+	}
+	return fmt.Sprint(w.orders), w.order, "somebody", w.call(ctx)
+}
+
+func (w *world) Taken(ctx context.Context) error {
+	if err := w.call(ctx); err != nil {
+		return err
+	}
 	w.order = ""
-	return o, "somebody", w.call(ctx)
+	return nil
 }
 
 func (w *world) View(ctx context.Context) (View, error) { return View{}, w.call(ctx) }
@@ -297,6 +307,7 @@
 		orders := rapid.SliceOfN(rapid.SampledFrom([]string{"", OrderPause, OrderResume, OrderSkip, OrderBack, "dance"}), 0, 6).Draw(t, "orders")
 		var s *State
 		for _, o := range append(orders, OrderResume, OrderAbort) {
+			w.orders++
 			w.order, w.dieAt = o, w.calls+rapid.IntRange(1, 60).Draw(t, "dies after")
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			err := w.conductor().Run(ctx)
@@ -305,6 +316,7 @@
 				t.Fatal(err)
 			}
 		}
+		w.orders++
 		w.dieAt, w.order = 0, OrderAbort
 		s = w.conduct(1)
 		for _, one := range w.servers {
--- /dev/null
+++ b/internal/release/records.go
@@ -0,0 +1,114 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// Keys of a release in the list service: its record, and the one order of an
+// operator that waits to be taken.
+const (
+	RecordPrefix = "release/"
+	orderPrefix  = "release-order/"
+)
+
+// Duty is the duty whose holder conducts a release.
+func Duty(name string) string { return RecordPrefix + name }
+
+// waiting is an operator's order in its record.
+type waiting struct {
+	ID    string `json:"id"`
+	Order string `json:"order"`
+	Who   string `json:"who"`
+}
+
+// Records keeps a release in the list service, under its conductor's fence.
+type Records struct {
+	List  *client.Client
+	Fence list.Fence
+	Name  string
+}
+
+// Start puts a new release on record; there must be none of that name.
+func Start(ctx context.Context, k *client.Client, s *State) error {
+	raw, err := Encode(s)
+	if err != nil {
+		return err
+	}
+	none := uint64(0)
+	if _, err = k.Put(ctx, RecordPrefix+s.Plan.Name, raw, &none); is(err, list.Conflict) {
+		return fmt.Errorf("there is a release %s already; a plan of another name makes another", s.Plan.Name)
+	}
+	return err
+}
+
+// Read gives a release as it is on record.
+func Read(ctx context.Context, k *client.Client, name string) (*State, error) {
+	r, err := k.Record(ctx, RecordPrefix+name)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(r.Value)
+}
+
+// Tell leaves an operator's order for the conductor. One at a time waits.
+func Tell(ctx context.Context, k *client.Client, name, what, who, id string) error {
+	raw, err := json.Marshal(waiting{id, what, who})
+	if err != nil {
+		return err
+	}
+	none := uint64(0)
+	if _, err = k.Put(ctx, orderPrefix+name, raw, &none); is(err, list.Conflict) {
+		return errors.New("an order waits there already; does a conductor run?")
+	}
+	return err
+}
+
+// is tells whether the service's refusal has a code.
+func is(err error, code list.Code) bool {
+	var r *client.Refused
+	return errors.As(err, &r) && r.Code == string(code)
+}
+
+// Load reads the record.
+func (r Records) Load(ctx context.Context) ([]byte, uint64, error) {
+	one, err := r.List.Record(ctx, RecordPrefix+r.Name)
+	return one.Value, one.Version, err
+}
+
+// Save writes the record.
+func (r Records) Save(ctx context.Context, raw []byte, version uint64) (uint64, error) {
+	got, err := r.List.As(r.Fence).Put(ctx, RecordPrefix+r.Name, raw, &version)
+	if is(err, list.Conflict) || is(err, list.Fenced) {
+		return 0, fmt.Errorf("%w: %w", ErrTaken, err)
+	}
+	return got.Entry, err
+}
+
+// Order reads the order that waits.
+func (r Records) Order(ctx context.Context) (id, what, who string, err error) {
+	one, err := r.List.Record(ctx, orderPrefix+r.Name)
+	var refused *client.Refused
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return "", "", "", nil
+	}
+	var o waiting
+	if err == nil {
+		err = json.Unmarshal(one.Value, &o)
+	}
+	return o.ID, o.Order, o.Who, err
+}
+
+// Taken makes room for the next order.
+func (r Records) Taken(ctx context.Context) error {
+	if _, err := r.List.As(r.Fence).Put(ctx, orderPrefix+r.Name, nil, nil); !is(err, list.Absent) {
+		return err
+	}
+	return nil
+}
