--- a/cmd/indigoctl/release.go
+++ b/cmd/indigoctl/release.go
@@ -1,15 +1,24 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"indigotack/internal/conf"
+	"indigotack/internal/duty"
+	"indigotack/internal/list"
 	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
 	"indigotack/internal/release"
 )
 
@@ -22,7 +31,16 @@
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
 	f.add(c)
-	c.AddCommand(f.planRelease())
+	c.AddCommand(f.planRelease(), f.startRelease(), f.releaseStatus(), f.releaseHistory(), f.conduct())
+	for order, short := range map[string]string{
+		release.OrderPause:  "begin nothing new until it is resumed; what is out comes back",
+		release.OrderResume: "go on after a pause or a halt",
+		release.OrderSkip:   "pass over the rest of this wave's soak, and its gate",
+		release.OrderAbort:  "end it; what is released stays so, what is out comes back",
+		release.OrderBack:   "take what is released back to the former version",
+	} {
+		c.AddCommand(f.orderRelease(order, short))
+	}
 	return c
 }
 
@@ -45,21 +63,11 @@
   pod = 1`,
 		Args: cobra.ExactArgs(1),
 		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
-			plan := release.Default()
-			if err := conf.File(&plan, args[0]); err != nil {
-				return err
-			}
-			if err := plan.Check(); err != nil {
-				return fmt.Errorf("%s: %w", args[0], err)
-			}
-			a, err := k.Current(ctx)
+			s, err := planned(ctx, k, args[0])
 			if err != nil {
 				return err
 			}
-			s, err := release.Begin(plan, a.Endpoints)
-			if err != nil {
-				return fmt.Errorf("%s: %w", args[0], err)
-			}
+			plan := s.Plan
 			return f.print(c.OutOrStdout(), s.Waves(), func(t *tabwriter.Writer) {
 				fmt.Fprintf(t, "%s: %d servers from %s to %s, %d out at once, %v of soak after each wave, at a halt: %s\n\nWAVE\tSERVERS\tNAMES\n",
 					plan.Name, len(s.Targets), plan.From, plan.To, plan.Limits.Out, plan.Soak, plan.Halt)
@@ -70,3 +78,215 @@
 		}),
 	}
 }
+
+// planned reads a plan, and puts it to the list as it is.
+func planned(ctx context.Context, k *client.Client, path string) (*release.State, error) {
+	plan := release.Default()
+	if err := conf.File(&plan, path); err != nil {
+		return nil, err
+	}
+	if err := plan.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	a, err := k.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s, err := release.Begin(plan, a.Endpoints)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (f *listFlags) startRelease() *cobra.Command {
+	return &cobra.Command{
+		Use:     "start FILE",
+		Short:   "put a release on record; whoever conducts it begins",
+		Example: "  indigoctl release start app.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			s, err := planned(ctx, k, args[0])
+			if err != nil {
+				return err
+			}
+			if err := release.Start(ctx, k, s); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s is on record with %d servers; \"indigoctl release conduct %s\" carries it out\n", s.Plan.Name, len(s.Targets), s.Plan.Name)
+			return nil
+		}),
+	}
+}
+
+func (f *listFlags) releaseStatus() *cobra.Command {
+	var watch bool
+	c := &cobra.Command{
+		Use:     "status [NAME]",
+		Short:   "how far releases are",
+		Example: "  indigoctl release status\n  indigoctl release status app-42 --watch",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			show := f.with(f.showRelease)
+			for {
+				if err := show(c, args); err != nil || !watch || len(args) == 0 {
+					return err
+				}
+				if !pause.For(c.Context(), time.Second) {
+					return nil
+				}
+			}
+		},
+	}
+	c.Flags().BoolVar(&watch, "watch", false, "again each second, until interrupted")
+	return c
+}
+
+func (f *listFlags) showRelease(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+	if len(args) == 1 {
+		s, err := release.Read(ctx, k, args[0])
+		if err != nil {
+			return err
+		}
+		return f.print(c.OutOrStdout(), s, func(t *tabwriter.Writer) { oneRelease(t, s) })
+	}
+	all, err := k.Records(ctx, release.RecordPrefix)
+	if err != nil {
+		return err
+	}
+	var states []*release.State
+	for _, r := range all {
+		s, err := release.Read(ctx, k, strings.TrimPrefix(r.Key, release.RecordPrefix))
+		if err != nil {
+			return err
+		}
+		states = append(states, s)
+	}
+	return f.print(c.OutOrStdout(), states, func(t *tabwriter.Writer) {
+		fmt.Fprintln(t, "RELEASE\tPHASE\tWAVE\tRELEASED\tOUT\tWHY")
+		for _, s := range states {
+			released, out := s.Count()
+			fmt.Fprintf(t, "%s\t%s\t%d of %d\t%d of %d\t%d\t%s\n", s.Plan.Name, s.Phase, s.Wave+1, len(s.Plan.Waves), released, len(s.Targets), out, cmp.Or(s.Why, "-"))
+		}
+	})
+}
+
+func oneRelease(t *tabwriter.Writer, s *release.State) {
+	released, out := s.Count()
+	fmt.Fprintf(t, "%s: %s, wave %d of %d, %d of %d servers in %s, %d out\n", s.Plan.Name, s.Phase, s.Wave+1, len(s.Plan.Waves), released, len(s.Targets), s.Plan.To, out)
+	if s.Why != "" {
+		fmt.Fprintf(t, "why: %s\n", s.Why)
+	}
+	fmt.Fprintln(t, "\nSERVER\tZONE\tVERSION\tSTEP\tTROUBLE")
+	for _, one := range s.Targets {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", one.Name, cmp.Or(one.Zone, "-"), one.Version, one.Step, cmp.Or(one.Why, "-"))
+	}
+}
+
+func (f *listFlags) releaseHistory() *cobra.Command {
+	return &cobra.Command{
+		Use:     "history NAME",
+		Short:   "what has happened, with times since its beginning",
+		Example: "  indigoctl release history app-42",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			s, err := release.Read(ctx, k, args[0])
+			if err != nil {
+				return err
+			}
+			return f.print(c.OutOrStdout(), s.History, func(t *tabwriter.Writer) {
+				for _, n := range s.History {
+					fmt.Fprintf(t, "%v\t%s\n", n.At.Round(time.Millisecond), n.What)
+				}
+			})
+		}),
+	}
+}
+
+func (f *listFlags) orderRelease(order, short string) *cobra.Command {
+	who := cmp.Or(os.Getenv("USER"), "an operator")
+	c := &cobra.Command{
+		Use:     order + " NAME",
+		Short:   short,
+		Example: "  indigoctl release " + order + " app-42",
+		Args:    cobra.ExactArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			if _, err := release.Read(ctx, k, args[0]); err != nil {
+				return err
+			}
+			if err := release.Tell(ctx, k, args[0], order, who, fmt.Sprintf("%s-%d", who, time.Now().UnixNano())); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), "left for the conductor; \"indigoctl release history\" tells what it did")
+			return nil
+		}),
+	}
+	c.Flags().StringVar(&who, "who", who, "the name that goes on record")
+	return c
+}
+
+// conductorConfig is what a conductor is told.
+type conductorConfig struct {
+	Process string         `koanf:"process"`
+	Every   time.Duration  `koanf:"every"` // between two looks
+	Grace   time.Duration  `koanf:"grace"` // for what nodes hold at a server that is in maintenance
+	Nodes   []release.Node `koanf:"node"`
+}
+
+func (f *listFlags) conduct() *cobra.Command {
+	var path string
+	var ttl time.Duration
+	c := &cobra.Command{
+		Use:   "conduct NAME",
+		Short: "carry a release out, as the holder of its duty, until it is over",
+		Long: `Run it on several machines: one of them conducts, the others wait to take over. Its file names the nodes at which
+servers are put into maintenance, and whose figures the gates read (backend_stats must be on there):
+
+  process = "ops-1"
+  grace = "5s"
+  [[node]]
+  name = "n0"
+  control = "127.0.0.1:9000"`,
+		Example: "  indigoctl release conduct app-42 --config conductor.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			host, _ := os.Hostname() // empty where there is none, which the duty tells
+			config := conductorConfig{Process: host, Every: time.Second, Grace: 5 * time.Second}
+			if path != "" {
+				if err := conf.File(&config, path); err != nil {
+					return err
+				}
+			}
+			return f.conducting(c, args[0], config, ttl)
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "a TOML file")
+	c.Flags().DurationVar(&ttl, "ttl", duty.DefaultTTL, "after so long without a word from here, another conducts")
+	return c
+}
+
+func (f *listFlags) conducting(c *cobra.Command, name string, config conductorConfig, ttl time.Duration) error {
+	log := slog.New(slog.NewTextHandler(c.ErrOrStderr(), nil)).With("release", name)
+	k, err := client.New(client.Config{Addresses: strings.Split(f.addresses, ",")})
+	if err != nil {
+		return err
+	}
+	defer k.Close()
+	p, err := duty.Open(duty.Config{Client: k, Process: config.Process, TTL: ttl, Word: list.Word{Note: "conducts " + name}, Log: log})
+	if err != nil {
+		return err
+	}
+	h := &http.Client{Timeout: callTime}
+	err = p.Run(c.Context(), release.Duty(name), func(ctx context.Context, fenced duty.Fence) error {
+		servers := &release.Servers{List: k, Fence: fenced, Nodes: config.Nodes, HTTP: h, Grace: config.Grace}
+		conductor := &release.Conductor{Store: release.Records{List: k, Fence: fenced, Name: name}, Fleet: servers, Every: config.Every, Log: log}
+		return conductor.Run(ctx)
+	})
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	return errors.Join(err, p.Close(ttl))
+}
+
+// callTime is for one call to a node or an agent.
+const callTime = 3 * time.Second
--- a/internal/release/machine.go
+++ b/internal/release/machine.go
@@ -127,6 +127,18 @@
 	return New(p, servers)
 }
 
+// Count gives the servers that serve in the new version, and those that are out.
+func (s *State) Count() (released, out int) {
+	for _, t := range s.Targets {
+		if t.out() {
+			out++
+		} else if t.Version == s.Plan.To {
+			released++
+		}
+	}
+	return released, out
+}
+
 // Waves names the servers of each wave.
 func (s *State) Waves() (all [][]string) {
 	begin := 0
--- /dev/null
+++ b/internal/release/servers.go
@@ -0,0 +1,296 @@
+package release
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"indigotack/internal/agent"
+	"indigotack/internal/fence"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// Node is a node at which servers are put into maintenance, and whose figures gates read.
+type Node struct {
+	Name    string `koanf:"name"`
+	Control string `koanf:"control"`
+}
+
+// Servers is a fleet of servers that agents keep. Its methods are safe for concurrent use.
+type Servers struct {
+	List  *client.Client
+	Fence list.Fence
+	Nodes []Node
+	HTTP  *http.Client
+	Grace time.Duration // for what nodes hold at a server that is in maintenance
+
+	mu     sync.Mutex
+	agents map[string]string    // addresses, by server
+	empty  map[string]time.Time // when a server has nothing left, since it was seen draining
+	marks  []mark               // figures as they were, the oldest first
+}
+
+// mark is what nodes had counted at a time.
+type mark struct {
+	at     time.Time
+	counts map[string]Counts // by server
+}
+
+const (
+	maxStats  = 4 << 20 // bytes of a node's figures
+	keepMarks = 200
+)
+
+// View gives the servers that the list has as leaving, and those that agents keep
+// and the list does not have.
+func (f *Servers) View(ctx context.Context) (View, error) {
+	a, err := f.List.Items(ctx)
+	if err != nil {
+		return View{}, err
+	}
+	if err := f.findAgents(ctx); err != nil {
+		return View{}, err
+	}
+	f.mark(ctx)
+	var v View
+	listed := map[string]bool{}
+	for _, i := range a.Items {
+		listed[i.Entry.Name] = true
+		if i.Entry.Status != list.Ready {
+			v.Out = append(v.Out, Target{Name: i.Entry.Name, Zone: i.Entry.Zone, Type: i.Entry.Type, Group: i.Entry.Group})
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name := range f.agents {
+		if !listed[name] {
+			v.Out = append(v.Out, Target{Name: name}) // its zone went with its entry
+		}
+	}
+	return v, nil
+}
+
+// findAgents reads which agent keeps which server.
+func (f *Servers) findAgents(ctx context.Context) error {
+	all, err := f.List.Records(ctx, agent.RecordPrefix)
+	if err != nil {
+		return err
+	}
+	found := map[string]string{}
+	for _, r := range all {
+		one, err := f.List.Record(ctx, r.Key)
+		if err != nil {
+			return err
+		}
+		var card agent.Card
+		if err := json.Unmarshal(one.Value, &card); err != nil {
+			return fmt.Errorf("%s: %w", r.Key, err)
+		}
+		for _, s := range card.Servers {
+			found[s] = card.Address
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.agents = found
+	return nil
+}
+
+// Do carries an action out.
+func (f *Servers) Do(ctx context.Context, a Action) (done bool, err error) {
+	f.mu.Lock()
+	at := f.agents[a.Target.Name]
+	f.mu.Unlock()
+	if at == "" {
+		return false, fmt.Errorf("no agent keeps %s", a.Target.Name)
+	}
+	call, name := agent.Caller{HTTP: f.HTTP}, a.Target.Name
+	switch a.Step {
+	case Maint:
+		err := f.atNodes(ctx, name, "maint")
+		return err == nil, err
+	case Drain:
+		_, err := call.Order(ctx, at, name, agent.Order{Version: a.Target.Version, Quiet: true}, f.Fence)
+		return err == nil && f.drained(name), err
+	case Replace:
+		s, err := call.Order(ctx, at, name, agent.Order{Version: a.Version, Quiet: true}, f.Fence)
+		return err == nil && s.Version == a.Version && s.Running, err
+	case Ready:
+		s, err := call.Status(ctx, at, name)
+		if err == nil && s.Version == a.Version && !s.Ready {
+			err = errors.New(s.Why)
+		}
+		return err == nil && s.Version == a.Version, err
+	}
+	s, err := call.Order(ctx, at, name, agent.Order{Version: a.Version}, f.Fence)
+	if err != nil || !s.Ready || s.Version != a.Version {
+		return false, err
+	}
+	err = f.atNodes(ctx, name, "ready")
+	return err == nil, err
+}
+
+// drained tells whether a server has been in maintenance for its grace.
+func (f *Servers) drained(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.empty == nil {
+		f.empty = map[string]time.Time{}
+	}
+	at, ok := f.empty[name]
+	if !ok {
+		at = time.Now().Add(f.Grace)
+		f.empty[name] = at
+	}
+	if time.Now().Before(at) {
+		return false
+	}
+	delete(f.empty, name)
+	return true
+}
+
+// atNodes has every node put a server into maintenance, or take it out. A node
+// that is not there sends nothing to anybody: nobody listens at its control
+// address. One that is there and does not answer is waited for.
+func (f *Servers) atNodes(ctx context.Context, server, call string) error {
+	errs := make(chan error, len(f.Nodes))
+	for _, n := range f.Nodes {
+		go func() {
+			err := f.atNode(ctx, n, server, call)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				err = nil
+			}
+			errs <- err
+		}()
+	}
+	var all []error
+	for range f.Nodes {
+		all = append(all, <-errs)
+	}
+	return errors.Join(all...)
+}
+
+func (f *Servers) atNode(ctx context.Context, n Node, server, call string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Control+"/backends/"+url.PathEscape(server)+"/"+call, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(fence.Header, fence.Format(f.Fence))
+	resp, err := f.HTTP.Do(req)
+	if err != nil {
+		return fmt.Errorf("node %s: %w", n.Name, err)
+	}
+	resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusNotFound: // one that does not know the server sends it nothing
+		return nil
+	case http.StatusConflict:
+		return fmt.Errorf("node %s: %w", n.Name, ErrTaken)
+	}
+	return fmt.Errorf("node %s: %s", n.Name, resp.Status)
+}
+
+// mark notes what the nodes have counted by now.
+func (f *Servers) mark(ctx context.Context) {
+	sum := map[string]Counts{}
+	for _, n := range f.Nodes {
+		text, err := f.stats(ctx, n)
+		if err != nil {
+			continue // it counts for nothing in this while
+		}
+		for name, c := range readStats(text) {
+			s := sum[name]
+			sum[name] = Counts{s.Requests + c.Requests, s.Failed + c.Failed, s.Late + c.Late}
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.marks = append(f.marks, mark{time.Now(), sum}); len(f.marks) > keepMarks {
+		f.marks = f.marks[1:]
+	}
+}
+
+func (f *Servers) stats(ctx context.Context, n Node) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Control+"/stats", nil)
+	if err != nil {
+		return "", err
+	}
+	resp, err := f.HTTP.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxStats))
+	return string(raw), err
+}
+
+// readStats reads a node's figures on single servers.
+func readStats(text string) map[string]Counts {
+	all := map[string]Counts{}
+	in := bufio.NewScanner(strings.NewReader(text))
+	for in.Scan() {
+		rest, ok := strings.CutPrefix(in.Text(), "app.backends.")
+		key, value, colon := strings.Cut(rest, ":")
+		dot := strings.LastIndexByte(key, '.')
+		number, _, _ := strings.Cut(value, "|")
+		n, err := strconv.Atoi(number)
+		if !ok || !colon || dot < 0 || err != nil || n < 0 {
+			continue
+		}
+		c := all[key[:dot]]
+		switch key[dot+1:] {
+		case "succeeded":
+			c.Requests += n
+		case "failed":
+			c.Requests += n
+			c.Failed += n
+		case "late":
+			c.Late += n
+		}
+		all[key[:dot]] = c
+	}
+	return all
+}
+
+// Counts gives what the named servers and the rest did since the mark that is about so old.
+func (f *Servers) Counts(ctx context.Context, named []string, last time.Duration) (those, rest Counts, err error) {
+	f.mark(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.marks[len(f.marks)-1]
+	before := f.marks[0]
+	for _, m := range f.marks {
+		if now.at.Sub(m.at) >= last {
+			before = m
+		}
+	}
+	is := map[string]bool{}
+	for _, n := range named {
+		is[n] = true
+	}
+	for name, c := range now.counts {
+		was := before.counts[name]
+		if c.Requests < was.Requests || c.Failed < was.Failed || c.Late < was.Late {
+			was = Counts{} // counted anew since
+		}
+		into := &rest
+		if is[name] {
+			into = &those
+		}
+		into.Requests += c.Requests - was.Requests
+		into.Failed += c.Failed - was.Failed
+		into.Late += c.Late - was.Late
+	}
+	return those, rest, nil
+}
