--- a/cmd/indigolab/play.go
+++ b/cmd/indigolab/play.go
@@ -26,6 +26,7 @@
 	log  io.Writer // progress
 	node string    // path of the program that nodes run
 	list string    // of the list service's, where an experiment has one
+	ctl  string    // of indigoctl; empty: no experiment needs it
 	dir  string    // under which each run gets a folder
 }
 
@@ -44,7 +45,16 @@
 		done()
 		return nil, nil, err
 	}
-	return p, func() { done(); alsoDone() }, nil
+	listDone := func() { done(); alsoDone() }
+	if !slices.ContainsFunc(experiments, func(e *spec.Experiment) bool { return e.Release != nil }) {
+		return p, listDone, nil
+	}
+	var ctlDone func()
+	if p.ctl, ctlDone, err = findProgram(ctx, log, bin, "indigoctl"); err != nil {
+		listDone()
+		return nil, nil, err
+	}
+	return p, func() { listDone(); ctlDone() }, nil
 }
 
 // findProgram gives the absolute path of a program of the project: in the folder
@@ -117,7 +127,7 @@
 func (p *player) play(ctx context.Context, e *spec.Experiment, seed uint64) (report.Result, error) {
 	dir := filepath.Join(p.dir, fmt.Sprintf("%s-%d-%s", e.Name, seed, time.Now().UTC().Format("20060102T150405.000")))
 	live := newLive(p.log, e.Name)
-	run, err := fleet.Play(ctx, fleet.Options{Experiment: e, Seed: seed, Dir: dir, Node: []string{p.node}, List: []string{p.list}, Follow: live.follow})
+	run, err := fleet.Play(ctx, fleet.Options{Experiment: e, Seed: seed, Dir: dir, Node: []string{p.node}, List: []string{p.list}, Ctl: []string{p.ctl}, Follow: live.follow})
 	live.end()
 	if err != nil {
 		fmt.Fprintf(p.out, "VOID %s: seed %d, could not be played: %s\n", e.Name, seed, oneLine(err))
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"indigotack/internal/lab/backend"
+	"indigotack/internal/lab/check"
 	"indigotack/internal/lab/client"
 	"indigotack/internal/lab/disco"
 	"indigotack/internal/lab/history"
@@ -37,6 +38,7 @@
 	Dir        string   // where history, logs and configurations go
 	Node       []string // command of a node
 	List       []string // command of a replica of the list service, for experiments that have one
+	Ctl        []string // command of indigoctl, for those with a release
 	Env        []string // further environment of both
 	Follow     func(history.Event)
 }
@@ -69,6 +71,9 @@
 	start    time.Duration // of the load
 
 	disturbed disturbed
+
+	release         *releasing // nil: none
+	releaseVerdicts []check.Verdict
 }
 
 // Play plays an experiment to its end. The error says why it could not be played.
@@ -299,15 +304,26 @@
 	clients := client.New(f.log, f.front, f.book, f.o.Seed)
 	clients.Late, clients.Disturbed = late.Add, f.disturbed.is
 	f.start = f.log.Now() + 200*time.Millisecond
+	if err := f.startRelease(ctx); err != nil {
+		return err
+	}
 	steps := make(chan error, 1)
 	go func() { steps <- f.carryOut(ctx) }()
 	clients.Run(ctx, f.start, f.ops)
 	if err := <-steps; err != nil || f.service == nil {
 		return err
 	}
-	if err := f.service.await(ctx); err != nil || f.service.workers == nil {
+	if err := f.service.await(ctx); err != nil {
 		return err
 	}
+	if f.release != nil {
+		if err := f.release.end(ctx); err != nil {
+			return err
+		}
+	}
+	if f.service.workers == nil {
+		return nil
+	}
 	return f.service.workers.End(endTime)
 }
 
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -24,5 +24,6 @@
 	if f.service != nil && f.service.workers != nil {
 		o.Verdicts = append(o.Verdicts, f.service.dutyVerdicts(time.Duration(f.e.Bounds.Holder))...)
 	}
+	o.Verdicts = append(o.Verdicts, f.releaseVerdicts...)
 	return o
 }
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -126,7 +126,7 @@
 	f := n.f
 	n.starts++
 	c := platform.Node{Name: n.name, Number: n.number, Nodes: f.e.Fleet.Nodes, Zone: n.zone, Listen: n.listen, Control: control,
-		Discovery: n.discovery, List: n.list, ListFile: filepath.Join(n.dir, "list"), Seed: f.o.Seed<<16 + uint64(n.number)<<8 + n.starts,
+		Discovery: n.discovery, List: n.list, ListFile: filepath.Join(n.dir, "list"), ByServer: f.e.Release != nil, Seed: f.o.Seed<<16 + uint64(n.number)<<8 + n.starts,
 		MemoryMB: f.e.Fleet.MemoryMB, Sockets: f.e.Fleet.Sockets}
 	if n.agent != nil {
 		c.Known = n.agent.List(0, f.log.Now())
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -81,6 +81,13 @@
 			if n := f.nodes[name]; n != nil {
 				return n.suffer(ctx, s.Do, last)
 			}
+			if f.release != nil {
+				for _, c := range f.release.all {
+					if c.name == name {
+						return c.suffer(ctx, f, s.Do, last)
+					}
+				}
+			}
 			if c := f.service.workers; c != nil && strings.HasPrefix(name, "d") {
 				return c.Suffer(ctx, name, s.Do, last, endTime)
 			}
--- a/internal/lab/platform/config.go
+++ b/internal/lab/platform/config.go
@@ -23,6 +23,7 @@
 	Discovery  string
 	List       []string // the list service, which the node then follows by itself
 	ListFile   string
+	ByServer   bool     // its figures tell servers apart
 	PeerListen string   // empty: nodes have no messages
 	Peers      []string // by number, its own included
 	Known      disco.Answer
@@ -56,6 +57,9 @@
 		delete(c, "discovery")
 		c["list"], c["list_file"] = n.List, n.ListFile
 	}
+	if n.ByServer {
+		c["backend_stats"] = true
+	}
 	if n.PeerListen != "" {
 		c["peer_listen"], c["peers"] = n.PeerListen, n.Peers
 	}
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -31,6 +31,7 @@
 	Files   []*os.File
 	FDs     uint64 // limit on descriptors; 0: the lab's own
 	MayFail bool   // it may end by itself with an error of its own (status 1), as one that finds its folder damaged
+	MayEnd  bool   // it may end by itself once its work is done (status 0)
 }
 
 // Group owns the processes of a run.
@@ -80,7 +81,7 @@
 	exited chan struct{}
 	state  *os.ProcessState // once exited
 	out    *capped
-	may    bool // fail
+	may    map[int]bool // statuses with which it may end by itself
 }
 
 // Start starts a process. Its output goes to a file in its folder, as far as MaxLog.
@@ -108,7 +109,7 @@
 		out.Close()
 		return nil, fmt.Errorf("starting %s: %w", s.Name, err)
 	}
-	p := &Proc{Name: s.Name, Pid: cmd.Process.Pid, log: g.log, cmd: cmd, exited: make(chan struct{}), out: out, may: s.MayFail}
+	p := &Proc{Name: s.Name, Pid: cmd.Process.Pid, log: g.log, cmd: cmd, exited: make(chan struct{}), out: out, may: map[int]bool{0: s.MayEnd, 1: s.MayFail}}
 	if s.FDs > 0 {
 		limit := unix.Rlimit{Cur: s.FDs, Max: s.FDs}
 		if err := unix.Prlimit(p.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil && !errors.Is(err, unix.ESRCH) {
@@ -143,7 +144,7 @@
 	case die:
 		return status.Signaled() && status.Signal() == syscall.SIGKILL
 	default:
-		return p.may && p.state.ExitCode() == 1
+		return p.may[p.state.ExitCode()]
 	}
 }
 
--- a/internal/lab/spec/check.go
+++ b/internal/lab/spec/check.go
@@ -96,6 +96,13 @@
 	bad("[duties]", "workers", d.Workers >= 0 && d.Workers <= mostWorkers && (d.Workers == 0 || r > 0), "want 0 to %d, and replicas of the list service", mostWorkers)
 	bad("[duties]", "count", d.Workers == 0 || d.Count >= 1 && d.Count <= 10000, "%d is not between 1 and 10000", d.Count)
 	bad("[duties]", "ttl", d.Workers == 0 || d.TTL >= Duration(500*time.Millisecond) && d.TTL <= Duration(time.Minute), "%v is not between 500ms and 1m", time.Duration(d.TTL))
+	if v := e.Release; v != nil {
+		bad("[release]", "conductors", v.Conductors >= 1 && v.Conductors <= 10 && r > 0 && e.List.Direct, "want 1 to 10, and nodes that follow the list service directly")
+		bad("[release]", "out", v.Out >= 1, "%d is under 1", v.Out)
+		bad("[release]", "waves", len(v.Waves) > 0, "there are none")
+		bad("[release]", "end", v.End != "", "the phase that it has to come to is missing")
+		bad("[release]", "at", v.At >= 0 && v.At < e.Length, "%v lies outside of the run", time.Duration(v.At))
+	}
 	for i, fault := range e.Faults {
 		errs = append(errs, e.checkFault(i, fault)...)
 	}
--- a/internal/lab/spec/schedule.go
+++ b/internal/lab/spec/schedule.go
@@ -31,6 +31,8 @@
 			got = []string{name}
 		case name == "nodes":
 			got = numbered("n", e.Fleet.Nodes)
+		case e.Release != nil && slices.Contains(numbered("c", e.Release.Conductors), name):
+			got = []string{name}
 		case name == "workers" && e.Duties.Workers > 0:
 			got = numbered("d", e.Duties.Workers)
 		case slices.Contains(numbered("d", e.Duties.Workers), name):
@@ -69,6 +71,8 @@
 	switch {
 	case party == Clients, party == Discovery:
 		return party
+	case strings.HasPrefix(party, "c"):
+		return "conductor"
 	case strings.HasPrefix(party, "n"):
 		return "node"
 	case strings.HasPrefix(party, "r"):
@@ -84,7 +88,7 @@
 func suits(do, party string) bool {
 	kind := kindOf(party)
 	process := do == "kill" || do == "pause" || do == "restart"
-	return kind == acts[do].on || kind == "replica" && process || kind == "worker" && (process || do == "upgrade")
+	return kind == acts[do].on || (kind == "replica" || kind == "conductor") && process || kind == "worker" && (process || do == "upgrade")
 }
 
 // Zones are the zones' names.
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -48,18 +48,19 @@
 
 // Experiment is one file.
 type Experiment struct {
-	Name   string   `toml:"name"`
-	About  string   `toml:"about"`  // one line for a list
-	Length Duration `toml:"length"` // of arrivals
-	Quick  bool     `toml:"quick"`  // belongs to the short set
-	Fleet  Fleet    `toml:"fleet"`
-	Load   Load     `toml:"load"`
-	Net    Net      `toml:"net"`
-	List   List     `toml:"discovery"`
-	Faults []Fault  `toml:"fault"`
-	Duties Duties   `toml:"duties"`
-	Draw   *Draw    `toml:"draw"`
-	Bounds Bounds   `toml:"bounds"`
+	Name    string   `toml:"name"`
+	About   string   `toml:"about"`  // one line for a list
+	Length  Duration `toml:"length"` // of arrivals
+	Quick   bool     `toml:"quick"`  // belongs to the short set
+	Fleet   Fleet    `toml:"fleet"`
+	Load    Load     `toml:"load"`
+	Net     Net      `toml:"net"`
+	List    List     `toml:"discovery"`
+	Faults  []Fault  `toml:"fault"`
+	Duties  Duties   `toml:"duties"`
+	Release *Release `toml:"release"`
+	Draw    *Draw    `toml:"draw"`
+	Bounds  Bounds   `toml:"bounds"`
 
 	path string
 	src  string
@@ -121,6 +122,21 @@
 	Spread  bool     `toml:"spread"`  // duties are shared out evenly
 }
 
+// Release is a release of all boxes that real conductors carry out.
+type Release struct {
+	At         Duration  `toml:"at"`
+	Conductors int       `toml:"conductors"` // c0, c1 and so on
+	Out        int       `toml:"out"`        // boxes at once
+	Waves      []float64 `toml:"waves"`      // shares of the boxes
+	Soak       Duration  `toml:"soak"`
+	Least      int       `toml:"least"`    // requests that a gate needs of either part
+	Gateless   bool      `toml:"gateless"` // every gate passes
+	Halt       string    `toml:"halt"`     // wait or back
+	Slower     float64   `toml:"slower"`   // boxes of the new version work so many times slower
+	Fails      float64   `toml:"fails"`    // and that part of their requests fails
+	End        string    `toml:"end"`      // the phase that it has to come to
+}
+
 // Fault is something that goes wrong, or an order of an operator.
 type Fault struct {
 	At  Duration `toml:"at"`
