Keep a gate's figures from the beginning of its soak in the record

The figures at the soak's beginning, by node, are part of the record now; a node that counts anew, or was not there, does not spoil the others'. A record of 500 servers fits into the list service.

--- a/internal/release/conductor.go
+++ b/internal/release/conductor.go
@@ -31,8 +31,9 @@
 	// Do carries an action out, or a part of it. It is done once done is true, and
 	// may be called again at any time, also for one that was done.
 	Do(ctx context.Context, a Action) (done bool, err error)
-	// Counts tells what the named servers, and the rest, have done in the last while.
-	Counts(ctx context.Context, named []string, last time.Duration) (those, rest Counts, err error)
+	// Counts tells what the named servers, and the rest, have done so far, by the node
+	// that counted it. A node that can't be asked is not there.
+	Counts(ctx context.Context, named []string) (map[string]Parts, error)
 }
 
 // Conductor carries a release out. It is the work of a duty.
@@ -176,21 +177,29 @@
 	return results
 }
 
-// judge asks for a verdict once a wave has soaked.
+// judge notes the figures at the beginning of a soak, and asks for a verdict at its end.
 func (c *Conductor) judge(ctx context.Context) {
 	s := c.state
-	if !s.Soaked(c.now()) {
+	if s.Phase != Soaking {
 		return
 	}
 	var named []string
 	for _, t := range s.targetsOf(s.Wave) {
 		named = append(named, t.Name)
 	}
-	those, rest, err := c.Fleet.Counts(ctx, named, c.now()-s.Since)
+	now, err := c.Fleet.Counts(ctx, named)
 	if err != nil {
 		c.Log.Warn("the gate has no figures", "err", err)
 		return
 	}
+	if s.Base == nil {
+		s.Base = now
+		return
+	}
+	if !s.Soaked(c.now()) {
+		return
+	}
+	those, rest := Since(s.Base, now)
 	verdict := s.Plan.Gate.Judge(those, rest, len(named) == len(s.Targets))
 	s.Judged(c.now(), verdict, fmt.Sprintf("gate: %s, %d of %d failed and %d were late, of the rest %d of %d and %d", verdict, those.Failed, those.Requests, those.Late,
 		rest.Failed, rest.Requests, rest.Late))
--- a/internal/release/machine.go
+++ b/internal/release/machine.go
@@ -81,6 +81,8 @@
 	Clock   time.Duration `json:"clock_ns"` // when this was written; the next conductor goes on from there
 	Resume  Phase         `json:"resume,omitempty"`
 	Taken   string        `json:"taken,omitempty"` // the id of the last order
+
+	Base map[string]Parts `json:"base,omitempty"` // figures at the beginning of the soak, by node
 }
 
 // Note is one line of a release's history.
@@ -92,6 +94,7 @@
 const (
 	form      = 1
 	mostNotes = 200
+	mostWhy   = 160 // bytes of what went wrong with a server
 )
 
 // New begins a release of servers that have the plan's former version.
@@ -190,7 +193,7 @@
 }
 
 func (s *State) enter(now time.Duration, p Phase, format string, args ...any) {
-	s.Phase, s.Since = p, now
+	s.Phase, s.Since, s.Base = p, now, nil
 	s.note(now, "%s: "+format, append([]any{p}, args...)...)
 }
 
@@ -346,7 +349,8 @@
 	}
 	t := &s.Targets[i]
 	if err != nil {
-		t.Why = err.Error() // it is tried again until its deadline
+		why := err.Error() // it is tried again until its deadline
+		t.Why = why[:min(len(why), mostWhy)]
 		return
 	}
 	t.Why, t.Stuck, t.Since = "", false, now
@@ -380,6 +384,40 @@
 // Counts is what a part of the fleet did over a time.
 type Counts struct{ Requests, Failed, Late int }
 
+func (c Counts) minus(o Counts) Counts {
+	return Counts{c.Requests - o.Requests, c.Failed - o.Failed, c.Late - o.Late}
+}
+
+func (c Counts) plus(o Counts) Counts {
+	return Counts{c.Requests + o.Requests, c.Failed + o.Failed, c.Late + o.Late}
+}
+
+// Parts are the figures of the released servers and of the rest, at one node.
+type Parts struct{ Those, Rest Counts }
+
+// Since sums up what nodes have counted since a time. A node that counts anew since
+// then, as after a restart, has all it has counted; one that was not there at first
+// says nothing.
+func Since(base, now map[string]Parts) (those, rest Counts) {
+	for node, n := range now {
+		b, ok := base[node]
+		if !ok {
+			continue
+		}
+		for _, p := range []struct {
+			sum      *Counts
+			now, was Counts
+		}{{&those, n.Those, b.Those}, {&rest, n.Rest, b.Rest}} {
+			d := p.now.minus(p.was)
+			if d.Requests < 0 || d.Failed < 0 || d.Late < 0 {
+				d = p.now
+			}
+			*p.sum = p.sum.plus(d)
+		}
+	}
+	return those, rest
+}
+
 // Judge compares the released part with the rest. Without a rest, as after the last
 // wave, the fixed bound alone decides.
 func (g Gate) Judge(released, rest Counts, alone bool) Verdict {
--- a/internal/release/machine_test.go
+++ b/internal/release/machine_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"indigotack/internal/list"
 )
 
 // world is a fleet and a store without time: each call of a conductor is a moment
@@ -176,12 +178,13 @@
 	}
 }
 
-func (w *world) Counts(ctx context.Context, named []string, _ time.Duration) (Counts, Counts, error) {
-	those := Counts{Requests: 1000}
+func (w *world) Counts(ctx context.Context, named []string) (map[string]Parts, error) {
+	n := w.calls // each look finds more
+	those := Counts{Requests: 1000 * n}
 	if w.worse {
-		those.Failed = 300
+		those.Failed = 300 * n
 	}
-	return those, Counts{Requests: 1000}, w.call(ctx)
+	return map[string]Parts{"n0": {those, Counts{Requests: 1000 * n}}}, w.call(ctx)
 }
 
 func newWorld(t interface{ Fatalf(string, ...any) }, n int, change func(*Plan)) *world {
@@ -345,6 +348,44 @@
 	}
 }
 
+// TestSince: a node that began anew, and one that was not there, do not spoil the figures of others.
+func TestSince(t *testing.T) {
+	base := map[string]Parts{"a": {Counts{100, 10, 5}, Counts{1000, 0, 0}}, "b": {Counts{500, 50, 0}, Counts{}}, "gone": {}}
+	now := map[string]Parts{"a": {Counts{150, 12, 5}, Counts{1300, 1, 0}}, "b": {Counts{20, 1, 1}, Counts{7, 0, 0}}, "new": {Counts{9999, 9999, 0}, Counts{}}}
+	if those, rest := Since(base, now); those != (Counts{70, 3, 1}) || rest != (Counts{307, 1, 0}) {
+		t.Errorf("%+v and %+v", those, rest)
+	}
+}
+
+// TestLargestRecord fits into one record of the list service, with all that a release may note.
+func TestLargestRecord(t *testing.T) {
+	long := strings.Repeat("x", 64)
+	var all []Target
+	for i := range MaxTargets {
+		all = append(all, Target{Name: fmt.Sprint(long[:32], i), Address: "255.255.255.255:65535", Zone: long[:16], Type: long[:16], Group: i, Version: "v1"})
+	}
+	p := Default()
+	p.Name, p.From, p.To = "r", "v1", "v2"
+	s, err := New(p, all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range s.Targets {
+		s.Targets[i].Why, s.Targets[i].Since = long, time.Hour
+	}
+	for range mostNotes {
+		s.note(time.Hour, "%s%s", long, long)
+	}
+	s.Base = map[string]Parts{}
+	for i := range 300 {
+		s.Base[fmt.Sprint("node-", i)] = Parts{Counts{1 << 30, 1 << 30, 1 << 30}, Counts{1 << 30, 1 << 30, 1 << 30}}
+	}
+	raw, err := Encode(s)
+	if err != nil || len(raw) > list.MaxRecord {
+		t.Errorf("%d bytes, %d at most; %v", len(raw), list.MaxRecord, err)
+	}
+}
+
 func TestGate(t *testing.T) {
 	g := Gate{Least: 100, Failed: 0.02, Late: 0.05, Most: 0.1}
 	for _, c := range []struct {
--- a/internal/release/plan.go
+++ b/internal/release/plan.go
@@ -73,7 +73,7 @@
 
 // Bounds on plans.
 const (
-	MaxTargets = 2000
+	MaxTargets = 500 // whose record has to fit into one of the list service
 	maxWaves   = 50
 	mostTime   = 24 * time.Hour
 )
--- a/internal/release/servers.go
+++ b/internal/release/servers.go
@@ -38,19 +38,9 @@
 	mu     sync.Mutex
 	agents map[string]string    // addresses, by server
 	empty  map[string]time.Time // when a server has nothing left, since it was seen draining
-	marks  []mark               // figures as they were, the oldest first
 }
 
-// mark is what nodes had counted at a time.
-type mark struct {
-	at     time.Time
-	counts map[string]Counts // by server
-}
-
-const (
-	maxStats  = 4 << 20 // bytes of a node's figures
-	keepMarks = 200
-)
+const maxStats = 4 << 20 // bytes of a node's figures
 
 // View gives the servers that the list has as leaving, and those that agents keep
 // and the list does not have.
@@ -62,7 +52,6 @@
 	if err := f.findAgents(ctx); err != nil {
 		return View{}, err
 	}
-	f.mark(ctx)
 	var v View
 	listed := map[string]bool{}
 	for _, i := range a.Items {
@@ -201,26 +190,6 @@
 	return fmt.Errorf("node %s: %s", n.Name, resp.Status)
 }
 
-// mark notes what the nodes have counted by now.
-func (f *Servers) mark(ctx context.Context) {
-	sum := map[string]Counts{}
-	for _, n := range f.Nodes {
-		text, err := f.stats(ctx, n)
-		if err != nil {
-			continue // it counts for nothing in this while
-		}
-		for name, c := range readStats(text) {
-			s := sum[name]
-			sum[name] = Counts{s.Requests + c.Requests, s.Failed + c.Failed, s.Late + c.Late}
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.marks = append(f.marks, mark{time.Now(), sum}); len(f.marks) > keepMarks {
-		f.marks = f.marks[1:]
-	}
-}
-
 func (f *Servers) stats(ctx context.Context, n Node) (string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Control+"/stats", nil)
 	if err != nil {
@@ -263,34 +232,30 @@
 	return all
 }
 
-// Counts gives what the named servers and the rest did since the mark that is about so old.
-func (f *Servers) Counts(ctx context.Context, named []string, last time.Duration) (those, rest Counts, err error) {
-	f.mark(ctx)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.marks[len(f.marks)-1]
-	before := f.marks[0]
-	for _, m := range f.marks {
-		if now.at.Sub(m.at) >= last {
-			before = m
-		}
-	}
+// Counts asks every node.
+func (f *Servers) Counts(ctx context.Context, named []string) (map[string]Parts, error) {
 	is := map[string]bool{}
 	for _, n := range named {
 		is[n] = true
 	}
-	for name, c := range now.counts {
-		was := before.counts[name]
-		if c.Requests < was.Requests || c.Failed < was.Failed || c.Late < was.Late {
-			was = Counts{} // counted anew since
+	all := map[string]Parts{}
+	for _, n := range f.Nodes {
+		text, err := f.stats(ctx, n)
+		if err != nil {
+			continue // one that is not there counts nothing
 		}
-		into := &rest
-		if is[name] {
-			into = &those
+		var p Parts
+		for name, c := range readStats(text) {
+			if is[name] {
+				p.Those = p.Those.plus(c)
+			} else {
+				p.Rest = p.Rest.plus(c)
+			}
 		}
-		into.Requests += c.Requests - was.Requests
-		into.Failed += c.Failed - was.Failed
-		into.Late += c.Late - was.Late
+		all[n.Name] = p
+	}
+	if len(all) == 0 && len(f.Nodes) > 0 {
+		return nil, errors.New("no node tells its figures")
 	}
-	return those, rest, nil
+	return all, nil
 }
