--- a/cmd/indigoctl/release.go
+++ b/cmd/indigoctl/release.go
@@ -88,17 +88,26 @@
 	if err := plan.Check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	a, err := k.Current(ctx)
+	targets, err := targetsOf(ctx, k, plan)
 	if err != nil {
 		return nil, err
 	}
-	s, err := release.Begin(plan, a.Endpoints)
+	s, err := release.Begin(plan, targets)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return s, nil
 }
 
+// targetsOf gives all servers, or all nodes, that a plan could be about.
+func targetsOf(ctx context.Context, k *client.Client, plan release.Plan) ([]release.Target, error) {
+	if plan.Program() {
+		return release.NodesOf(ctx, k, &http.Client{Timeout: callTime})
+	}
+	a, err := k.Current(ctx)
+	return release.Listed(a.Endpoints), err
+}
+
 func (f *listFlags) startRelease() *cobra.Command {
 	return &cobra.Command{
 		Use:     "start FILE",
@@ -278,8 +287,15 @@
 	}
 	h := &http.Client{Timeout: callTime}
 	err = p.Run(c.Context(), release.Duty(name), func(ctx context.Context, fenced duty.Fence) error {
-		servers := &release.Servers{List: k, Fence: fenced, Nodes: config.Nodes, HTTP: h, Grace: config.Grace}
-		conductor := &release.Conductor{Store: release.Records{List: k, Fence: fenced, Name: name}, Fleet: servers, Every: config.Every, Log: log}
+		s, err := release.Read(ctx, k, name)
+		if err != nil {
+			return err
+		}
+		var fleet release.Fleet = &release.Servers{List: k, Fence: fenced, Nodes: config.Nodes, HTTP: h, Grace: config.Grace}
+		if s.Plan.Program() {
+			fleet = &release.Programs{List: k, Fence: fenced, HTTP: h}
+		}
+		conductor := &release.Conductor{Store: release.Records{List: k, Fence: fenced, Name: name}, Fleet: fleet, Every: config.Every, Log: log}
 		return conductor.Run(ctx)
 	})
 	if errors.Is(err, context.Canceled) {
--- /dev/null
+++ b/cmd/indigoctl/release_test.go
@@ -0,0 +1,247 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"indigotack/internal/agent"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/list/client"
+	"indigotack/internal/list/server"
+	"indigotack/internal/release"
+)
+
+const enough = 60 * time.Second // only a hang takes so long
+
+// TestMain lets this test's own binary be indigoctl, or a server that answers with its version.
+func TestMain(m *testing.M) {
+	if version := os.Getenv("RELEASE_TEST_VERSION"); version != "" {
+		http.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, version) })
+		http.ListenAndServe(os.Getenv("RELEASE_TEST_ADDRESS"), nil)
+		os.Exit(1)
+	}
+	if os.Getenv("INDIGOCTL_AS_PROGRAM") == "1" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// site is a list service, an agent with three servers, and a node that counts what
+// a node would: each server's answers, those of the version "bad" as failures.
+type site struct {
+	t      *testing.T
+	list   string
+	k      *client.Client
+	node   string
+	at     map[string]string // servers' addresses
+	folder string
+	mu     sync.Mutex
+	maint  map[string]bool
+	done   map[string]int // requests, by server
+	failed map[string]int
+}
+
+func reserve(t *testing.T) string {
+	t.Helper()
+	a, free, err := link.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(free)
+	return a
+}
+
+func background(t *testing.T, do func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- do(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func newSite(t *testing.T) *site {
+	quiet := slog.New(slog.DiscardHandler)
+	s := &site{t: t, list: reserve(t), at: map[string]string{}, folder: t.TempDir(), maint: map[string]bool{}, done: map[string]int{}, failed: map[string]int{}}
+	sc := server.Default()
+	sc.Folder, sc.Listen, sc.Election = t.TempDir(), s.list, 50*time.Millisecond
+	background(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })
+	var err error
+	if s.k, err = client.New(client.Config{Addresses: []string{s.list}}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.k.Close)
+	ac := agent.Default()
+	ac.Machine, ac.Listen, ac.List, ac.Folder = "m", reserve(t), []string{s.list}, s.folder
+	for i := range 3 {
+		name := fmt.Sprint("s", i)
+		s.at[name] = reserve(t)
+		ac.Servers = append(ac.Servers, agent.Server{Name: name, Address: s.at[name], Version: "v1", Ready: "/", Grace: time.Second,
+			Command: []string{"/usr/bin/env", "RELEASE_TEST_VERSION={version}", "RELEASE_TEST_ADDRESS=" + s.at[name], os.Args[0]}})
+	}
+	t.Cleanup(s.endServers)
+	background(t, func(ctx context.Context) error { return agent.Run(ctx, ac, quiet) })
+	node := httptest.NewServer(http.HandlerFunc(s.serveNode))
+	t.Cleanup(node.Close)
+	s.node = node.Listener.Addr().String()
+	background(t, s.load)
+	return s
+}
+
+// endServers ends what outlives the agent.
+func (s *site) endServers() {
+	for name := range s.at {
+		raw, err := os.ReadFile(filepath.Join(s.folder, name+".process"))
+		var pid int
+		if _, text, ok := bytes.Cut(raw, []byte("\n")); err == nil && ok {
+			if _, err := fmt.Sscanf(string(text), `{"pid":%d`, &pid); err == nil && pid > 0 {
+				syscall.Kill(pid, syscall.SIGKILL)
+			}
+		}
+	}
+}
+
+func (s *site) serveNode(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.URL.Path == "/stats" {
+		for name, n := range s.done {
+			fmt.Fprintf(w, "app.backends.%s.succeeded:%d|c\napp.backends.%s.failed:%d|c\n", name, n-s.failed[name], name, s.failed[name])
+		}
+		return
+	}
+	name, call, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/backends/"), "/")
+	s.maint[name] = call == "maint"
+}
+
+// load asks every server that is not in maintenance, again and again.
+func (s *site) load(ctx context.Context) error {
+	h := &http.Client{Timeout: time.Second}
+	for ctx.Err() == nil {
+		for name, at := range s.at {
+			s.mu.Lock()
+			out := s.maint[name]
+			s.mu.Unlock()
+			if out {
+				continue
+			}
+			body := ""
+			if resp, err := h.Get("http://" + at); err == nil {
+				raw, _ := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				body = string(raw)
+			}
+			s.mu.Lock()
+			if s.done[name]++; body == "" || body == "bad" {
+				s.failed[name]++
+			}
+			s.mu.Unlock()
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+// ctl runs indigoctl in this process.
+func (s *site) ctl(args ...string) string {
+	s.t.Helper()
+	var out bytes.Buffer
+	c := root()
+	c.SetArgs(append(args, "--list", s.list))
+	c.SetOut(&out)
+	if err := c.Execute(); err != nil {
+		s.t.Fatalf("indigoctl %s: %v", strings.Join(args, " "), err)
+	}
+	return out.String()
+}
+
+// conduct starts a conductor's process.
+func (s *site) conduct(name, process string) *exec.Cmd {
+	file := filepath.Join(s.t.TempDir(), "conductor.toml")
+	text := fmt.Sprintf("process = %q\nevery = \"50ms\"\ngrace = \"100ms\"\n[[node]]\nname = \"n0\"\ncontrol = %q\n", process, s.node)
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		s.t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "release", "conduct", name, "--list", s.list, "--config", file, "--ttl", "1s")
+	cmd.Env = append(os.Environ(), "INDIGOCTL_AS_PROGRAM=1")
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	return cmd
+}
+
+func (s *site) await(name, what string, is func(*release.State) bool) {
+	s.t.Helper()
+	for until := time.Now().Add(enough); ; time.Sleep(20 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), enough)
+		state, err := release.Read(ctx, s.k, name)
+		cancel()
+		if err == nil && is(state) {
+			return
+		}
+		if time.Now().After(until) {
+			s.t.Fatalf("%s of %s does not come: %+v, %v", what, name, state, err)
+		}
+	}
+}
+
+func (s *site) plan(name, from, to string) string {
+	path := filepath.Join(s.t.TempDir(), name+".toml")
+	text := fmt.Sprintf("name = %q\nfrom = %q\nto = %q\nsoak = \"200ms\"\nhalt = \"back\"\n[limits]\nout = 1\n[gate]\nleast = 20\nfailed = 0.2\nlate = 1.0\nmost = 0.9\n[[wave]]\ncount = 1\n[[wave]]\nshare = 1.0\n", name, from, to)
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+// TestReleases: a good one whose first conductor is killed comes to its end under the
+// second; a bad one goes back by itself; real agents, servers and conductors' processes.
+func TestReleases(t *testing.T) {
+	s := newSite(t)
+	for until := time.Now().Add(enough); !strings.Contains(s.ctl("list", "get"), "3 entries"); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the servers are not listed")
+		}
+	}
+	good := s.plan("good", "v1", "v2")
+	if out := s.ctl("release", "plan", good); !strings.Contains(out, "3 servers from v1 to v2") {
+		t.Errorf("the plan is %s", out)
+	}
+	s.ctl("release", "start", good)
+	first := s.conduct("good", "a")
+	s.await("good", "the first server", func(r *release.State) bool { released, out := r.Count(); return released+out > 0 })
+	first.Process.Kill()
+	first.Wait()
+	s.conduct("good", "b")
+	s.await("good", "the end", func(r *release.State) bool { return r.Phase == release.Finished })
+	if out := s.ctl("release", "status"); !strings.Contains(out, "3 of 3") {
+		t.Errorf("the status is %s", out)
+	}
+	s.ctl("release", "start", s.plan("worse", "v2", "bad"))
+	s.conduct("worse", "a")
+	s.await("worse", "the way back", func(r *release.State) bool { return r.Phase == release.Returned })
+	if out := s.ctl("release", "history", "worse"); !strings.Contains(out, "the gate of wave 1 failed") {
+		t.Errorf("the history is %s", out)
+	}
+	if out := s.ctl("list", "get", "--json"); strings.Count(out, `"version": "v2"`) != 3 {
+		t.Errorf("the list is %s", out)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,7 +83,9 @@
 	}
 	for _, k := range a.keeps {
 		tasks.Go(func() { k.run(ctx) })
-		tasks.Go(func() { a.listed(ctx, k) })
+		if !k.s.Unlisted {
+			tasks.Go(func() { a.listed(ctx, k) })
+		}
 	}
 	tasks.Go(func() { a.announce(ctx) })
 	srv := &http.Server{Handler: a.routes(), ReadTimeout: callTime, WriteTimeout: callTime}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +31,9 @@
 			os.Exit(3)
 		}
 		http.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, version) })
+		if os.Getenv("GW_ACCEPT_FD") == "3" {
+			handOver(version)
+		}
 		http.ListenAndServe(os.Getenv("AGENT_TEST_ADDRESS"), nil)
 		os.Exit(1)
 	}
@@ -143,3 +149,104 @@
 	last.signal(syscall.SIGKILL)
 	<-last.ended
 }
+
+// handOver is a server that takes the clients' socket over, and ends in order. One
+// whose version is mute never gets ready.
+func handOver(version string) {
+	if version != "mute" {
+		go http.ListenAndServe(os.Getenv("GW_CONTROL"), nil)
+	}
+	ln, err := net.FileListener(os.NewFile(3, "clients"))
+	if err != nil {
+		os.Exit(1)
+	}
+	var open sync.WaitGroup
+	srv := &http.Server{ConnState: func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			open.Add(1)
+		} else if s == http.StateClosed {
+			open.Done()
+		}
+	}}
+	srv.SetKeepAlivesEnabled(false)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	served := make(chan bool)
+	go func() { srv.Serve(ln); close(served) }()
+	<-ctx.Done()
+	ln.Close()
+	<-served
+	open.Wait() // Shutdown would drop what was accepted and not read
+	os.Exit(0)
+}
+
+// TestHandover: a version that hands over is replaced without a request lost, by one
+// that is ready; one that ends, or never gets ready, changes nothing; also by the next
+// agent, which gets the socket from the process.
+func TestHandover(t *testing.T) {
+	quiet := slog.New(slog.DiscardHandler)
+	c := Default()
+	at := address(t)
+	c.Machine, c.Listen, c.List, c.Folder = "m", address(t), []string{"127.0.0.1:1"}, t.TempDir()
+	c.Servers = []Server{{Name: "n", Address: at, Version: "v1", Ready: "/", Grace: 5 * time.Second, Handover: true, Unlisted: true, Control: []string{address(t), address(t)},
+		Command: []string{"/usr/bin/env", "AGENT_TEST_VERSION={version}", os.Args[0]}}}
+	if err := c.Check(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	defer cancel()
+	call := Caller{HTTP: http.DefaultClient}
+	status := func() Status {
+		s, _ := call.Status(ctx, c.Listen, "n")
+		return s
+	}
+	fence := uint64(0)
+	order := func(version string) {
+		t.Helper()
+		fence++
+		if _, err := call.Order(ctx, c.Listen, "n", Order{Version: version}, list.Fence{Duty: "release/x", Fence: fence}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	begin := func() func() { return run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) }) }
+	stop := begin()
+	await(t, "the first version", func() bool { s := status(); return s.Ready && s.Version == "v1" })
+	lost := make(chan int)
+	asking, halt := context.WithCancel(ctx)
+	go func() {
+		n := 0
+		h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+		for asking.Err() == nil {
+			resp, err := h.Get("http://" + at)
+			if err != nil {
+				n++
+				continue
+			}
+			resp.Body.Close()
+		}
+		lost <- n
+	}()
+	order("v2")
+	await(t, "the second version", func() bool {
+		s := status()
+		return s.Ready && s.Version == "v2" && s.Control == c.Servers[0].Control[1]
+	})
+	order("bad")
+	await(t, "the refusal of one that ends", func() bool { s := status(); return s.Refused == "bad" && s.Version == "v2" })
+	stop()
+	stop = begin()
+	await(t, "the same process with the next agent", func() bool { s := status(); return s.Ready && s.Version == "v2" })
+	order("v3")
+	await(t, "the third version", func() bool { s := status(); return s.Ready && s.Version == "v3" })
+	halt()
+	if n := <-lost; n > 0 {
+		t.Errorf("%d requests were lost", n)
+	}
+	stop()
+	last, err := adopt(filepath.Join(c.Folder, "n.process"))
+	if err != nil || last == nil {
+		t.Fatal(last, err)
+	}
+	last.signal(syscall.SIGKILL)
+	<-last.ended
+}
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -29,16 +29,23 @@
 
 // Status is a server as its agent sees it.
 type Status struct {
-	Name     string     `json:"name"`
-	Entry    list.Entry `json:"entry"`
-	Version  string     `json:"version"`         // that its process has, or had last
-	Want     string     `json:"want"`            // that it is to have
-	Running  bool       `json:"running"`         // its process is there
-	Ready    bool       `json:"ready"`           // it answers
-	Restarts int        `json:"restarts"`        // of this version, by itself
-	Why      string     `json:"why,omitempty"`   // it is not ready
-	Since    int64      `json:"since_ms"`        // Unix time of the process's start
-	Quiet    bool       `json:"quiet,omitempty"` // it is not to be listed as ready: it is being replaced
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	Type     string `json:"type"`
+	Group    int    `json:"group"`
+	Address  string `json:"address"`
+	Version  string `json:"version"`         // that its process has, or had last
+	Want     string `json:"want"`            // that it is to have
+	Running  bool   `json:"running"`         // its process is there
+	Ready    bool   `json:"ready"`           // it answers
+	Restarts int    `json:"restarts"`        // of this version, by itself
+	Why      string `json:"why,omitempty"`   // it is not ready
+	Since    int64  `json:"since_ms"`        // Unix time of the process's start
+	Quiet    bool   `json:"quiet,omitempty"` // it is not to be listed as ready: it is being replaced
+
+	Handover bool   `json:"handover,omitempty"` // its versions replace each other without an end in between
+	Control  string `json:"control,omitempty"`  // where operators call such a one
+	Refused  string `json:"refused,omitempty"`  // a version that did not get ready beside the one that runs, which stayed
 }
 
 // Order is what a server is to be.
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -35,6 +35,13 @@
 	Dir     string        `koanf:"dir"`
 	Ready   string        `koanf:"ready"` // path that answers 200 once it is ready; empty: once it takes connections
 	Grace   time.Duration `koanf:"grace"` // between SIGTERM and SIGKILL
+
+	// Of a server that hands over, such as a node: this agent holds the clients' socket,
+	// which its processes get as descriptor 3 ($GW_ACCEPT_FD), and another version is
+	// started beside the old one, at the other of two control addresses ($GW_CONTROL).
+	Handover bool     `koanf:"handover"`
+	Control  []string `koanf:"control"`
+	Unlisted bool     `koanf:"unlisted"` // it has no entry in the list of servers
 }
 
 // Default is the configuration but for names, addresses and servers.
@@ -79,6 +86,10 @@
 		bad(s.Version != "", "server %s: version: missing", s.Name)
 		bad(s.Weight >= 0, "server %s: weight: %v is under 0", s.Name, s.Weight)
 		bad(s.Grace >= 0, "server %s: grace: %v is under 0", s.Name, s.Grace)
+		bad(!s.Handover || len(s.Control) == 2, "server %s: control: there are %d, want two addresses that are used in turn", s.Name, len(s.Control))
+		for _, a := range s.Control {
+			address("server "+s.Name+": control", a)
+		}
 		bad(s.Ready == "" || strings.HasPrefix(s.Ready, "/"), "server %s: ready: %q is no path", s.Name, s.Ready)
 	}
 	return errors.Join(errs...)
--- a/internal/agent/keep.go
+++ b/internal/agent/keep.go
@@ -26,11 +26,12 @@
 // keeping keeps one server's process: the version that is wanted, started again
 // when it ends by itself, replaced when another version is wanted.
 type keeping struct {
-	s     Server
-	log   *slog.Logger
-	out   *os.File // of its processes
-	trace string   // the file for a process's trace
-	http  *http.Client
+	s      Server
+	log    *slog.Logger
+	out    *os.File // of its processes
+	trace  string   // the file for a process's trace
+	http   *http.Client
+	socket *os.File // of the clients, where versions hand over; nil: not had yet
 
 	mu      sync.Mutex
 	status  Status
@@ -40,8 +41,9 @@
 
 func newKeeping(s Server, version, trace string, out *os.File, log *slog.Logger) *keeping {
 	return &keeping{s: s, log: log.With("server", s.Name), trace: trace, out: out, changed: make(chan struct{}), wake: make(chan struct{}, 1),
-		http:   &http.Client{Timeout: readyTime, Transport: &http.Transport{DisableKeepAlives: true}},
-		status: Status{Name: s.Name, Want: version, Version: version, Why: "it has not been started"}}
+		http: &http.Client{Timeout: readyTime, Transport: &http.Transport{DisableKeepAlives: true}},
+		status: Status{Name: s.Name, Zone: s.Zone, Type: s.Type, Group: s.Group, Address: s.Address, Handover: s.Handover, Want: version, Version: version,
+			Why: "it has not been started"}}
 }
 
 // Status is the server as it is now, and a channel that is closed when that changes.
@@ -70,19 +72,21 @@
 	}
 }
 
-// run keeps the process until ctx ends, and then ends it.
+// run keeps the process until ctx ends. The process goes on then.
 func (k *keeping) run(ctx context.Context) {
 	rest := firstRest
 	for ctx.Err() == nil {
 		status, _ := k.get()
 		version := status.Want
+		if version == status.Refused {
+			version = status.Version // that ran, and ended since
+		}
 		began := time.Now()
-		err := k.once(ctx, version)
-		status, _ = k.get()
-		if ctx.Err() != nil || status.Want != version {
+		told, err := k.once(ctx, version)
+		if ctx.Err() != nil || told {
 			rest = firstRest
 			k.set(func(s *Status) { s.Restarts = 0 })
-			continue // it was told to end
+			continue
 		}
 		k.log.Error("its process ended by itself", "version", version, "after", time.Since(began), "err", err)
 		k.set(func(s *Status) { s.Restarts, s.Why = s.Restarts+1, fmt.Sprintf("its process ended: %v", err) })
@@ -105,25 +109,38 @@
 	}
 }
 
-// once runs one process to its end: its own, or the one that is asked of it. At the
-// end of the agent it is left running, for the agent's successor.
-func (k *keeping) once(ctx context.Context, version string) error {
+// once runs one process to its end: its own, or the one that it is told to come to.
+// At the end of the agent it is left running, for the agent's successor.
+func (k *keeping) once(ctx context.Context, version string) (told bool, err error) {
 	p, err := k.begin(version)
 	if err != nil {
-		return err
+		return false, err
 	}
-	defer p.close()
-	k.set(func(s *Status) {
-		s.Version, s.Running, s.Ready, s.Why, s.Since = p.Version, true, false, "it does not answer yet", p.Since
-	})
+	defer func() { p.close() }()
+	k.show(p)
 	looking, stop := context.WithCancel(ctx)
+	defer func() { stop() }()
 	var looks sync.WaitGroup
-	looks.Go(func() { k.look(looking) })
+	looks.Go(func() { k.look(looking, p.Control) })
 	for over := false; !over; {
-		if s, _ := k.get(); s.Want != p.Version {
+		if s, _ := k.get(); s.Want != p.Version && k.s.Handover {
+			if s.Want != s.Refused {
+				if next := k.upgrade(ctx, p, s.Want); next != nil {
+					stop()
+					looks.Wait()
+					k.end(p) // it lets go by itself; its end is no error of the one that goes on
+					p.close()
+					p = next
+					k.show(p)
+					looking, stop = context.WithCancel(ctx)
+					looks.Go(func() { k.look(looking, p.Control) })
+				}
+				continue
+			}
+		} else if s.Want != p.Version {
 			stop()
 			looks.Wait()
-			err = k.end(p)
+			told, err = true, k.end(p)
 			break
 		}
 		select {
@@ -139,7 +156,7 @@
 	if ctx.Err() == nil {
 		k.set(func(s *Status) { s.Running, s.Ready, s.Why = false, false, "its process has ended" })
 	}
-	return err
+	return told, err
 }
 
 // begin takes up the process that an earlier agent left, or starts one.
@@ -152,15 +169,38 @@
 		k.log.Info("taken up", "version", p.Version, "pid", p.Pid)
 		return p, nil
 	}
+	return k.start(nil, version, 0, k.trace)
+}
+
+// start starts a process. beside is the one that runs already, if one does.
+func (k *keeping) start(beside *process, version string, control int, trace string) (*process, error) {
 	args, dir := k.s.command(version)
 	cmd := exec.Command(args[0], args[1:]...)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = dir, k.out, k.out
-	if p, err = startProcess(cmd, version, k.trace); err == nil {
+	if k.s.Handover {
+		if err := k.open(beside); err != nil {
+			return nil, err
+		}
+		cmd.ExtraFiles = []*os.File{k.socket}
+		cmd.Env = append(os.Environ(), "GW_ACCEPT_FD=3", "GW_CONTROL="+k.s.Control[control])
+	}
+	p, err := startProcess(cmd, version, control, trace)
+	if err == nil {
 		k.log.Info("started", "version", version, "pid", p.Pid)
 	}
 	return p, err
 }
 
+// show puts a process into the status.
+func (k *keeping) show(p *process) {
+	k.set(func(s *Status) {
+		s.Version, s.Running, s.Ready, s.Why, s.Since, s.Refused = p.Version, true, false, "it does not answer yet", p.Since, ""
+		if k.s.Handover {
+			s.Control = k.s.Control[p.Control]
+		}
+	})
+}
+
 // end tells a process to end, and kills it after its grace.
 func (k *keeping) end(p *process) error {
 	k.set(func(s *Status) { s.Ready, s.Why = false, "it is told to end" })
@@ -180,9 +220,9 @@
 }
 
 // look asks the server again and again whether it is ready.
-func (k *keeping) look(ctx context.Context) {
+func (k *keeping) look(ctx context.Context, control int) {
 	for ctx.Err() == nil {
-		err := k.answers(ctx)
+		err := k.answers(ctx, control)
 		if ctx.Err() != nil {
 			return
 		}
@@ -197,15 +237,19 @@
 	}
 }
 
-func (k *keeping) answers(ctx context.Context) error {
+func (k *keeping) answers(ctx context.Context, control int) error {
+	address := k.s.Address
+	if k.s.Handover {
+		address = k.s.Control[control]
+	}
 	if k.s.Ready == "" {
-		c, err := (&net.Dialer{Timeout: readyTime}).DialContext(ctx, "tcp", k.s.Address)
+		c, err := (&net.Dialer{Timeout: readyTime}).DialContext(ctx, "tcp", address)
 		if err == nil {
 			c.Close()
 		}
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+k.s.Address+k.s.Ready, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+k.s.Ready, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -30,6 +30,7 @@
 	Start   uint64 `json:"start"` // in the kernel's ticks since boot: a number may be used again
 	Version string `json:"version"`
 	Since   int64  `json:"since_ms"`
+	Control int    `json:"control,omitempty"` // which of the control addresses it has
 }
 
 const (
@@ -38,12 +39,12 @@
 )
 
 // startProcess starts a command and keeps its trace in a file.
-func startProcess(cmd *exec.Cmd, version, trace string) (*process, error) {
+func startProcess(cmd *exec.Cmd, version string, control int, trace string) (*process, error) {
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a signal to the agent's group is not one to its servers
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	p := &process{Trace: Trace{Pid: cmd.Process.Pid, Version: version, Since: time.Now().UnixMilli()}, ended: make(chan error, 1)}
+	p := &process{Trace: Trace{Pid: cmd.Process.Pid, Version: version, Since: time.Now().UnixMilli(), Control: control}, ended: make(chan error, 1)}
 	err := p.open()
 	if err == nil {
 		err = p.keep(trace)
--- /dev/null
+++ b/internal/agent/upgrade.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	upgradeTime = 30 * time.Second // for a version to get ready beside the one that runs
+	nextSuffix  = ".next"          // of the trace of one that is not ready yet
+)
+
+// upgrade starts another version beside a process, and gives it once it is ready.
+// One that does not get ready is ended, the old one goes on, and the version is
+// refused until another order: nil.
+func (k *keeping) upgrade(ctx context.Context, old *process, version string) *process {
+	next, err := k.beside(ctx, old, version)
+	if err == nil {
+		k.log.Info("the next version is ready", "version", version, "pid", next.Pid)
+		return next
+	}
+	k.log.Error("the next version is refused, the old one goes on", "version", version, "old", old.Version, "err", err)
+	k.set(func(s *Status) { s.Refused, s.Why = version, fmt.Sprintf("%s was refused: %v", version, err) })
+	return nil
+}
+
+func (k *keeping) beside(ctx context.Context, old *process, version string) (*process, error) {
+	if err := k.clear(); err != nil {
+		return nil, err
+	}
+	next, err := k.start(old, version, 1-old.Control, k.trace+nextSuffix)
+	if err != nil {
+		return nil, err
+	}
+	within, cancel := context.WithTimeout(ctx, upgradeTime)
+	defer cancel()
+	for {
+		if err = k.answers(within, next.Control); err == nil {
+			break
+		}
+		select {
+		case end := <-next.ended:
+			next.close()
+			return nil, fmt.Errorf("it ended before it was ready: %w", end)
+		case <-within.Done():
+			defer next.close()
+			return nil, errors.Join(fmt.Errorf("it was not ready within %v: %w", upgradeTime, err), k.end(next))
+		case <-time.After(readyLook):
+		}
+	}
+	if err := os.Rename(k.trace+nextSuffix, k.trace); err != nil {
+		defer next.close()
+		return nil, errors.Join(err, k.end(next))
+	}
+	return next, nil
+}
+
+// clear ends the process of an upgrade that an earlier agent did not bring to its end.
+func (k *keeping) clear() error {
+	left, err := adopt(k.trace + nextSuffix)
+	if err != nil || left == nil {
+		return err
+	}
+	defer left.close()
+	k.log.Warn("an upgrade that was not ended is given up", "version", left.Version, "pid", left.Pid)
+	k.end(left)
+	return nil
+}
+
+// open has the clients' socket at hand: this agent's own, or that of the process
+// which an earlier agent gave it to.
+func (k *keeping) open(beside *process) error {
+	if k.socket != nil {
+		return nil
+	}
+	if beside != nil {
+		fd, err := beside.listening(k.s.Address)
+		if err != nil {
+			return fmt.Errorf("the clients' socket can't be had from process %d: %w", beside.Pid, err)
+		}
+		k.socket = os.NewFile(uintptr(fd), "clients")
+		return nil
+	}
+	ln, err := net.Listen("tcp", k.s.Address)
+	if err != nil {
+		return fmt.Errorf("the clients' socket: %w", err)
+	}
+	defer ln.Close()
+	if k.socket, err = ln.(*net.TCPListener).File(); err != nil {
+		return fmt.Errorf("the clients' socket: %w", err)
+	}
+	return nil
+}
+
+// listening gives a copy of the descriptor with which a process listens at an
+// address. Which one of its own that is, is the process's business.
+func (p *process) listening(address string) (int, error) {
+	want, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return 0, err
+	}
+	folder := fmt.Sprintf("/proc/%d/fd", p.Pid)
+	all, err := os.ReadDir(folder)
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range all {
+		n, err := strconv.Atoi(e.Name())
+		if to, e := os.Readlink(folder + "/" + e.Name()); err != nil || e != nil || !strings.HasPrefix(to, "socket:") {
+			continue
+		}
+		fd, err := unix.PidfdGetfd(p.fd, n, 0)
+		if err != nil {
+			return 0, err
+		}
+		if listensAt(fd, want) {
+			return fd, nil
+		}
+		unix.Close(fd)
+	}
+	return 0, fmt.Errorf("none of its descriptors listens at %s", address)
+}
+
+func listensAt(fd int, want netip.AddrPort) bool {
+	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on != 1 {
+		return false
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		return false
+	}
+	switch a := at.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)) == want
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port)) == want
+	}
+	return false
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"reflect"
+	"time"
 
 	"github.com/go-viper/mapstructure/v2"
 	"github.com/knadh/koanf/parsers/toml/v2"
@@ -49,9 +51,22 @@
 
 func into[T any](k *koanf.Koanf, c *T, path string) error {
 	err := k.UnmarshalWithConf("", c, koanf.UnmarshalConf{DecoderConfig: &mapstructure.DecoderConfig{Result: c, TagName: "koanf", ErrorUnused: true,
-		DecodeHook: mapstructure.StringToTimeDurationHookFunc(), WeaklyTypedInput: false}})
+		ZeroFields: true, // a list in a file takes the place of the default's, and is not mixed with it
+		DecodeHook: mapstructure.DecodeHookFuncType(duration), WeaklyTypedInput: false}})
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	return nil
 }
+
+// duration reads a time with its unit. A bare number would be nanoseconds, which nobody means.
+func duration(from, to reflect.Type, data any) (any, error) {
+	if to != reflect.TypeFor[time.Duration]() || from == to {
+		return data, nil
+	}
+	text, ok := data.(string)
+	if !ok {
+		return nil, fmt.Errorf("%v is no time; want a number with its unit, as in \"30s\"", data)
+	}
+	return time.ParseDuration(text)
+}
--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,55 @@
+package conf
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/spf13/pflag"
+)
+
+type inner struct {
+	A int `koanf:"a"`
+	B int `koanf:"b"`
+}
+
+type config struct {
+	Name string        `koanf:"name"`
+	Wait time.Duration `koanf:"wait"`
+	In   inner         `koanf:"in"`
+	All  []inner       `koanf:"all"`
+	Kept []string      `koanf:"kept"`
+}
+
+func load(t *testing.T, text string, args ...string) (config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "c.toml")
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	flags := pflag.NewFlagSet("x", pflag.ContinueOnError)
+	flags.String(FileFlag, "", "")
+	flags.String("name", "", "")
+	if err := flags.Parse(append([]string{"--" + FileFlag, path}, args...)); err != nil {
+		t.Fatal(err)
+	}
+	c := config{Name: "default", Wait: time.Second, In: inner{1, 2}, All: []inner{{1, 1}, {2, 2}}, Kept: []string{"x"}}
+	return c, Load(&c, flags)
+}
+
+// TestLoad: what a file does not name keeps its default, a list takes the place of the default's, flags win.
+func TestLoad(t *testing.T) {
+	got, err := load(t, "name = \"file\"\nwait = \"2m\"\n[in]\na = 9\n[[all]]\nb = 7\n", "--name", "flag")
+	want := config{Name: "flag", Wait: 2 * time.Minute, In: inner{9, 2}, All: []inner{{0, 7}}, Kept: []string{"x"}}
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, %v, want %+v", got, err, want)
+	}
+	for text, names := range map[string]string{"nme = \"x\"": "nme", "name = ": "c.toml", "wait = 5": "wait", "[in]\nc = 1": "c"} {
+		if _, err := load(t, text); err == nil || !strings.Contains(err.Error(), names) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/internal/lab/fleet/agents.go
+++ b/internal/lab/fleet/agents.go
@@ -12,6 +12,8 @@
 	"indigotack/internal/agent"
 	"indigotack/internal/fence"
 	"indigotack/internal/lab/box"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/spec"
 	"indigotack/internal/list"
 	"indigotack/internal/pause"
 )
@@ -53,7 +55,12 @@
 	if err != nil {
 		return nil, err
 	}
-	card := agent.Card{Machine: agentsRecord, Address: ln.Addr().String()}
+	door, err := f.net.Connect(link.Ends{From: spec.Conductors, To: spec.Agents}, ln.Addr().String())
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	card := agent.Card{Machine: agentsRecord, Address: door}
 	for _, m := range f.w.Machines {
 		card.Servers = append(card.Servers, m.Name)
 		a.boxes[m.Name] = &kept{Status: agent.Status{Name: m.Name, Version: version, Want: version, Running: true, Ready: true}}
--- a/internal/lab/fleet/release.go
+++ b/internal/lab/fleet/release.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := release.Begin(p, a.Endpoints)
+	s, err := release.Begin(p, release.Listed(a.Endpoints))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/spec/schedule.go
+++ b/internal/lab/spec/schedule.go
@@ -14,6 +14,9 @@
 const (
 	Clients   = "clients"
 	Discovery = "discovery"
+
+	Conductors = "conductors" // all of them, for links
+	Agents     = "agents"     // of the boxes' machines
 )
 
 // Parties gives those that the names stand for: n0, s0, nodes, boxes, clients,
@@ -31,6 +34,8 @@
 			got = []string{name}
 		case name == "nodes":
 			got = numbered("n", e.Fleet.Nodes)
+		case e.Release != nil && (name == Conductors || name == Agents):
+			got = []string{name}
 		case e.Release != nil && slices.Contains(numbered("c", e.Release.Conductors), name):
 			got = []string{name}
 		case name == "workers" && e.Duties.Workers > 0:
@@ -69,7 +74,7 @@
 // kindOf tells a node from a box.
 func kindOf(party string) string {
 	switch {
-	case party == Clients, party == Discovery:
+	case party == Clients, party == Discovery, party == Conductors, party == Agents:
 		return party
 	case strings.HasPrefix(party, "c"):
 		return "conductor"
--- a/internal/list/server/backup.go
+++ b/internal/list/server/backup.go
@@ -9,8 +9,8 @@
 	"indigotack/internal/sealed"
 )
 
-// maxRestore bounds a backup that is brought back, in bytes: a full list takes an eighth.
-const maxRestore = 32 << 20
+// maxRestore bounds a backup that is brought back, in bytes: a full list with all records takes two thirds.
+const maxRestore = 60 << 20
 
 // backup answers with the whole state as it is now, sealed.
 func (s *Server) backup(w http.ResponseWriter, _ *http.Request) {
--- a/internal/release/machine.go
+++ b/internal/release/machine.go
@@ -119,15 +119,17 @@
 	return s, nil
 }
 
-// Begin is New for the servers of a list that the plan is about.
-func Begin(p Plan, all []list.Entry) (*State, error) {
-	var servers []Target
+// Begin is New for those that the plan is about.
+func Begin(p Plan, all []Target) (*State, error) {
+	return New(p, slices.DeleteFunc(slices.Clone(all), func(t Target) bool { return !p.Matches(t) }))
+}
+
+// Listed gives the servers of a list.
+func Listed(all []list.Entry) (targets []Target) {
 	for _, e := range all {
-		if p.Matches(e) {
-			servers = append(servers, Target{Name: e.Name, Address: e.Address, Zone: e.Zone, Type: e.Type, Group: e.Group, Version: e.Version})
-		}
+		targets = append(targets, Target{Name: e.Name, Address: e.Address, Zone: e.Zone, Type: e.Type, Group: e.Group, Version: e.Version})
 	}
-	return New(p, servers)
+	return targets
 }
 
 // Count gives the servers that serve in the new version, and those that are out.
--- a/internal/release/plan.go
+++ b/internal/release/plan.go
@@ -17,7 +17,8 @@
 // Plan is what a release is to do. Times in its file have units, as in "30s".
 type Plan struct {
 	Name   string `koanf:"name" json:"name"`
-	From   string `koanf:"from" json:"from"` // version
+	Kind   string `koanf:"kind" json:"kind,omitempty"` // servers, also where it is absent, or program: the nodes themselves
+	From   string `koanf:"from" json:"from"`           // version
 	To     string `koanf:"to" json:"to"`
 	What   What   `koanf:"what" json:"what"`
 	Limits Limits `koanf:"limits" json:"limits"`
@@ -65,6 +66,15 @@
 	Judge   time.Duration `koanf:"judge" json:"judge_ns"` // past the soak, for a gate to decide
 }
 
+// What is released.
+const (
+	KindServers = "servers"
+	KindProgram = "program"
+)
+
+// Program tells whether the plan is about the program's nodes.
+func (p Plan) Program() bool { return p.Kind == KindProgram }
+
 // What a halt may do by itself.
 const (
 	HaltWait = "wait"
@@ -99,6 +109,7 @@
 	text("name", p.Name)
 	text("from", p.From)
 	text("to", p.To)
+	bad(p.Kind == "" || p.Kind == KindServers || p.Kind == KindProgram, "kind: %q is neither %q nor %q", p.Kind, KindServers, KindProgram)
 	bad(p.From != p.To, "to: %q is the version that is there already", p.To)
 	for _, n := range p.What.Names {
 		_, err := path.Match(n, "")
@@ -129,14 +140,14 @@
 	return errors.Join(errs...)
 }
 
-// Matches tells whether a server is one of those that the plan is about.
-func (p Plan) Matches(e list.Entry) bool {
+// Matches tells whether a server or a node is one of those that the plan is about.
+func (p Plan) Matches(t Target) bool {
 	one := func(all []string, is string) bool { return len(all) == 0 || slices.Contains(all, is) }
 	named := len(p.What.Names) == 0 || slices.ContainsFunc(p.What.Names, func(n string) bool {
-		ok, err := path.Match(n, e.Name)
+		ok, err := path.Match(n, t.Name)
 		return ok && err == nil
 	})
-	return one(p.What.Zones, e.Zone) && one(p.What.Types, e.Type) && named
+	return one(p.What.Zones, t.Zone) && one(p.What.Types, t.Type) && named
 }
 
 // ends gives, for each wave, how many of n servers are released by its end.
--- a/internal/release/servers.go
+++ b/internal/release/servers.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -49,7 +48,8 @@
 	if err != nil {
 		return View{}, err
 	}
-	if err := f.findAgents(ctx); err != nil {
+	agents, err := findAgents(ctx, f.List)
+	if err != nil {
 		return View{}, err
 	}
 	var v View
@@ -60,40 +60,19 @@
 			v.Out = append(v.Out, Target{Name: i.Entry.Name, Zone: i.Entry.Zone, Type: i.Entry.Type, Group: i.Entry.Group})
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for name := range f.agents {
-		if !listed[name] {
-			v.Out = append(v.Out, Target{Name: name}) // its zone went with its entry
-		}
-	}
-	return v, nil
-}
-
-// findAgents reads which agent keeps which server.
-func (f *Servers) findAgents(ctx context.Context) error {
-	all, err := f.List.Records(ctx, agent.RecordPrefix)
-	if err != nil {
-		return err
-	}
-	found := map[string]string{}
-	for _, r := range all {
-		one, err := f.List.Record(ctx, r.Key)
-		if err != nil {
-			return err
-		}
-		var card agent.Card
-		if err := json.Unmarshal(one.Value, &card); err != nil {
-			return fmt.Errorf("%s: %w", r.Key, err)
+	for name, at := range agents {
+		if listed[name] {
+			continue
 		}
-		for _, s := range card.Servers {
-			found[s] = card.Address
+		// Its zone went with its entry; one that hands over is a node, and in no list.
+		if s, err := (agent.Caller{HTTP: f.HTTP}).Status(ctx, at, name); err != nil || !s.Handover {
+			v.Out = append(v.Out, Target{Name: name, Zone: s.Zone, Type: s.Type, Group: s.Group})
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.agents = found
-	return nil
+	f.agents = agents
+	return v, nil
 }
 
 // Do carries an action out.
@@ -190,12 +169,13 @@
 	return fmt.Errorf("node %s: %s", n.Name, resp.Status)
 }
 
-func (f *Servers) stats(ctx context.Context, n Node) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Control+"/stats", nil)
+// readControl reads the figures at a node's control address.
+func readControl(ctx context.Context, h *http.Client, control string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+"/stats", nil)
 	if err != nil {
 		return "", err
 	}
-	resp, err := f.HTTP.Do(req)
+	resp, err := h.Do(req)
 	if err != nil {
 		return "", err
 	}
@@ -204,21 +184,28 @@
 	return string(raw), err
 }
 
-// readStats reads a node's figures on single servers.
-func readStats(text string) map[string]Counts {
-	all := map[string]Counts{}
+// figures calls do for each line of a node's figures that begins with a prefix: what
+// follows it, split at the last dot, and the number.
+func figures(text, prefix string, do func(name, what string, n int)) {
 	in := bufio.NewScanner(strings.NewReader(text))
 	for in.Scan() {
-		rest, ok := strings.CutPrefix(in.Text(), "app.backends.")
+		rest, ok := strings.CutPrefix(in.Text(), prefix)
 		key, value, colon := strings.Cut(rest, ":")
 		dot := strings.LastIndexByte(key, '.')
 		number, _, _ := strings.Cut(value, "|")
 		n, err := strconv.Atoi(number)
-		if !ok || !colon || dot < 0 || err != nil || n < 0 {
-			continue
+		if ok && colon && dot >= 0 && err == nil && n >= 0 {
+			do(key[:dot], key[dot+1:], n)
 		}
-		c := all[key[:dot]]
-		switch key[dot+1:] {
+	}
+}
+
+// readStats reads a node's figures on single servers.
+func readStats(text string) map[string]Counts {
+	all := map[string]Counts{}
+	figures(text, "app.backends.", func(name, what string, n int) {
+		c := all[name]
+		switch what {
 		case "succeeded":
 			c.Requests += n
 		case "failed":
@@ -227,8 +214,8 @@
 		case "late":
 			c.Late += n
 		}
-		all[key[:dot]] = c
-	}
+		all[name] = c
+	})
 	return all
 }
 
@@ -240,7 +227,7 @@
 	}
 	all := map[string]Parts{}
 	for _, n := range f.Nodes {
-		text, err := f.stats(ctx, n)
+		text, err := readControl(ctx, f.HTTP, n.Control)
 		if err != nil {
 			continue // one that is not there counts nothing
 		}
