--- a/cmd/indigoagent/main.go
+++ b/cmd/indigoagent/main.go
@@ -2,12 +2,8 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -15,14 +11,7 @@
 	"indigotack/internal/conf"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := root().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "indigoagent:", err)
-		os.Exit(1)
-	}
-}
+func main() { conf.Main(root()) }
 
 func root() *cobra.Command {
 	d := agent.Default()
@@ -32,10 +21,8 @@
 		Long: `indigoagent starts the servers that its file names, starts them again when they end, keeps their entries in the list
 service, and replaces them by another version when the holder of a release's duty orders it. The servers outlive it:
 the next agent on the same folder takes them up. A configuration is in docs/agent.md. It runs until SIGTERM.`,
-		Example:       "  indigoagent --config agent.toml",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Example: "  indigoagent --config agent.toml",
+		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if c.Flags().NFlag() == 0 {
 				return c.Help()
--- a/cmd/indigoctl/main.go
+++ b/cmd/indigoctl/main.go
@@ -2,23 +2,12 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/spf13/cobra"
+
+	"indigotack/internal/conf"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := root().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "indigoctl:", err)
-		os.Exit(1)
-	}
-}
+func main() { conf.Main(root()) }
 
 func root() *cobra.Command {
 	c := &cobra.Command{
@@ -26,10 +15,8 @@
 		Short: "operate the fleet's services",
 		Long: `indigoctl asks and orders the fleet's services. Every command names its own --help with an example.
 The list service is looked for at $INDIGO_LIST, or at --list: the replicas' addresses, separated by commas.`,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		Args:          cobra.NoArgs,
-		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
 	c.AddCommand(listCommand(), dutyCommand(), releaseCommand())
 	return c
--- a/cmd/indigoctl/release_test.go
+++ b/cmd/indigoctl/release_test.go
@@ -18,14 +18,12 @@
 	"time"
 
 	"indigotack/internal/agent"
-	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/trial"
 	"indigotack/internal/list/client"
 	"indigotack/internal/list/server"
 	"indigotack/internal/release"
 )
 
-const enough = 60 * time.Second // only a hang takes so long
-
 // TestMain lets this test's own binary be indigoctl, or a server that answers with its version.
 func TestMain(m *testing.M) {
 	if version := os.Getenv("RELEASE_TEST_VERSION"); version != "" {
@@ -55,53 +53,31 @@
 	failed map[string]int
 }
 
-func reserve(t *testing.T) string {
-	t.Helper()
-	a, free, err := link.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(free)
-	return a
-}
-
-func background(t *testing.T, do func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- do(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
-}
-
 func newSite(t *testing.T) *site {
 	quiet := slog.New(slog.DiscardHandler)
-	s := &site{t: t, list: reserve(t), at: map[string]string{}, folder: t.TempDir(), maint: map[string]bool{}, done: map[string]int{}, failed: map[string]int{}}
+	s := &site{t: t, list: trial.Address(t), at: map[string]string{}, folder: t.TempDir(), maint: map[string]bool{}, done: map[string]int{}, failed: map[string]int{}}
 	sc := server.Default()
 	sc.Folder, sc.Listen, sc.Election = t.TempDir(), s.list, 50*time.Millisecond
-	background(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })
+	t.Cleanup(trial.Run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) }))
 	var err error
 	if s.k, err = client.New(client.Config{Addresses: []string{s.list}}); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.k.Close)
 	ac := agent.Default()
-	ac.Machine, ac.Listen, ac.List, ac.Folder = "m", reserve(t), []string{s.list}, s.folder
+	ac.Machine, ac.Listen, ac.List, ac.Folder = "m", trial.Address(t), []string{s.list}, s.folder
 	for i := range 3 {
 		name := fmt.Sprint("s", i)
-		s.at[name] = reserve(t)
+		s.at[name] = trial.Address(t)
 		ac.Servers = append(ac.Servers, agent.Server{Name: name, Address: s.at[name], Version: "v1", Ready: "/", Grace: time.Second,
 			Command: []string{"/usr/bin/env", "RELEASE_TEST_VERSION={version}", "RELEASE_TEST_ADDRESS=" + s.at[name], os.Args[0]}})
 	}
 	t.Cleanup(s.endServers)
-	background(t, func(ctx context.Context) error { return agent.Run(ctx, ac, quiet) })
+	t.Cleanup(trial.Run(t, func(ctx context.Context) error { return agent.Run(ctx, ac, quiet) }))
 	node := httptest.NewServer(http.HandlerFunc(s.serveNode))
 	t.Cleanup(node.Close)
 	s.node = node.Listener.Addr().String()
-	background(t, s.load)
+	t.Cleanup(trial.Run(t, s.load))
 	return s
 }
 
@@ -190,8 +166,8 @@
 
 func (s *site) await(name, what string, is func(*release.State) bool) {
 	s.t.Helper()
-	for until := time.Now().Add(enough); ; time.Sleep(20 * time.Millisecond) {
-		ctx, cancel := context.WithTimeout(context.Background(), enough)
+	for until := time.Now().Add(trial.Enough); ; time.Sleep(20 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), trial.Enough)
 		state, err := release.Read(ctx, s.k, name)
 		cancel()
 		if err == nil && is(state) {
@@ -216,7 +192,7 @@
 // second; a bad one goes back by itself; real agents, servers and conductors' processes.
 func TestReleases(t *testing.T) {
 	s := newSite(t)
-	for until := time.Now().Add(enough); !strings.Contains(s.ctl("list", "get"), "3 entries"); time.Sleep(20 * time.Millisecond) {
+	for until := time.Now().Add(trial.Enough); !strings.Contains(s.ctl("list", "get"), "3 entries"); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(until) {
 			t.Fatal("the servers are not listed")
 		}
--- a/cmd/indigokeeper/main.go
+++ b/cmd/indigokeeper/main.go
@@ -2,12 +2,8 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -15,14 +11,7 @@
 	"indigotack/internal/keeper"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := root().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "indigokeeper:", err)
-		os.Exit(1)
-	}
-}
+func main() { conf.Main(root()) }
 
 func root() *cobra.Command {
 	d := keeper.Default()
@@ -33,10 +22,8 @@
 agree for a while is reported (/report, /metrics, log); a server that is leaving, takes no connections and that nobody
 would take off the list is taken off. Run it on several machines: one of them holds the duty, the others wait.
 A configuration is in docs/duties.md. It runs until SIGTERM.`,
-		Example:       "  indigokeeper --config keeper.toml\n  indigokeeper --process ops-1 --list 127.0.0.1:8500",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Example: "  indigokeeper --config keeper.toml\n  indigokeeper --process ops-1 --list 127.0.0.1:8500",
+		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if c.Flags().NFlag() == 0 {
 				return c.Help()
--- a/cmd/indigolist/main.go
+++ b/cmd/indigolist/main.go
@@ -2,12 +2,8 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -15,14 +11,7 @@
 	"indigotack/internal/list/server"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := root().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "indigolist:", err)
-		os.Exit(1)
-	}
-}
+func main() { conf.Main(root()) }
 
 func root() *cobra.Command {
 	d := server.Default()
@@ -34,9 +23,7 @@
 		Example: `  indigolist --folder /var/lib/indigolist
   curl -s 'http://127.0.0.1:8500/registry/instances'
   indigolist --config r1.toml`,
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if c.Flags().NFlag() == 0 {
 				return c.Help()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -15,14 +15,12 @@
 	"testing"
 	"time"
 
-	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/trial"
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
 	"indigotack/internal/list/server"
 )
 
-const enough = 30 * time.Second // only a hang takes so long
-
 // TestMain lets this test's own binary be a server: it answers with its version,
 // and one whose version is bad ends at once.
 func TestMain(m *testing.M) {
@@ -40,57 +38,26 @@
 	os.Exit(m.Run())
 }
 
-func address(t *testing.T) string {
-	t.Helper()
-	a, free, err := link.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(free)
-	return a
-}
-
-func run(t *testing.T, do func(context.Context) error) (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- do(ctx) }()
-	return func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	}
-}
-
-func await(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for until := time.Now().Add(enough); !is(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatalf("%s does not come", what)
-		}
-	}
-}
-
 // TestLifeOfAServer: it is started and listed; killed, it is started again; it is
 // replaced under a fence, and not by an earlier holder; it outlives its agent; a
 // version that does not run leaves the list and can be taken back.
 func TestLifeOfAServer(t *testing.T) {
 	quiet := slog.New(slog.DiscardHandler)
 	sc := server.Default()
-	sc.Folder, sc.Listen, sc.Election = t.TempDir(), address(t), 50*time.Millisecond
-	defer run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })()
+	sc.Folder, sc.Listen, sc.Election = t.TempDir(), trial.Address(t), 50*time.Millisecond
+	defer trial.Run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })()
 	k, err := client.New(client.Config{Addresses: []string{sc.Listen}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer k.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	ctx, cancel := context.WithTimeout(context.Background(), trial.Enough)
 	defer cancel()
 	c := Default()
-	c.Machine, c.Listen, c.List, c.Folder, c.TTL = "m", address(t), []string{sc.Listen}, t.TempDir(), 2*time.Second
-	at := address(t)
+	c.Machine, c.Listen, c.List, c.Folder, c.TTL = "m", trial.Address(t), []string{sc.Listen}, t.TempDir(), 2*time.Second
+	at := trial.Address(t)
 	c.Servers = []Server{{Name: "s", Address: at, Version: "v1", Ready: "/", Grace: time.Second, Command: []string{"/usr/bin/env", "AGENT_TEST_VERSION={version}", "AGENT_TEST_ADDRESS=" + at, os.Args[0]}}}
-	begin := func() func() { return run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) }) }
+	begin := func() func() { return trial.Run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) }) }
 	listed := func() string {
 		a, err := k.Current(ctx)
 		if err != nil {
@@ -111,36 +78,36 @@
 		return err
 	}
 	stop := begin()
-	await(t, "the first version", func() bool { return listed() == "ready v1" })
+	trial.Await(t, "the first version", func() bool { return listed() == "ready v1" })
 	first, err := adopt(filepath.Join(c.Folder, "s.process"))
 	if err != nil || first == nil {
 		t.Fatal(first, err)
 	}
 	first.signal(syscall.SIGKILL)
-	await(t, "its next process", func() bool { s := status(); return s.Ready && s.Restarts == 1 })
+	trial.Await(t, "its next process", func() bool { s := status(); return s.Ready && s.Restarts == 1 })
 
 	if err := order(Order{Version: "v2", Quiet: true}, 5); err != nil {
 		t.Fatal(err)
 	}
-	await(t, "the second version", func() bool { s := status(); return s.Ready && s.Version == "v2" && listed() == "draining v2" })
+	trial.Await(t, "the second version", func() bool { s := status(); return s.Ready && s.Version == "v2" && listed() == "draining v2" })
 	if err := order(Order{Version: "v1"}, 4); err == nil || !strings.Contains(err.Error(), "another holds the duty") {
 		t.Errorf("an earlier holder's order: %v", err)
 	}
 	before := status()
 	stop()
 	stop = begin()
-	await(t, "the same process with the next agent", func() bool { s := status(); return s.Ready && s.Since == before.Since && s.Version == "v2" })
+	trial.Await(t, "the same process with the next agent", func() bool { s := status(); return s.Ready && s.Since == before.Since && s.Version == "v2" })
 	if err := order(Order{Version: "v1"}, 4); err == nil {
 		t.Error("the next agent takes an earlier holder's order")
 	}
 	if err := order(Order{Version: "bad"}, 6); err != nil {
 		t.Fatal(err)
 	}
-	await(t, "the list without it", func() bool { return listed() == "nothing" && status().Restarts > 0 })
+	trial.Await(t, "the list without it", func() bool { return listed() == "nothing" && status().Restarts > 0 })
 	if err := order(Order{Version: "v1"}, 7); err != nil {
 		t.Fatal(err)
 	}
-	await(t, "the first version again", func() bool { return listed() == "ready v1" })
+	trial.Await(t, "the first version again", func() bool { return listed() == "ready v1" })
 	stop()
 	last, err := adopt(filepath.Join(c.Folder, "s.process"))
 	if err != nil || last == nil {
@@ -186,14 +153,14 @@
 func TestHandover(t *testing.T) {
 	quiet := slog.New(slog.DiscardHandler)
 	c := Default()
-	at := address(t)
-	c.Machine, c.Listen, c.List, c.Folder = "m", address(t), []string{"127.0.0.1:1"}, t.TempDir()
-	c.Servers = []Server{{Name: "n", Address: at, Version: "v1", Ready: "/", Grace: 5 * time.Second, Handover: true, Unlisted: true, Control: []string{address(t), address(t)},
+	at := trial.Address(t)
+	c.Machine, c.Listen, c.List, c.Folder = "m", trial.Address(t), []string{"127.0.0.1:1"}, t.TempDir()
+	c.Servers = []Server{{Name: "n", Address: at, Version: "v1", Ready: "/", Grace: 5 * time.Second, Handover: true, Unlisted: true, Control: []string{trial.Address(t), trial.Address(t)},
 		Command: []string{"/usr/bin/env", "AGENT_TEST_VERSION={version}", os.Args[0]}}}
 	if err := c.Check(); err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	ctx, cancel := context.WithTimeout(context.Background(), trial.Enough)
 	defer cancel()
 	call := Caller{HTTP: http.DefaultClient}
 	status := func() Status {
@@ -208,9 +175,9 @@
 			t.Fatal(err)
 		}
 	}
-	begin := func() func() { return run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) }) }
+	begin := func() func() { return trial.Run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) }) }
 	stop := begin()
-	await(t, "the first version", func() bool { s := status(); return s.Ready && s.Version == "v1" })
+	trial.Await(t, "the first version", func() bool { s := status(); return s.Ready && s.Version == "v1" })
 	lost := make(chan int)
 	asking, halt := context.WithCancel(ctx)
 	go func() {
@@ -227,17 +194,17 @@
 		lost <- n
 	}()
 	order("v2")
-	await(t, "the second version", func() bool {
+	trial.Await(t, "the second version", func() bool {
 		s := status()
 		return s.Ready && s.Version == "v2" && s.Control == c.Servers[0].Control[1]
 	})
 	order("bad")
-	await(t, "the refusal of one that ends", func() bool { s := status(); return s.Refused == "bad" && s.Version == "v2" })
+	trial.Await(t, "the refusal of one that ends", func() bool { s := status(); return s.Refused == "bad" && s.Version == "v2" })
 	stop()
 	stop = begin()
-	await(t, "the same process with the next agent", func() bool { s := status(); return s.Ready && s.Version == "v2" })
+	trial.Await(t, "the same process with the next agent", func() bool { s := status(); return s.Ready && s.Version == "v2" })
 	order("v3")
-	await(t, "the third version", func() bool { s := status(); return s.Ready && s.Version == "v3" })
+	trial.Await(t, "the third version", func() bool { s := status(); return s.Ready && s.Version == "v3" })
 	halt()
 	if n := <-lost; n > 0 {
 		t.Errorf("%d requests were lost", n)
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -10,66 +10,32 @@
 	"testing"
 	"time"
 
-	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/trial"
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
 	"indigotack/internal/list/server"
 )
 
-const enough = 30 * time.Second // only a hang takes so long
-
-func address(t *testing.T) string {
-	t.Helper()
-	a, free, err := link.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(free)
-	return a
-}
-
-// run starts something that goes on until stop is called.
-func run(t *testing.T, do func(context.Context) error) (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- do(ctx) }()
-	return func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	}
-}
-
-func await(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for until := time.Now().Add(enough); !is(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatalf("%s does not come", what)
-		}
-	}
-}
-
 // TestTwoKeepers: one of two takes an orphan off the list, and nothing else; once it
 // ends, the other goes on.
 func TestTwoKeepers(t *testing.T) {
 	quiet := slog.New(slog.DiscardHandler)
 	sc := server.Default()
-	sc.Folder, sc.Listen, sc.Election = t.TempDir(), address(t), 50*time.Millisecond
-	defer run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })()
+	sc.Folder, sc.Listen, sc.Election = t.TempDir(), trial.Address(t), 50*time.Millisecond
+	defer trial.Run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })()
 	k, err := client.New(client.Config{Addresses: []string{sc.Listen}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer k.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	ctx, cancel := context.WithTimeout(context.Background(), trial.Enough)
 	defer cancel()
 	alive, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer alive.Close()
-	dead := address(t)
+	dead := trial.Address(t)
 	add := func(name, at, status string) {
 		t.Helper()
 		if _, err := k.Register(ctx, list.Entry{Name: name, Address: at, Status: status}, 0, nil); err != nil {
@@ -83,9 +49,9 @@
 	defer node.Close()
 	begin := func(name string) func() {
 		c := Default()
-		c.Process, c.List, c.Listen, c.Every, c.Patience = name, []string{sc.Listen}, address(t), 100*time.Millisecond, Patience{300 * time.Millisecond, time.Second}
+		c.Process, c.List, c.Listen, c.Every, c.Patience = name, []string{sc.Listen}, trial.Address(t), 100*time.Millisecond, Patience{300 * time.Millisecond, time.Second}
 		c.Nodes = []Node{{"n0", node.Listener.Addr().String()}}
-		return run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) })
+		return trial.Run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) })
 	}
 	names := func() (all []string) {
 		a, err := k.Current(ctx)
@@ -108,12 +74,12 @@
 		return ""
 	}
 	stopFirst := begin("one")
-	await(t, "the first holder", func() bool { return holder() == "one" })
+	trial.Await(t, "the first holder", func() bool { return holder() == "one" })
 	stopSecond := begin("two")
-	await(t, "the orphan's end", func() bool { return fmt.Sprint(names()) == "[leaves silent]" })
+	trial.Await(t, "the orphan's end", func() bool { return fmt.Sprint(names()) == "[leaves silent]" })
 	stopFirst()
-	await(t, "the second holder", func() bool { return holder() == "two" })
+	trial.Await(t, "the second holder", func() bool { return holder() == "two" })
 	add("orphan", dead, list.Draining)
-	await(t, "the second orphan's end", func() bool { return fmt.Sprint(names()) == "[leaves silent]" })
+	trial.Await(t, "the second orphan's end", func() bool { return fmt.Sprint(names()) == "[leaves silent]" })
 	stopSecond()
 }
