--- /dev/null
+++ b/internal/duty/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package duty
+
+const raceDetector = true
--- a/internal/lab/replicas/disk.go
+++ b/internal/lab/replicas/disk.go
@@ -18,6 +18,14 @@
 
 // fill lets a replica write to no file for a while, which is more than a full disk does.
 func (r *Replica) fill(ctx context.Context, last time.Duration) error {
+	ready, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	if err := r.Proc().WaitReady(ready, "http://"+r.http+"/readyz"); err != nil {
+		if ctx.Err() != nil {
+			return nil // the run is over
+		}
+		return err // one that finds its disk full while it starts ends with an error of its own
+	}
 	pid := r.Proc().Pid
 	var was unix.Rlimit
 	if err := unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 1, Max: unix.RLIM_INFINITY}, &was); err != nil {
