--- /dev/null
+++ b/internal/duty/process_test.go
@@ -0,0 +1,101 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"indigotack/internal/lab/trial"
+	"indigotack/internal/list/client"
+	"indigotack/internal/list/server"
+)
+
+// TestProcesses: a process wants a duty once at a time; work that fails is rested and
+// its duty goes to the next; a process that closes hands on; work that is done ends the wish.
+func TestProcesses(t *testing.T) {
+	quiet := slog.New(slog.DiscardHandler)
+	sc := server.Default()
+	sc.Folder, sc.Listen, sc.Election = t.TempDir(), trial.Address(t), 50*time.Millisecond
+	defer trial.Run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })()
+	open := func(name string) *Process {
+		k, err := client.New(client.Config{Addresses: []string{sc.Listen}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(k.Close)
+		p, err := Open(Config{Client: k, Process: name, TTL: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), trial.Enough)
+	defer cancel()
+	a, b := open("a"), open("b")
+	began := make(chan string, 10)
+	fences := make(chan uint64, 10)
+	work := func(name string, end func(ctx context.Context) error) Work {
+		return func(ctx context.Context, f Fence) error {
+			began <- name
+			fences <- f.Fence
+			return end(ctx)
+		}
+	}
+	stay := func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+	fail := make(chan bool)
+	ended := make(chan error, 2)
+	go func() {
+		ended <- a.Run(ctx, "d", work("a", func(context.Context) error { <-fail; return errors.New("it fails") }))
+	}()
+	next := func(want string) uint64 {
+		t.Helper()
+		select {
+		case got := <-began:
+			if got != want {
+				t.Fatalf("%s begins, want %s", got, want)
+			}
+		case <-ctx.Done():
+			t.Fatalf("%s does not begin", want)
+		}
+		return <-fences
+	}
+	first := next("a")
+	if err := a.Run(ctx, "d", work("twice", stay)); err == nil {
+		t.Error("one process wants a duty twice")
+	}
+	go func() { ended <- b.Run(ctx, "d", work("b", stay)) }()
+	for waits := false; !waits; {
+		all, err := a.c.Client.Duties(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		waits = len(all.Duties) == 1 && len(all.Duties[0].Queue) == 1
+	}
+	close(fail)
+	second := next("b")
+	if second <= first {
+		t.Errorf("fence %d after %d", second, first)
+	}
+	if err := b.Close(trial.Enough); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; !errors.Is(err, ErrClosed) {
+		t.Errorf("the one that closes ends with %v", err)
+	}
+	if third := next("a"); third <= second {
+		t.Errorf("fence %d after %d", third, second)
+	}
+	if err := a.Close(trial.Enough); err != nil {
+		t.Error(err)
+	}
+	<-ended
+	c := open("c")
+	if err := c.Run(ctx, "d", func(context.Context, Fence) error { return nil }); err != nil {
+		t.Errorf("work that is done ends with %v", err)
+	}
+	if err := c.Close(trial.Enough); err != nil {
+		t.Error(err)
+	}
+}
