--- a/cmd/indigoctl/list.go
+++ b/cmd/indigoctl/list.go
@@ -114,9 +114,9 @@
 				a.Endpoints = one
 			}
 			return f.print(c.OutOrStdout(), a, func(t *tabwriter.Writer) {
-				fmt.Fprintln(t, "NAME\tSTATUS\tADDRESS\tZONE\tTYPE\tGROUP\tSINCE")
+				fmt.Fprintln(t, "NAME\tSTATUS\tADDRESS\tZONE\tTYPE\tGROUP\tVERSION\tSINCE")
 				for _, e := range a.Endpoints {
-					fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", e.Name, e.Status, e.Address, cmp.Or(e.Zone, "-"), cmp.Or(e.Type, "-"), e.Group, since(e.SinceMS))
+					fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\n", e.Name, e.Status, e.Address, cmp.Or(e.Zone, "-"), cmp.Or(e.Type, "-"), e.Group, cmp.Or(e.Version, "-"), since(e.SinceMS))
 				}
 				fmt.Fprintf(t, "\n%d entries, version %d, epoch %s\n", len(a.Endpoints), a.Index, a.Epoch)
 			})
