Say ready, and give whole lists, only once the log found at the start is replayed

A replica said yes as soon as it knew a leader and its list had begun, so that a reader without a version could get an older list while the log was replayed. It now waits until the state machine has carried out what the log had when it was opened.

--- a/internal/list/server/contact.go
+++ b/internal/list/server/contact.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -10,6 +11,7 @@
 // election takes: then its list may be old, and a reader that has others to ask
 // is told so.
 type contact struct {
+	caught  atomic.Bool // it has replayed what its log had when it was started
 	mu      sync.Mutex
 	lost    bool
 	changed chan struct{} // closed and replaced when lost changes
@@ -53,3 +55,28 @@
 	defer c.mu.Unlock()
 	return c.lost, c.changed
 }
+
+// replay waits until the state machine has carried out what the log had when it was
+// opened. raft's own index runs ahead of the machine, and the log's last entries may
+// be others' by now, so a machine that stands still while raft is past them has
+// caught up, too.
+func (c *contact) replay(ctx context.Context, every time.Duration, r *replica, m *machine) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for last, looked := uint64(0), false; ; {
+		m.mu.RLock()
+		index := m.index
+		m.mu.RUnlock()
+		past := r.leader() != "" && r.raft.AppliedIndex() >= r.found
+		if past && (index >= r.found || looked && index == last) {
+			c.caught.Store(true)
+			return
+		}
+		last, looked = index, past
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/list/server/machine.go
+++ b/internal/list/server/machine.go
@@ -19,6 +19,7 @@
 	applied func(c list.Command, r list.Result) // under the lock; c is empty after a restore
 	broken  func(error)                         // told once, where the log can't be followed any further
 	end     error                               // why that is so
+	index   uint64                              // of the last command in the log that was carried out
 }
 
 // encode gives the form of a command in the log: sealed, so that one damaged on
@@ -58,6 +59,7 @@
 		return m.end
 	}
 	r := m.state.Apply(c)
+	m.index = l.Index
 	m.applied(c, r)
 	return r
 }
--- a/internal/list/server/reads.go
+++ b/internal/list/server/reads.go
@@ -60,8 +60,8 @@
 		}
 	}
 	_, epoch := s.hub.has()
-	if epoch == "" {
-		refuse(w, http.StatusServiceUnavailable, "not-begun", "this replica has no list yet", time.Second)
+	if epoch == "" || q.from == 0 && !s.contact.caught.Load() {
+		refuse(w, http.StatusServiceUnavailable, "not-begun", "this replica has no list yet, or replays its log", time.Second)
 		return
 	}
 	if q.epoch != "" && q.epoch != epoch {
--- a/internal/list/server/replica.go
+++ b/internal/list/server/replica.go
@@ -31,6 +31,7 @@
 	trans   raft.Transport
 	closers []io.Closer
 	ending  chan struct{} // closed when it ends
+	found   uint64        // the last entry of the log as it was opened
 }
 
 // openReplica opens the folder and takes part in the cluster.
@@ -47,6 +48,11 @@
 		return nil, err
 	}
 	r.store = store
+	if r.found, err = store.LastIndex(); err != nil {
+		store.Close()
+		lock.Close()
+		return nil, fmt.Errorf("the log in %s: %w", c.Folder, err)
+	}
 	r.closers = append(r.closers, store, lock)
 	logger := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: lines{log}, DisableTime: true})
 	snaps, err := raft.NewFileSnapshotStoreWithLogger(c.Folder, keepSnapshots, logger)
--- a/internal/list/server/routes.go
+++ b/internal/list/server/routes.go
@@ -43,8 +43,8 @@
 // ready says yes once this replica has a list and knows who leads.
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	_, epoch := s.hub.has()
-	if epoch == "" || s.replica.leader() == "" {
-		refuse(w, http.StatusServiceUnavailable, "not-ready", "no list yet, or no leader is known", time.Second)
+	if epoch == "" || s.replica.leader() == "" || !s.contact.caught.Load() {
+		refuse(w, http.StatusServiceUnavailable, "not-ready", "no list yet, no leader is known, or the log is being replayed", time.Second)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
--- a/internal/list/server/server.go
+++ b/internal/list/server/server.go
@@ -41,6 +41,8 @@
 	idleTime = 2 * time.Minute
 	maxHead  = 16 << 10
 	endTime  = 5 * time.Second // for calls that are open at the end
+
+	replayLook = 20 * time.Millisecond
 )
 
 // Run serves until ctx ends, and then hands on what it holds. The error says
@@ -66,6 +68,7 @@
 	s.tasks.Go(func() { s.sessions.run(s.ctx) })
 	s.tasks.Go(s.followLeader)
 	s.tasks.Go(func() { s.contact.run(s.ctx, c.Election, s.replica.leader) })
+	s.tasks.Go(func() { s.contact.replay(s.ctx, replayLook, s.replica, s.machine) })
 	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	served := make(chan error, 1)
