Have one piece of code serve where the services and the lab wrote the same twice

Read over after the work: the check that a read is current stood five times in the list service, the wait of a watch and the loop over deadlines twice, a release's agents twice, what a fault does to a process three times in the lab, the collecting of a configuration's faults three times. Behaviour is as before; a comment that promised fewer writes of a release's record than there are now says what they are for.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,12 +1,10 @@
 package agent
 
 import (
-	"errors"
-	"fmt"
-	"net"
 	"strings"
 	"time"
 
+	"indigotack/internal/conf"
 	"indigotack/internal/list"
 )
 
@@ -55,16 +53,8 @@
 
 // Check says what is wrong with a configuration, by its keys.
 func (c Config) Check() error {
-	var errs []error
-	bad := func(ok bool, format string, args ...any) {
-		if !ok {
-			errs = append(errs, fmt.Errorf(format, args...))
-		}
-	}
-	address := func(key, value string) {
-		_, _, err := net.SplitHostPort(value)
-		bad(err == nil, "%s: %q is not host:port", key, value)
-	}
+	var f conf.Faults
+	bad, address := f.Want, f.Address
 	bad(c.Machine != "", "machine: missing; it names this agent, the same over restarts")
 	bad(c.Folder != "", "folder: missing; it is for versions and fences")
 	address("listen", c.Listen)
@@ -92,7 +82,7 @@
 		}
 		bad(s.Ready == "" || strings.HasPrefix(s.Ready, "/"), "server %s: ready: %q is no path", s.Name, s.Ready)
 	}
-	return errors.Join(errs...)
+	return f.Err()
 }
 
 func (s Server) grace() time.Duration {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"indigotack/internal/conf"
 	"indigotack/internal/duty"
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
@@ -49,16 +50,8 @@
 
 // Check says what is wrong with a configuration, by its keys.
 func (c Config) Check() error {
-	var errs []error
-	bad := func(ok bool, format string, args ...any) {
-		if !ok {
-			errs = append(errs, fmt.Errorf(format, args...))
-		}
-	}
-	address := func(key, value string) {
-		_, _, err := net.SplitHostPort(value)
-		bad(err == nil, "%s: %q is not host:port", key, value)
-	}
+	var f conf.Faults
+	bad, address := f.Want, f.Address
 	bad(c.Process != "", "process: missing; it names this process, the same over its restarts")
 	bad(len(c.List) > 0, "list: missing; it has the addresses of the list service")
 	for _, a := range c.List {
@@ -71,7 +64,7 @@
 		bad(n.Name != "", "node: one has no name")
 		address("node "+n.Name+": control", n.Control)
 	}
-	return errors.Join(errs...)
+	return f.Err()
 }
 
 const (
--- a/internal/lab/duties/crew.go
+++ b/internal/lab/duties/crew.go
@@ -140,27 +140,15 @@
 	m.mu.Lock()
 	p := m.proc
 	m.mu.Unlock()
-	switch do {
-	case "pause":
-		return p.Pause(ctx, last)
-	case "kill":
-		if err := p.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
-			return err
-		}
-		<-p.Exited()
-		pause.For(ctx, last)
-	case "restart":
-		if err := p.Term(patience); err != nil {
-			return err
-		}
-	case "upgrade":
+	if do == "upgrade" {
 		if err := c.start(m); err != nil {
 			return err
 		}
 		pause.For(ctx, c.o.TTL) // the new one waits in the queue by then
 		return p.Term(patience)
-	default:
-		return fmt.Errorf("%s can't be done to a worker", do)
+	}
+	if again, err := p.Suffer(ctx, do, last, patience); err != nil || !again {
+		return err
 	}
 	return c.start(m)
 }
--- a/internal/lab/fleet/release.go
+++ b/internal/lab/fleet/release.go
@@ -120,21 +120,8 @@
 	c.mu.Lock()
 	p := c.proc
 	c.mu.Unlock()
-	switch do {
-	case "pause":
-		return p.Pause(ctx, last)
-	case "kill":
-		if err := p.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
-			return err
-		}
-		<-p.Exited()
-		pause.For(ctx, last)
-	case "restart":
-		if err := p.Term(endTime); err != nil && p.Running() {
-			return err
-		}
-	default:
-		return fmt.Errorf("%s can't be done to a conductor", do)
+	if again, err := p.Suffer(ctx, do, last, endTime); err != nil || !again {
+		return err
 	}
 	return c.start(f.group)
 }
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -182,6 +182,15 @@
 	return p.Signal(syscall.SIGKILL)
 }
 
+// KillWait kills the process, and waits until it has ended.
+func (p *Proc) KillWait() error {
+	if err := p.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	<-p.exited
+	return nil
+}
+
 // quitTime is what an overdue process has to write down what it does.
 const quitTime = time.Second
 
@@ -278,3 +287,22 @@
 	}
 	return all
 }
+
+// Suffer pauses, kills or ends a process as a fault orders: pauses it for last,
+// kills it and waits for so long, or tells it to end and has patience. again says
+// that the one which runs it is to start it anew.
+func (p *Proc) Suffer(ctx context.Context, do string, last, patience time.Duration) (again bool, err error) {
+	switch do {
+	case "pause":
+		return false, p.Pause(ctx, last)
+	case "kill":
+		if err := p.KillWait(); err != nil {
+			return false, err
+		}
+		pause.For(ctx, last)
+		return true, nil
+	case "restart":
+		return true, p.Term(patience)
+	}
+	return false, fmt.Errorf("%s can't be done to %s", do, p.Name)
+}
--- a/internal/lab/replicas/replicas.go
+++ b/internal/lab/replicas/replicas.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -179,14 +178,7 @@
 }
 
 // Kill ends a replica at once; its addresses then refuse by themselves.
-func (r *Replica) Kill() error {
-	p := r.Proc()
-	if err := p.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		return err
-	}
-	<-p.Exited()
-	return nil
-}
+func (r *Replica) Kill() error { return r.Proc().KillWait() }
 
 // Suffer kills, pauses or restarts the replica of that name, fills its disk, or
 // spoils its log. A killed one is started again after last, a paused one goes on
@@ -199,17 +191,6 @@
 	}
 	r := s.All[i]
 	switch do {
-	case "pause":
-		return r.Proc().Pause(ctx, last)
-	case "kill":
-		if err := r.Kill(); err != nil {
-			return err
-		}
-		pause.For(ctx, last)
-	case "restart":
-		if err := r.Proc().Term(patience); err != nil {
-			return err
-		}
 	case "full":
 		return r.fill(ctx, last)
 	case "corrupt":
@@ -218,8 +199,9 @@
 		}
 		pause.For(ctx, last)
 		return s.replace(ctx, r)
-	default:
-		return fmt.Errorf("%s can't be done to a replica", do)
+	}
+	if again, err := r.Proc().Suffer(ctx, do, last, patience); err != nil || !again {
+		return err
 	}
 	return s.Start(r)
 }
--- a/internal/list/server/backup.go
+++ b/internal/list/server/backup.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"time"
 
 	"indigotack/internal/list"
 	"indigotack/internal/sealed"
@@ -14,8 +13,7 @@
 
 // backup answers with the whole state as it is now, sealed.
 func (s *Server) backup(w http.ResponseWriter, _ *http.Request) {
-	if err := s.replica.current(); err != nil {
-		refuse(w, http.StatusServiceUnavailable, "not-leading", err.Error(), time.Second)
+	if !s.upToNow(w) {
 		return
 	}
 	s.machine.mu.RLock()
--- a/internal/list/server/config.go
+++ b/internal/list/server/config.go
@@ -3,11 +3,10 @@
 package server
 
 import (
-	"errors"
 	"fmt"
-	"net"
 	"time"
 
+	"indigotack/internal/conf"
 	"indigotack/internal/list"
 )
 
@@ -40,16 +39,8 @@
 
 // Check says what is wrong with a configuration, by its keys.
 func (c Config) Check() error {
-	var errs []error
-	bad := func(ok bool, format string, args ...any) {
-		if !ok {
-			errs = append(errs, fmt.Errorf(format, args...))
-		}
-	}
-	address := func(key, value string) {
-		_, _, err := net.SplitHostPort(value)
-		bad(err == nil, "%s: %q is not host:port", key, value)
-	}
+	var f conf.Faults
+	bad, address := f.Want, f.Address
 	bad(c.Name != "", "name: missing")
 	bad(c.Folder != "", "folder: missing; it is where the log and the snapshots go")
 	address("listen", c.Listen)
@@ -61,7 +52,7 @@
 		address("raft", c.Raft)
 	}
 	if len(c.Replicas) == 0 {
-		return errors.Join(errs...)
+		return f.Err()
 	}
 	names := map[string]bool{}
 	for i, r := range c.Replicas {
@@ -73,7 +64,7 @@
 	bad(names[c.Name], "replica: %s itself is not among them", c.Name)
 	bad(!c.Begin || len(c.Replicas)%2 == 1 && len(c.Replicas) <= 5, "replica: %d are to begin, want 1, 3 or 5", len(c.Replicas))
 	bad(len(c.Replicas) <= list.MaxMembers, "replica: there are %d, %d at most", len(c.Replicas), list.MaxMembers)
-	return errors.Join(errs...)
+	return f.Err()
 }
 
 // find gives a replica by name.
--- a/internal/list/server/duties.go
+++ b/internal/list/server/duties.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -87,15 +86,8 @@
 		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
 		return
 	}
-	if q.current {
-		if !s.replica.leads() {
-			s.passOn(w, r, maxBody)
-			return
-		}
-		if err := s.replica.current(); err != nil {
-			s.finish(w, list.Result{}, err)
-			return
-		}
+	if q.current && !s.asOfNow(w, r) {
+		return
 	}
 	if q.from > 0 && q.hold > 0 && !s.holdDuties(w, r, q) {
 		return
@@ -123,25 +115,5 @@
 		s.refuseCutOff(w)
 		return false
 	}
-	watcher, full := s.dutyHub.wait(q.from, s.c.MaxWatchers)
-	if full {
-		refuse(w, http.StatusTooManyRequests, "watchers", "too many calls are held here", time.Second)
-		return false
-	}
-	if watcher == nil {
-		return true
-	}
-	defer s.dutyHub.leave(watcher)
-	ctx, cancel := context.WithTimeout(r.Context(), q.hold)
-	defer cancel()
-	select {
-	case <-watcher.wake:
-	case <-news:
-		s.refuseCutOff(w)
-		return false
-	case <-ctx.Done():
-		return r.Context().Err() == nil
-	case <-s.ctx.Done():
-	}
-	return true
+	return s.await(w, r, s.dutyHub, q.from, q.hold, news)
 }
--- a/internal/list/server/expiry.go
+++ b/internal/list/server/expiry.go
@@ -90,22 +90,29 @@
 
 // run expires what is due until ctx ends.
 func (x *expiry) run(ctx context.Context) {
+	every(ctx, x.now, func(late time.Duration) {
+		x.log.Warn("this process stood still: every entry gets its full time again", "for", late)
+		x.again()
+	}, x.once)
+}
+
+// every looks at deadlines again and again until ctx ends, and says before a look
+// if the process stood still since the one before.
+func every(ctx context.Context, now func() time.Duration, stoodStill func(time.Duration), look func(now time.Duration)) {
 	t := time.NewTicker(expiryEvery)
 	defer t.Stop()
-	last := x.now()
-	for {
+	for last := now(); ; {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			return
 		}
-		now := x.now()
-		if now-last > expiryEvery+stall {
-			x.log.Warn("this process stood still: every entry gets its full time again", "for", now-last)
-			x.again()
+		at := now()
+		if at-last > expiryEvery+stall {
+			stoodStill(at - last)
 		}
-		last = now
-		x.once(now)
+		last = at
+		look(at)
 	}
 }
 
--- a/internal/list/server/reads.go
+++ b/internal/list/server/reads.go
@@ -49,15 +49,8 @@
 		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
 		return
 	}
-	if q.current {
-		if !s.replica.leads() {
-			s.passOn(w, r, maxBody)
-			return
-		}
-		if err := s.replica.current(); err != nil {
-			refuse(w, http.StatusServiceUnavailable, "not-leading", err.Error(), time.Second)
-			return
-		}
+	if q.current && !s.asOfNow(w, r) {
+		return
 	}
 	_, epoch := s.hub.has()
 	if epoch == "" || q.from == 0 && !s.contact.caught.Load() {
@@ -73,10 +66,28 @@
 	s.answer(w, q)
 }
 
-// items answers with the list as it is now, and what is known of each entry.
-func (s *Server) items(w http.ResponseWriter, _ *http.Request) {
+// asOfNow has the leader answer, or waits until this replica, as the leader, has
+// all that was done before. It is false where the call has been answered.
+func (s *Server) asOfNow(w http.ResponseWriter, r *http.Request) bool {
+	if !s.replica.leads() {
+		s.passOn(w, r, maxBody)
+		return false
+	}
+	return s.upToNow(w)
+}
+
+// upToNow is asOfNow for calls that have come to the leader already.
+func (s *Server) upToNow(w http.ResponseWriter) bool {
 	if err := s.replica.current(); err != nil {
 		refuse(w, http.StatusServiceUnavailable, "not-leading", err.Error(), time.Second)
+		return false
+	}
+	return true
+}
+
+// items answers with the list as it is now, and what is known of each entry.
+func (s *Server) items(w http.ResponseWriter, _ *http.Request) {
+	if !s.upToNow(w) {
 		return
 	}
 	s.machine.mu.RLock()
@@ -103,7 +114,14 @@
 			return false
 		}
 	}
-	watcher, full := s.hub.wait(q.from, s.c.MaxWatchers)
+	return s.await(w, r, s.hub, q.from, wait, news)
+}
+
+// await holds a call until its hub has something newer than version from, its time
+// is over, or news comes of this replica's contact, which refuses it. It is false
+// where the call has been answered, or has no caller any more.
+func (s *Server) await(w http.ResponseWriter, r *http.Request, h *hub, from uint64, wait time.Duration, news <-chan struct{}) bool {
+	watcher, full := h.wait(from, s.c.MaxWatchers)
 	if full {
 		refuse(w, http.StatusTooManyRequests, "watchers", "too many calls are held here", time.Second)
 		return false
@@ -111,7 +129,7 @@
 	if watcher == nil {
 		return true
 	}
-	defer s.hub.leave(watcher)
+	defer h.leave(watcher)
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
 	select {
--- a/internal/list/server/records.go
+++ b/internal/list/server/records.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"indigotack/internal/list"
 )
@@ -13,8 +12,7 @@
 
 // record answers with one record as it is now, or with the keys under a prefix.
 func (s *Server) record(w http.ResponseWriter, r *http.Request) {
-	if err := s.replica.current(); err != nil {
-		refuse(w, http.StatusServiceUnavailable, "not-leading", err.Error(), time.Second)
+	if !s.upToNow(w) {
 		return
 	}
 	s.machine.mu.RLock()
--- a/internal/list/server/sessions.go
+++ b/internal/list/server/sessions.go
@@ -140,22 +140,7 @@
 
 // run ends sessions that are due, and grants what was held back, until ctx ends.
 func (x *sessions) run(ctx context.Context) {
-	t := time.NewTicker(expiryEvery)
-	defer t.Stop()
-	last := x.now()
-	for {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-		now := x.now()
-		if now-last > expiryEvery+stall { // it has not heard the renewals of that time
-			x.again()
-		}
-		last = now
-		x.once(now)
-	}
+	every(ctx, x.now, func(time.Duration) { x.again() }, x.once)
 }
 
 // again gives every session its full time, but for those that are doomed.
--- a/internal/release/agents.go
+++ b/internal/release/agents.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 
 	"indigotack/internal/agent"
 	"indigotack/internal/list/client"
@@ -33,6 +34,42 @@
 	return found, nil
 }
 
+// agents are the addresses of agents by what they keep, as they were last read. It
+// is safe for concurrent use.
+type agents struct {
+	mu sync.Mutex
+	at map[string]string
+}
+
+// read reads them anew.
+func (a *agents) read(ctx context.Context, k *client.Client) (map[string]string, error) {
+	found, err := findAgents(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at = found
+	return found, nil
+}
+
+// of finds the agent that keeps a server or a node.
+func (a *agents) of(name string) (string, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at := a.at[name]; at != "" {
+		return at, nil
+	}
+	return "", fmt.Errorf("no agent keeps %s", name)
+}
+
+// all gives every agent by what it keeps.
+func (a *agents) all() map[string]string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.at
+}
+
 // NodesOf gives the program's nodes as their agents have them. An agent that does
 // not answer is an error: a plan is checked whole.
 func NodesOf(ctx context.Context, k *client.Client, h *http.Client) ([]Target, error) {
--- a/internal/release/conductor.go
+++ b/internal/release/conductor.go
@@ -139,7 +139,8 @@
 	return true, nil
 }
 
-// save writes the record, if there is anything new in it.
+// save writes the record, also where only its clock has moved: the write tells a
+// conductor whether another has followed it.
 func (c *Conductor) save(ctx context.Context) error {
 	c.state.Clock = c.now()
 	raw, err := Encode(c.state)
--- a/internal/release/programs.go
+++ b/internal/release/programs.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
-	"sync"
 
 	"indigotack/internal/agent"
 	"indigotack/internal/list"
@@ -20,13 +18,12 @@
 	Fence list.Fence
 	HTTP  *http.Client
 
-	mu     sync.Mutex
-	agents map[string]string // addresses, by node
+	agents agents
 }
 
 // View gives the nodes that do not serve.
 func (f *Programs) View(ctx context.Context) (View, error) {
-	agents, err := findAgents(ctx, f.List)
+	agents, err := f.agents.read(ctx, f.List)
 	if err != nil {
 		return View{}, err
 	}
@@ -39,19 +36,14 @@
 			v.Out = append(v.Out, Target{Name: name, Zone: s.Zone, Type: s.Type, Group: s.Group})
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.agents = agents
 	return v, nil
 }
 
 // Do carries an action out.
 func (f *Programs) Do(ctx context.Context, a Action) (done bool, err error) {
-	f.mu.Lock()
-	at := f.agents[a.Target.Name]
-	f.mu.Unlock()
-	if at == "" {
-		return false, fmt.Errorf("no agent keeps %s", a.Target.Name)
+	at, err := f.agents.of(a.Target.Name)
+	if err != nil {
+		return false, err
 	}
 	call := agent.Caller{HTTP: f.HTTP}
 	switch a.Step {
@@ -83,11 +75,8 @@
 	for _, n := range named {
 		is[n] = true
 	}
-	f.mu.Lock()
-	agents := f.agents
-	f.mu.Unlock()
 	all := map[string]Parts{}
-	for name, at := range agents {
+	for name, at := range f.agents.all() {
 		s, err := agent.Caller{HTTP: f.HTTP}.Status(ctx, at, name)
 		if err != nil || !s.Handover || s.Control == "" {
 			continue
--- a/internal/release/servers.go
+++ b/internal/release/servers.go
@@ -35,7 +35,7 @@
 	Grace time.Duration // for what nodes hold at a server that is in maintenance
 
 	mu     sync.Mutex
-	agents map[string]string    // addresses, by server
+	agents agents
 	empty  map[string]time.Time // when a server has nothing left, since it was seen draining
 }
 
@@ -48,7 +48,7 @@
 	if err != nil {
 		return View{}, err
 	}
-	agents, err := findAgents(ctx, f.List)
+	agents, err := f.agents.read(ctx, f.List)
 	if err != nil {
 		return View{}, err
 	}
@@ -69,19 +69,14 @@
 			v.Out = append(v.Out, Target{Name: name, Zone: s.Zone, Type: s.Type, Group: s.Group})
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.agents = agents
 	return v, nil
 }
 
 // Do carries an action out.
 func (f *Servers) Do(ctx context.Context, a Action) (done bool, err error) {
-	f.mu.Lock()
-	at := f.agents[a.Target.Name]
-	f.mu.Unlock()
-	if at == "" {
-		return false, fmt.Errorf("no agent keeps %s", a.Target.Name)
+	at, err := f.agents.of(a.Target.Name)
+	if err != nil {
+		return false, err
 	}
 	call, name := agent.Caller{HTTP: f.HTTP}, a.Target.Name
 	switch a.Step {
