Play series of runs in one place, and keep figures by server off an attempt's path

Quorum and duties each had their own series. A node looked up an attempt's aim and name for figures that are off unless asked for; it does so now only where they are on.

--- a/cmd/indigolab/duties.go
+++ b/cmd/indigolab/duties.go
@@ -10,13 +10,13 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
 	"indigotack/internal/lab/duties"
-	"indigotack/internal/lab/report"
 )
 
 // dutyFlags are what a series of runs with duties takes.
@@ -67,47 +67,14 @@
 		return err
 	}
 	defer done()
-	var mu sync.Mutex // of the results and the output
-	passed, broken, grants := 0, 0, 0
-	var g errgroup.Group
-	g.SetLimit(f.together)
-	for i := range f.runs {
-		g.Go(func() error {
-			o, err := f.one(c.Context(), program, f.seed+uint64(i))
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				return unplayed{fmt.Errorf("seed %d: %w", f.seed+uint64(i), err)}
-			}
-			fmt.Fprintln(c.OutOrStdout(), o.Line())
-			grants += o.Grants
-			switch {
-			case len(o.Broken) > 0:
-				broken++
-			case !o.Unsure:
-				passed++
-			}
-			return nil
-		})
-	}
-	err = g.Wait()
-	worst := report.Pass
-	if broken > 0 {
-		worst = report.Fail
-	} else if passed < f.runs {
-		worst = report.Unplayed
-	}
-	fmt.Fprintf(c.OutOrStdout(), "%s duties: %d runs of %v, %d passed, %d broken, %d not played or not decided, %d grants\n", words[worst], f.runs, f.length, passed, broken,
-		f.runs-passed-broken, grants)
-	switch {
-	case broken > 0:
-		return failed
-	case err != nil:
-		return err
-	case passed < f.runs:
-		return unplayed{errors.New("some histories could not be decided in their time")}
-	}
-	return nil
+	var grants atomic.Int64
+	return series{"duties", f.seed, f.runs, f.together}.play(c, func(seed uint64) (outcome, error) {
+		o, err := f.one(c.Context(), program, seed)
+		grants.Add(int64(o.Grants))
+		return outcome{o.Line(), len(o.Broken) > 0, o.Unsure}, err
+	}, func(t tally, unplayed int) string {
+		return fmt.Sprintf("%d runs of %v, %d passed, %d broken, %d not played or not decided, %d grants", f.runs, f.length, t.passed, t.broken, t.unsure+unplayed, grants.Load())
+	})
 }
 
 func (f *dutyFlags) one(ctx context.Context, program string, seed uint64) (duties.Outcome, error) {
--- a/cmd/indigolab/quorum.go
+++ b/cmd/indigolab/quorum.go
@@ -7,14 +7,11 @@
 	"io"
 	"os"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"github.com/spf13/cobra"
-	"golang.org/x/sync/errgroup"
 
 	"indigotack/internal/lab/quorum"
-	"indigotack/internal/lab/report"
 	"indigotack/internal/list/server"
 )
 
@@ -59,47 +56,12 @@
 		return err
 	}
 	defer done()
-	var mu sync.Mutex // of the results and the output
-	passed, broken, unsure := 0, 0, 0
-	var g errgroup.Group
-	g.SetLimit(f.together)
-	for i := range f.runs {
-		g.Go(func() error {
-			o, err := f.one(c.Context(), program, f.seed+uint64(i))
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				return unplayed{fmt.Errorf("seed %d: %w", f.seed+uint64(i), err)}
-			}
-			fmt.Fprintln(c.OutOrStdout(), o.Line())
-			if len(o.Broken) > 0 {
-				broken++
-			} else if o.Unsure {
-				unsure++
-			} else {
-				passed++
-			}
-			return nil
-		})
-	}
-	err = g.Wait()
-	worst := report.Pass
-	if broken > 0 {
-		worst = report.Fail
-	} else if passed < f.runs {
-		worst = report.Unplayed
-	}
-	fmt.Fprintf(c.OutOrStdout(), "%s quorum: %d runs of %v with %d replicas, %d passed, %d broken, %d not decided, %d not played\n", words[worst], f.runs,
-		f.length, f.replicas, passed, broken, unsure, f.runs-passed-broken-unsure)
-	switch {
-	case broken > 0:
-		return failed
-	case err != nil:
-		return err
-	case unsure > 0:
-		return unplayed{errors.New("some histories could not be decided in their time")}
-	}
-	return nil
+	return series{"quorum", f.seed, f.runs, f.together}.play(c, func(seed uint64) (outcome, error) {
+		o, err := f.one(c.Context(), program, seed)
+		return outcome{o.Line(), len(o.Broken) > 0, o.Unsure}, err
+	}, func(t tally, unplayed int) string {
+		return fmt.Sprintf("%d runs of %v with %d replicas, %d passed, %d broken, %d not decided, %d not played", f.runs, f.length, f.replicas, t.passed, t.broken, t.unsure, unplayed)
+	})
 }
 
 func (f *quorumFlags) one(ctx context.Context, program string, seed uint64) (quorum.Outcome, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -480,7 +480,9 @@
 	if res.code == decide.OK {
 		n.finish(r.id, answer{status: http.StatusOK, header: res.header, body: res.body})
 	}
-	n.stats.attempt(n.ids.byID[server], res.code, took > n.aim(r.class))
+	if n.cfg.BackendStats {
+		n.stats.attempt(n.ids.byID[server], res.code, took > n.aim(r.class))
+	}
 	over := r.done
 	n.handle(decide.AttemptEnded{ID: r.id, Attempt: number, Server: server, Over: over, Spent: res.spent, Elapsed: took,
 		Code: res.code, Report: res.report})
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -70,7 +70,7 @@
 // attempt takes the end of an attempt at a server. One that the node called off, or
 // never sent, says nothing of it.
 func (s *stats) attempt(server string, code decide.OutcomeCode, late bool) {
-	if s.servers == nil || server == "" || code == decide.Moot || code == decide.Cancelled {
+	if server == "" || code == decide.Moot || code == decide.Cancelled {
 		return
 	}
 	s.mu.Lock()
@@ -93,9 +93,6 @@
 
 // forget drops the figures of a server that has left the list.
 func (s *stats) forget(server string) {
-	if s.servers == nil {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.servers, server)
