--- a/cmd/indigoctl/release_test.go
+++ b/cmd/indigoctl/release_test.go
@@ -20,7 +20,6 @@
 	"indigotack/internal/agent"
 	"indigotack/internal/lab/trial"
 	"indigotack/internal/list/client"
-	"indigotack/internal/list/server"
 	"indigotack/internal/release"
 )
 
@@ -55,15 +54,8 @@
 
 func newSite(t *testing.T) *site {
 	quiet := slog.New(slog.DiscardHandler)
-	s := &site{t: t, list: trial.Address(t), at: map[string]string{}, folder: t.TempDir(), maint: map[string]bool{}, done: map[string]int{}, failed: map[string]int{}}
-	sc := server.Default()
-	sc.Folder, sc.Listen, sc.Election = t.TempDir(), s.list, 50*time.Millisecond
-	t.Cleanup(trial.Run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) }))
-	var err error
-	if s.k, err = client.New(client.Config{Addresses: []string{s.list}}); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.k.Close)
+	s := &site{t: t, at: map[string]string{}, folder: t.TempDir(), maint: map[string]bool{}, done: map[string]int{}, failed: map[string]int{}}
+	s.list, s.k = trial.List(t)
 	ac := agent.Default()
 	ac.Machine, ac.Listen, ac.List, ac.Folder = "m", trial.Address(t), []string{s.list}, s.folder
 	for i := range 3 {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -17,8 +17,6 @@
 
 	"indigotack/internal/lab/trial"
 	"indigotack/internal/list"
-	"indigotack/internal/list/client"
-	"indigotack/internal/list/server"
 )
 
 // TestMain lets this test's own binary be a server: it answers with its version,
@@ -43,18 +41,11 @@
 // version that does not run leaves the list and can be taken back.
 func TestLifeOfAServer(t *testing.T) {
 	quiet := slog.New(slog.DiscardHandler)
-	sc := server.Default()
-	sc.Folder, sc.Listen, sc.Election = t.TempDir(), trial.Address(t), 50*time.Millisecond
-	defer trial.Run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })()
-	k, err := client.New(client.Config{Addresses: []string{sc.Listen}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer k.Close()
+	service, k := trial.List(t)
 	ctx, cancel := context.WithTimeout(context.Background(), trial.Enough)
 	defer cancel()
 	c := Default()
-	c.Machine, c.Listen, c.List, c.Folder, c.TTL = "m", trial.Address(t), []string{sc.Listen}, t.TempDir(), 2*time.Second
+	c.Machine, c.Listen, c.List, c.Folder, c.TTL = "m", trial.Address(t), []string{service}, t.TempDir(), 2*time.Second
 	at := trial.Address(t)
 	c.Servers = []Server{{Name: "s", Address: at, Version: "v1", Ready: "/", Grace: time.Second, Command: []string{"/usr/bin/env", "AGENT_TEST_VERSION={version}", "AGENT_TEST_ADDRESS=" + at, os.Args[0]}}}
 	begin := func() func() { return trial.Run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) }) }
--- a/internal/duty/process_test.go
+++ b/internal/duty/process_test.go
@@ -3,24 +3,19 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"testing"
 	"time"
 
 	"indigotack/internal/lab/trial"
 	"indigotack/internal/list/client"
-	"indigotack/internal/list/server"
 )
 
 // TestProcesses: a process wants a duty once at a time; work that fails is rested and
 // its duty goes to the next; a process that closes hands on; work that is done ends the wish.
 func TestProcesses(t *testing.T) {
-	quiet := slog.New(slog.DiscardHandler)
-	sc := server.Default()
-	sc.Folder, sc.Listen, sc.Election = t.TempDir(), trial.Address(t), 50*time.Millisecond
-	defer trial.Run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })()
+	service, _ := trial.List(t)
 	open := func(name string) *Process {
-		k, err := client.New(client.Config{Addresses: []string{sc.Listen}})
+		k, err := client.New(client.Config{Addresses: []string{service}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -12,22 +12,13 @@
 
 	"indigotack/internal/lab/trial"
 	"indigotack/internal/list"
-	"indigotack/internal/list/client"
-	"indigotack/internal/list/server"
 )
 
 // TestTwoKeepers: one of two takes an orphan off the list, and nothing else; once it
 // ends, the other goes on.
 func TestTwoKeepers(t *testing.T) {
 	quiet := slog.New(slog.DiscardHandler)
-	sc := server.Default()
-	sc.Folder, sc.Listen, sc.Election = t.TempDir(), trial.Address(t), 50*time.Millisecond
-	defer trial.Run(t, func(ctx context.Context) error { return server.Run(ctx, sc, quiet) })()
-	k, err := client.New(client.Config{Addresses: []string{sc.Listen}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer k.Close()
+	service, k := trial.List(t)
 	ctx, cancel := context.WithTimeout(context.Background(), trial.Enough)
 	defer cancel()
 	alive, err := net.Listen("tcp", "127.0.0.1:0")
@@ -49,7 +40,7 @@
 	defer node.Close()
 	begin := func(name string) func() {
 		c := Default()
-		c.Process, c.List, c.Listen, c.Every, c.Patience = name, []string{sc.Listen}, trial.Address(t), 100*time.Millisecond, Patience{300 * time.Millisecond, time.Second}
+		c.Process, c.List, c.Listen, c.Every, c.Patience = name, []string{service}, trial.Address(t), 100*time.Millisecond, Patience{300 * time.Millisecond, time.Second}
 		c.Nodes = []Node{{"n0", node.Listener.Addr().String()}}
 		return trial.Run(t, func(ctx context.Context) error { return Run(ctx, c, quiet) })
 	}
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -3,10 +3,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
 	"indigotack/internal/lab/link"
+	"indigotack/internal/list/client"
+	"indigotack/internal/list/server"
 )
 
 // Enough is a time that only a hang takes.
@@ -45,3 +48,18 @@
 		}
 	}
 }
+
+// List runs a list service of one replica until the test ends, and gives its address
+// and a client.
+func List(t testing.TB) (address string, k *client.Client) {
+	t.Helper()
+	c := server.Default()
+	c.Folder, c.Listen, c.Election = t.TempDir(), Address(t), 50*time.Millisecond
+	t.Cleanup(Run(t, func(ctx context.Context) error { return server.Run(ctx, c, slog.New(slog.DiscardHandler)) }))
+	k, err := client.New(client.Config{Addresses: []string{c.Listen}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.Close)
+	return c.Listen, k
+}
