--- /dev/null
+++ b/internal/node/attempts.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"time"
+
+	"indigotack/decide"
+)
+
+func (n *Node) send(a decide.Send) {
+	r := n.requests[a.ID]
+	if r == nil {
+		n.log.Error("the module sends a request that is not open", "id", a.ID)
+		return
+	}
+	number := len(r.attempts)
+	left := time.Until(r.deadline)
+	if r.out.rest != nil {
+		left = uploadMost // how fast it must come is another matter
+	} else if a.Timeout != 0 {
+		left = min(left, a.Timeout)
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, left)
+	r.attempts = append(r.attempts, cancel)
+	if r.done || r.running > 0 && !n.cfg.Settings.MayOverlap {
+		cancel()
+		n.queue = append(n.queue, decide.AttemptEnded{ID: r.id, Attempt: number, Server: a.Server, Over: r.done, Code: decide.Moot})
+		return
+	}
+	r.running++
+	began := time.Now()
+	go func() {
+		defer cancel()
+		res := n.backends.attempt(ctx, a.Server, r.out, func(res result) error {
+			return n.passOn(r, number, a.Server, time.Since(n.startOf(r, began)), res)
+		})
+		took := time.Since(n.startOf(r, began))
+		n.post(func() { n.attemptEnded(r, number, a.Server, took, res) })
+	}()
+}
+
+// startOf is when a server could begin on a request: at its last byte.
+func (n *Node) startOf(r *request, began time.Time) time.Time {
+	if r.out.rest != nil {
+		if at := r.out.rest.wholeAt.Load(); at != 0 {
+			return time.Unix(0, at)
+		}
+	}
+	return began
+}
+
+// passOn gives a long answer to its request, and returns when that is over.
+func (n *Node) passOn(r *request, number int, server decide.ServerID, took time.Duration, res result) error {
+	n.post(func() {
+		if r.done {
+			res.stream.ended <- errClientGone
+			return
+		}
+		n.handle(decide.StreamStarted{ID: r.id, Attempt: number, Server: server, Elapsed: took})
+		n.finish(r.id, answer{status: http.StatusOK, header: res.header, stream: res.stream})
+	})
+	select {
+	case err := <-res.stream.ended:
+		return err
+	case <-n.ended:
+		return errEnded
+	}
+}
+
+func (n *Node) attemptEnded(r *request, number int, server decide.ServerID, took time.Duration, res result) {
+	r.running--
+	if res.code == decide.OK {
+		n.finish(r.id, answer{status: http.StatusOK, header: res.header, body: res.body})
+	}
+	if n.cfg.BackendStats {
+		n.stats.attempt(n.ids.byID[server], res.code, took > n.aim(r.class))
+	}
+	over := r.done
+	n.handle(decide.AttemptEnded{ID: r.id, Attempt: number, Server: server, Over: over, Spent: res.spent, Elapsed: took,
+		Code: res.code, Report: res.report})
+	n.forget(r)
+}
+
+// aim is the time in which an answer of a class has its full worth; without a class, any.
+func (n *Node) aim(class string) time.Duration {
+	for _, c := range n.cfg.Settings.Classes {
+		if c.Name == class {
+			return c.Aim
+		}
+	}
+	return math.MaxInt64
+}
--- /dev/null
+++ b/internal/node/conn.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"indigotack/decide"
+)
+
+// errCrowded says that this node has no room for a connection.
+var errCrowded = errors.New("too many connections")
+
+// ownLimit tells whether the node itself could not open a connection, which
+// says nothing of the server.
+func ownLimit(err error) bool {
+	for _, limit := range []error{errCrowded, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, limit) {
+			return true
+		}
+	}
+	return false
+}
+
+type conn struct {
+	net.Conn
+	of     *backend
+	pool   *pool
+	budget io.LimitedReader // what one answer may take
+	read   *bufio.Reader
+	broken error  // how reading ended, if the connection did
+	room   func() // gives back what its answer has taken of the pool's; nil: nothing
+	idleAt time.Time
+}
+
+// Read notes how the connection ended, which tells a break from an answer
+// that can't be read, or is longer than its budget.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.broken = err
+	return n, err
+}
+
+// get finds an idle connection or dials. An error proves that nothing was sent.
+func (p *pool) get(ctx context.Context, id decide.ServerID) (*conn, error) {
+	b, c, dialer, err := p.take(id)
+	if c != nil || err != nil {
+		return c, err
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", b.address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	c = &conn{Conn: raw, of: b, pool: p}
+	c.budget.R = c
+	c.read = bufio.NewReader(&c.budget)
+	return c, nil
+}
+
+// take returns an idle connection, or the backend with leave to dial it.
+func (p *pool) take(id decide.ServerID) (*backend, *conn, net.Dialer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.backends[id]
+	if b == nil {
+		return nil, nil, p.dialer, fmt.Errorf("server %d is not listed", id)
+	}
+	now := time.Now()
+	for n := len(b.idle); n > 0; n = len(b.idle) {
+		c := b.idle[n-1]
+		b.idle = b.idle[:n-1]
+		// A connection that its server has closed, or on which it said
+		// something unasked, would end as a reset that may have run. Nothing
+		// has been sent on it, so another one can do.
+		if now.Sub(c.idleAt) < p.maxIdle && silent(c.Conn) {
+			return b, c, p.dialer, nil
+		}
+		c.Conn.Close()
+		p.open--
+	}
+	if p.open >= p.limit() && !p.evict() {
+		return nil, nil, p.dialer, errCrowded
+	}
+	p.open++
+	return b, nil, p.dialer, nil
+}
+
+// discard closes a connection that is not known to be at an answer's end.
+func (c *conn) discard() {
+	c.Conn.Close()
+	c.pool.mu.Lock()
+	c.pool.open--
+	c.pool.mu.Unlock()
+}
+
+// release puts a connection back that has been read cleanly to its end.
+func (c *conn) release() {
+	c.SetDeadline(time.Time{})
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.of.closed {
+		c.Conn.Close()
+		c.pool.open--
+		return
+	}
+	c.idleAt = time.Now()
+	c.of.idle = append(c.of.idle, c)
+}
+
+// silent tells whether an idle connection is open with nothing to read.
+func silent(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/node/drain_test.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+func TestReadyOnlyWithServers(t *testing.T) {
+	n := startNode(t)
+	for path, want := range map[string]int{"/health/ready": 503, "/health/live": 200} {
+		resp, err := http.Get("http://" + n.address + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%s: %d, want %d", path, resp.StatusCode, want)
+		}
+	}
+}
+
+// TestStop: after SIGTERM new connections still come for a while; they and
+// what is open get their answers, with the word to close.
+func TestStop(t *testing.T) {
+	release, got := make(chan struct{}), make(chan bool, 2)
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			got <- true
+			<-release
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	answers := make(chan reply, 2)
+	ask := func(id string) { answers <- do(t, n.request(t, "GET", "saldo", id, "20", nil)) }
+	go ask("before")
+	wait(t, got, "the attempt before the stop")
+	n.stop()
+	go ask("after")
+	wait(t, got, "the attempt after the stop")
+	select {
+	case err := <-n.ended:
+		t.Fatalf("the node ends with requests open: %v", err)
+	default:
+	}
+	n.linger()
+	close(release)
+	for range 2 {
+		if a := wait(t, answers, "an answer"); a.status != 200 || a.body != "hi" {
+			t.Errorf("answer %+v", a)
+		}
+	}
+	if err := wait(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+	if c, err := net.Dial("tcp", n.address); err == nil {
+		c.Close()
+		t.Error("it listens on")
+	}
+}
--- /dev/null
+++ b/internal/node/exchange.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"time"
+
+	"indigotack/decide"
+)
+
+const lastWords = 50 * time.Millisecond // from a server that takes no more of a request
+
+// result is how an attempt ended.
+type result struct {
+	code   decide.OutcomeCode
+	report *decide.Report
+	header http.Header // with OK: the answer's
+	body   []byte
+	stream *stream // with OK, for a long answer: instead of the body
+	spent  bool    // no other attempt can be made, as what was sent is not kept
+}
+
+// attempt sends a request once and waits for its answer until ctx ends. When
+// it returns, its connection is closed or back in the pool, so that a further
+// attempt cannot overlap it. A long answer is given to begun, which returns
+// when that is over and tells how it ended; ctx has no part in it any more.
+func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound, begun func(result) error) result {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return result{code: decide.Moot} // an attempt without an end could hang for ever
+	}
+	c, err := p.get(ctx, id)
+	if err != nil {
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			return result{code: decide.Cancelled}
+		}
+		if ownLimit(err) {
+			return result{code: decide.Moot}
+		}
+		return result{code: decide.ConnectFailed}
+	}
+	if p.isHeld(id) { // since it was picked
+		c.discard()
+		return result{code: decide.Moot}
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	defer c.leaveRoom()
+	var res result
+	var clean bool
+	if o.rest != nil {
+		res, clean, err = c.exchange(ctx, o)
+	} else if code, ok := c.send(ctx, o, end); ok {
+		res, clean, err = c.receive(ctx, o.method)
+	} else {
+		c.discard()
+		return result{code: code}
+	}
+	if err != nil {
+		c.discard()
+		if res.code == decide.OK { // nothing better is known
+			res.code = ending(ctx, c.broken)
+		}
+		return result{code: res.code, report: res.report, spent: res.spent}
+	}
+	if res.stream != nil {
+		if !stop() {
+			c.discard()
+			return result{code: ending(ctx, nil), report: res.report, spent: res.spent}
+		}
+		return c.pass(res, clean, begun)
+	}
+	// Once the watch on ctx cannot be stopped it may yet spoil the deadline of
+	// whoever has the connection next.
+	if clean && stop() {
+		c.release()
+	} else {
+		c.discard()
+	}
+	return res
+}
+
+// send writes a request that is kept whole, and counts it.
+func (c *conn) send(ctx context.Context, o *outbound, end time.Time) (code decide.OutcomeCode, ok bool) {
+	msg, err := o.bytes(time.Until(end))
+	if err != nil {
+		return decide.Moot, false
+	}
+	if sent, err := c.Write(msg); err != nil {
+		if sent < len(msg) {
+			return decide.ConnectFailed, false
+		}
+		return ending(ctx, err), false // a last byte that left with an error may have come
+	}
+	c.pool.forwards.Add(1)
+	return decide.OK, true
+}
+
+// progress writes to a server that may take its time, but may not stand still.
+type progress struct {
+	*conn
+	ctx context.Context
+}
+
+func (p progress) Write(b []byte) (int, error) {
+	p.SetWriteDeadline(time.Now().Add(progressTime))
+	if p.ctx.Err() != nil { // it may have ended just before
+		p.SetWriteDeadline(time.Unix(1, 0))
+	}
+	return p.Conn.Write(b)
+}
+
+// exchange sends a long request as its client gives it, and hears meanwhile
+// whether the server turns it away. The time for the answer runs from the last
+// byte. What broke before that one never ran.
+func (c *conn) exchange(ctx context.Context, o *outbound) (res result, clean bool, err error) {
+	sent := make(chan error, 1)
+	go func() {
+		err := o.request(o.rest.wait).Write(progress{c, ctx})
+		if err == nil {
+			c.pool.forwards.Add(1)
+			o.rest.wholeAt.Store(time.Now().UnixNano())
+			o.rest.whole(o.rest.wait)
+			c.SetReadDeadline(time.Now().Add(o.rest.wait))
+			if ctx.Err() != nil {
+				c.SetReadDeadline(time.Unix(1, 0))
+			}
+		} else {
+			c.SetReadDeadline(time.Now().Add(lastWords)) // why the server has closed may be on its way
+		}
+		sent <- err
+	}()
+	res, clean, err = c.receive(ctx, o.method)
+	var werr error
+	select {
+	case werr = <-sent:
+	default: // it has answered early, or the connection has broken
+		c.SetWriteDeadline(time.Unix(1, 0))
+		if o.rest.taken.Load() {
+			o.rest.pipe.Close()
+		}
+		werr = <-sent
+	}
+	res.spent = o.rest.taken.Load()
+	switch {
+	case o.rest.failed():
+		return result{code: decide.Cancelled, spent: true}, false, errClientGone
+	case werr == nil:
+		return res, clean, err
+	case err == nil && res.code != decide.OK: // a proper word that it is not wanted
+		return res, false, nil
+	case errors.Is(ctx.Err(), context.Canceled):
+		return result{code: decide.Cancelled, spent: res.spent}, false, werr
+	}
+	return result{code: decide.ConnectFailed, spent: res.spent}, false, werr
+}
+
+// pass has a long answer passed on, and ends the attempt with it.
+func (c *conn) pass(res result, clean bool, begun func(result) error) result {
+	err := begun(res)
+	res.stream = nil
+	switch {
+	case err == nil && clean && c.read.Buffered() == 0:
+		c.release()
+		return res
+	case err == nil:
+	case errors.Is(err, errClientGone):
+		res.code = decide.Cancelled
+	default:
+		res.code = decide.Reset
+	}
+	c.discard()
+	return res
+}
+
+// ending is the outcome of an attempt whose answer did not come: its last byte
+// was written, so it may have run. broken is how the connection ended, if it did.
+func ending(ctx context.Context, broken error) decide.OutcomeCode {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return decide.Cancelled
+	case ctx.Err() != nil, errors.Is(broken, os.ErrDeadlineExceeded):
+		return decide.TimedOut
+	case broken != nil:
+		return decide.Reset
+	}
+	return decide.ServerError // it can't be read
+}
--- /dev/null
+++ b/internal/node/exchange_test.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+)
+
+func TestOutcomes(t *testing.T) {
+	long := strings.Repeat("x", maxBody+maxHead+1)
+	for _, c := range []struct {
+		name, answer string // after it the server closes
+		want         decide.OutcomeCode
+	}{
+		{"served", okAnswer, decide.OK},
+		{"served after 1xx", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okAnswer, decide.OK},
+		{"served in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", decide.OK},
+		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		{"503 with proof", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", decide.Full},
+		{"504 with proof", "HTTP/1.1 504 Late\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", decide.Full},
+		{"503 with no proof", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		{"500 with a header that proves nothing", "HTTP/1.1 500 Oops\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		{"no answer", "", decide.Reset},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-", decide.Reset},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", decide.Reset},
+		{"no HTTP", "hello there\r\n\r\n", decide.ServerError},
+		{"body too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxLarge+1, long), decide.ServerError},
+		{"half a long body", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxLarge, long), decide.Reset},
+		{"head too long", "HTTP/1.1 200 OK\r\nX-Long: " + long + long, decide.ServerError},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if readRequest(r) != nil {
+					io.WriteString(conn, c.answer)
+				}
+			}))
+			got := try(t, p, enough)
+			if got.code != c.want {
+				t.Errorf("outcome %d, want %d", got.code, c.want)
+			}
+			if got.code == decide.OK && string(got.body) != "hi" {
+				t.Errorf("body %q", got.body)
+			}
+		})
+	}
+}
+
+// shortConn breaks before the last byte is written.
+type shortConn struct{ *net.TCPConn }
+
+func (c shortConn) Write(b []byte) (int, error) {
+	n, _ := c.TCPConn.Write(b[:len(b)-1])
+	return n, errors.New("broken")
+}
+
+func TestBreakBeforeTheLastByteNeverRan(t *testing.T) {
+	p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(conn, okAnswer)
+		}
+	}))
+	if got := try(t, p, enough); got.code != decide.OK {
+		t.Fatalf("outcome %d, want OK", got.code)
+	}
+	idle := p.backends[1].idle
+	idle[0].Conn = shortConn{idle[0].Conn.(*net.TCPConn)}
+	if got := try(t, p, enough); got.code != decide.ConnectFailed {
+		t.Errorf("outcome %d, want ConnectFailed", got.code)
+	}
+}
+
+// TestOneWriteOneOutcome: a connection that breaks under a request is an
+// outcome; the pool must not send the request again on another one.
+func TestOneWriteOneOutcome(t *testing.T) {
+	requests := make(chan int, 10)
+	p := testPool(backendServer(t, func(number int, conn net.Conn, r *bufio.Reader) {
+		for i := 0; readRequest(r) != nil; i++ {
+			requests <- number
+			if i == 1 {
+				return
+			}
+			io.WriteString(conn, okAnswer)
+		}
+	}))
+	if got := try(t, p, enough); got.code != decide.OK {
+		t.Fatalf("outcome %d, want OK", got.code)
+	}
+	if got := try(t, p, enough); got.code != decide.Reset {
+		t.Errorf("outcome %d, want Reset", got.code)
+	}
+	if n := len(requests); n != 2 {
+		t.Errorf("%d requests came, want 2", n)
+	}
+	for range 2 {
+		if number := <-requests; number != 0 {
+			t.Errorf("a request came on connection %d, want 0: the pool keeps connections", number)
+		}
+	}
+}
+
+// TestGivenUpAttemptIsClosed: the server must see the end of an attempt no
+// later than the module is told, or a further attempt could overlap it.
+func TestGivenUpAttemptIsClosed(t *testing.T) {
+	for name, want := range map[string]decide.OutcomeCode{"timed out": decide.TimedOut, "cancelled": decide.Cancelled} {
+		got, gone := make(chan struct{}), make(chan struct{})
+		p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			close(got)
+			r.ReadByte() // until the node closes
+			close(gone)
+		}))
+		ctx, cancel := context.WithTimeout(context.Background(), enough)
+		if want == decide.TimedOut {
+			ctx, cancel = context.WithTimeout(context.Background(), 1500*time.Millisecond)
+		} else {
+			go func() { <-got; cancel() }()
+		}
+		res := p.attempt(ctx, 1, get("/api/x"), nil)
+		cancel()
+		if res.code != want {
+			t.Errorf("%s: outcome %d, want %d", name, res.code, want)
+		}
+		if p.open != 0 {
+			t.Errorf("%s: the connection is still open", name)
+		}
+		select {
+		case <-gone:
+		case <-time.After(enough):
+			t.Errorf("%s: the server sees no end", name)
+		}
+	}
+}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"indigotack/decide"
@@ -94,3 +95,43 @@
 		}
 	}
 }
+
+// follow takes a list from discovery: addresses for the sockets, the rest for
+// the module.
+func (n *Node) follow(l list.Answer, kind decide.ListKind) {
+	entries := slices.Clone(l.Endpoints)
+	// In one order whatever the list's, as the numbers of names that share a
+	// hash depend on it.
+	slices.SortFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
+	u := decide.ListUpdate{Kind: kind, Version: l.Index}
+	missing := map[string]bool{}
+	if kind != decide.ListChanges {
+		for name := range n.listed {
+			missing[name] = true
+		}
+	}
+	for _, e := range entries {
+		id, state := n.ids.of(e.Name), states[e.Status]
+		u.Entries = append(u.Entries, decide.Server{ID: id, Zone: e.Zone, Kind: e.Type, Cell: e.Group, State: state,
+			Size: e.Weight, StartedAt: time.Duration(e.SinceMS) * time.Millisecond})
+		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
+			n.listed[e.Name] = id
+			n.backends.set(id, e.Address, e.SinceMS)
+		}
+	}
+	n.handle(u)
+	for name, gone := range missing {
+		if gone {
+			n.backends.remove(n.ids.of(name))
+			if delete(n.listed, name); !n.banned[name] {
+				n.ids.forget(name)
+				n.stats.forget(name)
+			}
+		}
+	}
+	if kind != decide.ListCached {
+		n.heard.Do(func() { close(n.told) })
+	}
+	n.stats.discovered.Store(int64(len(n.listed)))
+	n.front.ready.Store(len(n.listed) > 0)
+}
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"indigotack/decide"
+)
+
+const inboxSize = 1024
+
+// loop is the one owner of the module and the requests.
+func (n *Node) loop(ctx context.Context) {
+	defer close(n.ended)
+	for {
+		select {
+		case f := <-n.calls:
+			f()
+			continue
+		default:
+		}
+		select {
+		case f := <-n.calls:
+			f()
+		case f := <-n.inbox:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// post has f run by the loop; once that has ended it does nothing.
+func (n *Node) post(f func()) {
+	select {
+	case n.inbox <- f:
+	case <-n.ended:
+	}
+}
+
+// do has the loop run f ahead of its inbox, and returns when it has.
+func (n *Node) do(f func()) bool {
+	done := make(chan struct{})
+	select {
+	case n.calls <- func() { defer close(done); f() }:
+	case <-n.ended:
+		return false
+	}
+	<-done
+	return true
+}
+
+// now is the module's clock: wall time at the start plus what has passed, so
+// that it reads like the list's times and never steps back.
+func (n *Node) now() decide.Time {
+	return time.Duration(n.start.UnixNano()) + time.Since(n.start)
+}
+
+// handle tells the module of an event and carries out what it decides, in order.
+func (n *Node) handle(e decide.Event) {
+	n.queue = append(n.queue, e)
+	if len(n.queue) > 1 {
+		return // the call further up gets to it
+	}
+	for len(n.queue) > 0 {
+		for _, a := range n.module.Handle(n.now(), n.queue[0]) {
+			n.act(a)
+		}
+		n.queue = n.queue[1:]
+	}
+	n.queue = nil
+	switch e.(type) {
+	case decide.TimerFired, decide.Maintenance, decide.ListUpdate: // often enough for a figure
+		n.stats.ejected.Store(int64(n.module.Ejected()))
+	}
+}
+
+func (n *Node) act(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Send:
+		n.send(a)
+	case decide.Refuse:
+		n.finish(a.ID, answer{status: http.StatusServiceUnavailable, holdOff: a.HoldOff})
+	case decide.Fail:
+		n.finish(a.ID, answer{status: http.StatusBadGateway})
+	case decide.CancelAttempt:
+		if r := n.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
+			r.attempts[a.Attempt]()
+		}
+	case decide.SetTimer:
+		time.AfterFunc(a.After, func() { n.post(func() { n.handle(decide.TimerFired{Token: a.Token}) }) })
+	case decide.CloseIdle:
+		n.backends.closeIdle(a.Server)
+	case decide.SendMessage:
+		n.message(a)
+	case decide.Subscribe:
+		n.lists.Ask(n.ctx, false, a.On)
+	case decide.FetchList:
+		n.lists.Ask(n.ctx, true, n.cfg.Settings.AskForList)
+	case decide.Log:
+		n.log.Info("module: " + a.Line)
+	default:
+		n.log.Warn("action not carried out", "action", a)
+	}
+}
+
+// message passes a message on to one node, or to all others.
+func (n *Node) message(a decide.SendMessage) {
+	if !a.ToAll {
+		n.peers.Load().send(a.To, a.Data)
+		return
+	}
+	for to := range n.cfg.Peers {
+		if to != n.cfg.Settings.Self {
+			n.peers.Load().send(to, a.Data)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/maintenance_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/fence"
+	"indigotack/internal/list"
+)
+
+// TestMaintenanceCalls: once the answer is yes, nothing is written to the server, attempts picked before included.
+func TestMaintenanceCalls(t *testing.T) {
+	serve := func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(c, okAnswer)
+		}
+	}
+	n := startNode(t, backendServer(t, serve))
+	address := n.operate(t)
+	for _, c := range []struct {
+		method, path string
+		want, served int
+	}{
+		{"POST", "/backends/nobody/maint", 404, 200}, {"POST", "/backends/nobody/ready", 404, 200},
+		{"GET", "/backends/s-0/maint", 405, 200}, {"POST", "/backends/s-0/odd", 404, 200}, {"POST", "/backends//maint", 404, 200},
+		{"POST", "/backends/s-0/ready", 200, 200},
+		{"POST", "/backends/s-0/maint", 200, 503}, {"POST", "/backends/s-0/maint", 200, 503},
+		{"POST", "/backends/s-0/ready", 200, 200}, {"POST", "/backends/s-0/ready", 200, 200},
+	} {
+		if status, _ := call(t, address, c.method, c.path); status != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, status, c.want)
+		}
+		var status int
+		for until := time.Now().Add(enough); status != c.served && time.Now().Before(until); {
+			// A server that is back starts cold, and gets its first request after a while.
+			status = do(t, n.request(t, "GET", "saldo", "q", "20", nil)).status
+		}
+		if status != c.served {
+			t.Errorf("after %s %s a request gets %d, want %d", c.method, c.path, status, c.served)
+		}
+	}
+}
+
+// TestBanOutlivesTheList: the name goes and comes back, and is out until the call back.
+func TestBanOutlivesTheList(t *testing.T) {
+	n := startNode(t, refusing(t))
+	ctx := context.Background()
+	if err := n.maintain(ctx, "s-0", true); err != nil {
+		t.Fatal(err)
+	}
+	id := make(chan decide.ServerID, 2)
+	n.post(func() {
+		id <- n.ids.of("s-0")
+		n.follow(list.Answer{Snapshot: true}, decide.ListFull)
+		id <- n.ids.of("s-0")
+	})
+	if a, b := wait(t, id, "its number"), wait(t, id, "its number"); a != b || !n.backends.isHeld(a) {
+		t.Errorf("number %d, later %d", a, b)
+	}
+	if err := n.maintain(ctx, "s-0", false); err != nil {
+		t.Errorf("the call back of one that has left: %v", err)
+	}
+	if err := n.maintain(ctx, "s-0", false); err == nil {
+		t.Error("a name that nobody has is known")
+	}
+}
+
+// TestHeldServerIsNotWrittenTo: the ban came while the connection was made.
+func TestHeldServerIsNotWrittenTo(t *testing.T) {
+	got := make(chan bool, 1)
+	p := testPool(backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) != nil {
+			got <- true
+		}
+	}))
+	p.hold(1, true)
+	if res := try(t, p, enough); res.code != decide.Moot || p.open != 0 {
+		t.Errorf("outcome %v with %d connections open", res.code, p.open)
+	}
+	select {
+	case <-got:
+		t.Error("it was written to")
+	default:
+	}
+}
+
+// TestFencedMaintenance: an earlier holder's call is turned down, a later one's and one without a fence are taken.
+func TestFencedMaintenance(t *testing.T) {
+	n := startNode(t, refusing(t))
+	for _, c := range []struct {
+		value string
+		want  int
+	}{{"conductor 7", 200}, {"conductor 7", 200}, {"conductor 6", 409}, {"", 200}, {"other 1", 200}, {"odd", 400}, {"conductor 9", 200}, {"conductor 8", 409}} {
+		r := httptest.NewRequest("POST", "/backends/s-0/maint", nil)
+		if c.value != "" {
+			r.Header.Set(fence.Header, c.value)
+		}
+		w := httptest.NewRecorder()
+		if n.controlMux().ServeHTTP(w, r); w.Code != c.want {
+			t.Errorf("%q: %d %s, want %d", c.value, w.Code, w.Body, c.want)
+		}
+	}
+}
--- a/internal/node/messages_test.go
+++ b/internal/node/messages_test.go
@@ -1,10 +1,15 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -138,3 +143,44 @@
 	}
 	p.send(0, []byte("x"))
 }
+
+// TestMessagesCutAnywhere: whatever the pieces in which they come, requests and answers are the same.
+func TestMessagesCutAnywhere(t *testing.T) {
+	const answers = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-App: a, b\r\n\r\n" +
+		"5;ext=1\r\nhello\r\n6;x=\"y\"\r\n world\r\n0\r\nX-T: t\r\n\r\n"
+	const sent = "POST /api/a%%2Fb?c=d HTTP/1.1\r\nhost: app.svc\r\nx-request-id: q%d\r\nX-CLASS:pagar\r\nX-Deadline:  20 \r\n" +
+		"Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n1\r\nd\r\n0\r\nX-Trailer: t\r\n\r\n"
+	var cut atomic.Int64
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(req.Body)
+			if err != nil || string(body) != "abcd" || req.RequestURI != "/api/a%2Fb?c=d" {
+				t.Errorf("the server got %q for %s, %v", body, req.RequestURI, err)
+			}
+			at := cut.Load()
+			io.WriteString(c, answers[:at])
+			io.WriteString(c, answers[at:])
+		}
+	}))
+	for i := range max(len(sent), len(answers)) {
+		c := n.dial(t)
+		request := fmt.Sprintf(sent, i)
+		cut.Store(int64(min(i, len(answers))))
+		at := min(i, len(request))
+		io.WriteString(c, request[:at])
+		io.WriteString(c, request[at:])
+		resp, err := http.ReadResponse(c.read, nil)
+		if err != nil {
+			t.Fatalf("cut at %d: %v", i, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != 200 || string(body) != "hello world" || resp.Header.Get("X-App") != "a, b" {
+			t.Errorf("cut at %d: %s %q %v", i, resp.Status, body, err)
+		}
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/node/outbound.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const deadlineHeader = "X-Deadline"
+
+// outbound is what goes to a server for a client's request.
+type outbound struct {
+	method string
+	url    *url.URL
+	host   string
+	header http.Header // end to end ones
+	body   []byte
+	rest   *upload // what follows the body above; nil: it is all
+}
+
+// bytes writes the request in full, so that one write sends it and its result
+// tells whether the last byte left.
+func (o *outbound) bytes(wait time.Duration) ([]byte, error) {
+	uri := o.url.RequestURI()
+	if o.host == "" || strings.ContainsFunc(o.host+uri, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return nil, errors.New("not a request that can be sent")
+	}
+	b := make([]byte, 0, 512+len(o.body))
+	line := func(parts ...string) {
+		for _, p := range parts {
+			b = append(b, p...)
+		}
+		b = append(b, "\r\n"...)
+	}
+	line(o.method, " ", uri, " HTTP/1.1")
+	line("Host: ", o.host)
+	if len(o.body) > 0 || o.method != http.MethodGet {
+		line("Content-Length: ", strconv.Itoa(len(o.body)))
+	}
+	names := make([]string, 0, 16)
+	for name := range o.header {
+		if name != deadlineHeader && name != "Host" {
+			names = append(names, name)
+		}
+	}
+	names = append(names, deadlineHeader)
+	slices.Sort(names) // the same request, the same bytes
+	for _, name := range names {
+		if name == deadlineHeader {
+			line(name, ": ", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+			continue
+		}
+		for _, v := range o.header[name] {
+			line(name, ": ", v)
+		}
+	}
+	line()
+	return append(b, o.body...), nil
+}
+
+// request is the same for a long request, which goes out as it comes.
+func (o *outbound) request(wait time.Duration) *http.Request {
+	r := &http.Request{Method: o.method, URL: o.url, Host: o.host, Header: o.header.Clone(),
+		Body: io.NopCloser(io.MultiReader(bytes.NewReader(o.body), o.rest)), ContentLength: o.rest.length}
+	r.Header.Set(deadlineHeader, strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	if _, ok := r.Header["User-Agent"]; !ok {
+		r.Header["User-Agent"] = nil // none was sent, none is made up
+	}
+	return r
+}
--- /dev/null
+++ b/internal/node/outbound_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+)
+
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	u := &url.URL{Path: "/api/a/b", RawPath: "/api/a%2Fb", RawQuery: "x=1&y=%20"}
+	o := &outbound{method: "POST", url: u, host: "app.svc", body: []byte("body"),
+		header: http.Header{"X-Request-Id": {"q"}, "Idempotency-Key": {"k"}, "X-Deadline": {"9"}}}
+	raw, err := o.bytes(1500 * time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := "POST /api/a%2Fb?x=1&y=%20 HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 4\r\n" +
+		"Idempotency-Key: k\r\nX-Deadline: 1.500\r\nX-Request-Id: q\r\n\r\nbody"
+	if string(raw) != want {
+		t.Errorf("sent %q, want %q", raw, want)
+	}
+}
+
+// TestNoLineIsSlippedIn: a host or target that would end its line is not sent on.
+func TestNoLineIsSlippedIn(t *testing.T) {
+	for _, o := range []*outbound{
+		{method: "GET", url: &url.URL{Path: "/x"}, host: "a\r\nX-Request-Id: other"},
+		{method: "GET", url: &url.URL{Path: "/x"}, host: ""},
+		{method: "GET", url: &url.URL{Path: "/x", RawQuery: "a b\r\nX: y"}, host: "a"},
+	} {
+		if b, err := o.bytes(time.Second); err == nil {
+			t.Errorf("sent %q", b)
+		}
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,9 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"indigotack/decide"
 	"indigotack/internal/pause"
 )
 
+const peersAgain = time.Second // between two tries to open the socket for other nodes
+
 // maxMessage is the longest datagram between nodes; a longer one breaks the protocol.
 const maxMessage = 256
 
@@ -106,3 +109,34 @@
 		}
 	}
 }
+
+// hears tells whether this node still lacks a socket that it ought to have.
+func (n *Node) hears() bool {
+	return n.cfg.PeerListen != "" && len(n.cfg.Peers) > 0 && n.peers.Load() == nil
+}
+
+// listenPeers opens the socket for other nodes' messages. If it can't be had,
+// clients are served all the same, and it is tried again.
+func (n *Node) listenPeers(ctx context.Context) {
+	p, err := listenPeers(n.cfg.PeerListen, n.cfg.Peers, n.log)
+	if err == nil {
+		n.startPeers(p)
+		return
+	}
+	n.log.Error("nothing is heard from other nodes, trying again", "err", err)
+	go func() {
+		for pause.For(ctx, peersAgain) {
+			if p, err := listenPeers(n.cfg.PeerListen, n.cfg.Peers, n.log); err == nil {
+				n.startPeers(p)
+				return
+			}
+		}
+	}()
+}
+
+func (n *Node) startPeers(p *peers) {
+	n.peers.Store(p)
+	go p.run(n.ctx, func(from int, data []byte) {
+		n.post(func() { n.handle(decide.MessageReceived{From: from, Data: data}) })
+	})
+}
--- /dev/null
+++ b/internal/node/pool.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/pause"
+)
+
+const idlePart = 0.75 // of the settings' idle time: the server must never be the first to close
+
+// pool keeps connections to servers. It never sends anything itself.
+type pool struct {
+	dialer   net.Dialer
+	maxIdle  time.Duration
+	forwards *atomic.Int64 // attempts written whole
+
+	mu       sync.Mutex
+	open     int // connections, idle, in use or being dialled
+	most     int
+	shared   bool // with another process of this node: half of them
+	backends map[decide.ServerID]*backend
+	held     map[decide.ServerID]bool // nothing is written to them
+	room     room                     // for answers that are not small
+}
+
+// backend is one process of a server. A restart or a new address makes a new
+// one, to which the old one's connections never return.
+type backend struct {
+	address string
+	since   int64
+	closed  bool
+	idle    []*conn // the one used last comes last
+}
+
+func newPool(s decide.Settings, most int) *pool {
+	p := &pool{most: most, forwards: new(atomic.Int64), backends: map[decide.ServerID]*backend{}, held: map[decide.ServerID]bool{},
+		room:   newRoom(defaultMemoryMB),
+		dialer: net.Dialer{KeepAlive: -1}}
+	p.configure(s)
+	return p
+}
+
+// configure takes the settings that concern connections.
+func (p *pool) configure(s decide.Settings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialer.Timeout = s.ConnectTimeout
+	if p.maxIdle = time.Duration(idlePart * float64(s.ConnIdle)); s.ConnIdle <= 0 {
+		p.maxIdle = time.Minute
+	}
+}
+
+// idleTime is how long a connection may stay idle.
+func (p *pool) idleTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.maxIdle
+}
+
+// set takes a server's address from the list. Connections to an earlier
+// process of it are worthless and are closed.
+func (p *pool) set(id decide.ServerID, address string, since int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.backends[id]; b != nil {
+		if b.address == address && b.since == since {
+			return
+		}
+		b.closed = true
+		p.drop(b)
+	}
+	p.backends[id] = &backend{address: address, since: since}
+}
+
+func (p *pool) remove(id decide.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.backends[id]; b != nil {
+		b.closed = true
+		p.drop(b)
+		delete(p.backends, id)
+	}
+}
+
+// closeIdle closes the connections to a server that carry nothing.
+func (p *pool) closeIdle(id decide.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.backends[id]; b != nil {
+		p.drop(b)
+	}
+}
+
+// share leaves half of the connections to another process of this node, or
+// takes them back.
+func (p *pool) share(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shared = on
+	for p.open > p.limit() && p.evict() {
+	}
+}
+
+func (p *pool) limit() int {
+	if p.shared {
+		return max(1, p.most/2)
+	}
+	return p.most
+}
+
+// hold has nothing more written to a server, whatever was picked before, or
+// lets it be used again.
+func (p *pool) hold(id decide.ServerID, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if delete(p.held, id); on {
+		p.held[id] = true
+	}
+}
+
+func (p *pool) isHeld(id decide.ServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held[id]
+}
+
+func (p *pool) drop(b *backend) {
+	for _, c := range b.idle {
+		c.Conn.Close()
+		p.open--
+	}
+	b.idle = nil
+}
+
+// evict closes the connection that has been idle longest.
+func (p *pool) evict() bool {
+	var oldest *backend
+	for _, b := range p.backends {
+		if len(b.idle) > 0 && (oldest == nil || b.idle[0].idleAt.Before(oldest.idle[0].idleAt)) {
+			oldest = b
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.idle[0].Conn.Close()
+	oldest.idle = oldest.idle[1:]
+	p.open--
+	return true
+}
+
+// expire closes the connections that have been idle too long.
+func (p *pool) expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.backends {
+		old := 0
+		for old < len(b.idle) && now.Sub(b.idle[old].idleAt) >= p.maxIdle {
+			b.idle[old].Conn.Close()
+			old++
+		}
+		p.open -= old
+		b.idle = append(b.idle[:0], b.idle[old:]...)
+	}
+}
+
+// run expires idle connections until ctx ends.
+func (p *pool) run(ctx context.Context) {
+	for pause.For(ctx, max(p.idleTime()/8, 50*time.Millisecond)) {
+		p.expire(time.Now())
+	}
+}
--- /dev/null
+++ b/internal/node/pool_test.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"syscall"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+)
+
+func testPool(address string) *pool {
+	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 100)
+	p.set(1, address, 0)
+	return p
+}
+
+func get(path string) *outbound {
+	return &outbound{method: http.MethodGet, url: &url.URL{Path: path}, host: "app.svc", header: http.Header{"X-Request-Id": {"q"}}}
+}
+
+func try(t *testing.T, p *pool, wait time.Duration) result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return p.attempt(ctx, 1, get("/api/x"), func(res result) error {
+		_, err := io.Copy(io.Discard, res.stream.rest)
+		return err
+	})
+}
+
+// TestOwnLimitBlamesNoServer: a node that has no room for a connection, or no descriptor, must not report that a server
+// could not be reached: the module would leave the server out.
+func TestOwnLimitBlamesNoServer(t *testing.T) {
+	release, got := make(chan struct{}), make(chan bool, 1)
+	p := testPool(backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) != nil {
+			got <- true
+			<-release
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	p.most = 1
+	first := make(chan result, 1)
+	go func() { first <- try(t, p, enough) }()
+	wait(t, got, "the attempt that takes the room")
+	if res := try(t, p, enough); res.code != decide.Moot {
+		t.Errorf("no room: code %v, want Moot", res.code)
+	}
+	close(release)
+	if res := wait(t, first, "its answer"); res.code != decide.OK {
+		t.Errorf("the first: code %v", res.code)
+	}
+	p = testPool(refusing(t))
+	p.dialer.Control = func(string, string, syscall.RawConn) error { return syscall.EMFILE }
+	if res := try(t, p, enough); res.code != decide.Moot {
+		t.Errorf("no descriptor: code %v, want Moot", res.code)
+	}
+}
+
+func TestRefusedConnectionNeverRan(t *testing.T) {
+	if got := try(t, testPool(refusing(t)), enough); got.code != decide.ConnectFailed {
+		t.Errorf("outcome %d, want ConnectFailed", got.code)
+	}
+	p := newPool(decide.Settings{}, 100)
+	if got := try(t, p, enough); got.code != decide.ConnectFailed {
+		t.Errorf("outcome %d of a server not listed, want ConnectFailed", got.code)
+	}
+}
+
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{})
+	p := testPool(backendServer(t, func(number int, conn net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		io.WriteString(conn, okAnswer)
+		if number == 0 {
+			conn.Close()
+			close(closed)
+		} else {
+			readRequest(r)
+		}
+	}))
+	try(t, p, enough)
+	<-closed
+	// The close has been sent; wait until it shows on this side.
+	for until := time.Now().Add(enough); len(p.backends[1].idle) > 0 && silent(p.backends[1].idle[0].Conn); {
+		if time.Now().After(until) {
+			t.Fatal("the close never shows")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := try(t, p, enough); got.code != decide.OK {
+		t.Errorf("outcome %d, want OK on a new connection", got.code)
+	}
+}
+
+// TestUncleanConnectionIsNotPooled: what follows an answer would be taken for the next one's.
+func TestUncleanConnectionIsNotPooled(t *testing.T) {
+	for name, answer := range map[string]string{
+		"more than the answer": okAnswer + okAnswer,
+		"asks to close":        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi",
+	} {
+		p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			io.WriteString(conn, answer)
+			readRequest(r)
+		}))
+		if got := try(t, p, enough); got.code != decide.OK {
+			t.Errorf("%s: outcome %d, want OK", name, got.code)
+		}
+		if p.open != 0 || len(p.backends[1].idle) != 0 {
+			t.Errorf("%s: %d connections open, want 0", name, p.open)
+		}
+	}
+}
+
+func TestRestartAndNewAddressDropOldConnections(t *testing.T) {
+	serve := func(name string) string {
+		return backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			for readRequest(r) != nil {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(name), name)
+			}
+		})
+	}
+	a, b := serve("a"), serve("b")
+	p := testPool(a)
+	try(t, p, enough)
+	p.set(1, a, 0)
+	if len(p.backends[1].idle) != 1 {
+		t.Error("the same entry again costs the connection")
+	}
+	p.set(1, a, 5)
+	if p.open != 0 {
+		t.Errorf("%d connections open after a restart, want 0", p.open)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	defer cancel()
+	c, err := p.get(ctx, 1) // in use while the address changes
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.set(1, b, 5)
+	c.release()
+	if p.open != 0 {
+		t.Errorf("%d connections open after a new address, want 0", p.open)
+	}
+	if got := try(t, p, enough); string(got.body) != "b" {
+		t.Errorf("%q answers, want b", got.body)
+	}
+}
+
+func TestIdleConnections(t *testing.T) {
+	address := backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(conn, okAnswer)
+		}
+	})
+	p := testPool(address)
+	p.most = 2
+	p.set(2, address, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	defer cancel()
+	var cs []*conn
+	for range 2 {
+		c, err := p.get(ctx, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cs = append(cs, c)
+	}
+	if _, err := p.get(ctx, 2); err == nil {
+		t.Error("a third connection opens, over the limit of 2")
+	}
+	cs[1].release()
+	cs[0].release()
+	if c, _ := p.get(ctx, 1); c != cs[0] {
+		t.Error("the one used last is not taken first")
+	} else {
+		c.release()
+	}
+	c, err := p.get(ctx, 2) // makes room by closing the one that is idle longest
+	if err != nil || p.open != 2 || len(p.backends[1].idle) != 1 || p.backends[1].idle[0] != cs[0] {
+		t.Fatalf("at the limit an idle connection does not give way: %v", err)
+	}
+	c.release()
+	p.expire(time.Now().Add(p.maxIdle - time.Minute))
+	if p.open != 2 {
+		t.Errorf("%d connections open before their time is up, want 2", p.open)
+	}
+	p.closeIdle(2)
+	if p.open != 1 {
+		t.Errorf("%d connections open after closeIdle, want 1", p.open)
+	}
+	p.expire(time.Now().Add(p.maxIdle))
+	if p.open != 0 {
+		t.Errorf("%d connections open after their time, want 0", p.open)
+	}
+	if p.maxIdle >= time.Hour {
+		t.Errorf("connections stay idle for %v of the settings' 1h", p.maxIdle)
+	}
+}
--- /dev/null
+++ b/internal/node/response.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/wire"
+)
+
+const (
+	maxBody  = 64 << 10 // of a request or an answer that is kept whole
+	maxHead  = 16 << 10 // of an answer
+	maxInfos = 8        // 1xx answers ahead of the real one
+)
+
+// receive reads one answer to its end; clean tells that the connection can
+// carry another request.
+func (c *conn) receive(ctx context.Context, method string) (res result, clean bool, err error) {
+	c.budget.N = maxHead + maxBody
+	var resp *http.Response
+	for i := 0; ; i++ {
+		resp, err = http.ReadResponse(c.read, &http.Request{Method: method})
+		if err != nil {
+			return res, false, err
+		}
+		if resp.StatusCode >= 200 {
+			break
+		}
+		if i == maxInfos || resp.StatusCode == http.StatusSwitchingProtocols {
+			return res, false, fmt.Errorf("unexpected answer %s", resp.Status)
+		}
+	}
+	res.report = parseLoad(resp.Header.Get("X-Load"))
+	if resp.ContentLength > maxLarge {
+		return res, false, errLong
+	}
+	c.budget.N = math.MaxInt64 // the body is held to its own size
+	body, long, err := readAnswer(ctx, resp, c.pool.room.on(&c.room))
+	if err != nil {
+		return res, false, err
+	}
+	if long && resp.StatusCode == http.StatusOK {
+		res.code, res.header = decide.OK, resp.Header
+		res.stream = &stream{length: resp.ContentLength, start: body, rest: resp.Body, conn: c, ended: make(chan error, 1)}
+		return res, !resp.Close, nil
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		res.code, res.header, res.body = decide.OK, resp.Header, body
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Not-Run") == "1":
+		res.code = decide.Full
+	default:
+		res.code = decide.ServerError
+	}
+	return res, !resp.Close && !long && c.read.Buffered() == 0, nil
+}
+
+// readAnswer reads an answer's body. Where that is long, or may be and takes its
+// time, it is not read to its end.
+func readAnswer(ctx context.Context, resp *http.Response, room func(context.Context) error) (body []byte, long bool, err error) {
+	if resp.ContentLength > smallBody {
+		if err := room(ctx); err != nil {
+			return nil, false, err
+		}
+	}
+	if resp.ContentLength > maxBody {
+		return nil, true, nil
+	}
+	if resp.ContentLength >= 0 {
+		body = make([]byte, resp.ContentLength)
+		_, err = io.ReadFull(resp.Body, body)
+		return body, false, err
+	}
+	began := time.Now()
+	for buf := make([]byte, 4<<10); ; {
+		n, err := resp.Body.Read(buf)
+		if body = append(body, buf[:n]...); err == io.EOF {
+			return body, false, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		if len(body) > smallBody {
+			if err := room(ctx); err != nil {
+				return nil, false, err
+			}
+		}
+		if len(body) > maxBody || time.Since(began) > streamWait {
+			return body, true, nil
+		}
+	}
+}
+
+// parseLoad reads a load report. One that is malformed in any part is ignored
+// as a whole: half a report says less than the count it would replace.
+func parseLoad(s string) *decide.Report {
+	if s == "" {
+		return nil
+	}
+	var r decide.Report
+	known := false
+	for part := range strings.SplitSeq(s, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok {
+			return nil
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			return nil
+		}
+		known = wire.SetReportField(&r, name, v) || known
+	}
+	if !known {
+		return nil
+	}
+	return &r
+}
--- /dev/null
+++ b/internal/node/stats_test.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"indigotack/decide"
+)
+
+// TestFigures: each request counts once where it ends, each attempt when it has
+// been written.
+func TestFigures(t *testing.T) {
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for req := readRequest(r); req != nil; req = readRequest(r) {
+			switch req.Header.Get("X-Request-Id") {
+			case "served":
+				io.WriteString(c, okAnswer)
+			case "failed":
+				io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+			case "refused":
+				io.WriteString(c, "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+	}))
+	address := n.operate(t)
+	for _, line := range []string{"app.results.saldo.succeeded:0|c", "app.results.pagar.aborted:0|c", "app.forwards:0|c",
+		"app.outstanding:0|g", "app.discovered:1|g", "app.ejected:0|g", "app.sighup_applied:0|c", "app.sighup_rejected:0|c"} {
+		figure(t, address, line)
+	}
+	do(t, n.request(t, "GET", "saldo", "served", "20", nil))
+	do(t, n.request(t, "POST", "pagar", "failed", "20", strings.NewReader("x")))
+	do(t, n.request(t, "GET", "saldo", "refused", "20", nil))
+	do(t, n.request(t, "GET", "odd", "unknown", "20", nil))
+	for _, line := range []string{"app.results.saldo.succeeded:1|c", "app.results.saldo.declined:1|c",
+		"app.results.saldo.aborted:0|c", "app.results.pagar.aborted:1|c", "app.forwards:3|c", "app.outstanding:0|g"} {
+		figure(t, address, line)
+	}
+}
+
+func TestFiguresOfAnOpenRequest(t *testing.T) {
+	server, got, _ := silentServer(t)
+	n := startNode(t, server)
+	address := n.operate(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	left := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(n.request(t, "GET", "saldo", "q", "60", nil).WithContext(ctx))
+		left <- err
+	}()
+	wait(t, got, "the attempt")
+	figure(t, address, "app.outstanding:1|g")
+	cancel()
+	wait(t, left, "the client")
+	figure(t, address, "app.outstanding:0|g")
+}
+
+// TestNamesBreakNoLine: a class named by someone careless stays one word.
+func TestNamesBreakNoLine(t *testing.T) {
+	s := newStats([]decide.Class{{Name: "a.b:1|c\napp.x"}}, true)
+	s.count("a.b:1|c\napp.x", aborted)
+	s.count("nobody's", aborted)
+	for code, late := range map[decide.OutcomeCode]bool{decide.OK: true, decide.Full: false, decide.Reset: false, decide.Moot: false, decide.Cancelled: false} {
+		s.attempt("b c", code, late)
+	}
+	s.attempt("left", decide.OK, false)
+	s.forget("left")
+	var b strings.Builder
+	s.write(&b)
+	for _, line := range strings.Split(strings.TrimSuffix(b.String(), "\n"), "\n") {
+		var n int
+		name, rest, _ := strings.Cut(line, ":")
+		if _, err := fmt.Sscanf(rest, "%d|", &n); err != nil || strings.ContainsAny(name, " |") || strings.Count(rest, "|") != 1 {
+			t.Errorf("line %q", line)
+		}
+	}
+	if !strings.Contains(b.String(), "app.results.a_b_1_c_app_x.aborted:1|c\n") ||
+		!strings.Contains(b.String(), "app.backends.b_c.succeeded:1|c\napp.backends.b_c.failed:2|c\napp.backends.b_c.late:1|c\n") || strings.Contains(b.String(), "left") {
+		t.Errorf("figures\n%s", b.String())
+	}
+}
--- /dev/null
+++ b/internal/node/stream_test.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestLongAnswers come out as they went in, in each form, and leave the connection in use where their end is told.
+func TestLongAnswers(t *testing.T) {
+	for _, size := range []int{maxBody - 1, maxBody, maxBody + 1, 200000, 4 << 20} {
+		body := pattern(size)
+		for form, answer := range map[string]func(c net.Conn){
+			"length": func(c net.Conn) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-App: yes\r\nContent-Length: %d\r\n\r\n", size)
+				c.Write(body)
+			},
+			"chunks": func(c net.Conn) {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nX-App: yes\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for rest := body; len(rest) > 0; {
+					n := min(len(rest), 50000)
+					fmt.Fprintf(c, "%x\r\n%s\r\n", n, rest[:n])
+					rest = rest[n:]
+				}
+				io.WriteString(c, "0\r\n\r\n")
+			},
+			"close": func(c net.Conn) {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nX-App: yes\r\n\r\n")
+				c.Write(body)
+				c.Close()
+			},
+		} {
+			n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for readRequest(r) != nil {
+					answer(c)
+				}
+			}))
+			address := n.operate(t)
+			a := do(t, n.request(t, "GET", "saldo", "q", "20", nil))
+			if a.status != 200 || digest([]byte(a.body)) != digest(body) || a.header.Get("X-App") != "yes" {
+				t.Errorf("%d bytes by %s: %d, %d bytes", size, form, a.status, len(a.body))
+			}
+			figure(t, address, "app.results.saldo.succeeded:1|c")
+			figure(t, address, "app.outstanding:0|g")
+		}
+	}
+}
+
+// TestLongAnswerBreaksOff: its client can tell, in each form, and it counts as failed. It is not tried again.
+func TestLongAnswerBreaksOff(t *testing.T) {
+	for form, head := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf4240\r\n",
+	} {
+		n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if readRequest(r) != nil {
+				io.WriteString(c, head)
+				c.Write(pattern(300000))
+			}
+		}))
+		address := n.operate(t)
+		c := n.dial(t)
+		c.ask(t, "saldo", "q", "20")
+		resp, err := http.ReadResponse(c.read, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%s: %v", form, err)
+		}
+		if got, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("%s: %d bytes look like a whole answer", form, len(got))
+		}
+		figure(t, address, "app.results.saldo.aborted:1|c")
+		figure(t, address, "app.forwards:1|c")
+	}
+}
+
+// TestLongAnswerOutlivesItsTime: once it has begun, only a standstill ends it; and what has come is not held back.
+func TestLongAnswerOutlivesItsTime(t *testing.T) {
+	goOn := make(chan struct{})
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) != nil {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBody+10)
+			c.Write(make([]byte, maxBody))
+			<-goOn
+			c.Write(make([]byte, 10))
+		}
+	}))
+	c := n.dial(t)
+	c.ask(t, "saldo", "q", "60")
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, maxBody)); err != nil {
+		t.Fatalf("what has come is held back: %v", err)
+	}
+	ended := make(chan int, 1)
+	n.post(func() { // its time is over
+		attempts := n.requests["q"].attempts
+		for _, cancel := range attempts {
+			cancel()
+		}
+		ended <- len(attempts)
+	})
+	if k := wait(t, ended, "the loop"); k != 1 {
+		t.Errorf("%d attempts", k)
+	}
+	close(goOn)
+	if b, err := io.ReadAll(resp.Body); err != nil || len(b) != 10 {
+		t.Errorf("the rest: %d bytes, %v", len(b), err)
+	}
+}
+
+// TestSlowReaderHoldsItsServerBack: little of a long answer is in the node, however long it is.
+func TestSlowReaderHoldsItsServerBack(t *testing.T) {
+	stuck := make(chan bool, 1)
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) == nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxLarge)
+		body := pattern(maxLarge)
+		for len(body) > 0 {
+			c.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+			k, err := c.Write(body)
+			if body = body[k:]; err != nil {
+				select {
+				case stuck <- true:
+				default:
+				}
+			}
+		}
+	}))
+	c := n.dial(t)
+	c.ask(t, "saldo", "q", "20")
+	wait(t, stuck, "the server to be held back")
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := sha256.New()
+	if k, err := io.Copy(h, resp.Body); err != nil || k != maxLarge {
+		t.Errorf("%d bytes, %v", k, err)
+	}
+	if got := fmt.Sprintf("%d %x", maxLarge, h.Sum(nil)); got != digest(pattern(maxLarge)) {
+		t.Error("the bytes are others")
+	}
+}
--- /dev/null
+++ b/internal/node/upgrade_old.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/pause"
+)
+
+const mostLinks = 4 // processes that may be at the socket at a time
+
+// awaitSuccessor listens for a new process until this one has handed over or
+// ctx ends.
+func (n *Node) awaitSuccessor(ctx context.Context) {
+	os.Remove(n.meeting) // of a process that has ended
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "unix", n.meeting)
+	if err != nil {
+		n.log.Error("no new process can take over", "err", err)
+		return
+	}
+	u := ln.(*net.UnixListener)
+	u.SetUnlinkOnClose(false) // the next process may listen there by then
+	stop := context.AfterFunc(ctx, func() { u.Close() })
+	defer stop()
+	links := make(chan struct{}, mostLinks)
+	for {
+		c, err := u.AcceptUnix()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || !pause.For(ctx, shortWait) {
+				return
+			}
+			continue
+		}
+		select {
+		case links <- struct{}{}:
+			go func() {
+				defer func() { <-links }()
+				n.handOver(newLink(c), u)
+			}()
+		default:
+			c.Close()
+		}
+	}
+}
+
+// handOver serves one new process.
+func (n *Node) handOver(l *link, meeting io.Closer) {
+	defer l.close()
+	m, err := l.next(time.Now().Add(helloTime))
+	if err != nil || m.Kind != kindHello || m.Version != handoverVersion {
+		n.log.Warn("not a new process", "says", m.Kind, "version", m.Version, "err", err)
+		return
+	}
+	if !n.join(l, true) {
+		l.say(message{Kind: kindRefused}, -1)
+		return
+	}
+	defer n.leave(l)
+	if !n.do(func() { m = n.known() }) || l.say(m, -1) != nil {
+		return
+	}
+	n.log.Info("a new process is here")
+	n.attend(l, func(m message) {
+		if m.Kind != kindReady || n.front.handed.Swap(true) {
+			return
+		}
+		n.log.Info("handing over")
+		meeting.Close()
+		n.front.stopAccepting()
+		n.do(func() { n.handle(decide.HandedOver{}) })
+		n.peers.Load().handOver(func(fd int) {
+			if err := l.say(message{Kind: kindYours}, fd); err != nil {
+				n.log.Warn("handing over", "err", err)
+			}
+		})
+	})
+}
+
+// known is what a new process is told.
+func (n *Node) known() message {
+	learned := n.module.Learned(n.now())
+	m := message{Version: handoverVersion, Kind: kindState, Learned: &learned, Names: map[string]decide.ServerID{}}
+	for _, s := range learned.Servers {
+		m.Names[n.ids.byID[s.ID]] = s.ID
+	}
+	m.Bans = slices.Sorted(maps.Keys(n.banned))
+	return m
+}
--- /dev/null
+++ b/internal/node/upload_test.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const postHead = "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: pagar\r\nX-Deadline: 20\r\n"
+
+// TestLongRequests come out as they went in, of stated length and in chunks.
+func TestLongRequests(t *testing.T) {
+	n := startNode(t, digests(t))
+	for _, size := range []int{0, 1, smallBody, smallBody + 1, maxBody - 1, maxBody, maxBody + 1, 300000, maxLarge} {
+		body := pattern(size)
+		for _, chunked := range []bool{false, true} {
+			var sent io.Reader = bytes.NewReader(body)
+			if chunked {
+				sent = struct{ io.Reader }{sent}
+			}
+			a := do(t, n.request(t, "POST", "pagar", "q", "20", sent))
+			if a.status != 200 || a.body != digest(body) {
+				t.Errorf("%d bytes, in chunks %v: %d %q, want %q", size, chunked, a.status, a.body, digest(body))
+			}
+		}
+	}
+	if left := len(n.front.room); left != 0 {
+		t.Errorf("%d are still held", left)
+	}
+}
+
+// TestTooLongRequests are told so, as soon as that is known, and reach no server whole.
+func TestTooLongRequests(t *testing.T) {
+	n := startNode(t, digests(t))
+	c := n.dial(t)
+	fmt.Fprintf(c, postHead+"Content-Length: %d\r\n\r\n", "q", maxLarge+1)
+	if s := c.status(t); s != http.StatusRequestEntityTooLarge {
+		t.Errorf("answer %d, want 413", s)
+	}
+	c = n.dial(t)
+	fmt.Fprintf(c, postHead+"Transfer-Encoding: chunked\r\n\r\n%x\r\n", "q", maxLarge+2)
+	go c.Write(make([]byte, maxLarge+1))
+	if resp, err := http.ReadResponse(c.read, nil); err == nil && resp.StatusCode < 400 {
+		t.Errorf("in chunks: %s", resp.Status)
+	}
+}
+
+// TestClientBreaksOffUpload: no server gets a whole request, none is blamed, and nothing is left.
+func TestClientBreaksOffUpload(t *testing.T) {
+	got, broken := make(chan bool, 1), make(chan error, 1)
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		got <- true
+		_, err = io.Copy(io.Discard, req.Body)
+		broken <- err
+	}))
+	address := n.operate(t)
+	for _, framing := range []string{"Content-Length: 1000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nf4240\r\n"} {
+		c := n.dial(t)
+		fmt.Fprintf(c, postHead+framing, "q")
+		c.Write(make([]byte, 200000))
+		wait(t, got, "the head")
+		c.Close()
+		if err := wait(t, broken, "the body's end"); err == nil {
+			t.Errorf("%s: a whole request came", framing)
+		}
+		figure(t, address, "app.outstanding:0|g")
+	}
+	figure(t, address, "app.ejected:0|g")
+	for until := time.Now().Add(enough); ; time.Sleep(time.Millisecond) {
+		left := make(chan int, 1)
+		n.post(func() { left <- len(n.requests) })
+		if <-left == 0 && len(n.front.room) == 0 {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatal("something is left behind")
+		}
+	}
+}
+
+// TestUploadIsTurnedAway: a server that has no room says so ahead of the body's end. The request never ran, and its client
+// is told that another try does no harm, though it is still sending.
+func TestUploadIsTurnedAway(t *testing.T) {
+	for name, says := range map[string]string{
+		"turned away": "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"gone":        "",
+	} {
+		n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if req, err := http.ReadRequest(r); err == nil {
+				io.CopyN(io.Discard, req.Body, maxBody+50000)
+				io.WriteString(c, says)
+			}
+		}))
+		c := n.dial(t)
+		fmt.Fprintf(c, postHead+"Content-Length: 1000000\r\n\r\n", "q")
+		c.Write(make([]byte, 200000))
+		if s := c.status(t); s != http.StatusServiceUnavailable {
+			t.Errorf("%s: answer %d, want a refusal", name, s)
+		}
+	}
+}
+
+// TestRefusedClientMaySendOn: one that reads no answer before it has sent its body is not cut off; the refusal waits for it,
+// and counts from when it was given.
+func TestRefusedClientMaySendOn(t *testing.T) {
+	n := startNode(t, refusing(t))
+	address := n.operate(t)
+	c := n.dial(t)
+	fmt.Fprintf(c, postHead+"Content-Length: 30000000\r\n\r\n", "q")
+	for sent := 0; sent < 30000000; sent += 100000 {
+		if _, err := c.Write(make([]byte, 100000)); err != nil {
+			t.Fatalf("cut off after %d bytes: %v", sent, err)
+		}
+		if sent == 200000 {
+			figure(t, address, "app.results.pagar.declined:1|c")
+			time.Sleep(700 * time.Millisecond) // over the time that net/http gives a client it has told to close
+		}
+	}
+	if s := c.status(t); s != http.StatusServiceUnavailable {
+		t.Errorf("answer %d, want a refusal", s)
+	}
+}
+
+// TestKeptUploadIsTriedAgain where no connection could be made: nothing has been taken from its client yet.
+func TestKeptUploadIsTriedAgain(t *testing.T) {
+	n := startNode(t, refusing(t), digests(t))
+	body := pattern(500000)
+	for i := range 10 {
+		a := do(t, n.request(t, "POST", "pagar", fmt.Sprint("q", i), "20", bytes.NewReader(body)))
+		if a.status != 200 || a.body != digest(body) {
+			t.Fatalf("%d %q", a.status, a.body)
+		}
+	}
+}
+
+// TestUploadsTimeRunsFromItsLastByte, at the node as in the module, and only then does it count as taken.
+func TestUploadsTimeRunsFromItsLastByte(t *testing.T) {
+	came, hold := make(chan bool, 1), make(chan struct{})
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if req, err := http.ReadRequest(r); err == nil {
+			came <- true
+			io.Copy(io.Discard, req.Body)
+			came <- true
+			<-hold
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	address := n.operate(t)
+	c := n.dial(t)
+	body := pattern(200000)
+	fmt.Fprintf(c, strings.Replace(postHead, "20", "60", 1)+"Content-Length: %d\r\n\r\n", "q", len(body))
+	c.Write(body[:150000])
+	wait(t, came, "its head")
+	figure(t, address, "app.outstanding:0|g")
+	before := time.Now()
+	c.Write(body[150000:])
+	wait(t, came, "its end")
+	figure(t, address, "app.outstanding:1|g")
+	deadline := make(chan time.Time, 1)
+	n.post(func() { deadline <- n.requests["q"].deadline })
+	if at := wait(t, deadline, "the loop"); at.Before(before.Add(time.Minute - answerMargin)) {
+		t.Error("its time runs from before its last byte")
+	}
+	close(hold)
+	if s := c.status(t); s != 200 {
+		t.Errorf("answer %d", s)
+	}
+	figure(t, address, "app.results.pagar.succeeded:1|c")
+	figure(t, address, "app.outstanding:0|g")
+}
+
+// TestPipelinedBehindLong: what follows a long request on its connection is a request of its own.
+func TestPipelinedBehindLong(t *testing.T) {
+	n := startNode(t, digests(t))
+	c := n.dial(t)
+	body := pattern(150000)
+	var all bytes.Buffer
+	for i := range 3 {
+		fmt.Fprintf(&all, postHead+"Content-Length: %d\r\n\r\n%s", fmt.Sprint("q", i), len(body), body)
+	}
+	go c.Write(all.Bytes())
+	for i := range 3 {
+		resp, err := http.ReadResponse(c.read, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		if b, err := io.ReadAll(resp.Body); err != nil || string(b) != digest(body) {
+			t.Errorf("answer %d: %q, %v", i, b, err)
+		}
+	}
+}
