Keep an upload that has run from being told that it never ran

With a stated length net/http reads on past the body's end before it says that all is written. If the server's answer came first, the exchange closed the upload under that read, took 'read/write on closed pipe' for a break ahead of the last byte, and the client heard that another try does no harm. For a class whose repeat does harm that is a second run.

--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -66,8 +66,13 @@
 
 // request is the same for a long request, which goes out as it comes.
 func (o *outbound) request(wait time.Duration) *http.Request {
+	body := io.MultiReader(bytes.NewReader(o.body), o.rest)
+	if o.rest.length >= 0 {
+		// Writing reads on past a stated length. The answer may be here by then, and the upload closed.
+		body = io.LimitReader(body, o.rest.length)
+	}
 	r := &http.Request{Method: o.method, URL: o.url, Host: o.host, Header: o.header.Clone(),
-		Body: io.NopCloser(io.MultiReader(bytes.NewReader(o.body), o.rest)), ContentLength: o.rest.length}
+		Body: io.NopCloser(body), ContentLength: o.rest.length}
 	r.Header.Set(deadlineHeader, strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = nil // none was sent, none is made up
--- a/internal/node/outbound_test.go
+++ b/internal/node/outbound_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 )
@@ -34,3 +36,18 @@
 		}
 	}
 }
+
+// TestAnswerAheadOfTheUploadsEnd: the server has the last byte, and may answer before the node hears that there are no more.
+func TestAnswerAheadOfTheUploadsEnd(t *testing.T) {
+	read, write := io.Pipe()
+	go func() {
+		io.WriteString(write, "cdef")
+		read.Close() // as the answer's coming does
+	}()
+	o := outbound{method: "POST", url: &url.URL{Path: "/api"}, host: "app.svc", body: []byte("ab"), rest: &upload{length: 6, pipe: read},
+		header: http.Header{}}
+	var sent strings.Builder
+	if err := o.request(time.Second).Write(&sent); err != nil || !strings.HasSuffix(sent.String(), "\r\n\r\nabcdef") {
+		t.Errorf("%q, %v", sent.String(), err)
+	}
+}
