Give clients' connections a package that does not know the node

internal/node/accept holds what a client's connection passes ahead of the HTTP server: the bound on their number, the idle one that gives way, the framing that lets no head of ambiguous length through, and the socket that the platform hands down. Its face is Limit, Note, Outlive, Began, Inherited and MaxHead; of the node it needs nothing. The code is as it was, but for names and for the least time that Outlive takes as an argument.

The pool of connections to servers stays in the node's package: its exchange shares uploads, streams and the bound on long messages with the front, so a package of its own would need some thirty names out in the open.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"indigotack/internal/node"
+	"indigotack/internal/node/accept"
 )
 
 func main() {
@@ -75,7 +76,7 @@
 // one where there is none that can be used.
 func listen(inherited, address string, log *slog.Logger) (net.Listener, error) {
 	if inherited != "" {
-		ln, err := node.InheritedListener(inherited)
+		ln, err := accept.Inherited(inherited)
 		if err == nil {
 			return ln, nil
 		}
--- a/internal/node/framing.go
+++ b/internal/node/accept/framing.go
@@ -1,4 +1,4 @@
-package node
+package accept
 
 import (
 	"bytes"
@@ -7,6 +7,9 @@
 	"strings"
 )
 
+// MaxHead is the most bytes of a request's head; the HTTP server must have the same.
+const MaxHead = 16 << 10
+
 // errFraming makes the HTTP server answer 400 and close.
 var errFraming = errors.New("the request's length is ambiguous")
 
@@ -60,7 +63,7 @@
 
 // keep holds a line to the size of a head: the server refuses a longer one.
 func (f *framing) keep(p []byte) {
-	f.line = append(f.line, p[:min(len(p), maxHead-len(f.line))]...)
+	f.line = append(f.line, p[:min(len(p), MaxHead-len(f.line))]...)
 }
 
 // endLine tells whether the head is whole.
--- a/internal/node/listener.go
+++ b/internal/node/accept/listener.go
@@ -1,23 +1,24 @@
-package node
+// Package accept is what clients' connections pass ahead of the HTTP server:
+// they are bounded in number, and nothing of ambiguous length gets through.
+package accept
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"indigotack/internal/pause"
 )
 
-// limited holds accepted connections to a number, so that clients leave
+// outliveStep is the time between two looks at connections that are to end.
+const outliveStep = 50 * time.Millisecond
+
+// Listener holds accepted connections to a number, so that clients leave
 // descriptors for the servers.
-type limited struct {
+type Listener struct {
 	net.Listener
 	slots chan struct{}
 
@@ -25,14 +26,15 @@
 	idle map[net.Conn]time.Time // since when
 }
 
-func limitListener(ln net.Listener, most int) *limited {
-	return &limited{Listener: ln, slots: make(chan struct{}, most), idle: map[net.Conn]time.Time{}}
+// Limit has ln accept most connections at a time.
+func Limit(ln net.Listener, most int) *Listener {
+	return &Listener{Listener: ln, slots: make(chan struct{}, most), idle: map[net.Conn]time.Time{}}
 }
 
 // Accept makes room by closing the connection that has been idle longest:
 // clients that keep connections without using them must not shut out others.
 // With none idle, those that come wait in the listener's queue.
-func (l *limited) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	select {
 	case l.slots <- struct{}{}:
 	default:
@@ -44,13 +46,13 @@
 		<-l.slots
 		return nil, err
 	}
-	lc := &limitedConn{Conn: c, free: sync.OnceFunc(func() { <-l.slots })}
+	lc := &Conn{Conn: c, free: sync.OnceFunc(func() { <-l.slots })}
 	lc.began.Store(time.Now().UnixNano())
 	return lc, nil
 }
 
-// note follows which connections are idle, for http.Server's ConnState.
-func (l *limited) note(c net.Conn, s http.ConnState) {
+// Note follows which connections are idle, for http.Server's ConnState.
+func (l *Listener) Note(c net.Conn, s http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s == http.StateIdle {
@@ -60,14 +62,14 @@
 	}
 }
 
-// outlive returns when ctx ends, or all connections have for some time.
-func (l *limited) outlive(ctx context.Context) {
-	for ok := pause.For(ctx, outliveLeast); ok && len(l.slots) > 0; {
-		ok = pause.For(ctx, shortWait)
+// Outlive returns when ctx ends, or all connections have and the least time is over.
+func (l *Listener) Outlive(ctx context.Context, least time.Duration) {
+	for ok := pause.For(ctx, least); ok && len(l.slots) > 0; {
+		ok = pause.For(ctx, outliveStep)
 	}
 }
 
-func (l *limited) evict() {
+func (l *Listener) evict() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var oldest net.Conn
@@ -82,7 +84,8 @@
 	}
 }
 
-type limitedConn struct {
+// Conn is a client's connection.
+type Conn struct {
 	net.Conn
 	began   atomic.Int64 // when the request under way did, or the connection
 	free    func()
@@ -95,7 +98,7 @@
 // of a request: beside a handler the server reads one byte ahead, and an error
 // in what comes behind a request must not end the request. The server never
 // has two reads at a time.
-func (c *limitedConn) Read(p []byte) (n int, err error) {
+func (c *Conn) Read(p []byte) (n int, err error) {
 	if c.framing.err != nil {
 		return 0, c.framing.err
 	}
@@ -119,25 +122,12 @@
 	return passed, nil
 }
 
-func (c *limitedConn) Close() error {
+// Began is when the first byte of the request under way came, or the connection.
+func (c *Conn) Began() time.Time { return time.Unix(0, c.began.Load()) }
+
+// Close gives the connection's place to another.
+func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.free()
 	return err
 }
-
-// InheritedListener gives the clients' socket that the platform holds, whose
-// descriptor the environment names. It is shared with other processes: it may
-// be closed, but never shut down.
-func InheritedListener(number string) (net.Listener, error) {
-	fd, err := strconv.Atoi(number)
-	if err != nil || fd < 0 {
-		return nil, fmt.Errorf("%q is no descriptor", number)
-	}
-	syscall.CloseOnExec(fd)
-	f := os.NewFile(uintptr(fd), "clients")
-	if f == nil {
-		return nil, fmt.Errorf("descriptor %d can't be used", fd)
-	}
-	defer f.Close()
-	return net.FileListener(f)
-}
--- a/internal/node/listener_test.go
+++ b/internal/node/accept/listener_test.go
@@ -1,4 +1,4 @@
-package node
+package accept
 
 import (
 	"bufio"
@@ -15,10 +15,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := limitListener(ln, 2)
+	l := Limit(ln, 2)
 	idle := make(chan struct{}, 10)
 	srv := &http.Server{Handler: http.NotFoundHandler(), ConnState: func(c net.Conn, s http.ConnState) {
-		l.note(c, s)
+		l.Note(c, s)
 		if s == http.StateIdle {
 			idle <- struct{}{}
 		}
@@ -32,14 +32,18 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		c.SetDeadline(time.Now().Add(enough))
+		c.SetDeadline(time.Now().Add(30 * time.Second))
 		io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
 			t.Fatalf("connection %d: %v", i, err)
 		} else {
 			resp.Body.Close()
 		}
-		wait(t, idle, "the connection to be idle")
+		select {
+		case <-idle:
+		case <-time.After(30 * time.Second):
+			t.Fatal("the connection does not get idle")
+		}
 		conns = append(conns, c)
 	}
 	if _, err := io.ReadAll(conns[0]); err != nil {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"indigotack/internal/node/accept"
 )
 
 const (
@@ -18,8 +20,8 @@
 // close; at last it finishes what is open.
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := f.server()
-	limited := limitListener(ln, f.most)
-	srv.ConnState = limited.note
+	limited := accept.Limit(ln, f.most)
+	srv.ConnState = limited.Note
 	failed := make(chan error, 1)
 	f.open.Store(true)
 	go func() { failed <- srv.Serve(limited) }()
@@ -37,7 +39,7 @@
 		if !f.handed.Load() {
 			return fmt.Errorf("serving clients: %w", err)
 		}
-		limited.outlive(ctx)
+		limited.Outlive(ctx, outliveLeast)
 	case <-ctx.Done():
 	}
 	if f.draining.Store(true); ctx.Err() != nil {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/node/accept"
 )
 
 const (
@@ -43,7 +44,7 @@
 
 func (f *frontend) server() *http.Server {
 	return &http.Server{Handler: f, ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
-		MaxHeaderBytes: maxHead, DisableGeneralOptionsHandler: true, // all requests pass ServeHTTP
+		MaxHeaderBytes: accept.MaxHead, DisableGeneralOptionsHandler: true, // all requests pass ServeHTTP
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"indigotack/internal/node/accept"
 )
 
 const (
@@ -31,8 +33,8 @@
 func newBodyReader(w http.ResponseWriter, r *http.Request) *bodyReader {
 	now := time.Now()
 	b := &bodyReader{body: r.Body, control: http.NewResponseController(w), began: now, head: now, returned: now}
-	if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
-		b.began = time.Unix(0, c.began.Load())
+	if c, ok := r.Context().Value(connKey{}).(*accept.Conn); ok {
+		b.began = c.Began()
 	}
 	return b
 }
