--- /dev/null
+++ b/internal/wire/event.go
@@ -0,0 +1,157 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"indigotack/decide"
+)
+
+func decodeEvent(name string, raw json.RawMessage) (Happening, error) {
+	switch name {
+	case "submit":
+		var e struct {
+			Req      *string `json:"req"`
+			Band     string  `json:"band"`
+			Group    any     `json:"user_group"`
+			Key      string  `json:"partition_key"`
+			Patience *int64  `json:"patience_left_ns"`
+			Cost     int64   `json:"cost_guess_ns"`
+			Flags    int     `json:"flags"`
+		}
+		if err := json.Unmarshal(raw, &e); err != nil {
+			return Happening{}, err
+		}
+		if e.Req == nil {
+			return Happening{}, missing("req")
+		}
+		if e.Patience == nil {
+			return Happening{}, missing("patience_left_ns")
+		}
+		tenant, _ := e.Group.(string)
+		return Happening{Event: decide.RequestArrived{ID: decide.RequestID(*e.Req), Class: e.Band, Tenant: tenant,
+			Key: e.Key, Patience: time.Duration(*e.Patience), WorkHint: time.Duration(e.Cost),
+			HasHint: e.Flags&flagHint != 0, Repeat: e.Flags&flagRepeat != 0, Write: e.Flags&flagWrite != 0}}, nil
+	case "attempt_end", "probe_result", "streaming":
+		return decodeOutcome(name, raw)
+	case "due":
+		var e struct {
+			Label *int64 `json:"label"`
+		}
+		if err := json.Unmarshal(raw, &e); err != nil {
+			return Happening{}, err
+		}
+		if e.Label == nil {
+			return Happening{}, missing("label")
+		}
+		return Happening{Event: decide.TimerFired{Token: *e.Label}}, nil
+	case "abandoned":
+		var e struct {
+			Req *string `json:"req"`
+		}
+		if err := json.Unmarshal(raw, &e); err != nil {
+			return Happening{}, err
+		}
+		if e.Req == nil {
+			return Happening{}, missing("req")
+		}
+		return Happening{Event: decide.RequestAbandoned{ID: decide.RequestID(*e.Req)}}, nil
+	case "note_from":
+		var e struct {
+			From  *int   `json:"from"`
+			Bytes []byte `json:"bytes"`
+		}
+		if err := json.Unmarshal(raw, &e); err != nil {
+			return Happening{}, err
+		}
+		if e.From == nil {
+			return Happening{}, missing("from")
+		}
+		return Happening{Event: decide.MessageReceived{From: *e.From, Data: e.Bytes}}, nil
+	case "roster_change":
+		return decodeList(raw)
+	case "up":
+		return decodeStart(raw)
+	case "retire":
+		return Happening{Retire: true}, nil
+	}
+	return Happening{}, errors.New("unknown event")
+}
+
+func decodeOutcome(name string, raw json.RawMessage) (Happening, error) {
+	var e struct {
+		Req         *string                    `json:"req"`
+		Leg         *int                       `json:"leg"`
+		Backend     *uint32                    `json:"backend"`
+		Over        bool                       `json:"over"`
+		Delay       int64                      `json:"delay_seen_ns"`
+		Disposition *int                       `json:"disposition"`
+		Feedback    map[string]json.RawMessage `json:"feedback"`
+	}
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return Happening{}, err
+	}
+	if e.Backend == nil {
+		return Happening{}, missing("backend")
+	}
+	server, took := decide.ServerID(*e.Backend), time.Duration(e.Delay)
+	var id decide.RequestID
+	if name != "probe_result" {
+		if e.Req == nil {
+			return Happening{}, missing("req")
+		}
+		if e.Leg == nil {
+			return Happening{}, missing("leg")
+		}
+		id = decide.RequestID(*e.Req)
+	}
+	if name == "streaming" {
+		return Happening{Event: decide.StreamStarted{ID: id, Attempt: *e.Leg, Server: server, Elapsed: took}}, nil
+	}
+	if e.Disposition == nil {
+		return Happening{}, missing("disposition")
+	}
+	code, ok := outcomes[*e.Disposition]
+	if !ok {
+		return Happening{}, fmt.Errorf("unknown disposition %d", *e.Disposition)
+	}
+	report := decodeReport(e.Feedback)
+	if name == "probe_result" {
+		return Happening{Event: decide.ProbeEnded{Server: server, Code: code, Elapsed: took, Report: report}}, nil
+	}
+	return Happening{Event: decide.AttemptEnded{ID: id, Attempt: *e.Leg, Server: server, Over: e.Over,
+		Elapsed: took, Code: code, Report: report}}, nil
+}
+
+func decodeStart(raw json.RawMessage) (Happening, error) {
+	var e struct {
+		Seed    *json.Number    `json:"seed"`
+		Profile json.RawMessage `json:"profile_data"`
+	}
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return Happening{}, err
+	}
+	if e.Seed == nil {
+		return Happening{}, missing("seed")
+	}
+	if e.Profile == nil {
+		return Happening{}, missing("profile_data")
+	}
+	seed, err := strconv.ParseUint(e.Seed.String(), 10, 64)
+	if err != nil {
+		f, ferr := e.Seed.Float64()
+		if ferr != nil {
+			return Happening{}, fmt.Errorf("seed: %w", err)
+		}
+		seed = math.Float64bits(f)
+	}
+	s, err := DecodeSettings(e.Profile)
+	if err != nil {
+		return Happening{}, err
+	}
+	return Happening{Start: &Start{Settings: s, Seed: int64(seed)}}, nil
+}
--- /dev/null
+++ b/internal/wire/list.go
@@ -0,0 +1,55 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"indigotack/decide"
+)
+
+type entry struct {
+	Backend *uint32 `json:"backend"`
+	Zone    string  `json:"zone"`
+	Model   string  `json:"model"`
+	Pod     int     `json:"pod"`
+	State   string  `json:"state"`
+	Nominal float64 `json:"nominal"`
+	ReadyAt int64   `json:"ready_at_ns"`
+}
+
+var listKinds = map[string]decide.ListKind{
+	"D": decide.ListChanges, "F": decide.ListFull, "C": decide.ListCached, "X": decide.ListFailed,
+}
+
+var states = map[string]decide.ServerState{
+	"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone,
+}
+
+func decodeList(raw json.RawMessage) (Happening, error) {
+	var e struct {
+		How     string  `json:"how"`
+		Version uint64  `json:"version"`
+		Items   []entry `json:"items"`
+	}
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return Happening{}, err
+	}
+	kind, ok := listKinds[e.How]
+	if !ok {
+		return Happening{}, fmt.Errorf("unknown how %q", e.How)
+	}
+	l := decide.ListUpdate{Kind: kind, Version: e.Version}
+	for i, it := range e.Items {
+		if it.Backend == nil {
+			return Happening{}, fmt.Errorf("entry %d: %w", i, missing("backend"))
+		}
+		state, ok := states[it.State]
+		if !ok {
+			return Happening{}, fmt.Errorf("entry %d: unknown state %q", i, it.State)
+		}
+		l.Entries = append(l.Entries, decide.Server{ID: decide.ServerID(*it.Backend), Zone: it.Zone, Kind: it.Model,
+			Cell: it.Pod, State: state, Size: it.Nominal, StartedAt: time.Duration(it.ReadyAt)})
+	}
+	return Happening{Event: l}, nil
+}
