Tell a newcomer what the node needs, and all that is wrong with its configuration

Keys and types come from the form that the start reads, by reflection, so there is no second list of them. Unknown arguments are turned down; with none, a start is as before.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -1,6 +1,7 @@
 // Command indigotack is one load-balancing proxy node. It reads the file that
 // GW_CONFIG names, and reads it again on SIGHUP. It serves until SIGTERM or
-// SIGINT, finishes what is open and exits with 0.
+// SIGINT, finishes what is open and exits with 0. --check says what is wrong
+// with such a file, and --help what it is made of.
 package main
 
 import (
@@ -31,6 +32,9 @@
 	hup := make(chan os.Signal, 16) // before all else, as an unheard SIGHUP ends a process
 	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv("GW_CONFIG")
+	if over, err := arguments(os.Args[1:], path, os.Stdout, os.Stderr); over {
+		return err
+	}
 	cfg, err := node.LoadConfig(path)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/indigotack/usage.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	_ "embed"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+
+	"indigotack/internal/node"
+)
+
+//go:embed example.json
+var example string
+
+const usage = `indigotack is one load-balancing proxy node.
+
+  GW_CONFIG=FILE indigotack   serve with the configuration FILE until SIGTERM; SIGHUP reads it again
+  indigotack --check FILE     say all that is wrong with FILE, and start nothing; status 1 if anything is
+  indigotack --help           this
+
+Keys of the file, which is JSON; those of no meaning are passed over:
+
+  listen          host:port for clients                                            needed
+  discovery       host:port that tells the list of servers, as indigolist does     needed, or list
+  list            [host:port, ...] of the list service's replicas, in its place
+  list_file       where that list is kept for the next start
+  seed            a number in base 16, for the node's draws                        needed
+  settings        classes, attempts, times, limits of the rules                    needed, may be {}
+    .classes      name, effect (retryable, dedup, fragile), aim_ns, give_up_ns
+    .caps         max_attempts, connect_timeout_ns, peers, ...
+  name            of the node, in its log
+  control         host:port for operators: health, figures, maintenance ($GW_CONTROL wins)
+  fence_folder    where fences of maintenance calls are kept
+  backend_stats   true: figures of each server
+  limits          memory_mb, sockets
+  peer_listen     host:port for other nodes' datagrams
+  peers           [host:port, ...] of all nodes, by their numbers
+  known           the list of servers as it was last, to begin with
+
+GW_ACCEPT_FD names a descriptor that is the clients' socket already, for upgrades without a gap.
+
+An example that works as it is, with a server at port 9000 (python3 -m http.server 9000 will do):
+
+`
+
+const next = `
+Save it as node.json, then
+
+  indigotack --check node.json
+  GW_CONFIG=node.json indigotack &
+  curl -sf http://127.0.0.1:10250/healthcheck
+  curl -H 'X-Request-Id: 1' -H 'X-Class: read' -H 'X-Deadline: 2' http://127.0.0.1:8080/
+
+What operators call, and what they see: docs/on-call.md.
+`
+
+// errUsage says that the arguments were none that there are, which has been told.
+var errUsage = errors.New("indigotack --help says what it needs")
+
+// arguments carries out what the command line asks for beside serving, and
+// tells whether that is all.
+func arguments(args []string, config string, out, problems io.Writer) (over bool, err error) {
+	flags := flag.NewFlagSet("indigotack", flag.ContinueOnError)
+	flags.SetOutput(io.Discard) // the error is enough
+	check := flags.String("check", "", "")
+	switch err := flags.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		fmt.Fprint(out, usage, example, next)
+		return true, nil
+	case err != nil:
+		return true, fmt.Errorf("%w; %w", err, errUsage)
+	case flags.NArg() > 0:
+		return true, fmt.Errorf("%q is no argument; %w", flags.Arg(0), errUsage)
+	case flags.NFlag() > 0:
+		return true, checkFile(*check, out)
+	case config == "":
+		fmt.Fprint(problems, usage, example, next)
+		return true, errors.New("GW_CONFIG names no configuration")
+	}
+	return false, nil
+}
+
+// checkFile writes a line for all that is wrong with a file, or worth a note.
+func checkFile(path string, out io.Writer) error {
+	problems, notes := node.CheckConfig(path)
+	for _, p := range problems {
+		fmt.Fprintln(out, "wrong:", p)
+	}
+	for _, n := range notes {
+		fmt.Fprintln(out, "note:", n)
+	}
+	if len(problems) > 0 {
+		return fmt.Errorf("%s: %d found wrong", path, len(problems))
+	}
+	fmt.Fprintln(out, path+": good")
+	return nil
+}
--- /dev/null
+++ b/internal/node/check_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+)
+
+// spoil changes one drawn value of a file, or takes its key away.
+func spoil(r *rand.Rand, value any) any {
+	others := []any{nil, true, -1.0, 1e300, 2.5, "", "odd", "127.0.0.1:1", []any{}, []any{1.0}, map[string]any{}, map[string]any{"odd": 1.0}}
+	switch v := value.(type) {
+	case map[string]any:
+		if len(v) > 0 && r.IntN(5) > 0 {
+			all := slices.Sorted(maps.Keys(v))
+			key := all[r.IntN(len(all))]
+			if v[key] = spoil(r, v[key]); r.IntN(10) == 0 {
+				delete(v, key)
+			}
+			return v
+		}
+	case []any:
+		if len(v) > 0 && r.IntN(5) > 0 {
+			i := r.IntN(len(v))
+			v[i] = spoil(r, v[i])
+			return v
+		}
+	}
+	return others[r.IntN(len(others))]
+}
+
+// TestCheckAgreesWithTheStart: whatever a file is like, a start that would fail is a problem, and a good one is none.
+func TestCheckAgreesWithTheStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	r := rand.New(rand.NewPCG(20, 2))
+	const files = 2000
+	good := 0
+	for i := range files {
+		var file any
+		if err := json.Unmarshal([]byte(goodConfig), &file); err != nil {
+			t.Fatal(err)
+		}
+		for range 1 + r.IntN(3) {
+			file = spoil(r, file)
+		}
+		raw, err := json.Marshal(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		problems, _ := CheckConfig(path)
+		if _, err = parseConfig(raw); (err == nil) != (len(problems) == 0) {
+			t.Fatalf("file %d: the start says %v, the check %q\n%s", i, err, problems, raw)
+		}
+		if err == nil {
+			good++
+		}
+	}
+	if good < files/20 || good > files*9/10 {
+		t.Errorf("%d good files of %d: the draws are no test", good, files)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -56,58 +55,65 @@
 	return c, nil
 }
 
+// form is the form of a configuration file.
+type form struct {
+	Name         string   `json:"name"`
+	Listen       string   `json:"listen"`
+	Discovery    string   `json:"discovery"`
+	List         []string `json:"list"`
+	ListFile     string   `json:"list_file"`
+	Control      string   `json:"control"`
+	Fences       string   `json:"fence_folder"`
+	BackendStats bool     `json:"backend_stats"`
+	Seed         string   `json:"seed"`
+	Limits       struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	Known      list.Answer     `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
 func parseConfig(raw []byte) (Config, error) {
-	var in struct {
-		Name         string   `json:"name"`
-		Listen       string   `json:"listen"`
-		Discovery    string   `json:"discovery"`
-		List         []string `json:"list"`
-		ListFile     string   `json:"list_file"`
-		Control      string   `json:"control"`
-		Fences       string   `json:"fence_folder"`
-		BackendStats bool     `json:"backend_stats"`
-		Seed         string   `json:"seed"`
-		Limits       struct {
-			MemoryMB int `json:"memory_mb"`
-			Sockets  int `json:"sockets"`
-		} `json:"limits"`
-		PeerListen string          `json:"peer_listen"`
-		Peers      []string        `json:"peers"`
-		Known      list.Answer     `json:"known"`
-		Settings   json.RawMessage `json:"settings"`
-	}
+	var in form
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return Config{}, err
 	}
-	if in.Settings == nil {
-		return Config{}, errors.New("settings are missing")
-	}
-	settings, err := wire.DecodeSettings(in.Settings)
-	if err != nil {
-		return Config{}, fmt.Errorf("settings: %w", err)
-	}
-	addresses := []struct{ key, value string }{{"listen", in.Listen}}
-	for _, a := range in.List {
-		addresses = append(addresses, struct{ key, value string }{"list", a})
+	c, problems := in.config()
+	if len(problems) > 0 {
+		return Config{}, problems[0]
 	}
-	if len(in.List) == 0 || in.Discovery != "" {
-		addresses = append(addresses, struct{ key, value string }{"discovery", in.Discovery})
+	c.file = decodeAny(raw)
+	return c, nil
+}
+
+// config makes what the node works with, and says all that is wrong.
+func (in *form) config() (c Config, problems []error) {
+	wrong := func(format string, args ...any) { problems = append(problems, fmt.Errorf(format, args...)) }
+	var settings decide.Settings
+	if in.Settings == nil {
+		wrong("settings are missing")
+	} else {
+		var all []error
+		settings, all = wire.ReadSettings(in.Settings)
+		for _, err := range all {
+			wrong("settings: %w", err)
+		}
 	}
-	for _, a := range addresses {
+	for _, a := range in.addresses() {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
-			return Config{}, fmt.Errorf("%s: %w", a.key, err)
+			wrong("%s: %w", a.key, err)
 		}
 	}
-	if _, _, err := net.SplitHostPort(in.Control); err != nil && in.Control != "" {
-		return Config{}, fmt.Errorf("control: %w", err)
-	}
 	seed, err := strconv.ParseUint(in.Seed, 16, 64)
 	if err != nil {
-		return Config{}, fmt.Errorf("seed: %w", err)
+		wrong("seed: %w", err)
 	}
-	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, Control: in.Control, Fences: in.Fences, BackendStats: in.BackendStats, Seed: int64(seed),
-		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known,
-		file: decodeAny(raw)}
+	c = Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, Control: in.Control,
+		Fences: in.Fences, BackendStats: in.BackendStats, Seed: int64(seed), MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
+		Settings: settings, known: in.Known}
 	if settings.MayMessage {
 		c.PeerListen = in.PeerListen
 		for _, peer := range in.Peers {
@@ -122,7 +128,24 @@
 		c.Sockets = defaultSockets
 	}
 	if c.Sockets < leastSockets {
-		return Config{}, fmt.Errorf("limits: %d sockets are too few, want %d or more", c.Sockets, leastSockets)
+		wrong("limits: %d sockets are too few, want %d or more", c.Sockets, leastSockets)
 	}
-	return c, nil
+	return c, problems
+}
+
+type keyed struct{ key, value string }
+
+// addresses gives those without which the node does not start.
+func (in *form) addresses() []keyed {
+	all := []keyed{{"listen", in.Listen}}
+	for _, a := range in.List {
+		all = append(all, keyed{"list", a})
+	}
+	if len(in.List) == 0 || in.Discovery != "" {
+		all = append(all, keyed{"discovery", in.Discovery})
+	}
+	if in.Control != "" {
+		all = append(all, keyed{"control", in.Control})
+	}
+	return all
 }
--- /dev/null
+++ b/internal/node/keys.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// keys finds which values of a file don't have the type of their key, and which
+// keys have no meaning.
+type keys struct{ problems, unknown []string }
+
+// check goes through what JSON has under path, which is to have the type of like.
+func (k *keys) check(path string, value, like any) { k.walk(path, value, reflect.TypeOf(like)) }
+
+func (k *keys) walk(path string, value any, t reflect.Type) {
+	_, raw := reflect.New(t).Interface().(*json.RawMessage)
+	switch {
+	case value == nil || raw: // null is as good as absent
+	case t.Kind() == reflect.Struct && !reflect.PointerTo(t).Implements(unmarshaler):
+		k.object(path, value, t)
+	case t.Kind() == reflect.Slice:
+		all, ok := value.([]any)
+		if !ok {
+			k.wrong(path, value, "a list")
+		}
+		for i, e := range all {
+			k.walk(fmt.Sprintf("%s.%d", path, i), e, t.Elem())
+		}
+	default:
+		text, err := json.Marshal(value)
+		if err == nil {
+			err = json.Unmarshal(text, reflect.New(t).Interface())
+		}
+		if err != nil {
+			k.wrong(path, value, kinds[t.Kind()])
+		}
+	}
+}
+
+func (k *keys) object(path string, value any, t reflect.Type) {
+	o, ok := value.(map[string]any)
+	if !ok {
+		k.wrong(path, value, "an object")
+		return
+	}
+	for _, key := range slices.Sorted(maps.Keys(o)) {
+		at := strings.TrimPrefix(path+"."+key, ".")
+		field, known := t.FieldByNameFunc(func(name string) bool {
+			f, _ := t.FieldByName(name)
+			return strings.EqualFold(f.Tag.Get("json"), key) // as encoding/json has it
+		})
+		if !known {
+			k.unknown = append(k.unknown, at+": no such key; it is passed over")
+			continue
+		}
+		k.walk(at, o[key], field.Type)
+	}
+}
+
+func (k *keys) wrong(path string, value any, want string) {
+	text, _ := json.Marshal(value) // it comes from JSON
+	if len(text) > 40 {
+		text = append(text[:40], "..."...)
+	}
+	k.problems = append(k.problems, strings.TrimPrefix(fmt.Sprintf("%s: want %s, have %s", path, want, text), ": "))
+}
+
+var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
+
+var kinds = map[reflect.Kind]string{reflect.String: "a string", reflect.Bool: "true or false", reflect.Int: "a whole number",
+	reflect.Int64: "a whole number", reflect.Float64: "a number", reflect.Struct: "an object"}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -34,100 +34,22 @@
 // DecodeSettings reads the settings of an instance, which the simulator and a
 // real node's configuration give in the same form.
 func DecodeSettings(raw json.RawMessage) (decide.Settings, error) {
-	var p *struct {
-		Accounts []struct {
-			Name     string  `json:"name"`
-			Quota    float64 `json:"quota_per_s"`
-			Fraction float64 `json:"fraction"`
-		} `json:"accounts"`
-		Balancers int `json:"balancers"`
-		Caps      struct {
-			Cancel         bool    `json:"cancel"`
-			ConnIdle       int64   `json:"conn_idle_ns"`
-			ConnectTimeout int64   `json:"connect_timeout_ns"`
-			CPUPerRequest  float64 `json:"cpu_us_per_request"`
-			CPUPerSecond   float64 `json:"cpu_us_per_s"`
-			MaxAttempts    int     `json:"max_attempts"`
-			MaxRetryAfter  int64   `json:"max_retry_after_ns"`
-			MayDuplicate   bool    `json:"may_duplicate"`
-			MostHeld       int     `json:"most_held"`
-			Multiplex      int     `json:"multiplex"`
-			Peers          bool    `json:"peers"`
-			Probes         bool    `json:"probes"`
-			RetryAfter     bool    `json:"retry_after"`
-		} `json:"caps"`
-		Charges struct {
-			Connection float64 `json:"connection"`
-			CrossZone  float64 `json:"cross_zone"`
-			Fleet      float64 `json:"fleet"`
-			Handshake  float64 `json:"handshake"`
-			LateFail   float64 `json:"late_fail"`
-			Lines      float64 `json:"membership_mode"`
-			Moves      float64 `json:"moves"`
-			Origin     float64 `json:"origin"`
-			Peer       float64 `json:"peer"`
-			Probe      float64 `json:"probe"`
-			Waste      float64 `json:"waste"`
-		} `json:"charges"`
-		Classes []struct {
-			AimStretch float64  `json:"aim_stretch"`
-			Aim        int64    `json:"aim_ns"`
-			AllowedOn  []string `json:"allowed_on"`
-			Dedup      int64    `json:"dedup_window_ns"`
-			Domains    []string `json:"failure_domains_open"`
-			Effect     string   `json:"effect"`
-			GiveUp     int64    `json:"give_up_ns"`
-			Importance float64  `json:"importance"`
-			KeyScope   string   `json:"key_scope"`
-			LateWorth  float64  `json:"late_worth"`
-			Name       string   `json:"name"`
-			Streamed   bool     `json:"streamed"`
-		} `json:"classes"`
-		Habits struct {
-			MarksRetry bool `json:"marks_retry"`
-		} `json:"client_habits"`
-		Domains []string `json:"failure_domains"`
-		Family  string   `json:"family"`
-		Goal    struct {
-			Whole       float64 `json:"whole"`
-			WorstClass  float64 `json:"worst_class"`
-			WorstTenant float64 `json:"worst_tenant"`
-			WorstWindow float64 `json:"worst_window"`
-		} `json:"goal"`
-		Kinds      []string `json:"kinds"`
-		Membership string   `json:"membership_mode"`
-		OverShare  float64  `json:"over_share_worth"`
-		Report     struct {
-			Fields []string `json:"fields"`
-			How    string   `json:"how"`
-		} `json:"report"`
-		Slot      int `json:"slot_no"`
-		Specifics struct {
-			PassesDeadline bool `json:"passes_deadline"`
-			WarmKeys       bool `json:"warm_keys"`
-		} `json:"specifics"`
-		Invariants struct {
-			AnswerSlack    int64   `json:"answer_slack_ns"`
-			AskWithin      int64   `json:"ask_within_ns"`
-			ColdFrom       float64 `json:"cold_from"`
-			Cold           int64   `json:"cold_ns"`
-			DrainClose     int64   `json:"drain_close_ns"`
-			DrainGrace     int64   `json:"drain_grace_ns"`
-			OverloadFactor float64 `json:"overload_factor"`
-			TipAfter       int64   `json:"tip_after_ns"`
-		} `json:"invariants"`
-		Tick       int64    `json:"tick_ns"`
-		Tier       int      `json:"tier"`
-		Tiers      []string `json:"tiers"`
-		WeightKind string   `json:"weight_kind"`
-		WorthBy    string   `json:"worth_by"`
-		Zone       string   `json:"zone"`
+	s, problems := ReadSettings(raw)
+	if len(problems) > 0 {
+		return decide.Settings{}, problems[0]
 	}
+	return s, nil
+}
+
+// ReadSettings is the same, and says all that is wrong with them; of values that
+// have a wrong type, the first.
+func ReadSettings(raw json.RawMessage) (s decide.Settings, problems []error) {
+	var p *SettingsForm
 	if err := json.Unmarshal(raw, &p); err != nil {
-		return decide.Settings{}, err
+		problems = append(problems, err)
 	}
 	if p == nil {
-		return decide.Settings{}, missing("settings")
+		return s, append(problems, missing("settings"))
 	}
 	for _, c := range []struct {
 		key, value string
@@ -139,10 +61,10 @@
 		{"worth_by", p.WorthBy, p.WorthBy == "request" || p.WorthBy == "work"},
 	} {
 		if c.value != "" && !c.known {
-			return decide.Settings{}, fmt.Errorf("unknown %s %q", c.key, c.value)
+			problems = append(problems, fmt.Errorf("unknown %s %q", c.key, c.value))
 		}
 	}
-	s := decide.Settings{Nodes: p.Balancers, Self: p.Slot, Zone: p.Zone, Zones: p.Domains, Kinds: p.Kinds,
+	s = decide.Settings{Nodes: p.Balancers, Self: p.Slot, Zone: p.Zone, Zones: p.Domains, Kinds: p.Kinds,
 		MaxAttempts: p.Caps.MaxAttempts, MayOverlap: p.Caps.MayDuplicate, MayCancel: p.Caps.Cancel,
 		MayProbe: p.Caps.Probes, MayMessage: p.Caps.Peers, HoldOffs: p.Caps.RetryAfter,
 		MaxHoldOff: time.Duration(p.Caps.MaxRetryAfter), MarksRepeats: p.Habits.MarksRetry,
@@ -168,11 +90,11 @@
 	for _, c := range p.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return decide.Settings{}, fmt.Errorf("class %s: unknown effect %q", c.Name, c.Effect)
+			problems = append(problems, fmt.Errorf("class %s: unknown effect %q", c.Name, c.Effect))
 		}
 		scope, ok := scopes[c.KeyScope]
 		if !ok && (c.KeyScope != "" || effect == decide.Keyed) {
-			return decide.Settings{}, fmt.Errorf("class %s: unknown key_scope %q", c.Name, c.KeyScope)
+			problems = append(problems, fmt.Errorf("class %s: unknown key_scope %q", c.Name, c.KeyScope))
 		}
 		s.Classes = append(s.Classes, decide.Class{Name: c.Name, Worth: c.Importance, Aim: time.Duration(c.Aim),
 			AimStretch: c.AimStretch, Deadline: time.Duration(c.GiveUp), LateWorth: c.LateWorth, Effect: effect,
@@ -182,5 +104,5 @@
 	for _, t := range p.Accounts {
 		s.Tenants = append(s.Tenants, decide.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Fraction})
 	}
-	return s, nil
+	return s, problems
 }
