Measure one request through the whole node, with its allocations

BenchmarkWhole sends requests over one kept connection through a real node to one server; client and server allocate nothing.

Processor time includes the client and the server. Run it with go test -run '^$' -bench Whole -benchtime 20000x ./internal/node

--- /dev/null
+++ b/internal/node/bench_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// skipHead reads a head and as many bytes of a body, without allocation.
+func skipHead(r *bufio.Reader, body int) error {
+	for {
+		line, err := r.ReadSlice('\n')
+		if len(line) == 2 {
+			_, err = r.Discard(body)
+			return err
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
+// benchNode is a node with one server, which takes bodies of one size, and a connection to the node.
+func benchNode(b *testing.B, body int) net.Conn {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { server.Close() })
+	go func() { // each ends with its connection
+		for c, err := server.Accept(); err == nil; c, err = server.Accept() {
+			go func() {
+				r := bufio.NewReader(c)
+				for says := []byte(okAnswer); skipHead(r, body) == nil; c.Write(says) {
+				}
+			}()
+		}
+	}()
+	disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if from := r.URL.Query().Get("from"); from == "0" || from == "" {
+			fmt.Fprintf(w, `{"index":1,"snapshot":true,"endpoints":[{"name":"s","address":%q,"zone":"a","type":"m2","status":"ready"}]}`, server.Addr())
+			return
+		}
+		<-r.Context().Done()
+	}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := New(testConfig(disc.Listener.Addr().String()), quiet)
+	n.front.linger = func() {}
+	go n.Run(ctx, ln)
+	b.Cleanup(func() { stop(); disc.CloseClientConnections(); disc.Close(); <-n.ended })
+	if !n.await(ctx, enough, n.told) {
+		b.Fatal("the node hears of no server")
+	}
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { c.Close() })
+	return c
+}
+
+// BenchmarkWhole is one request through the whole node, on kept connections. Processor time and the time waited include the
+// client's and the server's, which allocate nothing.
+func BenchmarkWhole(b *testing.B) {
+	const head = " /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: %s\r\nX-Deadline: 20\r\nContent-Length: %d\r\n\r\n"
+	for _, k := range []struct {
+		method, class string
+		body          int
+	}{{"GET", "saldo", 0}, {"POST", "pagar", 1000}} {
+		b.Run(k.method, func(b *testing.B) {
+			c := benchNode(b, k.body)
+			r, sent := bufio.NewReader(c), []byte(k.method+fmt.Sprintf(head, k.class, k.body)+strings.Repeat("x", k.body))
+			b.ReportAllocs()
+			var before, after syscall.Rusage
+			syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+			for b.Loop() {
+				if _, err := c.Write(sent); err != nil {
+					b.Fatal(err)
+				}
+				if first, err := r.Peek(12); err != nil || string(first) != "HTTP/1.1 200" || skipHead(r, len("hi")) != nil {
+					b.Fatalf("answer %q, %v", first, err)
+				}
+			}
+			syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+			cpu := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+			b.ReportMetric(float64(cpu)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
