Let readers watch the records under a prefix

Need: nodes are to follow policies, catalogues and enrolments, which are records; until now each reader had to ask the leader for every key and value again and again, which is what a release's conductor does too. Change: GET /registry/watch/records at any replica, and client.FollowRecords, which hands on the records whole. A removal leaves no trace in the state, so a reader says how many it had: with nothing newer, fewer are a removal.

--- a/internal/list/calls.go
+++ b/internal/list/calls.go
@@ -73,6 +73,13 @@
 	Fence *Fence          `json:"fence,omitempty"`
 }
 
+// RecordAnswer is what a watch of records gets: all under its prefix, with the values of those that are new to it.
+type RecordAnswer struct {
+	Index   uint64   `json:"index"`
+	Epoch   string   `json:"epoch,omitempty"`
+	Records []Record `json:"records"`
+}
+
 // SessionCall is the body of a session's opening.
 type SessionCall struct {
 	Process string `json:"process"`
--- /dev/null
+++ b/internal/list/client/follow.go
@@ -0,0 +1,126 @@
+package client
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"indigotack/internal/list"
+	"indigotack/internal/pause"
+)
+
+// Records are those under a prefix, whole, as of one version of the service.
+type Records struct {
+	Epoch   string
+	Version uint64
+	All     []list.Record // by key, with their values
+}
+
+// follower is what a reader of records knows. It is pure.
+type follower struct {
+	epoch   string
+	version uint64
+	records map[string]list.Record
+	other   time.Time // since when only another epoch of no higher version answers; zero: it does not
+}
+
+// take judges an answer. A replica that lags, or one of an epoch whose versions do not go past what is known,
+// is stale; the latter until it has held for so long that the service must have lost its state.
+func (f *follower) take(now time.Time, holdBack time.Duration, a list.RecordAnswer) (Verdict, error) {
+	known := f.records
+	switch {
+	case a.Epoch == f.epoch && a.Index < f.version:
+		return Stale, nil
+	case a.Epoch != f.epoch && a.Index <= f.version:
+		if f.other.IsZero() {
+			f.other = now
+		}
+		if now.Sub(f.other) < holdBack {
+			return Stale, nil
+		}
+	}
+	if a.Epoch != f.epoch {
+		known = nil
+	}
+	next, changed := make(map[string]list.Record, len(a.Records)), f.epoch != a.Epoch || len(a.Records) != len(known)
+	for _, r := range a.Records {
+		if r.Value == nil {
+			has, ok := known[r.Key]
+			if !ok || has.Version != r.Version {
+				return Gap, fmt.Errorf("record %s of version %d came without its value", r.Key, r.Version)
+			}
+			r = has
+		} else if known[r.Key].Version != r.Version {
+			changed = true
+		}
+		next[r.Key] = r
+	}
+	f.epoch, f.version, f.records, f.other = a.Epoch, a.Index, next, time.Time{}
+	if !changed {
+		return Nothing, nil
+	}
+	return Taken, nil
+}
+
+func (f *follower) view() Records {
+	return Records{f.epoch, f.version, slices.SortedFunc(maps.Values(f.records), func(a, b list.Record) int { return cmp.Compare(a.Key, b.Key) })}
+}
+
+// FollowRecords watches the records under a prefix until ctx ends, over whatever failures of the service. taken
+// gets them whole: at first, and after each change, in order, from this goroutine. What it gets is a state that
+// was, never an older one after a newer; how old it is, the session of whoever relies on it has to say.
+func (k *Client) FollowRecords(ctx context.Context, prefix string, taken func(Records)) {
+	f, wait := &follower{}, backoff{firstWait}
+	for ctx.Err() == nil {
+		verdict, err := k.watchRecords(ctx, f, prefix)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil && verdict != Stale {
+			if verdict == Taken {
+				taken(f.view())
+			}
+			wait = backoff{firstWait}
+			continue
+		}
+		if verdict == Gap {
+			*f = follower{epoch: f.epoch, other: f.other} // read whole, as of now
+		}
+		k.log.Warn("records are not followed for now; those known stand", "prefix", prefix, "address", k.address(), "err", err)
+		k.turn()
+		if !pause.For(ctx, wait.next(rand.Int64N)) {
+			return
+		}
+	}
+}
+
+func (k *Client) watchRecords(ctx context.Context, f *follower, prefix string) (Verdict, error) {
+	q := url.Values{"prefix": {prefix}, "hold_ms": {strconv.FormatInt(k.c.Hold.Milliseconds(), 10)}}
+	if f.epoch != "" {
+		q.Set("epoch", f.epoch)
+		q.Set("from", strconv.FormatUint(f.version, 10))
+		q.Set("had", strconv.Itoa(len(f.records)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.c.Hold+grace)
+	defer cancel()
+	status, body, err := k.call(ctx, http.MethodGet, k.address(), "/registry/watch/records?"+q.Encode(), nil)
+	if err != nil {
+		return Nothing, err
+	}
+	if status != http.StatusOK {
+		return Nothing, refusal(status, body)
+	}
+	var a list.RecordAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return Nothing, fmt.Errorf("an answer that can't be read: %w", err)
+	}
+	return f.take(time.Now(), k.c.HoldBack, a)
+}
--- /dev/null
+++ b/internal/list/client/follow_test.go
@@ -0,0 +1,84 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"indigotack/internal/list"
+)
+
+// TestFollowerOfRecords: whichever replica answers, up to date, lagging or restored, a follower has the records of a
+// version that was, never goes back within an epoch, and has today's once an up-to-date one answers.
+func TestFollowerOfRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := list.NewState()
+		s.Apply(list.Command{Do: list.DoBegin, Epoch: "e0"})
+		were := map[string]map[string]string{}
+		note := func(s *list.State) {
+			at := map[string]string{}
+			for _, r := range s.Records("a/") {
+				whole, _ := s.Record(r.Key)
+				at[r.Key] = string(whole.Value)
+			}
+			were[fmt.Sprint(s.Epoch(), s.Version())] = at
+		}
+		note(s)
+		replicas := []*list.State{copied(t, s)}
+		f := &follower{}
+		now := time.Unix(0, 0)
+		ask := func(of *list.State) {
+			from, before := f.version, f.version
+			epoch := f.epoch
+			if epoch != of.Epoch() {
+				from = 0
+			}
+			a, _ := of.RecordsSince("a/", from, len(f.records))
+			if verdict, err := f.take(now, time.Minute, a); verdict == Gap {
+				t.Fatal(err)
+			}
+			if f.epoch == epoch && f.version < before {
+				t.Fatalf("back from %d to %d", before, f.version)
+			}
+			got := map[string]string{}
+			for _, r := range f.view().All {
+				got[r.Key] = string(r.Value)
+			}
+			if want := were[fmt.Sprint(f.epoch, f.version)]; f.epoch != "" && !reflect.DeepEqual(got, want) {
+				t.Fatalf("at %s %d it has %v, there was %v", f.epoch, f.version, got, want)
+			}
+		}
+		for n := range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0, 1, 2:
+				key := rapid.SampledFrom([]string{"a/1", "a/2", "a/3", "b/1"}).Draw(t, "key")
+				c := list.Command{Do: list.DoPut, Name: key, Value: json.RawMessage(fmt.Sprint(n))}
+				if rapid.IntRange(0, 2).Draw(t, "away") == 0 {
+					c.Value = nil
+				}
+				s.Apply(c)
+				note(s)
+			case 3:
+				replicas = append(replicas, copied(t, s))
+			case 4:
+				image, err := s.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.Apply(list.Command{Do: list.DoRestore, Epoch: fmt.Sprint("e", n+1), Over: s.Epoch(), Image: image})
+				note(s)
+			default:
+				ask(replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "replica")])
+			}
+		}
+		ask(s)
+		if f.epoch != s.Epoch() || f.version != s.Version() {
+			t.Fatalf("it stays at %s %d, the service has %s %d", f.epoch, f.version, s.Epoch(), s.Version())
+		}
+	})
+}
--- a/internal/list/records.go
+++ b/internal/list/records.go
@@ -18,8 +18,8 @@
 // Record is a small document that processes keep in the service.
 type Record struct {
 	Key     string          `json:"key"`
-	Version uint64          `json:"version"` // of its last change
-	Value   json.RawMessage `json:"value"`
+	Version uint64          `json:"version"`         // of its last change
+	Value   json.RawMessage `json:"value,omitempty"` // absent in an answer that leaves values out
 }
 
 // Record gives a record by key.
@@ -40,6 +40,22 @@
 	return all
 }
 
+// RecordsVersion is that of the last change of a record.
+func (s *State) RecordsVersion() uint64 { return s.recorded }
+
+// RecordsSince is the answer to whoever has the records under a prefix as of version from: all their keys and
+// versions, and the values of those that have changed since. A key that it lacks is gone. news is false where
+// nothing is new for a reader that had so many of them: a record that went leaves fewer.
+func (s *State) RecordsSince(prefix string, from uint64, had int) (a RecordAnswer, news bool) {
+	a = RecordAnswer{Index: s.version, Epoch: s.epoch, Records: append([]Record{}, s.Records(prefix)...)}
+	for i, r := range a.Records {
+		if r.Version > from {
+			a.Records[i].Value, news = s.records[r.Key].Value, true
+		}
+	}
+	return a, news || len(a.Records) != had
+}
+
 // put writes a record, or takes it away where it has no value.
 func (s *State) put(c Command) Result {
 	has, there := s.records[c.Name]
@@ -52,6 +68,7 @@
 		return Result{Code: Full, Why: fmt.Sprintf("%d records with %d bytes are kept already", len(s.records), s.recordBytes)}
 	}
 	s.version++
+	s.recorded = s.version
 	s.recordBytes += len(c.Value) - len(has.Value)
 	if c.Value == nil {
 		delete(s.records, c.Name)
--- a/internal/list/server/records.go
+++ b/internal/list/server/records.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
+	"time"
 
 	"indigotack/internal/list"
 )
@@ -49,3 +52,53 @@
 	result, err := s.replica.apply(c)
 	s.finish(w, result, err)
 }
+
+// watchRecords answers reads and watches of the records under a prefix, as this replica has them. A reader of
+// another epoch, or of none, gets all of them at once; one that has seen more than this replica is never
+// answered with less.
+func (s *Server) watchRecords(w http.ResponseWriter, r *http.Request) {
+	q, err := parseQuery(r)
+	had := 0
+	if v := r.URL.Query().Get("had"); v != "" && err == nil {
+		if had, err = strconv.Atoi(v); err != nil || had < 0 {
+			err = fmt.Errorf("had: %q is not a number of records", v)
+		}
+	}
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad", err.Error(), 0)
+		return
+	}
+	if !s.contact.caught.Load() {
+		refuse(w, http.StatusServiceUnavailable, "not-begun", "this replica replays its log", time.Second)
+		return
+	}
+	for end := time.Now().Add(q.hold); ; {
+		a, news := s.recordsSince(q, r.URL.Query().Get("prefix"), had)
+		wait := time.Until(end)
+		if a.Epoch == q.epoch && q.from > a.Index {
+			refuse(w, http.StatusServiceUnavailable, "behind", fmt.Sprintf("this replica has version %d", a.Index), 0)
+			return
+		}
+		if news || a.Epoch != q.epoch || wait <= 0 || s.ctx.Err() != nil {
+			writeJSON(w, http.StatusOK, a)
+			return
+		}
+		lost, contact := s.contact.state()
+		if lost {
+			s.refuseCutOff(w)
+			return
+		}
+		if !s.await(w, r, s.docHub, a.Index, wait, contact) {
+			return
+		}
+	}
+}
+
+func (s *Server) recordsSince(q query, prefix string, had int) (list.RecordAnswer, bool) {
+	s.machine.mu.RLock()
+	defer s.machine.mu.RUnlock()
+	if q.epoch != s.machine.state.Epoch() {
+		q.from = 0
+	}
+	return s.machine.state.RecordsSince(prefix, q.from, had)
+}
--- a/internal/list/server/routes.go
+++ b/internal/list/server/routes.go
@@ -34,6 +34,7 @@
 	mux.HandleFunc("GET /registry/records", s.leading(maxBody, s.record))
 	mux.HandleFunc("GET /registry/records/{key}", s.leading(maxBody, s.record))
 	mux.HandleFunc("PUT /registry/records/{key}", s.leading(maxPut, s.putRecord))
+	mux.HandleFunc("GET /registry/watch/records", s.watchRecords)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.figures.registry, promhttp.HandlerOpts{}))
--- a/internal/list/server/server.go
+++ b/internal/list/server/server.go
@@ -23,6 +23,7 @@
 	hub      *hub
 	replica  *replica
 	dutyHub  *hub
+	docHub   *hub // for watches of records
 	expiry   *expiry
 	sessions *sessions
 	rates    *rates
@@ -64,6 +65,7 @@
 	}
 	s.tasks.Go(func() { s.hub.run(s.ctx.Done()) })
 	s.tasks.Go(func() { s.dutyHub.run(s.ctx.Done()) })
+	s.tasks.Go(func() { s.docHub.run(s.ctx.Done()) })
 	s.tasks.Go(func() { s.expiry.run(s.ctx) })
 	s.tasks.Go(func() { s.sessions.run(s.ctx) })
 	s.tasks.Go(s.followLeader)
@@ -85,7 +87,7 @@
 
 func (s *Server) open() error {
 	s.machine = &machine{state: list.NewState(), broken: func(err error) { s.broken <- err }}
-	s.hub, s.dutyHub = newHub(s.machine), newHub(s.machine)
+	s.hub, s.dutyHub, s.docHub = newHub(s.machine), newHub(s.machine), newHub(s.machine)
 	apply := func(c list.Command) (list.Result, error) { return s.replica.apply(c) }
 	s.expiry = &expiry{start: time.Now(), machine: s.machine, log: s.log, apply: apply}
 	s.sessions = &sessions{start: time.Now(), machine: s.machine, log: s.log, apply: apply}
@@ -95,6 +97,7 @@
 		state := s.machine.state
 		s.hub.publish(state.Version(), state.ListVersion(), state.Epoch())
 		s.dutyHub.publish(state.DutiesVersion(), state.DutiesVersion(), state.Epoch())
+		s.docHub.publish(state.RecordsVersion(), state.RecordsVersion(), state.Epoch())
 	}
 	var err error
 	if s.replica, err = openReplica(s.c, s.machine, s.log); err != nil {
