Measure a request through the decisions with 10, 100 and 1,000 servers

The benchmark knew 20 servers only, counted the text of the request's id, and did not notice if nothing was sent. It now plays arrival, send and answer with 10, 100 and 1,000 servers, all in reach of one node, after the module has learned them, and fails if a request is not sent.

go test -run xxx -bench Request ./decide

--- a/decide/bench_test.go
+++ b/decide/bench_test.go
@@ -8,24 +8,47 @@
 	"indigotack/decide"
 )
 
+// BenchmarkRequest is a request that arrives, is sent and is answered, at a steady 1,000 a second, with its part of the
+// round of checks that the module asks for each 25 ms.
 func BenchmarkRequest(b *testing.B) {
-	m := decide.New(rigSettings(), 1)
+	for _, servers := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) { benchmarkRequest(b, servers) })
+	}
+}
+
+func benchmarkRequest(b *testing.B, servers int) {
+	m, now := decide.New(rigSettings(), 1), time.Hour
 	var list []decide.Server
-	for i := range 20 {
+	for i := range servers {
 		list = append(list, decide.Server{ID: decide.ServerID(i + 1)})
 	}
-	m.Handle(0, decide.ListUpdate{Kind: decide.ListCached, Entries: list})
-	b.ReportAllocs()
-	for i := range b.N {
-		now := time.Duration(i) * time.Millisecond
-		id := decide.RequestID(fmt.Sprint(i))
+	m.Handle(now, decide.ListUpdate{Kind: decide.ListCached, Entries: list})
+	ids := make([]decide.RequestID, 1000) // their text is the caller's cost
+	for i := range ids {
+		ids[i] = decide.RequestID(fmt.Sprint(i))
+	}
+	cycle := func(i int) {
+		id, sent := ids[i%len(ids)], false
+		now += time.Millisecond
 		for _, a := range m.Handle(now, decide.RequestArrived{ID: id, Class: "cheap", Patience: time.Second}) {
 			if s, ok := a.(decide.Send); ok {
-				m.Handle(now, decide.AttemptEnded{ID: id, Server: s.Server, Over: true, Elapsed: time.Millisecond})
+				m.Handle(now, decide.AttemptEnded{ID: id, Server: s.Server, Code: decide.OK, Over: true, Elapsed: time.Millisecond})
+				sent = true
 			}
 		}
+		if !sent {
+			b.Fatalf("request %d was not sent", i)
+		}
 		if i%25 == 0 {
-			m.Handle(now, decide.TimerFired{Token: 0})
+			m.Handle(now, decide.TimerFired{})
 		}
 	}
+	for i := range 5 * servers { // until the module knows its servers
+		cycle(i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		cycle(i)
+	}
 }
