--- /dev/null
+++ b/internal/list/client/follow.go
@@ -0,0 +1,133 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"indigotack/internal/list"
+	"indigotack/internal/pause"
+)
+
+// Follow watches the list until ctx ends, over whatever failures of the service.
+func (k *Client) Follow(ctx context.Context) {
+	wait := backoff{firstWait}
+	for ctx.Err() == nil {
+		verdict, err := k.watch(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil && (verdict == Taken || verdict == Nothing && k.watching()):
+			wait = backoff{firstWait}
+			continue
+		case err != nil:
+			k.log.Warn("the list service does not answer; the last list stands", "address", k.address(), "err", err)
+		case verdict == Kept:
+			k.log.Error("a list of another epoch lacks most entries and is held back", "for", k.c.HoldBack)
+		case verdict == Stale:
+			k.log.Warn("a replica has an older list than this client", "address", k.address())
+		}
+		if verdict != Kept {
+			k.turn()
+		}
+		if !pause.For(ctx, wait.next(rand.Int64N)) {
+			return
+		}
+	}
+}
+
+// backoff is the longest that the next wait may be.
+type backoff struct{ most time.Duration }
+
+// next draws a wait evenly from the whole range, so that those who lost the
+// service together do not return together, and doubles the range up to mostWait.
+func (b *backoff) next(draw func(int64) int64) time.Duration {
+	d := time.Duration(draw(int64(b.most)) + 1)
+	b.most = min(2*b.most, mostWait)
+	return d
+}
+
+// watching tells whether the next call is held until there is news; one for the whole list is not.
+func (k *Client) watching() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	from, _ := k.belief.Ask()
+	return from > 0
+}
+
+func (k *Client) address() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.c.Addresses[k.at]
+}
+
+// turn goes on to the next replica.
+func (k *Client) turn() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.at = (k.at + 1) % len(k.c.Addresses)
+}
+
+// watch makes one call and takes its answer.
+func (k *Client) watch(ctx context.Context) (Verdict, error) {
+	k.mu.Lock()
+	from, epoch := k.belief.Ask()
+	k.mu.Unlock()
+	q := url.Values{"hold_ms": {strconv.FormatInt(k.c.Hold.Milliseconds(), 10)}}
+	if from > 0 {
+		q.Set("from", strconv.FormatUint(from, 10))
+		q.Set("epoch", epoch)
+	}
+	most := k.c.Hold + grace
+	if from == 0 {
+		most = min(most, wholeTime)
+	}
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	status, body, err := k.call(ctx, http.MethodGet, k.address(), "/registry/instances?"+q.Encode(), nil)
+	if err != nil {
+		return Nothing, err
+	}
+	if status != http.StatusOK {
+		return Nothing, refusal(status, body)
+	}
+	var a list.Answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return Nothing, fmt.Errorf("an answer that can't be read: %w", err)
+	}
+	for _, err := range a.Odd {
+		k.log.Warn("an entry of the list is passed over", "err", err)
+	}
+	return k.take(from, a), nil
+}
+
+func (k *Client) take(from uint64, a list.Answer) Verdict {
+	k.mu.Lock()
+	verdict := k.belief.Take(time.Since(k.start), from, a)
+	if verdict != Stale {
+		k.told = time.Now()
+	}
+	var v View
+	if verdict == Taken {
+		if k.c.File != "" {
+			v = k.belief.View()
+		}
+		close(k.changed)
+		k.changed = make(chan struct{})
+	}
+	k.mu.Unlock()
+	if verdict == Taken && k.c.Taken != nil {
+		k.c.Taken(a)
+	}
+	if verdict == Taken && k.c.File != "" {
+		if err := save(k.c.File, v); err != nil {
+			k.log.Warn("the list is not kept for the next start", "err", err)
+		}
+	}
+	return verdict
+}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -13,8 +13,8 @@
 // lists is where a node's list of servers comes from. Its methods do not block,
 // and are the loop's alone.
 type lists interface {
-	// Follow takes lists as they are pushed, the whole one first if that is said.
-	Follow(ctx context.Context, whole bool)
+	// Follow takes lists as they are pushed, the whole one first.
+	Follow(ctx context.Context)
 	// Ask does what the module asks for where lists are not pushed.
 	Ask(ctx context.Context, fetch, watch bool)
 }
@@ -57,7 +57,7 @@
 	watching bool
 }
 
-func (s *service) Follow(ctx context.Context, _ bool) {
+func (s *service) Follow(ctx context.Context) {
 	if !s.watching {
 		s.watching = true
 		go s.k.Follow(ctx)
@@ -69,7 +69,7 @@
 		s.listed(list.Answer{Index: v.Version, Epoch: v.Epoch, Snapshot: true, Endpoints: v.Entries})
 	}
 	if fetch || watch {
-		s.Follow(ctx, false)
+		s.Follow(ctx)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 	}
 	n.post(func() { n.follow(n.cfg.known, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
-		n.post(func() { n.lists.Follow(inner, old != nil) })
+		n.post(func() { n.lists.Follow(inner) })
 	}
 	if old != nil {
 		n.succeed(ctx, old)
