--- a/internal/list/client/follow.go
+++ b/internal/list/client/follow.go
@@ -1,12 +1,15 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,120 +17,110 @@
 	"indigotack/internal/pause"
 )
 
-// Follow watches the list until ctx ends, over whatever failures of the service.
-func (k *Client) Follow(ctx context.Context) {
-	wait := backoff{firstWait}
+// Records are those under a prefix, whole, as of one version of the service.
+type Records struct {
+	Epoch   string
+	Version uint64
+	All     []list.Record // by key, with their values
+}
+
+// follower is what a reader of records knows. It is pure.
+type follower struct {
+	epoch   string
+	version uint64
+	records map[string]list.Record
+	other   time.Time // since when only another epoch of no higher version answers; zero: it does not
+}
+
+// take judges an answer. A replica that lags, or one of an epoch whose versions do not go past what is known,
+// is stale; the latter until it has held for so long that the service must have lost its state.
+func (f *follower) take(now time.Time, holdBack time.Duration, a list.RecordAnswer) (Verdict, error) {
+	known := f.records
+	switch {
+	case a.Epoch == f.epoch && a.Index < f.version:
+		return Stale, nil
+	case a.Epoch != f.epoch && a.Index <= f.version:
+		if f.other.IsZero() {
+			f.other = now
+		}
+		if now.Sub(f.other) < holdBack {
+			return Stale, nil
+		}
+	}
+	if a.Epoch != f.epoch {
+		known = nil
+	}
+	next, changed := make(map[string]list.Record, len(a.Records)), f.epoch != a.Epoch || len(a.Records) != len(known)
+	for _, r := range a.Records {
+		if r.Value == nil {
+			has, ok := known[r.Key]
+			if !ok || has.Version != r.Version {
+				return Gap, fmt.Errorf("record %s of version %d came without its value", r.Key, r.Version)
+			}
+			r = has
+		} else if known[r.Key].Version != r.Version {
+			changed = true
+		}
+		next[r.Key] = r
+	}
+	f.epoch, f.version, f.records, f.other = a.Epoch, a.Index, next, time.Time{}
+	if !changed {
+		return Nothing, nil
+	}
+	return Taken, nil
+}
+
+func (f *follower) view() Records {
+	return Records{f.epoch, f.version, slices.SortedFunc(maps.Values(f.records), func(a, b list.Record) int { return cmp.Compare(a.Key, b.Key) })}
+}
+
+// FollowRecords watches the records under a prefix until ctx ends, over whatever failures of the service. taken
+// gets them whole: at first, and after each change, in order, from this goroutine. What it gets is a state that
+// was, never an older one after a newer; how old it is, the session of whoever relies on it has to say.
+func (k *Client) FollowRecords(ctx context.Context, prefix string, taken func(Records)) {
+	f, wait := &follower{}, backoff{firstWait}
 	for ctx.Err() == nil {
-		verdict, err := k.watch(ctx)
-		switch {
-		case ctx.Err() != nil:
+		verdict, err := k.watchRecords(ctx, f, prefix)
+		if ctx.Err() != nil {
 			return
-		case err == nil && (verdict == Taken || verdict == Nothing && k.watching()):
+		}
+		if err == nil && verdict != Stale {
+			if verdict == Taken {
+				taken(f.view())
+			}
 			wait = backoff{firstWait}
 			continue
-		case err != nil:
-			k.log.Warn("the list service does not answer; the last list stands", "address", k.address(), "err", err)
-		case verdict == Kept:
-			k.log.Error("a list of another epoch lacks most entries and is held back", "for", k.c.HoldBack)
-		case verdict == Stale:
-			k.log.Warn("a replica has an older list than this client", "address", k.address())
 		}
-		if verdict != Kept {
-			k.turn()
+		if verdict == Gap {
+			*f = follower{epoch: f.epoch, other: f.other} // read whole, as of now
 		}
+		k.log.Warn("records are not followed for now; those known stand", "prefix", prefix, "address", k.address(), "err", err)
+		k.turn()
 		if !pause.For(ctx, wait.next(rand.Int64N)) {
 			return
 		}
 	}
 }
 
-// backoff is the longest that the next wait may be.
-type backoff struct{ most time.Duration }
-
-// next draws a wait evenly from the whole range, so that those who lost the
-// service together do not return together, and doubles the range up to mostWait.
-func (b *backoff) next(draw func(int64) int64) time.Duration {
-	d := time.Duration(draw(int64(b.most)) + 1)
-	b.most = min(2*b.most, mostWait)
-	return d
-}
-
-// watching tells whether the next call is held until there is news; one for the whole list is not.
-func (k *Client) watching() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	from, _ := k.belief.Ask()
-	return from > 0
-}
-
-func (k *Client) address() string {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.c.Addresses[k.at]
-}
-
-// turn goes on to the next replica.
-func (k *Client) turn() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.at = (k.at + 1) % len(k.c.Addresses)
-}
-
-// watch makes one call and takes its answer.
-func (k *Client) watch(ctx context.Context) (Verdict, error) {
-	k.mu.Lock()
-	from, epoch := k.belief.Ask()
-	k.mu.Unlock()
-	q := url.Values{"hold_ms": {strconv.FormatInt(k.c.Hold.Milliseconds(), 10)}}
-	if from > 0 {
-		q.Set("from", strconv.FormatUint(from, 10))
-		q.Set("epoch", epoch)
+func (k *Client) watchRecords(ctx context.Context, f *follower, prefix string) (Verdict, error) {
+	q := url.Values{"prefix": {prefix}, "hold_ms": {strconv.FormatInt(k.c.Hold.Milliseconds(), 10)}}
+	if f.epoch != "" {
+		q.Set("epoch", f.epoch)
+		q.Set("from", strconv.FormatUint(f.version, 10))
+		q.Set("had", strconv.Itoa(len(f.records)))
 	}
-	most := k.c.Hold + grace
-	if from == 0 {
-		most = min(most, wholeTime)
-	}
-	ctx, cancel := context.WithTimeout(ctx, most)
+	ctx, cancel := context.WithTimeout(ctx, k.c.Hold+grace)
 	defer cancel()
-	status, body, err := k.call(ctx, http.MethodGet, k.address(), "/registry/instances?"+q.Encode(), nil)
+	status, body, err := k.call(ctx, http.MethodGet, k.address(), "/registry/watch/records?"+q.Encode(), nil)
 	if err != nil {
 		return Nothing, err
 	}
 	if status != http.StatusOK {
 		return Nothing, refusal(status, body)
 	}
-	var a list.Answer
+	var a list.RecordAnswer
 	if err := json.Unmarshal(body, &a); err != nil {
 		return Nothing, fmt.Errorf("an answer that can't be read: %w", err)
 	}
-	for _, err := range a.Odd {
-		k.log.Warn("an entry of the list is passed over", "err", err)
-	}
-	return k.take(from, a), nil
-}
-
-func (k *Client) take(from uint64, a list.Answer) Verdict {
-	k.mu.Lock()
-	verdict := k.belief.Take(time.Since(k.start), from, a)
-	if verdict != Stale {
-		k.told = time.Now()
-	}
-	var v View
-	if verdict == Taken {
-		if k.c.File != "" {
-			v = k.belief.View()
-		}
-		close(k.changed)
-		k.changed = make(chan struct{})
-	}
-	k.mu.Unlock()
-	if verdict == Taken && k.c.Taken != nil {
-		k.c.Taken(a)
-	}
-	if verdict == Taken && k.c.File != "" {
-		if err := save(k.c.File, v); err != nil {
-			k.log.Warn("the list is not kept for the next start", "err", err)
-		}
-	}
-	return verdict
+	return f.take(time.Now(), k.c.HoldBack, a)
 }
