Follow the heads of requests without allocating

The framing ahead of the HTTP server made a string of each header line. The tests of ambiguous heads pass as they are, whole and byte by byte.

--- a/internal/node/accept/framing.go
+++ b/internal/node/accept/framing.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"strconv"
-	"strings"
 )
 
 // MaxHead is the most bytes of a request's head; the HTTP server must have the same.
@@ -68,22 +67,22 @@
 
 // endLine tells whether the head is whole.
 func (f *framing) endLine() (whole bool, err error) {
-	line := strings.TrimSuffix(string(f.line), "\r")
-	f.line = f.line[:0]
+	line := bytes.TrimSuffix(f.line, []byte("\r"))
+	f.line = f.line[:0] // its bytes are as they were until the next line comes
 	switch {
-	case !f.begun && line == "": // allowed ahead of a request
+	case !f.begun && len(line) == 0: // allowed ahead of a request
 	case !f.begun:
-		f.begun, f.old = true, !strings.HasSuffix(line, " HTTP/1.1")
-	case line == "":
+		f.begun, f.old = true, !bytes.HasSuffix(line, []byte(" HTTP/1.1"))
+	case len(line) == 0:
 		return true, f.endHead()
 	case line[0] == ' ' || line[0] == '\t': // a folded line hides a header from some readers
 		return false, errFraming
 	default:
-		name, value, _ := strings.Cut(line, ":")
+		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch {
-		case strings.EqualFold(name, "Content-Length"):
-			f.lengths = append(f.lengths, strings.Trim(value, " \t"))
-		case strings.EqualFold(name, "Transfer-Encoding"):
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			f.lengths = append(f.lengths, string(bytes.Trim(value, " \t")))
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			f.codings++
 		}
 	}
