Let nodes keep a view of each other: the pure core and its datagrams

A node knows the others only by a fixed list of addresses. internal/fleet is a pure core (events and a time in, actions out) after SWIM and Lifeguard, with lives above incarnations, digests of ranges of names, and rules for two processes of one name; internal/fleet/wire is the one definition of its datagrams, 256 bytes at most, all kinds at 0x40 or above so that older nodes drop them.

--- /dev/null
+++ b/internal/fleet/event.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Time is a reading of the owner's monotonic clock. All that a Core is given must not go back; what does is taken as no time.
+type Time = time.Duration
+
+// Event is something that happened to the node: Tick, Received, FactsChanged, Leave or Join.
+type Event interface{ event() }
+
+// Tick says that the last Wake has run out. Further ticks do no harm.
+type Tick struct{}
+
+// Received is a datagram from the peer socket. From serves only to answer those whose name is not known.
+type Received struct {
+	From netip.AddrPort
+	Data []byte
+}
+
+// FactsChanged gives the node's own facts anew, whole. Facts out of bounds are dropped with a Log.
+type FactsChanged struct{ Facts Facts }
+
+// Leave makes the node say that it goes on purpose. Gone follows when it has been said often enough.
+type Leave struct{}
+
+// Join replaces the addresses to join by.
+type Join struct{ Addrs []netip.AddrPort }
+
+func (Tick) event()         {}
+func (Received) event()     {}
+func (FactsChanged) event() {}
+func (Leave) event()        {}
+func (Join) event()         {}
+
+// Action is something that the shell is to do: Send, Wake, Changed, Conflict, Gone or Log.
+type Action interface{ action() }
+
+// Send wants a datagram sent. Name is the member it is for; the shell may know a better address for it than To. For a stranger or a
+// seed Name is empty.
+type Send struct {
+	Name string
+	To   netip.AddrPort
+	Data []byte
+}
+
+// Wake wants a Tick after so long. It replaces the Wake before.
+type Wake struct{ After time.Duration }
+
+// Changed tells that a member is seen differently now, load aside. Before has no Name if the member was not known.
+type Changed struct{ Member, Before Member }
+
+// Conflict tells that another living process has the node's own name. With Yielded set this one, having the lower life, has fallen silent:
+// it neither sends nor changes its view any more.
+type Conflict struct {
+	Life    uint64 // the other's
+	From    netip.AddrPort
+	Yielded bool
+}
+
+// Gone tells that the node has said its leave; the socket may be closed.
+type Gone struct{}
+
+// Log is a line for the operator.
+type Log struct{ Text string }
+
+func (Send) action()     {}
+func (Wake) action()     {}
+func (Changed) action()  {}
+func (Conflict) action() {}
+func (Gone) action()     {}
+func (Log) action()      {}
--- /dev/null
+++ b/internal/fleet/merge_test.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"indigotack/internal/fleet/wire"
+)
+
+// drawStatement draws from few values, so that ties are common. Age is what a merge does not promise anything on.
+func drawStatement(t *rapid.T) wire.Statement {
+	small := rapid.IntRange(0, 2)
+	s := wire.Statement{Name: "n1", Number: small.Draw(t, "number"), Life: uint64(small.Draw(t, "life")), Incarnation: uint32(small.Draw(t, "inc")),
+		Health: Health(rapid.IntRange(0, 3).Draw(t, "health"))}
+	s.Facts.Catalogue = uint64(small.Draw(t, "catalogue"))
+	s.Facts.Load, s.LoadSeq = uint16(small.Draw(t, "load")), uint32(small.Draw(t, "seq"))
+	for range small.Draw(t, "accusers") {
+		s.By = accusers(s.By, [3]uint64{uint64(rapid.IntRange(1, 6).Draw(t, "by"))})
+	}
+	return s
+}
+
+func TestMergeIsALattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawStatement(t), drawStatement(t), drawStatement(t)
+		if merge(a, b) != merge(b, a) {
+			t.Fatalf("not commutative: %+v %+v", a, b)
+		}
+		if merge(merge(a, b), c) != merge(a, merge(b, c)) {
+			t.Fatalf("not associative: %+v %+v %+v", a, b, c)
+		}
+		if m := merge(a, b); merge(a, a) != a || merge(m, b) != m {
+			t.Fatalf("not idempotent: %+v %+v", a, b)
+		}
+		m := merge(a, b)
+		if m.Life < max(a.Life, b.Life) || (a.Life == b.Life && m.Incarnation < max(a.Incarnation, b.Incarnation)) {
+			t.Fatalf("went back: %+v %+v gave %+v", a, b, m)
+		}
+	})
+}
+
+// Statements in any order, repeated at will, give the same digest in all nodes.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := rapid.SliceOfN(rapid.Custom(drawStatement), 1, 8).Draw(t, "statements")
+		order := rapid.Permutation(append(all, all...)).Draw(t, "order")
+		view := func(sts []wire.Statement) uint64 {
+			c := New(Config{Fleet: "f", Name: "me"}, 0)
+			for _, st := range sts {
+				c.take(st, wire.Gossip)
+			}
+			return c.root
+		}
+		if view(all) != view(order) {
+			t.Fatalf("%+v and %+v give different digests", all, order)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/relay.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"slices"
+
+	"indigotack/internal/fleet/wire"
+)
+
+// maxRelays bounds the members that are asked for others at a time: at most three fall to a node in a period on average, even if all probes fail.
+const maxRelays = 64
+
+// relay is a member that is asked for somebody else.
+type relay struct {
+	origin, target *record
+	theirs, ours   uint32 // numbers of the request and of the ping
+	due            Time   // when the origin is told that there is no answer so far
+	nacked         bool
+}
+
+// askFor carries out a PingReq.
+func (c *Core) askFor(origin *record, d wire.Datagram) {
+	target := c.byHash[d.Target]
+	if target == nil || target == c.self || len(c.relays) >= maxRelays {
+		return
+	}
+	c.relays = append(c.relays, relay{origin, target, d.Seq, c.ping(target), c.now + c.answer(), false})
+}
+
+// relayed passes an answer on to those who wait for it.
+func (c *Core) relayed(target *record, seq uint32) {
+	c.relays = slices.DeleteFunc(c.relays, func(r relay) bool {
+		if r.target != target || r.ours != seq {
+			return false
+		}
+		c.sendTo(r.origin, c.numbered(wire.Indirect, r.theirs, target.hash))
+		return true
+	})
+}
+
+// expireRelays tells that there is no answer yet, and forgets a request after another period.
+func (c *Core) expireRelays() {
+	for i := range c.relays {
+		if r := &c.relays[i]; !r.nacked && c.now >= r.due {
+			r.nacked = true
+			c.sendTo(r.origin, c.numbered(wire.Nack, r.theirs, 0))
+		}
+	}
+	c.relays = slices.DeleteFunc(c.relays, func(r relay) bool { return c.now >= r.due+c.cfg.Period })
+}
--- /dev/null
+++ b/internal/fleet/scale_test.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Joins, a death and a leave, and what a node sends while nothing happens, at three sizes.
+func TestGrowth(t *testing.T) {
+	for _, size := range []int{3, 30, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			w := newNetwork(t, uint64(size))
+			nodes := w.fleet(size)
+			joined := w.mustSettle(15*time.Second, "all joined by one seed in a second")
+			w.run(5 * time.Second)
+			before := total(w)
+			w.run(10 * time.Second)
+			after := total(w)
+			per := float64(size) * 10
+			sent, bytes := float64(after.Sent-before.Sent)/per, float64(after.Bytes-before.Bytes)/per
+			if sent > 11 || bytes > 1500 {
+				t.Errorf("idle: %.1f datagrams and %.0f bytes a node and second", sent, bytes)
+			}
+			if after.Synced != before.Synced || after.Failed != before.Failed {
+				t.Errorf("idle, but %d digests were compared and %d probes failed", after.Synced-before.Synced, after.Failed-before.Failed)
+			}
+			victim := nodes[size/2]
+			victim.up = false
+			died := w.mustSettle(10*time.Second, "a death")
+			if m := nodes[0].sees(victim.name); m.Health != Dead || m.By == "" || m.Why == "" {
+				t.Errorf("the dead one is seen as %+v", m)
+			}
+			leaver := nodes[size-1]
+			w.handle(leaver, Leave{})
+			left := w.mustSettle(3*time.Second, "a leave")
+			if m := nodes[0].sees(leaver.name); m.Health != Left {
+				t.Errorf("the one that left is seen as %+v", m)
+			}
+			t.Logf("%d nodes: joined %v after the last start, dead off all views in %v, left in %v, idle %.1f datagrams and %.0f bytes a node and second",
+				size, joined, died, left, sent, bytes)
+		})
+	}
+}
+
+func total(w *network) (s Stats) {
+	for _, n := range w.nodes {
+		st := n.Stats()
+		s.Sent += st.Sent
+		s.Bytes += st.Bytes
+		s.Synced += st.Synced
+		s.Failed += st.Failed
+	}
+	return s
+}
+
+// With 30% of all datagrams lost nobody living is taken for dead, and a death is still found.
+func TestLoss(t *testing.T) {
+	for _, size := range []int{3, 12, 30} {
+		w := newNetwork(t, 7)
+		nodes := w.fleet(size)
+		w.mustSettle(10*time.Second, "joins")
+		w.loss = 0.3
+		from := w.now
+		w.run(5 * time.Minute)
+		if n := w.deaths(from, nodes...); n > 0 {
+			t.Errorf("%d nodes: %d false deaths in five minutes at a loss of 30%%", size, n)
+		}
+		nodes[2].up = false
+		took, ok := w.until(20*time.Second, func() bool {
+			for _, n := range nodes {
+				if n.up && n.sees("n2").Health != Dead {
+					return false
+				}
+			}
+			return true
+		})
+		if !ok {
+			t.Errorf("%d nodes: a death was not found in 20 s\n%s", size, w.describe())
+		}
+		s := total(w)
+		t.Logf("%d nodes at 30%% loss: a death known to all in %v; %d digests, %d probes failed", size, took, s.Synced, s.Failed)
+	}
+}
+
+// A third is killed at once.
+func TestThird(t *testing.T) {
+	w := newNetwork(t, 3)
+	nodes := w.fleet(60)
+	w.mustSettle(10*time.Second, "joins")
+	from := w.now
+	for i := range 20 {
+		nodes[3*i+1].up = false
+	}
+	t.Logf("a third of 60 off all views in %v", w.mustSettle(15*time.Second, "the death of a third"))
+	var alive []*node
+	for _, n := range nodes {
+		if n.up {
+			alive = append(alive, n)
+		}
+	}
+	if n := w.deaths(from, alive...); n > 0 {
+		t.Errorf("%d living ones were taken for dead", n)
+	}
+}
--- /dev/null
+++ b/internal/fleet/stranger_test.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"indigotack/internal/fleet/wire"
+)
+
+// A flood of garbage, of another fleet and of made-up names costs a bounded number of datagrams and members, and the fleet stays as it is.
+func TestFlood(t *testing.T) {
+	w, nodes := fleetOf(t, 31, 5)
+	n := nodes[1]
+	n.cfg.Most = 100
+	other := New(Config{Fleet: "other", Name: "n9"}, 0)
+	stranger := New(Config{Fleet: "books", Name: "ghost", Addr: addrOf(500)}, 0)
+	root, sent := n.root, n.Stats().Sent
+	for i := range 20000 {
+		garbage := make([]byte, w.rng.IntN(300))
+		for j := range garbage {
+			garbage[j] = byte(w.rng.Uint32())
+		}
+		w.handle(n, Received{addrOf(500), garbage})
+		w.handle(n, Received{addrOf(500), other.fill(other.numbered(wire.Ping, uint32(i), 0))})
+		foreign := stranger.numbered(wire.Ping, uint32(i), 0)
+		binary.BigEndian.PutUint64(foreign[5:], uint64(i)+1)
+		w.handle(n, Received{addrOf(500), foreign})
+	}
+	if n.root != root || n.Stats().Sent-sent > strangersPerPeriod+10 || len(n.changes) > 10 {
+		t.Errorf("the flood changed the view or was answered %d times", n.Stats().Sent-sent)
+	}
+	for i := range 500 {
+		stranger.self.st.Name = fmt.Sprintf("ghost-%d", i)
+		stranger.self.hash = wire.Hash(stranger.self.st.Name)
+		w.handle(n, Received{addrOf(500), stranger.fill(stranger.head(wire.Gossip), stranger.self)})
+	}
+	if s := n.Stats(); s.Members != 100 || s.Refused != 500-95 {
+		t.Errorf("%d members remembered, %d refused", s.Members, s.Refused)
+	}
+	if got := n.View().Serving(); len(slices.DeleteFunc(got, func(s string) bool { return s[0] == 'g' })) != 5 {
+		t.Errorf("serving: %v", got)
+	}
+}
+
+// Load notes of older nodes, the quotas' datagrams and kinds of newer versions are dropped; older nodes drop ours, as all begin above their kinds.
+func TestOtherKinds(t *testing.T) {
+	w, nodes := fleetOf(t, 32, 3)
+	good := nodes[0].fill(nodes[0].head(wire.Gossip))
+	for _, kind := range []byte{0, 1, 0x3f, 0x4a, 0x5f, 0x60, 0x6f, 0x70, 0xff} {
+		b := slices.Clone(good)
+		b[0] = kind
+		before := nodes[1].Stats()
+		for _, data := range [][]byte{b, {kind, 1, 2, 3, 4, 5}, {kind, 1, 2, 3, 4, 5, 6}} {
+			w.handle(nodes[1], Received{addrOf(0), data})
+		}
+		if s := nodes[1].Stats(); s.Dropped != before.Dropped+3 || s.Received != before.Received {
+			t.Errorf("kind %#x was not dropped", kind)
+		}
+	}
+	for _, n := range nodes {
+		for kind := range n.sent {
+			if n.sent[kind] > 0 && (kind < 0x40 || kind >= 0x60) {
+				t.Errorf("sent kind %#x", kind)
+			}
+		}
+	}
+}
+
+// Load is told without a new incarnation and without a change of the digest; other facts with one.
+func TestFacts(t *testing.T) {
+	w, nodes := fleetOf(t, 33, 5)
+	f := nodes[2].self.st.Facts
+	root := nodes[2].root
+	f.Load = 700
+	w.handle(nodes[2], FactsChanged{f})
+	w.run(2 * time.Second)
+	if m := nodes[0].sees("n2"); m.Facts.Load != 700 || m.Incarnation != 0 || nodes[0].root != root {
+		t.Errorf("load: %+v", m)
+	}
+	f.Catalogue, f.State = 9, Draining
+	w.handle(nodes[2], FactsChanged{f})
+	took, ok := w.until(3*time.Second, func() bool { return nodes[0].sees("n2").Facts == f })
+	if m := nodes[0].sees("n2"); !ok || m.Incarnation != 1 || slices.Contains(nodes[0].View().Serving(), "n2") {
+		t.Errorf("facts: %+v", m)
+	}
+	t.Logf("new facts known after %v", took)
+	f.Zone = "a zone with far too long a name"
+	w.handle(nodes[2], FactsChanged{f})
+	if len(nodes[2].acts) != 1 {
+		t.Errorf("facts out of bounds: %v", nodes[2].acts)
+	}
+}
+
+// The same events and seeds give the same history.
+func TestSameAgain(t *testing.T) {
+	play := func() (s string) {
+		w, nodes := fleetOf(t, 34, 9)
+		w.loss = 0.2
+		nodes[5].up = false
+		w.run(20 * time.Second)
+		for _, n := range nodes {
+			s += fmt.Sprintf("%x %d %+v\n", n.root, n.number, n.Stats())
+		}
+		return s
+	}
+	if a, b := play(), play(); a != b {
+		t.Errorf("%s\n%s", a, b)
+	}
+}
--- /dev/null
+++ b/internal/fleet/wire/datagram.go
@@ -0,0 +1,201 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxSize is the most bytes that a datagram between nodes may have.
+const MaxSize = 256
+
+// Kind is a datagram's first byte. All are 0x40 or more: nodes that know only load notes (kind 1) drop them. 0x60 to 0x6f
+// belong to the quotas' claims and grants on the same socket.
+type Kind uint8
+
+const (
+	Ping     Kind = 0x40 + iota // are you there? statements ride along
+	Ack                         // the answer, with the ping's number
+	PingReq                     // ask Target for me
+	Nack                        // I asked Target for you, without an answer so far
+	Gossip                      // statements alone
+	Digest                      // sums of 16 ranges of members
+	List                        // all members that the sender has in one range
+	Want                        // please tell me of these members
+	Told                        // statements in answer to List and Want
+	Indirect                    // Target has answered me, whom you had asked to ask
+)
+
+// Sizes in a datagram. A new layout gets a new kind, so there is no version beside it.
+const (
+	headSize  = 1 + 4 + 8 + 8 + 8
+	entrySize = 8 + 4
+	// Fanout is the number of ranges that one Digest compares.
+	Fanout = 16
+	// MaxEntries is the most members that a List names.
+	MaxEntries = (MaxSize - headSize - 17) / entrySize
+	// MaxWants is the most members that a Want names.
+	MaxWants = (MaxSize - headSize - 1) / 8
+)
+
+// Entry names a member within a List: the hash of its name and the low half of its sum.
+type Entry struct {
+	Hash uint64
+	Sum  uint32
+}
+
+// Head begins every datagram.
+type Head struct {
+	Kind   Kind
+	Fleet  uint32 // FleetHash of the fleet's name
+	Sender uint64 // Hash of the sender's name
+	Life   uint64 // the sender's
+	Digest uint64 // of the sender's view
+}
+
+// Datagram is a decoded one. Which fields count depends on its kind.
+type Datagram struct {
+	Head
+	Seq          uint32         // Ping, Ack, PingReq, Nack, Indirect
+	Target       uint64         // PingReq, Indirect
+	Depth, Place uint8          // Digest: the range is 1/16^Depth of all, the Place-th
+	Sums         [Fanout]uint64 // Digest
+	From, To     uint64         // List: hashes, both included
+	Entries      []Entry        // List
+	Wants        []uint64       // Want
+	Statements   []Statement    // Ping, Ack, Gossip, Told
+}
+
+// FleetHash stands for a fleet's name.
+func FleetHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// Ours says whether b may be a datagram of this fleet, without decoding it.
+func Ours(b []byte, fleet uint32) bool {
+	return len(b) >= headSize && len(b) <= MaxSize && Kind(b[0]) >= Ping && Kind(b[0]) <= Indirect &&
+		binary.BigEndian.Uint32(b[1:]) == fleet
+}
+
+// Encode writes all of d but its statements, which are added by AppendStatement as long as they fit.
+func (d *Datagram) Encode() []byte {
+	b := make([]byte, 0, MaxSize)
+	b = append(b, byte(d.Kind))
+	b = binary.BigEndian.AppendUint32(b, d.Fleet)
+	b = binary.BigEndian.AppendUint64(b, d.Sender)
+	b = binary.BigEndian.AppendUint64(b, d.Life)
+	b = binary.BigEndian.AppendUint64(b, d.Digest)
+	switch d.Kind {
+	case Ping, Ack, Nack:
+		b = binary.BigEndian.AppendUint32(b, d.Seq)
+	case PingReq, Indirect:
+		b = binary.BigEndian.AppendUint32(b, d.Seq)
+		b = binary.BigEndian.AppendUint64(b, d.Target)
+	case Digest:
+		b = append(b, d.Depth, d.Place)
+		for _, s := range d.Sums {
+			b = binary.BigEndian.AppendUint64(b, s)
+		}
+	case List:
+		b = binary.BigEndian.AppendUint64(b, d.From)
+		b = binary.BigEndian.AppendUint64(b, d.To)
+		b = append(b, byte(len(d.Entries)))
+		for _, e := range d.Entries {
+			b = binary.BigEndian.AppendUint64(b, e.Hash)
+			b = binary.BigEndian.AppendUint32(b, e.Sum)
+		}
+	case Want:
+		b = append(b, byte(len(d.Wants)))
+		for _, h := range d.Wants {
+			b = binary.BigEndian.AppendUint64(b, h)
+		}
+	}
+	return b
+}
+
+// AppendStatement adds s if it fits, and says whether it did.
+func AppendStatement(b []byte, s Statement) ([]byte, bool) {
+	var room [MaxSize]byte
+	body := s.appendBody(room[:0])
+	var size [2]byte
+	n := binary.PutUvarint(size[:], uint64(len(body)))
+	if len(b)+n+len(body) > MaxSize {
+		return b, false
+	}
+	return append(append(b, size[:n]...), body...), true
+}
+
+// Decode reads a datagram whole, or says why it can't.
+func Decode(b []byte) (Datagram, error) {
+	if len(b) > MaxSize {
+		return Datagram{}, fmt.Errorf("datagram of %d bytes, over %d", len(b), MaxSize)
+	}
+	r := reader{b: b}
+	var d Datagram
+	d.Kind, d.Fleet, d.Sender, d.Life, d.Digest = Kind(r.u8()), r.u32(), r.u64(), r.u64(), r.u64()
+	if d.Life >= MaxLife || d.Sender == 0 {
+		return Datagram{}, errors.New("sender out of bounds")
+	}
+	if err := d.readRest(&r); err != nil {
+		return Datagram{}, err
+	}
+	if r.bad {
+		return Datagram{}, errShort
+	}
+	return d, nil
+}
+
+func (d *Datagram) readRest(r *reader) error {
+	switch d.Kind {
+	case Ping, Ack:
+		d.Seq = r.u32()
+		return d.readStatements(r)
+	case Gossip, Told:
+		return d.readStatements(r)
+	case Nack:
+		d.Seq = r.u32()
+	case PingReq, Indirect:
+		d.Seq, d.Target = r.u32(), r.u64()
+	case Digest:
+		d.Depth, d.Place = r.u8(), r.u8()
+		if d.Depth > 1 || int(d.Place) >= Fanout || (d.Depth == 0 && d.Place != 0) {
+			return fmt.Errorf("digest of range %d at depth %d", d.Place, d.Depth)
+		}
+		for i := range d.Sums {
+			d.Sums[i] = r.u64()
+		}
+	case List:
+		d.From, d.To = r.u64(), r.u64()
+		for range r.u8() {
+			d.Entries = append(d.Entries, Entry{r.u64(), r.u32()})
+			if r.bad {
+				return errShort
+			}
+		}
+	case Want:
+		for range r.u8() {
+			d.Wants = append(d.Wants, r.u64())
+			if r.bad {
+				return errShort
+			}
+		}
+	default:
+		return fmt.Errorf("unknown kind %#x", uint8(d.Kind))
+	}
+	return nil
+}
+
+func (d *Datagram) readStatements(r *reader) error {
+	for len(r.b) > 0 && !r.bad {
+		body := r.take(int(r.uvarint(MaxSize)))
+		if r.bad {
+			break
+		}
+		s, err := readStatement(body)
+		if err != nil {
+			return err
+		}
+		d.Statements = append(d.Statements, s)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/wire/wire_test.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"bytes"
+	"net/netip"
+	"strings"
+	"testing"
+)
+
+func largest() Statement {
+	return Statement{Name: strings.Repeat("n", MaxName), Number: MaxNumber, Addr: netip.MustParseAddrPort("[fd00:1:2:3:4:5:6:7]:65535"), Life: MaxLife - 1,
+		Incarnation: 1<<32 - 1, Health: Left, LoadSeq: 1<<32 - 1, By: [3]uint64{1<<64 - 3, 1<<64 - 2, 1<<64 - 1}, Age: MaxAge,
+		Extra: strings.Repeat("x", MaxExtra), Facts: Facts{Zone: strings.Repeat("z", MaxText), Version: strings.Repeat("v", MaxText),
+			Catalogue: 1<<64 - 1, Policy: 1<<64 - 1, Fence: 1<<64 - 1, Load: 1000, State: 200}}
+}
+
+func samples() (out [][]byte) {
+	head := Head{Fleet: FleetHash("books"), Sender: Hash("n1"), Life: 1700000000000, Digest: 1 << 63}
+	small := Statement{Name: "n1", Number: -1, Addr: netip.MustParseAddrPort("127.0.0.1:7000")}
+	for k := Ping; k <= Indirect; k++ {
+		d := Datagram{Head: head, Seq: 7, Target: Hash("n2"), Depth: 1, Place: 3, From: 1, To: 1 << 60,
+			Entries: make([]Entry, MaxEntries), Wants: make([]uint64, MaxWants)}
+		d.Kind = k
+		for i := range d.Sums {
+			d.Sums[i] = uint64(i) << 60
+		}
+		b := d.Encode()
+		if k == Ping || k == Ack || k == Gossip || k == Told {
+			b, _ = AppendStatement(b, small)
+			b, _ = AppendStatement(b, small)
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+func TestLargestFits(t *testing.T) {
+	want := largest()
+	if err := want.Check(); err != nil {
+		t.Fatal(err)
+	}
+	d := Datagram{Head: Head{Kind: Ping, Sender: 1}}
+	b, ok := AppendStatement(d.Encode(), want)
+	if !ok || len(b) != MaxSize {
+		t.Fatalf("fits=%v, %d bytes", ok, len(b))
+	}
+	got, err := Decode(b)
+	if err != nil || len(got.Statements) != 1 || got.Statements[0] != want {
+		t.Fatalf("%v: %+v", err, got.Statements)
+	}
+	for _, b := range samples() {
+		if d, err := Decode(b); err != nil || len(b) > MaxSize || !Ours(b, d.Fleet) || b[0] < 0x40 || b[0] >= 0x60 {
+			t.Errorf("kind %#x of %d bytes: %v", b[0], len(b), err)
+		}
+	}
+}
+
+// Fields that a newer version adds are kept, told on and part of the sum, up to their bound.
+func TestNewerFields(t *testing.T) {
+	s := Statement{Name: "n1", Extra: "newer"}
+	d := Datagram{Head: Head{Kind: Told, Sender: 1}}
+	b, _ := AppendStatement(d.Encode(), s)
+	got, err := Decode(b)
+	if err != nil || got.Statements[0] != s {
+		t.Fatalf("%v: %+v", err, got)
+	}
+	if s.Sum() == (Statement{Name: "n1"}).Sum() {
+		t.Error("the sum leaves the newer fields out")
+	}
+}
+
+// What can be read is within its bounds, and written again it is the same statement. Nothing panics.
+func FuzzDecode(f *testing.F) {
+	for _, b := range samples() {
+		f.Add(b)
+		f.Add(b[:len(b)-3])
+		f.Add(append(bytes.Clone(b), 0xff, 1, 2))
+	}
+	d := Datagram{Head: Head{Kind: Gossip, Sender: 1}}
+	b, _ := AppendStatement(d.Encode(), largest())
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if len(d.Entries) > MaxSize || len(d.Wants) > MaxSize || len(d.Statements) > MaxSize/20 {
+			t.Fatalf("unbounded: %+v", d)
+		}
+		again := Datagram{Head: Head{Kind: Told, Sender: 1}}
+		for _, s := range d.Statements {
+			if err := s.Check(); err != nil {
+				t.Fatal(err)
+			}
+			b, ok := AppendStatement(again.Encode(), s)
+			got, err := Decode(b)
+			if !ok || err != nil || got.Statements[0] != s {
+				t.Fatalf("%v: %+v became %+v", err, s, got.Statements)
+			}
+		}
+	})
+}
