Let the probes before an accusation grow with the fleet

Two failed probes in a row left 65 accusations of living members a second in a fleet of 1,000 at 30% loss, more than datagrams carry refutations: 14.8 false deaths a node and hour.

--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -1,14 +1,20 @@
 package fleet
 
 import (
+	"math/bits"
+
 	"indigotack/internal/fleet/wire"
 )
 
 // helpers are asked to ask when the direct answer stays out: with three, and a loss of 30% on each way, one probe in nine of a
-// living member fails (0.51 x 0.51 x 0.76^3). So nobody is accused before a second probe, in the next period, has failed too (one in 80): that
-// costs a death 200 ms, and spares the fleet nearly all of the news of suspicions and their refutations.
+// living member fails (0.51 x 0.51 x 0.76^3). So nobody is accused before several in a row have failed: see tries.
 const helpers = 3
 
+// tries is how many probes of a member, one a period, fail before it is accused: two, and three from 512 members on. At a loss of 30% that leaves
+// one accusation in 80 (700) probes of the living, about 20 a second in a fleet of 300 (2,000), whose news and refutations still
+// have room on the datagrams. A death is found one period (two) later.
+func (c *Core) tries() int { return max(2, (bits.Len(uint(c.living+1))+2)/4) }
+
 // round is the order of probes: all living members once, shuffled, then again. So a member is asked at the latest after two rounds,
 // and by somebody after 1.6 periods on average, however large the fleet is.
 type round struct {
@@ -58,25 +64,25 @@
 // probe is the one under way.
 type probe struct {
 	target       *record
-	again        *record // to be asked a second time in the next period
+	again        *record // to be asked once more in the next period
 	seq          uint32
 	askAt        Time
 	open         bool // without an answer so far
 	asked, nacks int  // helpers asked, helpers that said that they have no answer
-	second       bool // the one before failed at the same member
+	failed       int  // probes of the same member that failed just before
 }
 
 func (p *probe) waits() bool { return p.open && p.asked == 0 }
 
 func (c *Core) startProbe() {
-	r, second := c.probe.again, c.probe.again != nil && c.probe.again.living()
-	if !second {
-		r = c.nextInRound()
+	r, failed := c.probe.again, c.probe.failed
+	if r == nil || !r.living() {
+		r, failed = c.nextInRound(), 0
 	}
 	c.probe = probe{}
 	if r != nil {
 		c.stats.Probes++
-		c.probe = probe{target: r, seq: c.ping(r), askAt: c.now + c.answer(), open: true, second: second}
+		c.probe = probe{target: r, seq: c.ping(r), askAt: c.now + c.answer(), open: true, failed: failed}
 	}
 }
 
@@ -132,7 +138,7 @@
 	if p.nacks == 0 {
 		c.health.worse()
 	}
-	if !p.second && p.target.st.Health == Alive {
+	if p.failed++; p.failed < c.tries() && p.target.st.Health == Alive {
 		p.again = p.target
 		return
 	}
