Show that the fleet's rules on vouching, holding back, ages and heals are each needed

The test for holding back showed that two tries at one member filled the place of two members: a deaf node went on accusing. Tries at one member count once now.

--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -19,7 +19,7 @@
 type health struct {
 	level     int
 	lateUntil Time
-	failed    [4]uint64 // whom the last probes failed at; 0: answered
+	failed    [4]uint64 // whom the probes of the last members failed at; 0: answered
 	at        int
 	holds     bool
 	since     Time // of holds
@@ -52,9 +52,12 @@
 func (h *health) worse()  { h.level = min(h.level+1, maxLevel) }
 func (h *health) better() { h.level = max(h.level-1, 0) }
 
-// probed notes at whom a probe failed, 0 if it did not. When three of the last four failed, at three members, the node holds its
-// accusations back. In a fleet of three it never does: there the other two may well both be gone.
-func (h *health) probed(now Time, failed uint64) {
+// probed notes at whom a probe failed, 0 if it did not; again if the one before was of the same member and counts no more. When three of the
+// last four members did not answer, the node holds its accusations back. In a fleet of three it never does: there the other two may well both be gone.
+func (h *health) probed(now Time, failed uint64, again bool) {
+	if again {
+		h.at = (h.at + len(h.failed) - 1) % len(h.failed)
+	}
 	h.failed[h.at] = failed
 	h.at = (h.at + 1) % len(h.failed)
 	all := h.failed
--- a/internal/fleet/merge_test.go
+++ b/internal/fleet/merge_test.go
@@ -33,6 +33,11 @@
 		if m := merge(a, b); merge(a, a) != a || merge(m, b) != m {
 			t.Fatalf("not idempotent: %+v %+v", a, b)
 		}
+		joint := a
+		joint.By = b.By
+		if m := merge(a, joint); m != merge(joint, a) || m.By != accusers(a.By, b.By) {
+			t.Fatalf("accusers of one suspicion do not add up: %x and %x", a.By, b.By)
+		}
 		m := merge(a, b)
 		if m.Life < max(a.Life, b.Life) || (a.Life == b.Life && m.Incarnation < max(a.Incarnation, b.Incarnation)) {
 			t.Fatalf("went back: %+v %+v gave %+v", a, b, m)
--- a/internal/fleet/name_test.go
+++ b/internal/fleet/name_test.go
@@ -106,6 +106,11 @@
 	if nodes[0].sees("n3").Health != Dead {
 		t.Error("a word from before its death brought it back")
 	}
+	st := wire.Statement{Name: "gone", Health: Dead, Age: 601}
+	nodes[0].take(st, wire.Gossip)
+	if nodes[0].sees("gone").Name != "" {
+		t.Error("a death from before the digest's time was taken up")
+	}
 }
 
 // The dead and those that left go out of the digest everywhere at about one time, are forgotten in the end, and stay away.
@@ -117,11 +122,15 @@
 	w.run(3 * time.Second)
 	nodes[5].up = false
 	w.mustSettle(10*time.Second, "a death and a leave")
+	w.run(20 * time.Second)
 	late := w.start(w.config(50, "n50", 5000))
 	w.mustSettle(10*time.Second, "a join that hears of the dead")
 	if late.sees("n4").Health != Dead || late.sees("n5").Health != Left {
 		t.Error("a new node does not hear who died or left")
 	}
+	if d := late.sees("n4").Since - nodes[0].sees("n4").Since; d < -2*time.Second || d > 2*time.Second {
+		t.Errorf("a new node takes a death for %v younger", d)
+	}
 	w.run(12 * time.Minute)
 	for _, n := range w.nodes {
 		if n.up && len(n.order) != 5 {
--- a/internal/fleet/net_test.go
+++ b/internal/fleet/net_test.go
@@ -229,6 +229,24 @@
 	return count
 }
 
+// seen is a change of one node's view.
+type seen struct {
+	viewer *node
+	change
+}
+
+// suspicions are the changes since then in which a member became suspect.
+func (w *network) suspicions(since Time) (out []seen) {
+	for _, n := range w.nodes {
+		for _, c := range n.changes {
+			if c.at >= since && c.Member.Health == Suspect && c.Before.Health != Suspect {
+				out = append(out, seen{n, c})
+			}
+		}
+	}
+	return out
+}
+
 func (n *node) sees(name string) Member {
 	for _, m := range n.View().Members {
 		if m.Name == name {
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -122,7 +122,7 @@
 	if p := &c.probe; p.open && p.target == target && p.seq == seq {
 		p.open = false
 		c.health.better()
-		c.health.probed(c.now, 0)
+		c.health.probed(c.now, 0, p.failed > 0)
 	}
 }
 
@@ -134,7 +134,7 @@
 	}
 	p.open = false
 	c.stats.Failed++
-	c.health.probed(c.now, p.target.hash)
+	c.health.probed(c.now, p.target.hash, p.failed > 0)
 	if p.nacks == 0 {
 		c.health.worse()
 	}
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -69,6 +69,25 @@
 	}
 }
 
+func TestBoundsAreChecked(t *testing.T) {
+	for name, spoil := range map[string]func(s *Statement){
+		"no name": func(s *Statement) { s.Name = "" }, "long name": func(s *Statement) { s.Name += "n" },
+		"blank in the name": func(s *Statement) { s.Name = "a b" }, "control byte": func(s *Statement) { s.Facts.Zone = "a\nb" },
+		"long zone": func(s *Statement) { s.Facts.Zone += "z" }, "long version": func(s *Statement) { s.Facts.Version += "v" },
+		"life": func(s *Statement) { s.Life = MaxLife }, "health": func(s *Statement) { s.Health = 4 },
+		"accusers": func(s *Statement) { s.By = [3]uint64{2, 1, 3} },
+	} {
+		s := largest()
+		s.Addr, s.Extra = netip.AddrPort{}, ""
+		spoil(&s)
+		d := Datagram{Head: Head{Kind: Gossip, Sender: 1}}
+		b, _ := AppendStatement(d.Encode(), s)
+		if _, err := Decode(b); err == nil {
+			t.Errorf("%s: read without an error", name)
+		}
+	}
+}
+
 // What can be read is within its bounds, and written again it is the same statement. Nothing panics.
 func FuzzDecode(f *testing.F) {
 	for _, b := range samples() {
