--- a/decide/tableread.go
+++ b/decide/tableread.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -23,7 +24,8 @@
 	word   string
 }
 
-// ReadTable reads a table's JSON, checks it and makes it ready for use. Fields that it doesn't know are ignored.
+// ReadTable reads a table's canonical JSON, checks it and makes it ready for use. Fields that it doesn't know are
+// ignored, but are a part of the digest, which is taken from the bytes.
 func ReadTable(data []byte) (*Table, error) {
 	if len(data) > mostBytes {
 		return nil, fmt.Errorf("table of %d bytes, %d at most", len(data), mostBytes)
@@ -35,14 +37,19 @@
 	if t.Format != TableFormat {
 		return nil, fmt.Errorf("table of format %d, this program knows %d", t.Format, TableFormat)
 	}
-	said := t.Digest
-	if err := t.Ready(); err != nil {
-		return nil, err
+	head := fmt.Appendf(nil, `{"format":%d,"version":%d,"digest":%q,`, t.Format, t.Version, t.Digest)
+	rest, canonical := bytes.CutPrefix(data, head)
+	if said := t.Digest; !canonical || said != digest(t.Format, rest) {
+		return nil, fmt.Errorf("table: the digest %.16q is not that of the bytes", said)
 	}
-	if said != t.Digest {
-		return nil, fmt.Errorf("table says digest %.16q, but has %.16q", said, t.Digest)
-	}
-	return t, nil
+	return t, t.prepare()
+}
+
+// digest is over a table's JSON with version 0 and no digest.
+func digest(format int, rest []byte) string {
+	sum := sha256.New()
+	fmt.Fprintf(sum, `{"format":%d,"version":0,"digest":"",%s`, format, rest)
+	return hex.EncodeToString(sum.Sum(nil))
 }
 
 // JSON gives the table's canonical bytes.
@@ -51,9 +58,19 @@
 	return data
 }
 
-// Ready checks a table, sets its digest, and builds what Admit needs. It must have come back without an error before
-// the table is used.
+// Ready checks a table that was put together, sets its digest, and makes it ready for use.
 func (t *Table) Ready() error {
+	if err := t.prepare(); err != nil {
+		return err
+	}
+	t.Version, t.Digest = 0, ""
+	rest := bytes.TrimPrefix(t.JSON(), fmt.Appendf(nil, `{"format":%d,"version":0,"digest":"",`, t.Format))
+	t.Digest = digest(t.Format, rest)
+	return nil
+}
+
+// prepare checks a table and builds what Admit needs.
+func (t *Table) prepare() error {
 	if err := t.check(); err != nil {
 		return fmt.Errorf("table: %w", err)
 	}
@@ -79,10 +96,6 @@
 	if t.hands-len(t.Limits) > MostSlots {
 		return fmt.Errorf("table: %d slots of keys, %d at most", t.hands-len(t.Limits), MostSlots)
 	}
-	bare := *t
-	bare.Version, bare.Digest = 0, ""
-	sum := sha256.Sum256(bare.JSON())
-	t.Digest = hex.EncodeToString(sum[:])
 	return nil
 }
 
@@ -185,61 +198,3 @@
 	return sane(f.Rate) && sane(f.Burst) && sane(f.Floor) && f.Floor <= f.Rate && (l.Unit != UnitOpen || f.Burst == 0) &&
 		(l.Borrow || f.Floor == f.Rate)
 }
-
-// around finds the nearest limit of a unit around a part, and the axis of the first word past it.
-func (t *Table) around(part int, u Unit) (parent int, axis Axis) {
-	for at := part; t.Parts[at].Within >= 0; {
-		axis, at = t.Parts[at].Axis, t.Parts[at].Within
-		s := t.Parts[at]
-		for i := s.First; i < s.First+s.Count && i < len(t.Limits); i++ {
-			if t.Limits[i].Unit == u {
-				return i, axis
-			}
-		}
-	}
-	return -1, axis
-}
-
-// touched bounds the limits and parts that one request can touch: of siblings of one axis it matches one.
-func (t *Table) touched() (limits, parts int) {
-	type most struct{ limits, parts [OfPod + 1]int }
-	below := make([]most, len(t.Parts))
-	for i := len(t.Parts) - 1; i >= 0; i-- {
-		s := t.Parts[i]
-		limits, parts = s.Count, 1
-		for a := range below[i].limits {
-			limits, parts = limits+below[i].limits[a], parts+below[i].parts[a]
-		}
-		if s.Within >= 0 {
-			up := &below[s.Within]
-			up.limits[s.Axis], up.parts[s.Axis] = max(up.limits[s.Axis], limits), max(up.parts[s.Axis], parts)
-		}
-	}
-	return limits, parts
-}
-
-// NameOf gives a part's path in words.
-func (t *Table) NameOf(part int) string {
-	var parts []string
-	for ; t.Parts[part].Within >= 0; part = t.Parts[part].Within {
-		parts = append(parts, t.Parts[part].Axis.String()+"/"+t.Parts[part].Word)
-	}
-	if parts == nil {
-		return OfFleet.String()
-	}
-	for i, j := 0, len(parts)-1; i < j; i, j = i+1, j-1 {
-		parts[i], parts[j] = parts[j], parts[i]
-	}
-	return strings.Join(parts, "/")
-}
-
-func (a Axis) String() string { return [...]string{"fleet", "site", "book", "class", "pod"}[a] }
-
-func (u Unit) String() string { return [...]string{"requests", "work", "open", "repeats", "key"}[u] }
-
-func (u Unit) suffix() string {
-	if u == UnitRequests {
-		return ""
-	}
-	return ":" + u.String()
-}
