Judge requests by the operators' table of limits

A node evaluates one table of one version: the chain of limits that a request touches, eight at most, all or none taken, without allocation. A second table is tried beside it and only counts. A refusal carries its status. With no table set nothing changes: the module draws the same random numbers in the same order.

--- a/decide/api.go
+++ b/decide/api.go
@@ -343,6 +343,7 @@
 	Refuse struct {
 		ID      RequestID
 		HoldOff time.Duration // how long the client should wait; 0: no advice
+		Status  int           // that the client is told; 0: 503
 	}
 	// Fail is a final answer that promises nothing.
 	Fail struct{ ID RequestID }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -124,6 +124,10 @@
 		m.looked(e)
 	case MessageReceived:
 		m.hear(e)
+	case TableChanged:
+		m.take(e)
+	case LevelChanged:
+		m.level = e.Level
 	case TimerFired:
 		if e.Token != lookToken {
 			m.tick()
@@ -459,6 +463,7 @@
 		return
 	}
 	r.done = true
+	r.release()
 	for i, a := range r.attempts {
 		if m.set.MayCancel && !a.ended && !r.started {
 			m.do(CancelAttempt{ID: r.id, Attempt: i})
@@ -487,6 +492,9 @@
 	r.priority = m.random() < rank(c.Worth, c.group.top) && !m.worthless(r, 0)
 	t := m.tenants[e.Tenant] // over its share a request is worth little
 	r.priority = (t == nil || t.within(m.now)) && r.priority
+	if !m.permit(r, &e) {
+		return
+	}
 	if c.group.n2++; r.priority {
 		c.group.n1, c.group.n2 = c.group.n1+1, c.group.n2-1
 	}
--- /dev/null
+++ b/decide/limits.go
@@ -0,0 +1,128 @@
+package decide
+
+// Whether the operators' limits admit a request. The interface is in api.go, the table in table.go.
+
+import "time"
+
+// Admit judges a request by all limits that it touches, MostTouched at most: it is admitted when each of them
+// has the tokens, and takes them all, or else none. From the leaf to the fleet, the first that lacks them
+// refuses, at once. Requests without priority leave the reserve of a limit alone, and so go first when tokens
+// get scarce.
+func (t *Table) Admit(a Ask, h Hand) Verdict {
+	parts, n := t.match(&a)
+	for _, p := range parts[:n] { // those further in have the last word on priority
+		part := &t.Parts[p]
+		if part.Priority != 0 {
+			a.Priority = part.Priority > 0
+		}
+		if part.ShedAt > 0 && a.Level >= part.ShedAt {
+			told := &t.Levels[part.ShedAt-1]
+			return Verdict{Limit: -1, Status: told.Status, RetryAfter: told.Wait}
+		}
+	}
+	var taken [MostTouched]struct {
+		at     int
+		amount float64
+	}
+	v, k := Verdict{OK: true}, 0
+	for i := n - 1; i >= 0; i-- {
+		part := &t.Parts[parts[i]]
+		for j := part.First; j < part.First+part.Count; j++ {
+			l := &t.Limits[j]
+			at, amount := t.slot(j, a.Key), l.amount(&a)
+			if amount <= 0 {
+				continue
+			}
+			if h.Left(at) < l.needed(amount, a.Priority, h.Full(at)) {
+				h.Refused(at, amount)
+				return Verdict{Limit: j, Status: l.Status, RetryAfter: l.Wait}
+			}
+			taken[k].at, taken[k].amount = at, amount
+			if k++; l.Unit == UnitOpen {
+				v.Held.limits[v.Held.count] = int16(j)
+				v.Held.count++
+			}
+		}
+	}
+	for _, x := range taken[:k] {
+		h.Take(x.at, x.amount)
+	}
+	return v
+}
+
+// match finds the parts that a request touches, parents before children: of siblings of one axis the one that
+// has its word, or else the one for others.
+func (t *Table) match(a *Ask) (parts [MostParts]int32, n int) {
+	words := [...]string{OfSite: a.Site, OfBook: a.Book, OfClass: a.Class, OfPod: a.Pod}
+	n = 1
+	for i := 0; i < n; i++ {
+		for axis := OfSite; t.axes[parts[i]]>>axis != 0; axis++ {
+			if t.axes[parts[i]]>>axis&1 == 0 {
+				continue
+			}
+			child, ok := t.index[partKey{parts[i], axis, words[axis]}]
+			if !ok {
+				child, ok = t.index[partKey{parts[i], axis, Others}]
+			}
+			if ok {
+				parts[n] = child
+				n++
+			}
+		}
+	}
+	return parts, n
+}
+
+// amount is what a request takes of a limit, in its unit. A request without a key is free of limits by key.
+func (l *Limit) amount(a *Ask) float64 {
+	switch {
+	case l.Unit == UnitWork:
+		return float64(a.Cost) / float64(time.Millisecond)
+	case l.Unit == UnitRepeats && !a.Repeat, l.Unit == UnitKey && a.Key == "":
+		return 0
+	}
+	return 1
+}
+
+// needed is what must be left of a limit, of which a node can hold so much, for a request to take its amount.
+// All that a node can hold is enough for any that it can hold.
+func (l *Limit) needed(amount float64, priority bool, full float64) float64 {
+	if priority {
+		return amount
+	}
+	return max(amount, min(amount+l.Reserve*full, full))
+}
+
+// slot is a limit's index at the hand: for one by key, that of the key's slot.
+func (t *Table) slot(limit int, key string) int {
+	if t.slots[limit] == 0 {
+		return limit
+	}
+	hash := uint64(0)
+	for i := range len(key) {
+		hash = mix(hash ^ uint64(key[i]))
+	}
+	return int(t.slots[limit]) + int(hash%uint64(t.Limits[limit].Slots))
+}
+
+// permit asks the table that holds and the one that is tried. The latter's word only counts.
+func (m *Module) permit(r *request, e *RequestArrived) bool {
+	if m.limits[0].table == nil && m.limits[1].table == nil {
+		return true
+	}
+	a := Ask{Site: m.set.Zone, Book: e.Tenant, Class: e.Class, Key: e.Key, Repeat: e.Repeat,
+		Priority: r.priority, Cost: time.Duration(r.class.hint * float64(time.Second)), Level: m.level}
+	if e.HasHint {
+		a.Cost = e.WorkHint
+	}
+	v, tried := m.limits[0].judge(a), m.limits[1].judge(a)
+	if m.limits[1].table != nil && v.OK != tried.OK {
+		m.limits[1].tally.Apart++
+	}
+	r.grants = [2]grant{{m.limits[0].hand, v.Held}, {m.limits[1].hand, tried.Held}}
+	if !v.OK {
+		m.do(Refuse{ID: r.id, HoldOff: min(m.jitter(v.RetryAfter), m.set.MaxHoldOff), Status: v.Status})
+		m.close(r)
+	}
+	return v.OK
+}
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -9,7 +9,7 @@
 // Someone paged at night must read the module whole: its length is limited.
 func TestModuleLimits(t *testing.T) {
 	total := 0
-	for _, file := range []string{"decide.go", "peers.go", "handover.go"} {
+	for _, file := range []string{"decide.go", "peers.go", "handover.go", "limits.go"} {
 		text, err := os.ReadFile(file)
 		if err != nil {
 			t.Fatal(err)
--- a/decide/state.go
+++ b/decide/state.go
@@ -90,6 +90,7 @@
 	looking                        bool
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
 	coming                         bool // its last byte has not left yet
+	grants                         [2]grant
 }
 
 type tenant struct {
@@ -131,6 +132,8 @@
 	subscribed, asking bool
 	askAt              Time
 	askWait            time.Duration
+	limits             [2]limiter // of the table that holds; of the one that is tried
+	level              int        // of degradation
 }
 
 // New makes the module of a node that has just started.
--- a/decide/table.go
+++ b/decide/table.go
@@ -104,8 +104,10 @@
 
 // Level is a step of degradation, by the part of the fleet's requests that is refused.
 type Level struct {
-	Above float64 `json:"above"` // the level is taken when more is refused
-	Below float64 `json:"below"` // and left when less is; < Above
+	Above  float64       `json:"above"`  // the level is taken when more is refused
+	Below  float64       `json:"below"`  // and left when less is; < Above
+	Status int           `json:"status"` // told to those it refuses: 429 or 503
+	Wait   time.Duration `json:"wait"`   // told to them as Retry-After
 }
 
 // Ask is a request as limits see it.
@@ -119,21 +121,27 @@
 }
 
 // Hand holds a node's tokens of each limit of one table. The index is that in Table.Limits or, beyond, a slot of keys:
-// see Table.Hands. It is used by one goroutine at a time.
+// see Table.Hands. It is used by one goroutine at a time. A limit's tokens come at its rate and gather up to its burst;
+// a UnitOpen one's are as many as may be open, and come back by Give alone.
 type Hand interface {
-	Left(limit int) float64            // tokens, in the limit's unit; below 0 when more was taken than there was
+	Left(limit int) float64            // tokens, in the limit's unit; below 0 when a share has shrunk under what is taken
 	Full(limit int) float64            // the most that Left can come to at the node's present share
 	Take(limit int, amount float64)    // amount <= Left
-	Give(limit int, amount float64)    // back, of an Open limit, when the request has ended
+	Give(limit int, amount float64)    // back, to a UnitOpen limit, when the request has ended
 	Refused(limit int, amount float64) // demand that Admit turned away, for the next share
 }
 
 // Verdict is the answer to an Ask.
 type Verdict struct {
 	OK         bool
-	Limit      int                // that refused, in Table.Limits; -1: none, the level of degradation did
-	Status     int                // 429 or 503
-	RetryAfter time.Duration      // before spreading
-	open       [MostTouched]int32 // the Open limits that it took from
-	opens      int8
+	Limit      int           // that refused, in Table.Limits; -1: none did, but the level of degradation
+	Status     int           // 429 or 503
+	RetryAfter time.Duration // before spreading
+	Held       Held          // what an admitted request holds while it is open
+}
+
+// Held is what a request has taken from the limits on open requests.
+type Held struct {
+	limits [MostTouched]int16
+	count  int8
 }
--- a/decide/tableread.go
+++ b/decide/tableread.go
@@ -141,8 +141,8 @@
 		}
 	}
 	for i, l := range t.Levels {
-		if !(l.Below >= 0 && l.Below < l.Above && l.Above < 1) {
-			return fmt.Errorf("level %d: above %v, below %v", i+1, l.Above, l.Below)
+		if !(l.Below >= 0 && l.Below < l.Above && l.Above < 1) || !told(l.Status, l.Wait) {
+			return fmt.Errorf("level %d: %+v", i+1, l)
 		}
 	}
 	return nil
@@ -179,7 +179,7 @@
 		return fmt.Errorf("%.80q has parent %d, axis %d, for %d and %d by its place", l.Name, l.Parent, l.Axis, parent, axis)
 	case !(l.Weight > 0 && l.Weight <= mostUnits && l.Safe > 0 && l.Safe <= 1 && l.Reserve >= 0 && l.Reserve < 1):
 		return fmt.Errorf("weight %v, safe %v, reserve %v", l.Weight, l.Safe, l.Reserve)
-	case l.Status != 429 && l.Status != 503 || l.Wait < 0 || l.Wait > mostWait || len(l.Spans) > MostSpans:
+	case !told(l.Status, l.Wait) || len(l.Spans) > MostSpans:
 		return fmt.Errorf("status %d, wait %v, %d spans", l.Status, l.Wait, len(l.Spans))
 	case !l.fits(Figures{l.Rate, l.Burst, l.Floor}):
 		return fmt.Errorf("rate %v, burst %v, floor %v", l.Rate, l.Burst, l.Floor)
@@ -193,6 +193,10 @@
 	return nil
 }
 
+func told(status int, wait time.Duration) bool {
+	return (status == 429 || status == 503) && wait >= 0 && wait <= mostWait
+}
+
 func (l *Limit) fits(f Figures) bool {
 	sane := func(v float64) bool { return v >= 0 && v <= mostUnits && !math.IsNaN(v) }
 	return sane(f.Rate) && sane(f.Burst) && sane(f.Floor) && f.Floor <= f.Rate && (l.Unit != UnitOpen || f.Burst == 0) &&
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -286,7 +287,7 @@
 	case decide.Send:
 		n.send(a)
 	case decide.Refuse:
-		n.finish(a.ID, answer{status: http.StatusServiceUnavailable, holdOff: a.HoldOff})
+		n.finish(a.ID, answer{status: cmp.Or(a.Status, http.StatusServiceUnavailable), holdOff: a.HoldOff})
 	case decide.Fail:
 		n.finish(a.ID, answer{status: http.StatusBadGateway})
 	case decide.CancelAttempt:
