Compile the operators' language of limits to the table

Books, sites, classes and pods nest in HCL blocks with shares, floors, bursts, times and levels of degradation.

--- a/decide/limits.go
+++ b/decide/limits.go
@@ -2,23 +2,27 @@
 
 // Whether the operators' limits admit a request. The interface is in api.go, the table in table.go.
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Admit judges a request by all limits that it touches, MostTouched at most: it is admitted when each of them
 // has the tokens, and takes them all, or else none. From the leaf to the fleet, the first that lacks them
 // refuses, at once. Requests without priority leave the reserve of a limit alone, and so go first when tokens
 // get scarce.
 func (t *Table) Admit(a Ask, h Hand) Verdict {
+	for i := range t.Levels[:min(max(a.Level, 0), len(t.Levels))] {
+		l := &t.Levels[i]
+		if _, refused := slices.BinarySearch(l.Refuse, a.Class); refused {
+			return Verdict{Limit: -1, Status: l.Status, RetryAfter: l.Wait}
+		}
+	}
 	parts, n := t.match(&a)
 	for _, p := range parts[:n] { // those further in have the last word on priority
-		part := &t.Parts[p]
-		if part.Priority != 0 {
+		if part := &t.Parts[p]; part.Priority != 0 {
 			a.Priority = part.Priority > 0
 		}
-		if part.ShedAt > 0 && a.Level >= part.ShedAt {
-			told := &t.Levels[part.ShedAt-1]
-			return Verdict{Limit: -1, Status: told.Status, RetryAfter: told.Wait}
-		}
 	}
 	var taken [MostTouched]struct {
 		at     int
--- a/decide/table.go
+++ b/decide/table.go
@@ -57,7 +57,6 @@
 	First    int    `json:"first"`              // of its limits in Table.Limits
 	Count    int    `json:"count"`              // of them; Unit is different in each
 	Priority int    `json:"priority,omitempty"` // 1: its requests have priority, -1: they have not, 0: as the node judges
-	ShedAt   int    `json:"shed_at,omitempty"`  // refused from this level of degradation on; 0: never
 }
 
 // Unit is what a limit counts.
@@ -102,10 +101,12 @@
 	Floor    float64 `json:"floor"`
 }
 
-// Level is a step of degradation, by the part of the fleet's requests that is refused.
+// Level is a step of degradation, by the part of the fleet's requests that is refused. It refuses its classes and
+// those of the levels before it.
 type Level struct {
 	Above  float64       `json:"above"`  // the level is taken when more is refused
 	Below  float64       `json:"below"`  // and left when less is; < Above
+	Refuse []string      `json:"refuse"` // classes, in order
 	Status int           `json:"status"` // told to those it refuses: 429 or 503
 	Wait   time.Duration `json:"wait"`   // told to them as Retry-After
 }
--- a/decide/tableread.go
+++ b/decide/tableread.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"time"
 )
@@ -83,7 +84,7 @@
 		}
 		t.index[k] = int32(i + 1)
 	}
-	if limits, parts := t.touched(); limits > MostTouched || parts > MostParts {
+	if limits, parts := t.Touched(); limits > MostTouched || parts > MostParts {
 		return fmt.Errorf("table: one request can touch %d limits and %d parts, %d and %d at most",
 			limits, parts, MostTouched, MostParts)
 	}
@@ -141,7 +142,8 @@
 		}
 	}
 	for i, l := range t.Levels {
-		if !(l.Below >= 0 && l.Below < l.Above && l.Above < 1) || !told(l.Status, l.Wait) {
+		if !(l.Below >= 0 && l.Below < l.Above && l.Above < 1) || !told(l.Status, l.Wait) ||
+			len(l.Refuse) > MostLimits || !slices.IsSorted(l.Refuse) {
 			return fmt.Errorf("level %d: %+v", i+1, l)
 		}
 	}
@@ -157,8 +159,8 @@
 		return fmt.Errorf("axis %d, word %.40q", s.Axis, s.Word)
 	case s.First != next || s.Count < 0 || s.Count > len(t.Limits)-next:
 		return fmt.Errorf("limits %d and %d after", s.First, s.Count)
-	case s.Priority < -1 || s.Priority > 1 || s.ShedAt < 0 || s.ShedAt > len(t.Levels):
-		return fmt.Errorf("priority %d, shed at %d", s.Priority, s.ShedAt)
+	case s.Priority < -1 || s.Priority > 1:
+		return fmt.Errorf("priority %d", s.Priority)
 	}
 	return nil
 }
--- a/decide/tabletree.go
+++ b/decide/tabletree.go
@@ -4,6 +4,12 @@
 
 import "strings"
 
+// Place gives the name of a part's limit of a unit, and the axis of the first word past the limit around it.
+func (t *Table) Place(part int, u Unit) (name string, axis Axis) {
+	_, axis = t.around(part, u)
+	return t.NameOf(part) + u.suffix(), axis
+}
+
 // around finds the nearest limit of a unit around a part, and the axis of the first word past it.
 func (t *Table) around(part int, u Unit) (parent int, axis Axis) {
 	for at := part; t.Parts[at].Within >= 0; {
@@ -18,8 +24,8 @@
 	return -1, axis
 }
 
-// touched bounds the limits and parts that one request can touch: of siblings of one axis it matches one.
-func (t *Table) touched() (limits, parts int) {
+// Touched bounds the limits and parts that one request can touch: of siblings of one axis it matches one.
+func (t *Table) Touched() (limits, parts int) {
 	type most struct{ limits, parts [OfPod + 1]int }
 	below := make([]most, len(t.Parts))
 	for i := len(t.Parts) - 1; i >= 0; i-- {
--- /dev/null
+++ b/internal/policy/compare.go
@@ -0,0 +1,88 @@
+package policy
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"indigotack/decide"
+)
+
+// compare finds figures that contradict each other or those of the limit around.
+func (c *compiler) compare(p *part, l *limit, r rough, f decide.Figures, outer *limit) {
+	at := l.at
+	if g := first(r.rate, r.part); g != nil {
+		at = g.at
+	}
+	if outer != nil && f.Rate > outer.figures.Rate*(1+near) {
+		c.fail(at, "A rule that can never matter", fmt.Sprintf("%s can have %s, and the limit around it (line %d) ends at %s. Give it "+
+			"that or less.", p.path(), figure(f.Rate), outer.at.Start.Line, figure(outer.figures.Rate)))
+	}
+	if f.Floor > f.Rate*(1+near) {
+		if g := first(r.floor, r.share); g != nil {
+			at = g.at
+		}
+		c.fail(at, "Rules that contradict", fmt.Sprintf("%s is sure of %s and can have %s at most. Lower the floor, or raise the rate.",
+			p.path(), figure(f.Floor), figure(f.Rate)))
+	}
+	beside := p.limits[decide.UnitRequests]
+	if inner := l.unit == decide.UnitRepeats || l.unit == decide.UnitKey; inner && beside != nil && f.Rate > beside.figures.Rate*(1+near) {
+		c.fail(at, "A rule that can never matter", fmt.Sprintf("%s lets %s requests a second in (line %d), fewer than the %s here. "+
+			"Lower this one.", p.path(), figure(beside.figures.Rate), beside.at.Start.Line, figure(f.Rate)))
+	}
+}
+
+// figure writes a number for people.
+func figure(n float64) string { return strconv.FormatFloat(n, 'g', 6, 64) }
+
+func first(list ...*given) *given {
+	for _, g := range list {
+		if g != nil {
+			return g
+		}
+	}
+	return nil
+}
+
+// burstOf is what may come at once: as said, or a second's worth, and room for one request.
+func (c *compiler) burstOf(l *limit, r rough, rate float64) float64 {
+	most, what := c.largest(l.unit)
+	at, burst := l.at, max(rate, most)
+	switch {
+	case rate == 0 && r.burst == nil: // it is closed
+		return 0
+	case l.unit == decide.UnitOpen:
+		if g := first(r.rate, r.part); g != nil {
+			at = g.at
+		}
+		if burst = 0; rate < most {
+			c.exceeded(at, rate, what)
+		}
+	case r.burst != nil:
+		if at, burst = r.burst.at, r.burst.n; burst < most {
+			c.exceeded(at, burst, what)
+		}
+	}
+	return burst
+}
+
+func (c *compiler) exceeded(at hcl.Range, there float64, what string) {
+	c.fail(at, "A limit that one request exceeds", fmt.Sprintf("%s is less than %s, so that none would ever be let in. Raise it, or "+
+		"write rate = 0 to close the part.", figure(there), what))
+}
+
+// largest is the most that one request takes of a limit.
+func (c *compiler) largest(u decide.Unit) (float64, string) {
+	if u != decide.UnitWork {
+		return 1, "one request"
+	}
+	most, name := 0.0, ""
+	for _, k := range c.known.Classes {
+		if ms := float64(k.Work) / float64(time.Millisecond); ms > most {
+			most, name = ms, k.Name
+		}
+	}
+	return most, fmt.Sprintf("the %v ms of work of a heavy %s", most, name)
+}
--- /dev/null
+++ b/internal/policy/floors.go
@@ -0,0 +1,125 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"indigotack/decide"
+)
+
+// checkFloors finds floors of siblings that add up to more than the limit around them has, at any time.
+func (c *compiler) checkFloors(t *decide.Table, fleet *part) {
+	type group struct {
+		parent int
+		axis   decide.Axis
+	}
+	groups, order := map[group][]int{}, []group{}
+	for i, l := range t.Limits {
+		if l.Parent < 0 || l.Unit > decide.UnitOpen {
+			continue
+		}
+		g := group{l.Parent, l.Axis}
+		if groups[g] == nil {
+			order = append(order, g)
+		}
+		groups[g] = append(groups[g], i)
+	}
+	places := placesOf(fleet)
+	for _, g := range order {
+		at := moments(t, append([]int{g.parent}, groups[g]...))
+		if len(at) > mostMoments {
+			c.fail(places[t.Limits[g.parent].Part].at, "Too many times", "The limits within this one change at too many different "+
+				"times of day. Let them begin and end together.")
+			continue
+		}
+		for _, at := range at {
+			if c.tooMuch(t, g.parent, groups[g], at, places) {
+				break // once for each group
+			}
+		}
+	}
+}
+
+// tooMuch compares one group's floors with what is there at a time.
+func (c *compiler) tooMuch(t *decide.Table, parent int, group []int, at time.Time, places []*part) bool {
+	there, sum, most := t.At(parent, at).Rate, 0.0, group[0]
+	for _, i := range group {
+		sum += t.At(i, at).Floor
+		if t.At(i, at).Floor > t.At(most, at).Floor {
+			most = i
+		}
+	}
+	if sum <= there*(1+near) {
+		return false
+	}
+	var names []string
+	for _, i := range group {
+		if f := t.At(i, at).Floor; f > 0 && len(names) < 8 {
+			names = append(names, fmt.Sprintf("%s %s", t.Limits[i].Name, figure(f)))
+		}
+	}
+	p := places[t.Limits[most].Part]
+	when := ""
+	if t.Limits[parent].Spans != nil || slices.ContainsFunc(group, func(i int) bool { return t.Limits[i].Spans != nil }) {
+		when = at.Add(time.Duration(t.Zone) * time.Minute).Format(" at 15:04 on day 2 of a month of 31")
+	}
+	c.fail(p.at, "Floors that add up to more than is there", fmt.Sprintf("%s has %s%s, and the floors within it come to %s (%s). "+
+		"Lower some by %s together, or raise %s.", t.Limits[parent].Name, figure(there), when, figure(sum),
+		strings.Join(names, ", "), figure(sum-there),
+		t.Limits[parent].Name))
+	return true
+}
+
+// placesOf gives the blocks by the table's parts.
+func placesOf(fleet *part) (places []*part) {
+	fleet.each(func(p *part) { places = append(places, p) }) // flatten has put them in order
+	return places
+}
+
+const mostMoments = 2_000 // times at which a limit's floors are added up: 30 times of day on each day of a month
+
+// moments are times, one in each stretch in which no figure of the limits changes: in a month of 31 days, as far from
+// its end as the times tell apart.
+func moments(t *decide.Table, limits []int) (list []time.Time) {
+	minutes, left := []int{0}, []int{30}
+	for _, i := range limits {
+		for _, s := range t.Limits[i].Spans {
+			minutes = append(minutes, s.From, s.To)
+			if s.LastDays > 0 {
+				left = append(left, max(s.LastDays-2, 0), s.LastDays-1, min(s.LastDays, 30))
+			}
+		}
+	}
+	slices.Sort(minutes)
+	slices.Sort(left)
+	minutes, left = slices.Compact(minutes), slices.Compact(left)
+	for _, days := range left {
+		for _, m := range minutes {
+			there := time.Date(2026, time.January, 31-days, 0, m, 0, 0, time.UTC)
+			list = append(list, there.Add(-time.Duration(t.Zone)*time.Minute))
+		}
+	}
+	return list
+}
+
+// checkSize compares the whole with what a table can hold.
+func (c *compiler) checkSize(t *decide.Table, fleet *part) {
+	if len(t.Limits) > decide.MostLimits {
+		c.fail(fleet.at, "Too many limits", fmt.Sprintf("There are %d, %d at most. Let parts with little to do share one block with the "+
+			"name \"*\".", len(t.Limits), decide.MostLimits))
+	}
+	slots := 0
+	for _, l := range t.Limits {
+		slots += l.Slots
+	}
+	if slots > decide.MostSlots {
+		c.fail(fleet.at, "Too many slots of keys", fmt.Sprintf("All `key` blocks have %d together, %d at most. Give each fewer slots.",
+			slots, decide.MostSlots))
+	}
+	if limits, parts := t.Touched(); limits > decide.MostTouched || parts > decide.MostParts {
+		c.fail(fleet.at, "Limits too deep", fmt.Sprintf("One request can touch %d limits in %d parts, %d and %d at most. Drop limits "+
+			"that those around them make needless.", limits, parts, decide.MostTouched, decide.MostParts))
+	}
+}
