--- a/decide/limits.go
+++ b/decide/limits.go
@@ -13,43 +13,40 @@
 // get scarce.
 func (t *Table) Admit(a Ask, h Hand) Verdict {
 	for i := range t.Levels[:min(max(a.Level, 0), len(t.Levels))] {
-		l := &t.Levels[i]
-		if _, refused := slices.BinarySearch(l.Refuse, a.Class); refused {
-			return Verdict{Limit: -1, Status: l.Status, RetryAfter: l.Wait}
+		if _, refused := slices.BinarySearch(t.Levels[i].Refuse, a.Class); refused {
+			return Verdict{Limit: -1, Status: t.Levels[i].Status, RetryAfter: t.Levels[i].Wait}
 		}
 	}
 	parts, n := t.match(&a)
-	for _, p := range parts[:n] { // those further in have the last word on priority
+	for _, p := range parts[:n] { // the one furthest in has the last word on priority, and of two the later axis
 		if part := &t.Parts[p]; part.Priority != 0 {
 			a.Priority = part.Priority > 0
 		}
 	}
-	var taken [MostTouched]struct {
-		at     int
-		amount float64
-	}
+	var at [MostTouched]int
+	var amounts [MostTouched]float64
 	v, k := Verdict{OK: true}, 0
 	for i := n - 1; i >= 0; i-- {
 		part := &t.Parts[parts[i]]
 		for j := part.First; j < part.First+part.Count; j++ {
 			l := &t.Limits[j]
-			at, amount := t.slot(j, a.Key), l.amount(&a)
+			slot, amount := t.slot(j, a.Key), l.amount(&a)
 			if amount <= 0 {
 				continue
 			}
-			if h.Left(at) < l.needed(amount, a.Priority, h.Full(at)) {
-				h.Refused(at, amount)
+			if h.Left(slot) < l.needed(amount, a.Priority, h.Full(slot)) {
+				h.Refused(slot, amount)
 				return Verdict{Limit: j, Status: l.Status, RetryAfter: l.Wait}
 			}
-			taken[k].at, taken[k].amount = at, amount
+			at[k], amounts[k] = slot, amount
 			if k++; l.Unit == UnitOpen {
 				v.Held.limits[v.Held.count] = int16(j)
 				v.Held.count++
 			}
 		}
 	}
-	for _, x := range taken[:k] {
-		h.Take(x.at, x.amount)
+	for i, slot := range at[:k] {
+		h.Take(slot, amounts[i])
 	}
 	return v
 }
--- a/internal/policy/compare.go
+++ b/internal/policy/compare.go
@@ -46,10 +46,15 @@
 	return nil
 }
 
-// burstOf is what may come at once: as said, or a second's worth, and room for one request.
-func (c *compiler) burstOf(l *limit, r rough, rate float64) float64 {
+// burstOf is what may come at once: as said, or a second's worth, no more than the limit around lets in, and room for
+// one request.
+func (c *compiler) burstOf(l *limit, r rough, rate float64, outer *limit) float64 {
 	most, what := c.largest(l.unit)
-	at, burst := l.at, max(rate, most)
+	at, burst := l.at, rate
+	if outer != nil {
+		burst = min(burst, outer.figures.Burst)
+	}
+	burst = max(burst, most)
 	switch {
 	case rate == 0 && r.burst == nil: // it is closed
 		return 0
--- a/internal/policy/figures.go
+++ b/internal/policy/figures.go
@@ -30,7 +30,7 @@
 	for _, u := range []decide.Unit{decide.UnitRequests, decide.UnitWork, decide.UnitOpen} {
 		around := p.up.nearest(u)
 		if found = found || around != nil; around != nil && p.limits[u] == nil {
-			p.limits[u] = &limit{figuring: around.figuring, unit: u, at: p.at}
+			p.limits[u] = &limit{figuring: c.usual, unit: u, at: p.at}
 		}
 	}
 	if !found && p.up != nil {
@@ -183,7 +183,7 @@
 		f.Floor = rate
 	}
 	c.compare(p, l, r, f, outer)
-	f.Burst = c.burstOf(l, r, f.Rate)
+	f.Burst = c.burstOf(l, r, f.Rate, outer)
 	return f
 }
 
