--- a/internal/policy/bounds.go
+++ b/internal/policy/bounds.go
@@ -44,7 +44,7 @@
 }
 
 // affordable bounds the work that the expressions take: a for expression, a splat and a dynamic block are taken to go
-// round mostElements times, and literal lists and all values of locals are kept to so many.
+// round as often as their literal list has elements, or mostElements times; and literal lists and all values of locals are kept to so many.
 func (c *compiler) affordable(body *hclsyntax.Body) bool {
 	m := &meter{times: 1}
 	hclsyntax.Walk(body, m)
@@ -66,18 +66,32 @@
 // rounds is how often what is in a node is worked out, for each time that the node is.
 func rounds(n hclsyntax.Node) float64 {
 	switch n := n.(type) {
-	case *hclsyntax.ForExpr, *hclsyntax.SplatExpr:
+	case *hclsyntax.ForExpr:
+		return elementsAtMost(n.CollExpr)
+	case *hclsyntax.SplatExpr:
 		return mostElements
 	case *hclsyntax.Block:
-		if n.Type == "dynamic" {
-			return mostElements
+		if over := n.Body.Attributes["for_each"]; n.Type == "dynamic" && over != nil {
+			return elementsAtMost(over.Expr)
 		}
 	case *hclsyntax.TemplateExpr:
-		return 50 // text is copied
+		if len(n.Parts) > 1 {
+			return 50 // text is copied
+		}
 	}
 	return 1
 }
 
+func elementsAtMost(list hclsyntax.Expression) float64 {
+	switch list := list.(type) {
+	case *hclsyntax.TupleConsExpr:
+		return float64(max(1, len(list.Exprs)))
+	case *hclsyntax.ObjectConsExpr:
+		return float64(max(1, len(list.Items)))
+	}
+	return mostElements
+}
+
 func (m *meter) Enter(n hclsyntax.Node) hcl.Diagnostics {
 	m.times *= rounds(n)
 	m.nodes += m.times
--- a/internal/policy/floors.go
+++ b/internal/policy/floors.go
@@ -63,7 +63,7 @@
 	p := places[t.Limits[most].Part]
 	when := ""
 	if t.Limits[parent].Spans != nil || slices.ContainsFunc(group, func(i int) bool { return t.Limits[i].Spans != nil }) {
-		when = at.Add(time.Duration(t.Zone) * time.Minute).Format(" at 15:04 on day 2") + " of a month of 31 days"
+		when = at.Add(time.Duration(t.Zone)*time.Minute).Format(" at 15:04 on day 2") + " of a month of 31 days"
 	}
 	c.fail(p.at, "Floors that add up to more than is there", fmt.Sprintf("%s has %s%s, and the floors within it come to %s (%s). "+
 		"Lower some by %s together, or raise %s.", t.Limits[parent].Name, figure(there), when, figure(sum),
@@ -120,6 +120,6 @@
 	}
 	if limits, parts := t.Touched(); limits > decide.MostTouched || parts > decide.MostParts {
 		c.fail(fleet.at, "Limits too deep", fmt.Sprintf("One request can touch %d limits in %d parts, %d and %d at most. Drop limits "+
-			"that those around them make needless.", limits, parts, decide.MostTouched, decide.MostParts))
+			"that those around them make needless, or write requests { share = ... } where a part's share makes a limit in each unit.", limits, parts, decide.MostTouched, decide.MostParts))
 	}
 }
--- a/internal/policy/locals.go
+++ b/internal/policy/locals.go
@@ -131,7 +131,7 @@
 	n := 0
 	_ = cty.Walk(v, func(_ cty.Path, v cty.Value) (bool, error) {
 		if n++; v.Type() == cty.String && v.IsKnown() && !v.IsNull() && len(v.AsString()) > mostWord {
-			n = mostElements + 1
+			n = mostElements + 2
 		}
 		if n > mostElements+1 {
 			return false, fmt.Errorf("too many")
