--- /dev/null
+++ b/cmd/indigoctl/policy.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"indigotack/decide"
+	"indigotack/internal/policy"
+	"indigotack/internal/wire"
+)
+
+const mostPolicy = 1 << 20 // bytes that are read of a policy; the compiler's own bound is lower
+
+func policyCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "policy",
+		Short: "the fleet's limits: what a policy file says, and what is wrong with it",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(policyCheck())
+	return c
+}
+
+func policyCheck() *cobra.Command {
+	var settings string
+	var limits, asJSON bool
+	c := &cobra.Command{
+		Use:   "check FILE",
+		Short: "compile a policy, and print its errors or the table's summary",
+		Long: `check compiles a policy and prints all of its errors, each with its place and a way out, or the summary of its table.
+Names are checked against --settings: a node's configuration, or a file of names such as
+{"sites":["a"],"books":["b"],"pods":["c"],"classes":[{"name":"view","worth":1,"work_ms":40}]}.`,
+		Example: "  indigoctl policy check site.hcl --settings node.json\n  indigoctl policy check site.hcl --limits",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			known, err := knownNames(settings)
+			if err != nil {
+				return err
+			}
+			t, err := compilePolicy(c.ErrOrStderr(), args[0], known)
+			if err != nil {
+				return err
+			}
+			return printTable(c.OutOrStdout(), t, limits, asJSON)
+		},
+	}
+	c.Flags().StringVar(&settings, "settings", "", "file with the names that the fleet knows")
+	c.Flags().BoolVar(&limits, "limits", false, "print each limit")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the table as nodes take it")
+	return c
+}
+
+// compilePolicy compiles a file and prints what is wrong with it.
+func compilePolicy(errs io.Writer, path string, known policy.Known) (*decide.Table, error) {
+	text, err := readMost(path, mostPolicy)
+	if err != nil {
+		return nil, err
+	}
+	t, err := policy.Compile(path, text, known)
+	var wrong *policy.Errors
+	if errors.As(err, &wrong) {
+		if err := wrong.Print(errs); err != nil {
+			return nil, err
+		}
+		return nil, fmt.Errorf("%s: errors: %d", path, wrong.Count())
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return t, nil
+}
+
+func readMost(path string, most int64) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, most+1))
+	if err == nil && int64(len(data)) > most {
+		err = fmt.Errorf("%s: more than %d bytes", path, most)
+	}
+	return data, err
+}
+
+// knownNames reads a node's configuration, or a file of names. Without a file no names are checked.
+func knownNames(path string) (policy.Known, error) {
+	if path == "" {
+		return policy.Known{}, nil
+	}
+	data, err := readMost(path, 16<<20)
+	if err != nil {
+		return policy.Known{}, err
+	}
+	var in struct {
+		Settings json.RawMessage `json:"settings"`
+		Sites    []string        `json:"sites"`
+		Books    []string        `json:"books"`
+		Pods     []string        `json:"pods"`
+		Classes  []struct {
+			Name  string  `json:"name"`
+			Worth float64 `json:"worth"`
+			Work  float64 `json:"work_ms"`
+		} `json:"classes"`
+	}
+	if err := json.Unmarshal(data, &in); err != nil {
+		return policy.Known{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if in.Settings != nil {
+		s, err := wire.DecodeSettings(in.Settings)
+		if err != nil {
+			return policy.Known{}, fmt.Errorf("%s: settings: %w", path, err)
+		}
+		return policy.KnownOf(s), nil
+	}
+	k := policy.Known{Sites: in.Sites, Books: in.Books, Pods: in.Pods}
+	for _, c := range in.Classes {
+		k.Classes = append(k.Classes, policy.Class{Name: c.Name, Worth: c.Worth, Work: time.Duration(c.Work * float64(time.Millisecond))})
+	}
+	return k, nil
+}
+
+func printTable(w io.Writer, t *decide.Table, limits, asJSON bool) error {
+	data := t.JSON()
+	if asJSON {
+		_, err := fmt.Fprintf(w, "%s\n", data)
+		return err
+	}
+	if limits {
+		out := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(out, "LIMIT\tUNIT\tRATE\tBURST\tFLOOR\tWEIGHT\tRESERVE\tTOLD\tTIMES")
+		for _, l := range t.Limits {
+			fmt.Fprintf(out, "%s\t%s\t%.6g\t%.6g\t%.6g\t%.6g\t%.3g\t%d in %v\t%d\n", l.Name, l.Unit, l.Rate, l.Burst, l.Floor, l.Weight, l.Reserve,
+				l.Status, l.Wait, len(l.Spans))
+		}
+		if err := out.Flush(); err != nil {
+			return err
+		}
+	}
+	touched, _ := t.Touched()
+	for i, l := range t.Levels {
+		fmt.Fprintf(w, "level %d above %.3g, until below %.3g: refuses %s\n", i+1, l.Above, l.Below, strings.Join(l.Refuse, ", "))
+	}
+	_, err := fmt.Fprintf(w, "%d parts, %d limits, %d slots of keys; a request touches %d limits at most; %d bytes\ndigest %s\n", len(t.Parts),
+		len(t.Limits), t.Hands()-len(t.Limits), touched, len(data), t.Digest)
+	return err
+}
