--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -143,7 +143,7 @@
 	m.Handle(0, TableChanged{Table: table, Hand: h})
 	out := drive(m, 3, "view")
 	r, ok := out[2][0].(Refuse)
-	if !ok || r.Status != 429 || r.HoldOff < 5*time.Second || r.HoldOff > 15*time.Second || h.left[0] != 0 {
+	if !ok || m.requests["2"] != nil || r.Status != 429 || r.HoldOff < 5*time.Second || r.HoldOff > 15*time.Second || h.left[0] != 0 {
 		t.Fatalf("%+v, %v left", out, h.left)
 	}
 	m.Handle(time.Hour+time.Second, LevelChanged{Level: 1})
--- a/decide/table_test.go
+++ b/decide/table_test.go
@@ -90,7 +90,7 @@
 func drawAsk(t *rapid.T) Ask {
 	word := rapid.SampledFrom(words)
 	return Ask{Site: word.Draw(t, "site"), Book: word.Draw(t, "book"), Class: word.Draw(t, "class"), Pod: word.Draw(t, "pod"),
-		Key: rapid.SampledFrom([]string{"", "k", "l"}).Draw(t, "key"), Repeat: rapid.Bool().Draw(t, "repeat"),
+		Key: rapid.SampledFrom([]string{"", "k", "l", "m", "n", "o"}).Draw(t, "key"), Repeat: rapid.Bool().Draw(t, "repeat"),
 		Cost:     time.Duration(rapid.IntRange(0, 3).Draw(t, "cost")) * time.Millisecond,
 		Priority: rapid.Bool().Draw(t, "priority"), Level: rapid.IntRange(-1, 3).Draw(t, "level")}
 }
@@ -125,7 +125,11 @@
 			}
 		case UnitKey:
 			if a.Key != "" {
-				takes[first+t.slot(i, a.Key)-int(t.slots[i])] = 1
+				at := t.slot(i, a.Key)
+				if at < first || at >= slots || t.LimitOf(at) != i {
+					panic("a slot outside its limit's")
+				}
+				takes[at] = 1
 			}
 		default:
 			takes[i] = 1
