--- a/decide/limits.go
+++ b/decide/limits.go
@@ -34,7 +34,7 @@
 			if amount <= 0 {
 				continue
 			}
-			if h.Left(slot) < l.needed(amount, a.Priority, h.Full(slot)) {
+			if h.Left(slot) < l.needed(amount, a.Priority, h, slot) {
 				h.Refused(slot, amount)
 				return Verdict{Limit: j, Status: l.Status, RetryAfter: l.Wait}
 			}
@@ -85,12 +85,13 @@
 	return 1
 }
 
-// needed is what must be left of a limit, of which a node can hold so much, for a request to take its amount.
-// All that a node can hold is enough for any that it can hold.
-func (l *Limit) needed(amount float64, priority bool, full float64) float64 {
-	if priority {
+// needed is what must be left of a limit for a request to take its amount. All that a node can hold is enough
+// for any that it can hold.
+func (l *Limit) needed(amount float64, priority bool, h Hand, slot int) float64 {
+	if priority || l.Reserve == 0 {
 		return amount
 	}
+	full := h.Full(slot)
 	return max(amount, min(amount+l.Reserve*full, full))
 }
 
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// The example in the documentation is a policy.
+func TestTheDocumentsExample(t *testing.T) {
+	_, rest, _ := strings.Cut(string(read(t, "../../docs/policy.md")), "```hcl\n")
+	text, _, found := strings.Cut(rest, "```")
+	if _, err := Compile("policy.md", []byte(text), site); err != nil || !found {
+		t.Error(err)
+	}
+}
+
 // The site's policy compiles to the figures that it speaks of.
 func TestTheSitesPolicy(t *testing.T) {
 	text := read(t, "testdata/site.hcl")
