--- a/cmd/indigotack/process_test.go
+++ b/cmd/indigotack/process_test.go
@@ -22,6 +22,12 @@
 }
 
 func (p *platform) start(t *testing.T, env ...string) *process {
+	t.Helper()
+	return p.startWith(t, nil, env...)
+}
+
+// startWith starts a process with some keys of its configuration changed; nil takes a key out.
+func (p *platform) startWith(t *testing.T, changed map[string]any, env ...string) *process {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -35,6 +41,11 @@
 			"connect_timeout_ns": enough}, "invariants": map[string]any{"cold_from": 0.5, "overload_factor": 3},
 			"classes": []any{map[string]any{"name": "a", "effect": "retryable", "aim_ns": enough, "give_up_ns": 2 * enough}}},
 		"known": map[string]any{"index": 0}}
+	for key, value := range changed {
+		if config[key] = value; value == nil {
+			delete(config, key)
+		}
+	}
 	raw, err := json.Marshal(config)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/view/shell.go
+++ b/internal/node/view/shell.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -120,7 +121,6 @@
 		case e := <-s.events:
 			s.handle(e)
 		case <-s.timer.C:
-			s.worst = max(s.worst, s.now()-s.due)
 			if f := s.currentFacts(); f != s.facts {
 				s.facts = f
 				s.handle(fleet.FactsChanged{Facts: f})
@@ -131,7 +131,9 @@
 }
 
 func (s *Shell) handle(e fleet.Event) {
-	for _, a := range s.core.Handle(s.now(), e) {
+	now := s.now()
+	s.worst = max(s.worst, now-s.due)
+	for _, a := range s.core.Handle(now, e) {
 		switch a := a.(type) {
 		case fleet.Send:
 			s.send(a)
@@ -142,6 +144,9 @@
 			s.changed(a)
 		case fleet.Conflict:
 			s.cfg.Log.Error("another process has this node's name", "life", a.Life, "from", a.From, "yielded", a.Yielded)
+			if a.Yielded {
+				s.due = math.MaxInt64 // it wakes no more
+			}
 		case fleet.Gone:
 			s.gone = true
 		case fleet.Log:
