--- a/internal/node/fleet_config.go
+++ b/internal/node/fleet_config.go
@@ -81,10 +81,12 @@
 	return c, problems
 }
 
+const viewOff = "the view stays off, as the settings allow no messages between nodes (settings.caps.peers)"
+
 // withoutView is the configuration of a node that may send no messages to others.
 func (c Config) withoutView(log *slog.Logger) Config {
 	if c.Fleet.Name != "" && !c.Settings.MayMessage {
-		log.Warn("the view of the fleet stays off: the settings allow no messages between nodes (caps.peers)", "fleet", c.Fleet.Name)
+		log.Warn(viewOff, "fleet", c.Fleet.Name)
 		c.Fleet = FleetConfig{}
 	}
 	return c
