--- a/cmd/indigotack/usage.go
+++ b/cmd/indigotack/usage.go
@@ -36,6 +36,11 @@
   limits          memory_mb, sockets
   peer_listen     host:port for other nodes' datagrams
   peers           [host:port, ...] of all nodes, by their numbers
+  fleet           the nodes' view of each other, off without it: docs/fleet-control.md
+    .name         of the fleet                                                     needed
+    .join         [host:port, ...] to join by; else the peers
+    .address      host:port at which others reach peer_listen, if not that itself
+    .period_ms    from one probe to the next, 20 to 10000; else 200
   known           the list of servers as it was last, to begin with
 
 GW_ACCEPT_FD names a descriptor that is the clients' socket already, for upgrades without a gap.
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -9,7 +9,7 @@
 )
 
 const goodConfig = `{"name":"n3","listen":"127.0.0.1:5000","discovery":"127.0.0.1:8500","seed":"fc1f30d27a5be964",
-"limits":{"cores":1.0,"memory_mb":100,"sockets":512},"peers":[],
+"limits":{"cores":1.0,"memory_mb":100,"sockets":512},"peers":[],"peer_listen":"127.0.0.1:7000","fleet":{"name":"windhoek","join":["127.0.0.1:7001"],"period_ms":200},
 "known":{"index":41,"snapshot":true,"endpoints":[{"name":"s","address":"127.0.0.1:1","status":"ready"}]},
 "settings":{"balancers":5,"slot_no":3,"caps":{"connect_timeout_ns":120000000,"max_attempts":4},
 "classes":[{"name":"saldo","effect":"retryable","aim_ns":250000000}],"membership_mode":"pushed"}}`
@@ -44,6 +44,14 @@
 		{`"127.0.0.1:8500"`, `""`, "discovery"},
 		{`"fc1f30d27a5be964"`, `"seed"`, "seed"},
 		{`512`, `8`, "sockets"},
+		{`"windhoek"`, `""`, "fleet: name"},
+		{`"windhoek"`, `"` + strings.Repeat("w", 49) + `"`, "fleet: name"},
+		{`"127.0.0.1:7001"`, `"n1:7001"`, "fleet: join.0"},
+		{`"127.0.0.1:7000"`, `"0.0.0.0:7000"`, "fleet: peer_listen"},
+		{`"127.0.0.1:7000"`, `""`, "fleet: peer_listen"},
+		{`:200`, `:19`, "fleet: period_ms"},
+		{`:200`, `:200,"address":"[::1]:7000"`, "fleet: address"},
+		{`"n3"`, `"n 3"`, "member's name"},
 	} {
 		_, err := parseConfig([]byte(strings.Replace(goodConfig, c.old, c.new, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
--- /dev/null
+++ b/internal/node/view/shell_test.go
@@ -0,0 +1,131 @@
+package view
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"indigotack/internal/fleet"
+	"indigotack/internal/fleet/wire"
+)
+
+const enough = 30 * time.Second // only a hang takes so long
+
+// network carries datagrams between shells by address.
+type network struct{ at sync.Map }
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+}
+
+func (n *network) start(ctx context.Context, i int, handed *Handed) *Shell {
+	s := Start(ctx, Config{Fleet: "f", Name: string(rune('a' + i)), Number: -1, Addr: addr(i), Seeds: []netip.AddrPort{addr(0)}, Period: 20 * time.Millisecond,
+		Doing: func() (fleet.State, uint16) { return fleet.Serving, 7 }, Log: slog.New(slog.DiscardHandler), Handed: handed,
+		Write: func(to netip.AddrPort, data []byte) {
+			if s, ok := n.at.Load(to); ok {
+				s.(*Shell).Receive(addr(i), data)
+			}
+		}})
+	n.at.Store(addr(i), s)
+	return s
+}
+
+// await waits until a shell sees what is wanted.
+func await(t *testing.T, s *Shell, what string, wanted func(Report) bool) (r Report) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), enough)
+	defer cancel()
+	for {
+		r, ok := s.Report(ctx)
+		if !ok {
+			t.Fatalf("%s: not seen: %+v", what, r)
+		}
+		if wanted(r) {
+			return r
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func healths(r Report) (all string) {
+	for _, m := range r.Members {
+		all += m.Name + " " + m.Health + " "
+	}
+	return all
+}
+
+// TestShell: the facts that are set get around, a life is handed over, a leave is told, figures fit, and nothing stays behind.
+func TestShell(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	n := &network{}
+	a, b := n.start(ctx, 0, nil), n.start(ctx, 1, nil)
+	b.SetVersions(3, 4)
+	r := await(t, a, "b and its versions", func(r Report) bool {
+		return len(r.Members) == 2 && r.Members[1].Catalogue == 3 && r.Members[1].Policy == 4 && r.Members[1].Load == 7
+	})
+	h := b.HandOver()
+	if h.Life != r.Members[1].Life || h.State != fleet.Serving || len(h.Join) != 1 || h.Join[0] != addr(0) {
+		t.Errorf("handed over %+v of %+v", h, r)
+	}
+	next := n.start(ctx, 1, h)
+	await(t, a, "the next process", func(r Report) bool {
+		if m := r.Members[1]; m.Health != "alive" || m.Life != h.Life {
+			t.Fatalf("an upgrade looks like %+v", m)
+		}
+		return r.Members[1].Incarnation > h.Incarnation
+	})
+	leave, cancel := context.WithTimeout(ctx, enough)
+	defer cancel()
+	next.Leave(leave)
+	await(t, a, "b has left", func(r Report) bool { return healths(r) == "a alive b left " })
+	var text strings.Builder
+	a.WriteStats(&text)
+	if !strings.HasPrefix(text.String(), "app.fleet.alive:1|g\napp.fleet.suspect:0|g\napp.fleet.dead:0|g\napp.fleet.changes:") {
+		t.Errorf("figures %s", text.String())
+	}
+	stop()
+	<-a.ended
+	if a.Leave(t.Context()); a.HandOver() == nil {
+		t.Error("an ended one has no life")
+	}
+}
+
+// TestStrangersAreBounded: whatever they send, only so much reaches the owner, and a member's datagrams all do.
+func TestStrangersAreBounded(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	n := &network{}
+	a, b := n.start(ctx, 0, nil), n.start(ctx, 1, nil)
+	await(t, a, "b", func(r Report) bool { return healths(r) == "a alive b alive " })
+	rng := rand.New(rand.NewPCG(4, 2))
+	begun, before := time.Now(), a.came.read().Datagrams
+	const flood = 100_000
+	for i := range flood {
+		d := wire.Datagram{Head: wire.Head{Kind: wire.Ping, Fleet: wire.FleetHash("f"), Sender: rng.Uint64(), Life: 1}}
+		data := d.Encode()
+		if i%3 == 0 {
+			data[rng.IntN(5)] ^= byte(1 + rng.IntN(255))
+		}
+		a.Receive(netip.AddrPortFrom(addr(2+i%200).Addr(), uint16(i)), data)
+	}
+	most := int64(strangersBurst + strangersRate*time.Since(begun).Seconds() + 1)
+	let := a.came.read().Datagrams - before - a.came.dropped.Load()
+	if members := a.came.read().Datagrams - before - flood; let > most+members {
+		t.Errorf("%d reached the owner, want at most %d and %d of members", let, most, members)
+	}
+	await(t, a, "b still", func(r Report) bool { return healths(r) == "a alive b alive " })
+	await(t, b, "a still", func(r Report) bool { return healths(r) == "a alive b alive " })
+	stop()
+	<-a.ended
+	<-b.ended
+}
