--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -26,7 +26,7 @@
 }
 
 // benchNode is a node with one server, which takes bodies of one size, and a connection to the node.
-func benchNode(b *testing.B, body int) net.Conn {
+func benchNode(b *testing.B, body int, change func(*Config)) net.Conn {
 	server, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -53,7 +53,9 @@
 		b.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := New(testConfig(disc.Listener.Addr().String()), quiet)
+	cfg := testConfig(disc.Listener.Addr().String())
+	change(&cfg)
+	n := New(cfg, quiet)
 	n.front.linger = func() {}
 	go n.Run(ctx, ln)
 	b.Cleanup(func() { stop(); disc.CloseClientConnections(); disc.Close(); <-n.ended })
@@ -71,28 +73,32 @@
 // BenchmarkWhole is one request through the whole node, on kept connections. Processor time and the time waited include the
 // client's and the server's, which allocate nothing.
 func BenchmarkWhole(b *testing.B) {
-	const head = " /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: %s\r\nX-Deadline: 20\r\nContent-Length: %d\r\n\r\n"
 	for _, k := range []struct {
 		method, class string
 		body          int
 	}{{"GET", "saldo", 0}, {"POST", "pagar", 1000}} {
 		b.Run(k.method, func(b *testing.B) {
-			c := benchNode(b, k.body)
-			r, sent := bufio.NewReader(c), []byte(k.method+fmt.Sprintf(head, k.class, k.body)+strings.Repeat("x", k.body))
-			b.ReportAllocs()
-			var before, after syscall.Rusage
-			syscall.Getrusage(syscall.RUSAGE_SELF, &before)
-			for b.Loop() {
-				if _, err := c.Write(sent); err != nil {
-					b.Fatal(err)
-				}
-				if first, err := r.Peek(12); err != nil || string(first) != "HTTP/1.1 200" || skipHead(r, len("hi")) != nil {
-					b.Fatalf("answer %q, %v", first, err)
-				}
-			}
-			syscall.Getrusage(syscall.RUSAGE_SELF, &after)
-			cpu := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
-			b.ReportMetric(float64(cpu)/float64(b.N), "cpu-ns/op")
+			benchRequests(b, benchNode(b, k.body, func(*Config) {}), k.method, k.class, k.body)
 		})
 	}
 }
+
+// benchRequests sends one request after the other on a connection.
+func benchRequests(b *testing.B, c net.Conn, method, class string, body int) {
+	const head = " /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: %s\r\nX-Deadline: 20\r\nContent-Length: %d\r\n\r\n"
+	r, sent := bufio.NewReader(c), []byte(method+fmt.Sprintf(head, class, body)+strings.Repeat("x", body))
+	b.ReportAllocs()
+	var before, after syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	for b.Loop() {
+		if _, err := c.Write(sent); err != nil {
+			b.Fatal(err)
+		}
+		if first, err := r.Peek(12); err != nil || string(first) != "HTTP/1.1 200" || skipHead(r, len("hi")) != nil {
+			b.Fatalf("answer %q, %v", first, err)
+		}
+	}
+	syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+	cpu := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+	b.ReportMetric(float64(cpu)/float64(b.N), "cpu-ns/op")
+}
