--- a/internal/node/fleet_config.go
+++ b/internal/node/fleet_config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -21,7 +22,7 @@
 )
 
 // Version of the program that the fleet is told, to be set by the linker: -X indigotack/internal/node.Version=v7. Else it is the
-// revision that it was built from.
+// revision that it was built from, or unknown to one that was built without.
 var Version string
 
 // FleetConfig is what the view of the fleet needs. Without a Name there is no view.
@@ -103,10 +104,7 @@
 
 // version is at most wire.MaxText bytes.
 func version() string {
-	v := Version
-	if v == "" {
-		v = revision()
-	}
+	v := cmp.Or(Version, revision(), "unknown")
 	return v[:min(len(v), wire.MaxText)]
 }
 
