--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -90,11 +90,29 @@
 }
 
 // handOverView ends the view in this process, and gives what the next one goes on with; nil without a view.
-func (n *Node) handOverView() *view.Handed {
-	if shell := n.view.Load(); shell != nil {
-		return shell.HandOver()
+func (n *Node) handOverView() json.RawMessage {
+	shell := n.view.Load()
+	if shell == nil {
+		return nil
+	}
+	handed, err := json.Marshal(shell.HandOver())
+	if err != nil {
+		n.log.Error("the life in the fleet is not handed over", "err", err)
+	}
+	return handed
+}
+
+// readHanded reads what handOverView gave; nil for nothing, and for what can't be read.
+func (n *Node) readHanded(raw json.RawMessage) *view.Handed {
+	if raw == nil {
+		return nil
+	}
+	h := &view.Handed{}
+	if err := json.Unmarshal(raw, h); err != nil {
+		n.log.Warn("the fleet sees a restart: the life of the process before can't be read", "err", err)
+		return nil
 	}
-	return nil
+	return h
 }
 
 // answerFleet tells an operator what the node sees.
@@ -103,7 +121,7 @@
 	defer cancel()
 	shell := n.view.Load()
 	if shell == nil {
-		http.Error(w, "the view has not begun: the socket for other nodes can't be had", http.StatusServiceUnavailable)
+		http.Error(w, "the view has not begun: this process has no socket for other nodes yet", http.StatusServiceUnavailable)
 		return
 	}
 	report, ok := shell.Report(ctx)
--- a/internal/node/upgrade_link.go
+++ b/internal/node/upgrade_link.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"indigotack/decide"
-	"indigotack/internal/node/view"
 )
 
 const (
@@ -33,7 +32,7 @@
 	Backend string                     `json:"backend,omitempty"`
 	On      bool                       `json:"on,omitempty"`
 	Number  int                        `json:"number,omitempty"` // of a call that is forwarded
-	Fleet   *view.Handed               `json:"fleet,omitempty"`  // the node's life in the view of the fleet
+	Fleet   json.RawMessage            `json:"fleet,omitempty"`  // a view.Handed, the node's life in the fleet; what can't be read of it costs only the life
 }
 
 // The kinds of message, in the order in which they come.
--- a/internal/node/upgrade_new.go
+++ b/internal/node/upgrade_new.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -12,7 +13,6 @@
 	"time"
 
 	"indigotack/decide"
-	"indigotack/internal/node/view"
 )
 
 const (
@@ -123,7 +123,7 @@
 }
 
 // takePeers goes on with the socket at which other nodes know this one, and with its life among them.
-func (n *Node) takePeers(l *link, handed *view.Handed) {
+func (n *Node) takePeers(l *link, life json.RawMessage) {
 	for i, fd := range l.fds {
 		if i > 0 || !n.hears() {
 			continue
@@ -138,7 +138,7 @@
 			n.log.Error("the socket of the old process can't be used", "err", err)
 			continue
 		}
-		n.startPeers(newPeers(u, n.cfg.Peers, n.log), handed)
+		n.startPeers(newPeers(u, n.cfg.Peers, n.log), n.readHanded(life))
 	}
 	l.drop()
 }
--- a/internal/node/view/changes.go
+++ b/internal/node/view/changes.go
@@ -1,8 +1,14 @@
 package view
 
-import "indigotack/internal/fleet"
+import (
+	"cmp"
+	"context"
+	"log/slog"
 
-// Lines on changes, a second and at once; more are counted and told with the next.
+	"indigotack/internal/fleet"
+)
+
+// Lines of the log, a second and at once; more are counted and told with the next.
 const (
 	linesRate  = 10
 	linesBurst = 50
@@ -26,22 +32,19 @@
 		s.known.Store(m.Addr, true)
 	}
 	if b := a.Before; m.Health != b.Health || m.Life != b.Life || m.Facts.State != b.Facts.State {
-		s.say(m)
+		s.say(slog.LevelInfo, "member", "name", m.Name, "health", m.Health, "state", m.Facts.State, "life", m.Life, "why", cmp.Or(m.Why, "-"), "by", cmp.Or(m.By, "-"))
 	}
 }
 
-func (s *Shell) say(m fleet.Member) {
+// say writes a line, unless there were too many: others can bring them about at will.
+func (s *Shell) say(level slog.Level, text string, args ...any) {
 	if !s.lines.Allow() {
 		s.unsaid++
 		return
 	}
-	args := []any{"name", m.Name, "health", m.Health, "state", m.Facts.State, "life", m.Life}
-	if m.Why != "" {
-		args = append(args, "why", m.Why, "by", m.By)
-	}
 	if s.unsaid > 0 {
 		args = append(args, "not_logged", s.unsaid)
 		s.unsaid = 0
 	}
-	s.cfg.Log.Info("member", args...)
+	s.cfg.Log.Log(context.Background(), level, text, args...)
 }
--- a/internal/node/view/shell.go
+++ b/internal/node/view/shell.go
@@ -143,14 +143,14 @@
 		case fleet.Changed:
 			s.changed(a)
 		case fleet.Conflict:
-			s.cfg.Log.Error("another process has this node's name", "life", a.Life, "from", a.From, "yielded", a.Yielded)
+			s.say(slog.LevelError, "another process has this node's name", "life", a.Life, "from", a.From, "yielded", a.Yielded)
 			if a.Yielded {
 				s.due = math.MaxInt64 // it wakes no more
 			}
 		case fleet.Gone:
 			s.gone = true
 		case fleet.Log:
-			s.cfg.Log.Info("fleet: " + a.Text)
+			s.say(slog.LevelInfo, "fleet: "+a.Text)
 		}
 	}
 }
