--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -17,6 +17,9 @@
 func (k *keys) check(path string, value, like any) { k.walk(path, value, reflect.TypeOf(like)) }
 
 func (k *keys) walk(path string, value any, t reflect.Type) {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
 	_, raw := reflect.New(t).Interface().(*json.RawMessage)
 	switch {
 	case value == nil || raw: // null is as good as absent
