--- /dev/null
+++ b/internal/quota/spread.go
@@ -0,0 +1,132 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"indigotack/decide"
+)
+
+// spread divides a limit's budget among the members that want it.
+func (a *Apportioner) spread(i int32, budget float64, needs map[need]flow) {
+	l := &a.limits.all[i]
+	var in []*entry
+	left := a.counted(i, nil)
+	for _, e := range a.stocks[i].entries {
+		e.goal = size{}
+		if e.demand > 0 {
+			in = append(in, e)
+			counts, safe := a.beyond(e, i), a.safe(e.of, i)
+			if l.open || !a.resting(e.of) {
+				counts.rate += safe.rate
+			}
+			left.rate -= counts.rate
+			left.burst -= counts.burst + safe.burst
+		}
+	}
+	free := size{max(min(budget, l.rate-left.rate), 0), max(l.burst-left.burst, 0)}
+	wants := a.wants(i, in, needs)
+	if l.open {
+		a.spreadWhole(i, free.rate, in, wants)
+	} else {
+		a.spreadRate(i, free, in, wants)
+	}
+	if l.parent < 0 {
+		return
+	}
+	for _, e := range in {
+		at := need{l.parent, l.axis, e.of}
+		f := needs[at]
+		needs[at] = flow{f.asks + e.demand, f.gets + min(e.demand, e.goal.rate)}
+	}
+}
+
+// wants is how much each member can use: of an outer limit, what its inner ones get, and what comes past them.
+func (a *Apportioner) wants(i int32, in []*entry, needs map[need]flow) []float64 {
+	out := make([]float64, len(in))
+	for n, e := range in {
+		var most flow
+		for axis := decide.OfFleet; axis <= decide.OfPod; axis++ {
+			f := needs[need{i, axis, e.of}]
+			most = flow{max(most.asks, f.asks), max(most.gets, f.gets)}
+		}
+		out[n] = max(most.gets+max(e.demand-most.asks, 0), smallDemand)
+	}
+	return out
+}
+
+// spreadRate divides rate by max-min, what nobody wants by want, and the bucket's room by rate. Where there is not a
+// whole token's room for each, some have all, in turn: a bucket that can't hold a token never admits.
+func (a *Apportioner) spreadRate(i int32, free size, in []*entry, wants []float64) {
+	whole := int(min(free.burst, float64(len(in))))
+	if whole < len(in) {
+		in, wants = a.inTurn(i, in, wants, whole)
+	}
+	if len(in) == 0 {
+		return
+	}
+	rates := share(free.rate, wants)
+	rest := free.burst
+	for n, e := range in {
+		e.goal = size{rates[n], max(1, a.safe(e.of, i).burst)}
+		rest -= e.goal.burst
+	}
+	all := total(rates)
+	for _, e := range in {
+		if rest > 0 && all > 0 {
+			e.goal.burst += float64(uint64(rest * e.goal.rate / all))
+		}
+	}
+}
+
+// spreadWhole divides what may be open at once: whole requests.
+func (a *Apportioner) spreadWhole(i int32, free float64, in []*entry, wants []float64) {
+	whole := int(min(free, float64(len(in))))
+	if whole < len(in) {
+		in, wants = a.inTurn(i, in, wants, whole)
+	}
+	if len(in) == 0 {
+		return
+	}
+	for n, more := range share(free-float64(len(in)), wants) {
+		in[n].goal.rate = 1 + float64(uint64(more))
+	}
+}
+
+func share(budget float64, wants []float64) []float64 {
+	even := slices.Repeat([]float64{1}, len(wants))
+	out := fair(budget, wants, even)
+	if spare := budget - total(out); spare > 0 {
+		all := total(wants)
+		for n := range out {
+			out[n] += spare * wants[n] / all
+		}
+	}
+	return out
+}
+
+// turn is how long a member keeps its turn at a limit that has fewer whole tokens than members want it.
+func turn(rate float64) time.Duration {
+	return max(2*time.Second, time.Duration(min(4/max(rate, 1e-3), 60)*float64(time.Second)))
+}
+
+// inTurn chooses by a hash of name and time, so that who comes and goes moves nobody else.
+func (a *Apportioner) inTurn(i int32, in []*entry, wants []float64, whole int) ([]*entry, []float64) {
+	l := &a.limits.all[i]
+	now := uint64(a.now / turn(l.rate))
+	order := make([]int, len(in))
+	luck := make([]uint64, len(in))
+	for n, e := range in {
+		order[n], luck[n] = n, mix(l.hash, now, e.of.name)
+	}
+	slices.SortFunc(order, func(x, y int) int { return cmp.Compare(luck[x], luck[y]) })
+	order = order[:whole]
+	slices.Sort(order)
+	var chosen []*entry
+	var some []float64
+	for _, n := range order {
+		chosen, some = append(chosen, in[n]), append(some, wants[n])
+	}
+	return chosen, some
+}
--- /dev/null
+++ b/internal/quota/wire.go
@@ -0,0 +1,167 @@
+package quota
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+)
+
+// Datagrams between nodes and the holder, big-endian. The first byte is the kind, the second the version, the next
+// four the fleet's name as a hash; what follows the known fields is ignored.
+const (
+	MostDatagram = 256
+	version      = 1
+
+	kindClaim = 0x60
+	kindGrant = 0x61
+	kindHello = 0x62
+	kindLeave = 0x63
+	kindAsk   = 0x64
+	kindGive  = 0x65
+)
+
+// Ours says whether a datagram's first byte is of this package.
+func Ours(kind byte) bool { return kind >= 0x60 && kind <= 0x6f }
+
+// claim is a node's word to the holder: what it wants and what it holds.
+type claim struct {
+	fence  uint64 // the holder that it is for
+	life   uint64 // of the node's process
+	number uint32 // grows with each claim of a life
+	echo   uint32 // the highest number of a grant that the node took of this fence
+	table  uint64 // the version by which it judges requests
+	void   bool   // its safe share may be put to rest
+	name   string
+	items  []claimItem
+}
+
+type claimItem struct {
+	hash   uint64
+	demand float64 // units a second, or at once, that came
+	held   size    // by a live lease; of limits on open requests, at least what is out
+	number uint32  // the grant that its share is of
+}
+
+const (
+	claimHead = 6 + 8 + 8 + 4 + 4 + 8 + 1 + 1 + 1
+	claimSize = 8 + 4 + 4 + 4 + 4
+)
+
+// claimRoom is how many limits fit into one claim of a node.
+func claimRoom(name string) int { return (MostDatagram - claimHead - len(name)) / claimSize }
+
+// grant answers one claim.
+type grant struct {
+	fence  uint64
+	life   uint64 // of the node that it is for
+	claim  uint32
+	number uint32 // grows with each grant to a node
+	seat   Seat   // Level seatNone: no word of it
+	void   bool   // the node's safe share is at rest
+	waits  bool   // the holder only prolongs what the node had
+	open   bool   // the seat holds for limits on open requests too
+	items  []grantItem
+}
+
+type grantItem struct {
+	hash   uint64
+	size   size
+	tokens float64 // that come with it
+	kept   bool    // without the lease the node has its safe share of this limit at once
+}
+
+// hello tells a node who holds the duty.
+type hello struct {
+	fence uint64
+	name  string
+}
+
+// leave says that a process admits nothing any more.
+type leave struct {
+	life uint64
+	name string
+}
+
+// ask and give hand tokens from node to node.
+type ask struct {
+	nonce, hash uint64
+	need        float64
+	name        string
+}
+
+type give struct {
+	nonce, hash uint64
+	amount      float64
+}
+
+// writer puts fields together.
+type writer []byte
+
+func begin(kind byte, fleet uint32) writer {
+	return binary.BigEndian.AppendUint32(append(make(writer, 0, MostDatagram), kind, version), fleet)
+}
+
+func (w *writer) u8(v uint8)    { *w = append(*w, v) }
+func (w *writer) u32(v uint32)  { *w = binary.BigEndian.AppendUint32(*w, v) }
+func (w *writer) u64(v uint64)  { *w = binary.BigEndian.AppendUint64(*w, v) }
+func (w *writer) f32(v float64) { w.u32(math.Float32bits(float32(v))) }
+func (w *writer) text(v string) { *w = append(append(*w, uint8(len(v))), v...) }
+
+func (w *writer) flag(v bool) {
+	if v {
+		w.u8(1)
+	} else {
+		w.u8(0)
+	}
+}
+
+// reader takes fields apart; bad is set once something is missing or out of bounds, and zeros come from then on.
+type reader struct {
+	data []byte
+	bad  bool
+}
+
+func (r *reader) next(n int) []byte {
+	if r.bad || len(r.data) < n {
+		r.bad = true
+		return make([]byte, n)
+	}
+	b := r.data[:n]
+	r.data = r.data[n:]
+	return b
+}
+
+func (r *reader) u8() uint8   { return r.next(1)[0] }
+func (r *reader) u32() uint32 { return binary.BigEndian.Uint32(r.next(4)) }
+func (r *reader) u64() uint64 { return binary.BigEndian.Uint64(r.next(8)) }
+
+// f32 is a finite amount of 0 or more.
+func (r *reader) f32() float64 {
+	v := float64(math.Float32frombits(r.u32()))
+	if !(v >= 0) || math.IsInf(v, 0) {
+		r.bad = true
+		return 0
+	}
+	return v
+}
+
+func (r *reader) text() string {
+	n := int(r.u8())
+	if n == 0 || n > MostName {
+		r.bad = true
+		return ""
+	}
+	return string(r.next(n))
+}
+
+// open checks what is common to all datagrams and gives the kind.
+func open(data []byte, fleet uint32) (byte, *reader, error) {
+	if len(data) < 6 || len(data) > MostDatagram {
+		return 0, nil, fmt.Errorf("quota datagram of %d bytes", len(data))
+	}
+	r := &reader{data: data[2:]}
+	if data[1] != version || r.u32() != fleet {
+		return 0, nil, fmt.Errorf("quota datagram of version %d or of another fleet", data[1])
+	}
+	return data[0], r, nil
+}
