--- a/internal/quota/apportioner.go
+++ b/internal/quota/apportioner.go
@@ -73,6 +73,7 @@
 	case Message:
 		return append(a.message(e.Data), a.write()...)
 	case Tick:
+		a.forget()
 		a.plan()
 		return a.write()
 	}
--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -101,8 +101,8 @@
 	}
 	s := &l.slots[i]
 	l.fill(s)
-	if s.got == 0 {
-		s.gotUntil = a.at + l.t.hold
+	if until := a.at + l.t.hold; s.got == 0 || until < s.gotUntil {
+		s.gotUntil = until
 	}
 	s.got += g.amount
 	s.tokens += g.amount
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -36,10 +36,14 @@
 // flow is what comes to them, and what they get.
 type flow struct{ asks, gets float64 }
 
-// active gives the limits that members have shares of, in order, and forgets shares that are over.
+// active gives the limits that members have shares of, in order.
 func (a *Apportioner) active() []int32 {
-	var out []int32
-	for _, i := range slices.Sorted(maps.Keys(a.stocks)) {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(a.stocks)), func(i int32) bool { return len(a.stocks[i].entries) == 0 })
+}
+
+// forget drops shares that are over. It is never called while one is given.
+func (a *Apportioner) forget() {
+	for _, i := range a.active() {
 		for _, e := range slices.Clone(a.stocks[i].entries) {
 			if a.now-e.seen > a.t.lease {
 				e.demand = 0
@@ -48,11 +52,7 @@
 				a.drop(i, e)
 			}
 		}
-		if len(a.stocks[i].entries) > 0 {
-			out = append(out, i)
-		}
 	}
-	return out
 }
 
 // budgets is how much each limit may have in all: its rate, or its part of the one around it.
