--- a/internal/quota/apportioner.go
+++ b/internal/quota/apportioner.go
@@ -35,6 +35,7 @@
 	planned time.Duration
 
 	members []*member // by name
+	stamp   int       // changes when they, their seats or lives, or the table do
 	gone    []leave   // the last that left
 	dirty   bool      // the record is to be written
 	wrote   time.Duration
@@ -50,7 +51,7 @@
 
 // NewApportioner gives one that holds nothing.
 func NewApportioner(cfg HolderConfig) *Apportioner {
-	return &Apportioner{cfg: cfg, t: usual(), limits: newLimits(nil, 0), before: newLimits(nil, 0), stocks: map[int32]*stock{}}
+	return &Apportioner{cfg: cfg, t: usual(), limits: newLimits(nil, 0), before: newLimits(nil, 0), stocks: map[int32]*stock{}, stamp: 1}
 }
 
 // Handle takes an event and gives what is to be sent and written.
@@ -106,6 +107,7 @@
 	if !a.wall.IsZero() {
 		a.limits.at(a.wall)
 	}
+	a.stamp++
 	a.stocks, a.tableAt = map[int32]*stock{}, a.now
 	for _, m := range a.members {
 		entries := map[int32]*entry{}
@@ -156,6 +158,7 @@
 		a.drop(i, e)
 	}
 	a.members = slices.Delete(a.members, at, at+1)
+	a.stamp++
 	a.dirty = a.dirty || m.seated
 }
 
--- a/internal/quota/enrol.go
+++ b/internal/quota/enrol.go
@@ -26,6 +26,7 @@
 // begin takes the seats of the former holder.
 func (a *Apportioner) begin(seats []Seat) {
 	a.read = true
+	a.stamp++
 	for _, s := range seats {
 		at, m := a.find(s.Name)
 		if m != nil || !s.valid() || len(s.Name) == 0 || len(s.Name) > MostName {
@@ -72,6 +73,7 @@
 		return
 	}
 	seat.Name = m.name
+	a.stamp++
 	m.seat, m.seated, m.confirmed, m.since, m.first, a.dirty = seat, true, false, a.now, a.now, true
 }
 
--- a/internal/quota/entry.go
+++ b/internal/quota/entry.go
@@ -19,6 +19,7 @@
 	demand  float64
 	out     float64 // open requests, as claimed
 	goal    size
+	counted size // in the limit's sum
 }
 
 type lease struct {
@@ -59,6 +60,7 @@
 	tokens  float64
 	at      time.Duration // as of
 	spare   size          // that nobody had since then
+	sum     sum
 }
 
 // stock gives a limit's, which has been idle if there is none yet.
@@ -88,6 +90,7 @@
 func (s *stock) add(e *entry) {
 	if at, there := s.place(e.of.name); !there {
 		s.entries = slices.Insert(s.entries, at, e)
+		s.sum.stamp = 0
 	}
 }
 
@@ -96,6 +99,7 @@
 	if at, there := s.place(e.of.name); there {
 		s.fill(a.now, a.t.lease)
 		s.entries = slices.Delete(s.entries, at, at+1)
+		s.sum.stamp = 0
 		if len(s.entries) == 0 {
 			s.spare = a.idle(i)
 		}
@@ -115,33 +119,3 @@
 	s.tokens = min(s.tokens+s.spare.rate*since.Seconds(), s.spare.burst)
 	s.at = now
 }
-
-// counted is what all members but one may have of a limit together. Room for all tokens of the safe shares is set
-// aside, whoever has them.
-func (a *Apportioner) counted(i int32, but *member) size {
-	l := &a.limits.all[i]
-	sum := size{burst: max(l.burst-a.idle(i).burst, 0)}
-	if but != nil {
-		sum.burst -= a.safe(but, i).burst
-	}
-	for _, m := range a.members {
-		if m != but && m.seated && (l.open || !a.resting(m)) {
-			sum.rate += a.safe(m, i).rate
-		}
-	}
-	for _, e := range a.stock(i).entries {
-		if e.of != but {
-			sum = sum.plus(a.beyond(e, i))
-		}
-	}
-	return sum
-}
-
-// beyond is what the member may have on top of what counts for it without any grant.
-func (a *Apportioner) beyond(e *entry, i int32) size {
-	safe, all := a.safe(e.of, i), a.count(e.of, i)
-	if !a.limits.all[i].open && a.resting(e.of) {
-		safe.rate = 0
-	}
-	return size{max(all.rate-safe.rate, 0), max(all.burst-safe.burst, 0)}
-}
--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -72,6 +72,7 @@
 	item := grantItem{hash: l.hash, size: share, kept: kept}
 	item.tokens = down(min(s.tokens, max(share.burst-before.burst, 0)))
 	s.tokens -= item.tokens
+	a.recount(i, e)
 	a.restock(i, s)
 	return item, true
 }
@@ -85,7 +86,7 @@
 		return held, held.rate > 0
 	}
 	a.plan()
-	others := a.counted(i, e.of)
+	others := a.others(i, e)
 	room := size{max(l.rate-others.rate, 0), max(l.burst-others.burst, 0)}
 	goal := e.goal
 	if a.now < e.cur.until {
@@ -122,7 +123,7 @@
 
 // restock notes what nobody has from now on.
 func (a *Apportioner) restock(i int32, s *stock) {
-	l, all := &a.limits.all[i], a.counted(i, nil)
+	l, all := &a.limits.all[i], a.summed(i).sum.all
 	s.spare = size{max(l.rate-all.rate, 0), max(l.burst-all.burst, 0)}
 	s.tokens = min(s.tokens, s.spare.burst)
 }
--- a/internal/quota/member.go
+++ b/internal/quota/member.go
@@ -55,6 +55,7 @@
 	case c.life > m.life && m.life != 0:
 		m.voidUntil, m.since, m.smaller = 0, a.now, false
 		m.grants = [32]told{}
+		a.stamp++
 		for i, e := range m.entries {
 			if a.limits.all[i].open { // its requests ended with it
 				e.cur, e.out = lease{}, 0
@@ -80,6 +81,7 @@
 	}
 	if m.smaller && c.echo >= m.smallerAt {
 		m.seat, m.smaller, a.dirty = m.seat.halved(), false, true // the record's covers it
+		a.stamp++
 	}
 	return t.at
 }
@@ -101,7 +103,7 @@
 
 // resting says whether the node's safe share may be lent: it stays at rest for longer than any lease can live that
 // is granted now.
-func (a *Apportioner) resting(m *member) bool { return a.now+a.t.settled() <= m.voidUntil }
+func (a *Apportioner) resting(m *member) bool { return a.now+a.t.settled()+2*sumEvery <= m.voidUntil }
 
 // count is the most that the member may have of a limit: what any grant gave that it may still live by, and its
 // safe share unless that is at rest. The room of the safe share's bucket always counts.
--- a/internal/quota/spread.go
+++ b/internal/quota/spread.go
@@ -12,17 +12,14 @@
 func (a *Apportioner) spread(i int32, budget float64, needs map[need]flow) {
 	l := &a.limits.all[i]
 	var in []*entry
-	left := a.counted(i, nil)
-	for _, e := range a.stocks[i].entries {
+	s := a.stock(i)
+	a.resum(i, s)
+	left := s.sum.all
+	for _, e := range s.entries {
 		e.goal = size{}
 		if e.demand > 0 {
 			in = append(in, e)
-			counts, safe := a.beyond(e, i), a.safe(e.of, i)
-			if l.open || !a.resting(e.of) {
-				counts.rate += safe.rate
-			}
-			left.rate -= counts.rate
-			left.burst -= counts.burst + safe.burst
+			left = size{left.rate - e.counted.rate, left.burst - e.counted.burst}
 		}
 	}
 	free := size{max(min(budget, l.rate-left.rate), 0), max(l.burst-left.burst, 0)}
