--- /dev/null
+++ b/internal/tenant/catalogue.go
@@ -0,0 +1,257 @@
+package tenant
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+)
+
+// Verdict is what a node does with a request of a tenant.
+type Verdict uint8
+
+// The verdicts, with what a client is told.
+const (
+	Unsure   Verdict = iota // 503 with Retry-After: this node can't be sure
+	Served                  // on its route, within its limit
+	Declined                // 403: known, and not to be served
+	Unknown                 // 404: a definite no
+)
+
+// Answer is the verdict on one request.
+type Answer struct {
+	Verdict Verdict
+	Why     string        // a constant: of Unsure and Declined
+	Retry   time.Duration // of Unsure
+	Number  uint64        // of the catalogue it comes from
+	Tenant  string        // by its name in the catalogue, where it is known
+	Route   *Route        // of Served, as is Limit; never the one without the other
+	Limit   string
+}
+
+// Why a node declines, or is not sure.
+const (
+	WhySuspended = "the tenant is suspended"
+	WhyClass     = "the class is not open to the tenant"
+	WhyKey       = "the key is outside the tenant's part of the key space"
+	WhyLeaving   = "the tenant is leaving"
+	WhyNotReady  = "this node has no catalogue yet"
+	WhyNoWord    = "this node has had no word of the catalogue for too long"
+	WhyBehind    = "this node is behind the catalogue"
+	WhyComing    = "the tenant is being brought in"
+	WhyChanging  = "the tenant is being changed"
+	WhyQuota     = "the tenant's limit is not in this node's policy yet"
+	WhyPhase     = "this node is older than the tenant's state"
+)
+
+// What a client is told to wait: once for a step of the conductor, longer where the
+// node has to find the list service first.
+const (
+	retrySoon  = time.Second
+	retryLater = 3 * time.Second
+)
+
+// Catalogue is what a node answers from at one time. It never changes: the node's
+// shell swaps a pointer, so that a request sees one catalogue, whole. A request costs
+// one look into a table of names, two into tables of classes and at most 2 x MaxKeys
+// comparisons of a prefix; nothing is allocated.
+type Catalogue struct {
+	number uint64
+	names  map[string]*place
+	ready  bool          // the node is on the book, and has read a catalogue since
+	sure   bool          // read since the present session began
+	until  time.Duration // the session's right ends then
+	stop   time.Duration // by its hold it serves no tenant from then on; 0: there is none
+	behind bool          // there is a newer catalogue, by what a peer said
+}
+
+// place is an entry as requests find it.
+type place struct {
+	name  string
+	phase Phase
+	now   *compiled // nil: the name is not in effect
+	next  *compiled
+}
+
+// compiled is a form ready for requests.
+type compiled struct {
+	suspended bool
+	quota     bool // the node's policy table has its limits
+	lanes     map[string]lane
+	keys      []string
+}
+
+type lane struct {
+	route *Route
+	limit string
+	same  bool // at a change: the other form says the same for the class
+}
+
+func compile(f *Form, t Table) *compiled {
+	c := &compiled{suspended: f.Suspended, quota: t.covers(f), lanes: map[string]lane{}, keys: f.Keys}
+	for _, class := range f.Classes {
+		if r, l := f.route(class), f.limit(class); r != nil && l != "" {
+			c.lanes[class] = lane{route: r, limit: l}
+		}
+	}
+	return c
+}
+
+// match marks what two forms of a tenant answer alike.
+func match(a, b *compiled) {
+	for class, x := range a.lanes {
+		if y, both := b.lanes[class]; both && x.limit == y.limit && reflect.DeepEqual(x.route, y.route) {
+			x.same, y.same = true, true
+			a.lanes[class], b.lanes[class] = x, y
+		}
+	}
+}
+
+// Table is a node's policy table, as far as tenants need it.
+type Table struct {
+	Version uint64
+	Has     func(limit string) bool
+}
+
+// covers tells whether a table has what a form needs.
+func (t Table) covers(f *Form) bool {
+	if t.Has == nil || t.Version < f.Policy {
+		return false
+	}
+	for _, q := range f.Quotas {
+		if !t.Has(q.Limit) {
+			return false
+		}
+	}
+	return true
+}
+
+// places gives the names of a catalogue.
+func places(i *Image, t Table) map[string]*place {
+	all := map[string]*place{}
+	for _, e := range i.sorted() {
+		var now, next *compiled
+		if e.Now != nil {
+			now = compile(e.Now, t)
+		}
+		if e.Next != nil {
+			next = compile(e.Next, t)
+		}
+		if now != nil && next != nil {
+			match(now, next)
+		}
+		put := func(f *Form, set func(*place)) {
+			if f == nil {
+				return
+			}
+			for _, name := range f.Names {
+				if all[name] == nil {
+					all[name] = &place{name: e.Name, phase: e.Phase}
+				}
+				set(all[name])
+			}
+		}
+		put(e.Now, func(p *place) { p.now = now })
+		put(e.Next, func(p *place) { p.next = next })
+	}
+	return all
+}
+
+// Ready tells whether the node may take requests of tenants at all.
+func (c *Catalogue) Ready() bool { return c.ready }
+
+// right tells whether the node may say a definite no.
+func (c *Catalogue) right(now time.Duration) bool { return c.sure && now < c.until && !c.behind }
+
+// Answer gives the verdict on a request. tenant is as in X-Tenant.
+func (c *Catalogue) Answer(now time.Duration, tenant, class, key string) Answer {
+	unsure := func(why string, retry time.Duration) Answer {
+		return Answer{Why: why, Retry: retry, Number: c.number}
+	}
+	switch {
+	case !c.ready:
+		return unsure(WhyNotReady, retrySoon)
+	case c.stop > 0 && now >= c.stop:
+		return unsure(WhyNoWord, retryLater)
+	}
+	p, known := c.names[tenant]
+	switch {
+	case !known && c.right(now):
+		return Answer{Verdict: Unknown, Number: c.number}
+	case !known && c.behind:
+		return unsure(WhyBehind, retrySoon)
+	case !known:
+		return unsure(WhyNoWord, retryLater)
+	}
+	a := p.answer(class, key, c.behind)
+	if p.phase == Drain && !c.right(now) { // the name may be another tenant's by now
+		a = unsure(WhyNoWord, retryLater)
+	}
+	a.Number, a.Tenant = c.number, p.name
+	return a
+}
+
+// answer gives the verdict of an entry.
+func (p *place) answer(class, key string, behind bool) Answer {
+	switch p.phase {
+	case Serve:
+		return p.now.answer(class, key)
+	case Drain:
+		return Answer{Verdict: Declined, Why: WhyLeaving}
+	case Prepare, Hold:
+	default:
+		return Answer{Why: WhyPhase, Retry: retryLater}
+	}
+	if p.phase == Prepare && !behind {
+		if p.now == nil {
+			return Answer{Why: WhyComing, Retry: retrySoon}
+		}
+		return p.now.answer(class, key)
+	}
+	if p.now == nil || p.next == nil {
+		return Answer{Why: WhyChanging, Retry: retrySoon}
+	}
+	a, b := p.now.answer(class, key), p.next.answer(class, key)
+	if a.Verdict == b.Verdict && a.Why == b.Why && (a.Verdict != Served || p.now.lanes[class].same) {
+		return a
+	}
+	return Answer{Why: WhyChanging, Retry: retrySoon}
+}
+
+// answer gives the verdict of a form.
+func (c *compiled) answer(class, key string) Answer {
+	if c == nil {
+		return Answer{Why: WhyPhase, Retry: retryLater}
+	}
+	switch l, open := c.lanes[class]; {
+	case c.suspended:
+		return Answer{Verdict: Declined, Why: WhySuspended}
+	case !open:
+		return Answer{Verdict: Declined, Why: WhyClass}
+	case !c.inside(key):
+		return Answer{Verdict: Declined, Why: WhyKey}
+	case !c.quota:
+		return Answer{Why: WhyQuota, Retry: retrySoon}
+	default:
+		return Answer{Verdict: Served, Route: l.route, Limit: l.limit}
+	}
+}
+
+func (c *compiled) inside(key string) bool {
+	for _, prefix := range c.keys {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return len(c.keys) == 0
+}
+
+// String is for logs.
+func (v Verdict) String() string {
+	if int(v) < len(verdicts) {
+		return verdicts[v]
+	}
+	return fmt.Sprint(uint8(v))
+}
+
+var verdicts = [...]string{"unsure", "served", "declined", "unknown"}
--- /dev/null
+++ b/internal/tenant/conductor.go
@@ -0,0 +1,151 @@
+package tenant
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"indigotack/internal/pause"
+)
+
+// Duty is the duty whose holder conducts all tenants.
+const Duty = "tenants"
+
+// Store keeps the records, and tells of sessions, as they are now: a read that lags
+// would let a step pass without a node that it has to wait for.
+type Store interface {
+	Stored(ctx context.Context) (Stored, error)
+	Sessions(ctx context.Context) ([]Session, error)
+	Asks(ctx context.Context) ([]Ask, error)
+	// Put fails with ErrTaken where the fence is not the last any more.
+	Put(ctx context.Context, p Put) (version uint64, err error)
+}
+
+// Fleet tells what tenants are checked against.
+type Fleet interface {
+	Policy(ctx context.Context) (Policy, error)
+	Boxes(ctx context.Context) ([]Box, error)
+}
+
+// ErrTaken ends a conductor that another has followed.
+var ErrTaken = errors.New("tenant: another conductor has it")
+
+const (
+	roundTime = 20 * time.Second // for one round's calls
+	together  = 16               // writes at once
+	failRest  = 500 * time.Millisecond
+)
+
+// Conductor brings tenants in, changes and removes them. It is the work of a duty.
+type Conductor struct {
+	Store Store
+	Fleet Fleet
+	Every time.Duration // between two looks
+	Times Times
+	Log   *slog.Logger
+}
+
+// Run conducts until ctx ends or another conductor follows. After a call that failed it
+// begins from what is on record: whatever a write came to, the next round sees it.
+func (c *Conductor) Run(ctx context.Context) error {
+	start := time.Now()
+	var m *Machine
+	for ctx.Err() == nil {
+		if m == nil {
+			s, err := c.stored(ctx)
+			if err != nil {
+				c.Log.Warn("the tenants' records can't be read", "err", err)
+				pause.For(ctx, failRest)
+				continue
+			}
+			m = Load(time.Since(start), s, c.Times)
+		}
+		err := c.round(ctx, m, func() time.Duration { return time.Since(start) })
+		switch {
+		case errors.Is(err, ErrTaken):
+			return err
+		case err != nil:
+			c.Log.Warn("a round is broken off; the next begins from the records", "err", err)
+			m = nil
+			pause.For(ctx, failRest)
+		default:
+			pause.For(ctx, c.Every)
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *Conductor) stored(ctx context.Context) (Stored, error) {
+	ctx, cancel := context.WithTimeout(ctx, roundTime)
+	defer cancel()
+	return c.Store.Stored(ctx)
+}
+
+// round makes one look and carries out what it calls for. The clock is read after the
+// look: a member counts as away only from when that is known.
+func (c *Conductor) round(ctx context.Context, m *Machine, now func() time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, roundTime)
+	defer cancel()
+	l, err := c.look(ctx)
+	if err != nil {
+		return err
+	}
+	puts, err := m.Handle(now(), l)
+	if err != nil {
+		return err
+	}
+	for len(puts) > 0 {
+		n := 1
+		for n < len(puts) && puts[n].Stage == puts[0].Stage {
+			n++
+		}
+		if err := c.write(ctx, m, puts[:n]); err != nil {
+			return err
+		}
+		puts = puts[n:]
+	}
+	return nil
+}
+
+func (c *Conductor) look(ctx context.Context) (l Look, err error) {
+	if l.Asks, err = c.Store.Asks(ctx); err != nil {
+		return l, fmt.Errorf("tenant: orders: %w", err)
+	}
+	if l.Policy, err = c.Fleet.Policy(ctx); err != nil {
+		return l, fmt.Errorf("tenant: policy: %w", err)
+	}
+	if l.Boxes, err = c.Fleet.Boxes(ctx); err != nil {
+		return l, fmt.Errorf("tenant: boxes: %w", err)
+	}
+	if l.Sessions, err = c.Store.Sessions(ctx); err != nil {
+		return l, fmt.Errorf("tenant: sessions: %w", err)
+	}
+	return l, nil
+}
+
+// write carries out the writes of one stage.
+func (c *Conductor) write(ctx context.Context, m *Machine, puts []Put) error {
+	versions := make([]uint64, len(puts))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(together)
+	for i, p := range puts {
+		g.Go(func() (err error) {
+			if versions[i], err = c.Store.Put(ctx, p); err != nil {
+				return fmt.Errorf("tenant: writing %s: %w", p.Key, err)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	for i, p := range puts {
+		m.Wrote(p, versions[i])
+		c.Log.Debug("written", "key", p.Key, "version", versions[i])
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tenant/desk.go
@@ -0,0 +1,261 @@
+package tenant
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// What happens at a node. Sent and Began are times of the node's own clock at which a
+// call was begun, however late its answer.
+type (
+	// Opened tells of a session that was opened.
+	Opened struct {
+		Sent time.Duration
+		TTL  time.Duration
+	}
+	// Renewed tells of a renewal that was answered; Known is false where the session has ended.
+	Renewed struct {
+		Sent  time.Duration
+		Known bool
+	}
+	// Read brings the catalogue as it is now, read after the book said what Enrolled tells:
+	// whether this node is in it, in its life and with its hold.
+	Read struct {
+		Began    time.Duration
+		Enrolled bool
+		Image    *Image
+	}
+	// Heard tells of a catalogue's number by a peer's facts.
+	Heard struct{ Number uint64 }
+	// Tables tells of the policy table that the node evaluates.
+	Tables struct{ Table }
+	// Begun and Over tell of a request that was served for a tenant, by its name in the catalogue.
+	Begun struct{ Tenant string }
+	Over  struct{ Tenant string }
+	// Tick has the node look at its clock; it comes at least each half second.
+	Tick struct{}
+	// Leave has it serve no tenant any more.
+	Leave struct{}
+)
+
+// What a node's shell is to do.
+type (
+	// Swap answers requests from another catalogue from now on. It is carried out before
+	// a Tell that comes with it.
+	Swap struct{ *Catalogue }
+	// Tell changes the word of the session.
+	Tell struct{ Word Word }
+	// Fetch reads the book and then the catalogue, as they are now; one read at a time,
+	// and another after it where it was asked for in between.
+	Fetch struct{}
+	// Cut ends what is open of a tenant.
+	Cut struct{ Tenant string }
+)
+
+// Desk decides what a node knows of tenants, and how sure it may be. It is pure. Its
+// safety rests on the session and on reads of the records; the view (Heard) only makes
+// it more careful, and quicker.
+type Desk struct {
+	life uint64
+	hold time.Duration
+
+	image    *Image
+	enrolled bool
+	leaving  bool
+	table    Table
+	names    map[string]*place
+	moving   []*Entry // those that are not simply served, by name
+
+	open  bool          // there is a session
+	ttl   time.Duration // of it
+	from  time.Duration // its unbroken right began: only what was read since is sure
+	until time.Duration // its right ends
+	sent  time.Duration // of the last renewal that was answered
+	sure  bool
+	word  time.Duration // of the last renewal while it was sure
+
+	heard   uint64
+	heardAt time.Duration
+	denied  uint64 // a number that was heard of, and that a later read did not bear out
+
+	busy  map[string]int           // open requests by tenant
+	leave map[string]time.Duration // since when a tenant is known to go
+	told  Word
+	tells bool // told was told
+}
+
+// NewDesk makes the desk of a node that knows nothing yet. life is of this process,
+// higher than of the one before under its name. With a hold above 0 it serves no
+// tenant after so long without word; it should be several TTLs.
+func NewDesk(life uint64, hold time.Duration) *Desk {
+	return &Desk{life: life, hold: min(hold, maxHold).Truncate(time.Millisecond), busy: map[string]int{}, leave: map[string]time.Duration{}}
+}
+
+// Member is how the book has this node when it is enrolled.
+func (d *Desk) Member(name string) Member { return Member{name, d.life, d.hold.Milliseconds()} }
+
+// Handle takes an event and gives what is to be done about it.
+func (d *Desk) Handle(now time.Duration, event any) (do []any) {
+	swap := true
+	switch e := event.(type) {
+	case Opened:
+		d.open, d.ttl, d.from, d.sent, d.sure, d.tells = true, e.TTL, now, e.Sent, false, false
+		d.until = e.Sent + early(e.TTL)
+		do = append(do, Fetch{})
+	case Renewed:
+		do = append(do, d.renewed(now, e)...)
+	case Read:
+		d.read(e)
+	case Heard:
+		if e.Number <= max(d.number(), d.heard) || e.Number == d.denied {
+			return nil
+		}
+		d.heard, d.heardAt = e.Number, now
+		do = append(do, Fetch{})
+	case Tables:
+		d.table = e.Table
+		d.compile()
+	case Begun:
+		d.busy[e.Tenant]++
+		return nil
+	case Over:
+		if d.busy[e.Tenant]--; d.busy[e.Tenant] > 0 {
+			return nil
+		}
+		delete(d.busy, e.Tenant)
+		if _, going := d.leave[e.Tenant]; !going && !d.leaving {
+			return nil
+		}
+		swap = false
+	case Leave:
+		d.leaving = true
+	default:
+		swap = false
+	}
+	if swap {
+		do = append(do, Swap{d.catalogue()})
+	}
+	do = append(do, d.cuts(now)...)
+	return append(do, d.tell()...)
+}
+
+// renewed prolongs the right. Where it had run out before the answer came, the session
+// may have ended and begun again in between: what was read before is not sure any more.
+func (d *Desk) renewed(now time.Duration, e Renewed) []any {
+	if !e.Known || !d.open {
+		d.open, d.sure = false, false
+		return nil
+	}
+	broken := now >= d.until
+	d.until, d.sent = max(d.until, e.Sent+early(d.ttl)), max(d.sent, e.Sent)
+	if broken {
+		d.sure, d.from = false, now
+		return []any{Fetch{}}
+	}
+	if d.sure {
+		d.word = d.sent
+	}
+	return nil
+}
+
+// read takes a catalogue up: whole, and never one before that which it has.
+func (d *Desk) read(e Read) {
+	if e.Image == nil {
+		return
+	}
+	d.enrolled = e.Enrolled
+	older := e.Image.Number < d.number() // the service's state is from a copy: the conductor makes a new one
+	if d.image == nil || e.Image.Number > d.image.Number {
+		d.image = e.Image
+		d.compile()
+	}
+	if d.open && e.Began >= d.from && !older {
+		d.sure, d.word = true, d.sent
+	}
+	if d.heard > e.Image.Number && e.Began >= d.heardAt {
+		d.denied, d.heard = d.heard, e.Image.Number
+	}
+}
+
+func (d *Desk) compile() {
+	if d.image == nil {
+		return
+	}
+	d.names = places(d.image, d.table)
+	d.moving = slices.DeleteFunc(d.image.sorted(), func(e *Entry) bool { return e.Phase == Serve })
+	for name := range d.leave {
+		if e := d.image.Entries[name]; e == nil || !e.going() {
+			delete(d.leave, name)
+		}
+	}
+}
+
+func (d *Desk) number() uint64 {
+	if d.image == nil {
+		return 0
+	}
+	return d.image.Number
+}
+
+// stop is when the node stops serving tenants for want of word; 0: never.
+func (d *Desk) stop() time.Duration {
+	if d.hold == 0 {
+		return 0
+	}
+	return d.word + d.hold
+}
+
+func (d *Desk) catalogue() *Catalogue {
+	return &Catalogue{number: d.number(), names: d.names, ready: d.enrolled && d.image != nil && !d.leaving, sure: d.sure, until: d.until,
+		stop: d.stop(), behind: d.heard > d.number()}
+}
+
+// going tells whether what is open of an entry is to end.
+func (e *Entry) going() bool { return e.Phase == Drain || e.Phase == Hold && e.Next == nil }
+
+// cuts ends what has had its time: of a tenant that drains; of one that is about to,
+// where this node has no right any more, so that the conductor need not wait for its
+// return; of all, where its hold has stopped it; of one that is gone, at once.
+func (d *Desk) cuts(now time.Duration) (do []any) {
+	right := d.sure && now < d.until
+	over := map[string]bool{}
+	for _, e := range d.moving {
+		if !e.going() {
+			continue
+		}
+		if _, known := d.leave[e.Name]; !known {
+			d.leave[e.Name] = now
+		}
+		over[e.Name] = now >= d.leave[e.Name]+e.drain() && (e.Phase == Drain || !right)
+	}
+	for _, name := range d.Busy() {
+		e := d.image.Entries[name]
+		if e == nil || over[name] || d.hold > 0 && now >= d.stop()+e.drain() {
+			do = append(do, Cut{name})
+		}
+	}
+	return do
+}
+
+// tell gives the session's word where it has changed.
+func (d *Desk) tell() []any {
+	w := Word{Life: d.life, Prepared: d.number(), Ended: d.number(), Hold: d.hold, Left: d.leaving && len(d.busy) == 0}
+	for _, e := range d.moving {
+		known := e.Phase == Prepare || e.Phase == Hold || e.Phase == Drain
+		if !known || e.Next != nil && !e.Next.Suspended && !d.table.covers(e.Next) {
+			w.Prepared = min(w.Prepared, e.Since-1)
+		}
+		if e.Phase == Drain && d.busy[e.Name] > 0 {
+			w.Ended = min(w.Ended, e.Since-1)
+		}
+	}
+	if !d.open || d.tells && w == d.told {
+		return nil
+	}
+	d.told, d.tells = w, true
+	return []any{Tell{w}}
+}
+
+// Busy gives the tenants with open requests, by name.
+func (d *Desk) Busy() []string { return slices.Sorted(maps.Keys(d.busy)) }
--- /dev/null
+++ b/internal/tenant/form.go
@@ -0,0 +1,142 @@
+// Package tenant brings tenants ("books") in, everywhere or nowhere: the forms that
+// are on record, the pure machine that moves them on (Machine) with the conductor
+// that carries it out, and the pure catalogue that a node answers from (Desk,
+// Catalogue). What each step waits for, and for how long, is in docs/tenants.md.
+package tenant
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+// Bounds on what a tenant may have. MaxForm keeps a page of the catalogue, which
+// holds two forms of each tenant on it, within a record.
+const (
+	MaxTenants = 800  // the list service keeps 1,000 records, of which some are pages and orders
+	MaxForm    = 2048 // bytes of one form
+	MaxNames   = 8
+	MaxClasses = 32
+	MaxKeys    = 16 // prefixes: the most that a request's key is compared with
+	MaxRoutes  = 8
+	MaxDrain   = 10 * time.Minute
+)
+
+// Form is what a tenant is: its namespace, its quotas and its routes, always together.
+type Form struct {
+	Names     []string `json:"names"`          // in X-Tenant
+	Classes   []string `json:"classes"`        // open to it
+	Keys      []string `json:"keys,omitempty"` // prefixes of its part of the key space; none: all of it
+	Quotas    []Quota  `json:"quotas"`
+	Routes    []Route  `json:"routes"`
+	Policy    uint64   `json:"policy,omitempty"` // a table of this version has its limits; set by the conductor
+	Suspended bool     `json:"suspended,omitempty"`
+	DrainMS   int64    `json:"drain_ms,omitempty"` // what is open has so long to end once the tenant goes
+
+	more fields
+}
+
+// Quota names the limit of the policy's table that holds for some classes.
+type Quota struct {
+	Limit   string   `json:"limit"`
+	Classes []string `json:"classes,omitempty"` // none: all that are open
+}
+
+// Route says where some classes are served. The first that has a class is its route.
+type Route struct {
+	Classes []string `json:"classes,omitempty"` // none: all that are open
+	Zones   []string `json:"zones,omitempty"`   // none: all
+	Kinds   []string `json:"kinds,omitempty"`
+	Pods    []int    `json:"pods,omitempty"`
+	Least   int      `json:"least,omitempty"` // boxes that must be there when it is brought in; 0 counts as 1
+}
+
+// Box is a server as far as routes go.
+type Box struct {
+	Zone, Kind string
+	Pod        int
+}
+
+// Takes tells whether a route may use a box.
+func (r *Route) Takes(b Box) bool {
+	return has(r.Zones, b.Zone) && has(r.Kinds, b.Kind) && has(r.Pods, b.Pod)
+}
+
+// has tells whether a choice includes a value; an empty choice includes all.
+func has[T comparable](choice []T, value T) bool {
+	return len(choice) == 0 || slices.Contains(choice, value)
+}
+
+// Drain is how long what is open has to end.
+func (f *Form) Drain() time.Duration { return time.Duration(f.DrainMS) * time.Millisecond }
+
+// route and limit give what holds for a class; nil and "" where nothing does.
+func (f *Form) route(class string) *Route {
+	for i := range f.Routes {
+		if has(f.Routes[i].Classes, class) {
+			return &f.Routes[i]
+		}
+	}
+	return nil
+}
+
+func (f *Form) limit(class string) string {
+	for _, q := range f.Quotas {
+		if has(q.Classes, class) {
+			return q.Limit
+		}
+	}
+	return ""
+}
+
+// CheckName says what is wrong with the name of a tenant or a node.
+func CheckName(name string) error {
+	if name == "" || len(name) > 64 || strings.ContainsAny(name, "/\\ \t\r\n\x00") {
+		return fmt.Errorf("name: %q, want 1 to 64 bytes without slashes and spaces", name)
+	}
+	return nil
+}
+
+// Check says what is wrong with a form by itself.
+func (f *Form) Check() error {
+	if f == nil {
+		return errors.New("form: missing")
+	}
+	for _, c := range []struct {
+		key         string
+		all         []string
+		least, most int
+	}{{"names", f.Names, 1, MaxNames}, {"classes", f.Classes, 1, MaxClasses}, {"keys", f.Keys, 0, MaxKeys}} {
+		if len(c.all) < c.least || len(c.all) > c.most {
+			return fmt.Errorf("%s: %d, want %d to %d", c.key, len(c.all), c.least, c.most)
+		}
+		sorted := slices.Sorted(slices.Values(c.all))
+		if len(slices.Compact(sorted)) != len(c.all) || slices.ContainsFunc(c.all, func(s string) bool { return s == "" || len(s) > list.MaxText }) {
+			return fmt.Errorf("%s: want each once, with 1 to %d bytes", c.key, list.MaxText)
+		}
+	}
+	if len(f.Routes) > MaxRoutes || len(f.Quotas) > MaxRoutes {
+		return fmt.Errorf("routes and quotas: %d and %d, %d at most", len(f.Routes), len(f.Quotas), MaxRoutes)
+	}
+	for _, class := range f.Classes {
+		if f.route(class) == nil {
+			return fmt.Errorf("routes: none has class %s", class)
+		}
+		if f.limit(class) == "" {
+			return fmt.Errorf("quotas: none has class %s", class)
+		}
+	}
+	if f.DrainMS < 0 || f.Drain() > MaxDrain {
+		return fmt.Errorf("drain_ms: %d, want 0 to %d", f.DrainMS, MaxDrain.Milliseconds())
+	}
+	raw, err := json.Marshal(f)
+	if err == nil && len(raw) > MaxForm {
+		err = fmt.Errorf("it has %d bytes, %d at most", len(raw), MaxForm)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/tenant/rules_test.go
@@ -0,0 +1,170 @@
+package tenant
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+const testTomb = 4 * time.Second
+
+// truth is what may be answered, worked out from what was written, not by the code
+// under test: of each tenant the last thing that was told of it.
+type truth struct {
+	number  uint64
+	told    map[string]string // by tenant and class: "" for not known, "leaving", or what serves it
+	state   map[string]State
+	freed   map[string]time.Duration // when a tenant was gone
+	active  map[string]int           // how often it was brought in
+	settled int
+}
+
+func newTruth() truth {
+	return truth{told: map[string]string{}, state: map[string]State{}, freed: map[string]time.Duration{}, active: map[string]int{}}
+}
+
+const (
+	leaving   = "leaving"
+	suspended = "suspended"
+)
+
+// tag names what a form says of a class.
+func tag(f *Form, class string) string {
+	if f.Suspended {
+		return suspended
+	}
+	return f.route(class).Zones[0] + " " + f.limit(class)
+}
+
+// written notes what a write means, and checks what records must keep to.
+func (t *truth) written(w *world, p Put) {
+	if name, is := keyName(p.Key, Prefix); is && p.Value != nil {
+		one, err := DecodeTenant(p.Value, 0)
+		if err != nil {
+			w.fail("%v", err)
+			return
+		}
+		if one.State != t.state[name] {
+			w.note("%s is %s %s", name, one.State, one.Why)
+		}
+		if one.State == Gone && t.state[name] != Gone {
+			t.freed[name] = w.now
+		}
+		t.state[name] = one.State
+		t.sum(w)
+	}
+	if p.Key == HeadKey {
+		t.publish(w)
+	}
+}
+
+// sum checks that the floors of all limits that are taken fit, and that no two tenants have one.
+func (t *truth) sum(w *world) {
+	sum, owner := 0.0, map[string]string{}
+	for _, key := range sortedKeys(w.records) {
+		if _, is := keyName(key, Prefix); !is {
+			continue
+		}
+		var one Tenant
+		if err := json.Unmarshal(w.records[key].value, &one); err != nil {
+			w.fail("%v", err)
+		}
+		if !one.State.owns() {
+			continue
+		}
+		for _, f := range []*Form{one.Now, one.Next} {
+			if f == nil {
+				continue
+			}
+			for _, q := range f.Quotas {
+				if owner[q.Limit] == "" {
+					sum += 1 // each floor of the test's policy
+				} else if owner[q.Limit] != one.Name {
+					w.fail("%s is %s's and %s's", q.Limit, owner[q.Limit], one.Name)
+				}
+				owner[q.Limit] = one.Name
+			}
+		}
+	}
+	if sum > w.policy.Whole {
+		w.fail("the floors that are taken come to %g of %g", sum, w.policy.Whole)
+	}
+}
+
+// publish notes what the catalogue tells from now on.
+func (t *truth) publish(w *world) {
+	image := w.image()
+	if image.Number <= t.number {
+		w.fail("catalogue %d after %d", image.Number, t.number)
+	}
+	t.number = image.Number
+	w.note("catalogue %d", t.number)
+	for name := range 4 {
+		name := fmt.Sprint("t", name)
+		e := image.Entries[name]
+		for _, class := range []string{"a", "b"} {
+			key, was := name+" "+class, t.told[name+" "+class]
+			switch {
+			case e == nil:
+				t.told[key] = ""
+			case e.Phase == Drain:
+				t.told[key] = leaving
+			case e.Phase == Serve:
+				if t.told[key] = tag(e.Now, class); was == "" && class == "a" {
+					t.active[name]++
+					if at, gone := t.freed[name]; gone && w.now-at < testTomb/2 {
+						w.fail("%s is back %v after it was gone", name, w.now-at)
+					}
+				}
+			}
+		}
+		if e == nil {
+			t.ended(w, name)
+		}
+	}
+}
+
+// ended checks that nothing is open of a tenant that is gone.
+func (t *truth) ended(w *world, name string) {
+	for _, n := range w.nodes {
+		if n.open[name] > 0 && !n.dead && n.ticked {
+			w.fail("%s is gone and %s has %d requests of it open", name, n.name, n.open[name])
+		}
+	}
+}
+
+// request has one answered at a node now, and checks the answer.
+func (w *world) request(n *node, name, class string) {
+	n.wake(func() {
+		a := n.cat.Answer(n.clock(), "x-"+name, class, "any")
+		told := w.truth.told[name+" "+class]
+		switch a.Verdict {
+		case Served:
+			limit, _ := w.policy.Floors[a.Limit]
+			if got := a.Route.Zones[0] + " " + a.Limit; got != told || limit == 0 {
+				w.fail("%s at catalogue %d serves %s %s by %q, what is told is %q", n.name, a.Number, name, class, got, told)
+			}
+			if !n.desk.table.Has(a.Limit) || n.table == 0 {
+				w.fail("%s serves %s without its quota", n.name, name)
+			}
+			n.open[name]++
+			n.handle(Begun{name})
+			w.after(time.Duration(w.IntN(4000))*time.Millisecond, func() {
+				n.wake(func() {
+					if n.open[name] > 0 {
+						n.over(name)
+					}
+				})
+			})
+		case Declined:
+			if a.Why == WhySuspended && told != suspended || a.Why == WhyLeaving && told != leaving && told != "" || a.Why != WhySuspended && a.Why != WhyLeaving {
+				w.fail("%s at catalogue %d declines %s: %s; what is told is %q", n.name, a.Number, name, a.Why, told)
+			}
+		case Unknown:
+			if told != "" {
+				w.fail("%s at catalogue %d does not know %s; what is told is %q", n.name, a.Number, name, told)
+			}
+		}
+		w.truth.settled++
+	})
+}
--- /dev/null
+++ b/internal/tenant/sim_test.go
@@ -0,0 +1,170 @@
+package tenant
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// clients ask all nodes for all tenants, at drawn times.
+func (w *world) clients() {
+	n := w.nodes[w.IntN(len(w.nodes))]
+	w.request(n, fmt.Sprint("t", w.IntN(4)), []string{"a", "b"}[w.IntN(2)])
+	w.after(time.Duration(1+w.IntN(30))*time.Millisecond, w.clients)
+}
+
+// fault draws one fault, and its end.
+func (w *world) fault() {
+	if w.quiet {
+		return
+	}
+	w.after(time.Duration(w.IntN(3000))*time.Millisecond, w.fault)
+	n := w.nodes[w.IntN(len(w.nodes))]
+	long := time.Duration(w.IntN(9000)) * time.Millisecond
+	switch w.IntN(8) {
+	case 0, 1:
+		w.note("%s is cut off for %v", n.name, long)
+		n.cutOff = true
+		w.after(long, func() { n.cutOff = false })
+	case 2:
+		w.note("%s sleeps for %v", n.name, long)
+		n.asleep, n.ticked = w.now+long, false
+	case 3:
+		w.note("%s is killed", n.name)
+		n.dead = true
+		if w.IntN(4) > 0 {
+			w.after(long, func() { w.start(n.name) })
+		} else { // an operator saw to it
+			w.after(long, func() { w.ask(n.name, Forget, 0) })
+		}
+	case 4:
+		w.note("%s leaves", n.name)
+		n.wake(func() { n.handle(Leave{}) })
+		w.after(long, func() { w.start(fmt.Sprint("n", len(w.nodes))) })
+	case 5:
+		w.die(0)
+	case 6:
+		w.die(ttl + long)
+	case 7:
+		w.note("policy %d", w.policy.Version+1)
+		w.policy.Version++
+	}
+}
+
+// orders draws what operators ask for.
+func (w *world) orders() {
+	if w.quiet {
+		return
+	}
+	do := []string{Add, Add, Add, Change, Change, Suspend, Resume, Remove}[w.IntN(8)]
+	w.ask(fmt.Sprint("t", w.IntN(4)), do, w.IntN(40))
+	w.after(time.Duration(w.IntN(1200))*time.Millisecond, w.orders)
+}
+
+// play runs one drawn schedule: faults for a time, then peace, after which all orders
+// must have come to rest and all nodes say what is told.
+func play(seed uint64, what broken) *world {
+	w := newWorld(seed, 3, what)
+	w.after(0, w.clients)
+	w.after(time.Second, w.orders)
+	w.after(2*time.Second, w.fault)
+	w.run(20 * time.Second)
+	w.quiet = true
+	for _, n := range w.nodes {
+		if n.cutOff = false; n.dead {
+			w.ask(n.name, Forget, 0)
+		}
+	}
+	w.run(w.now + 40*time.Second)
+	w.atRest()
+	return w
+}
+
+func (w *world) atRest() {
+	if w.wrong != "" {
+		return
+	}
+	for _, name := range sortedKeys(w.truth.state) {
+		if !w.truth.state[name].rests() {
+			w.fail("%s is %s still", name, w.truth.state[name])
+		}
+	}
+	for _, n := range w.nodes {
+		for t := range 4 {
+			name := fmt.Sprint("t", t)
+			if n.dead || n.left {
+				continue
+			}
+			a, told := n.cat.Answer(n.clock(), "x-"+name, "a", ""), w.truth.told[name+" a"]
+			if (a.Verdict == Unsure) || (a.Verdict == Unknown) != (told == "") {
+				w.fail("%s at rest says %v (%s) of %s, told is %q", n.name, a.Verdict, a.Why, name, told)
+			}
+		}
+	}
+}
+
+// schedules plays many at once and gives the first that broke a rule.
+func schedules(n int, what broken) (bad *world, seed uint64, brought int) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	next := uint64(0)
+	for range runtime.GOMAXPROCS(0) {
+		group.Go(func() {
+			for {
+				mu.Lock()
+				mine := next
+				if next++; mine >= uint64(n) || bad != nil {
+					mu.Unlock()
+					return
+				}
+				mu.Unlock()
+				w := play(mine, what)
+				mu.Lock()
+				for _, k := range w.truth.active {
+					brought += k
+				}
+				if w.wrong != "" && (bad == nil || mine < seed) {
+					bad, seed = w, mine
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return bad, seed, brought
+}
+
+// TestDrawnSchedules: no rule is broken whatever fails. TENANT_SCHEDULES plays more.
+func TestDrawnSchedules(t *testing.T) {
+	n := 150
+	if s := os.Getenv("TENANT_SCHEDULES"); s != "" {
+		var err error
+		if n, err = strconv.Atoi(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	bad, seed, brought := schedules(n, broken{})
+	if bad != nil {
+		t.Fatalf("schedule %d: %s\n%s", seed, bad.wrong, bad.story())
+	}
+	t.Logf("%d schedules, tenants brought in %d times", n, brought)
+	if brought < n {
+		t.Errorf("tenants came in only %d times in %d schedules", brought, n)
+	}
+}
+
+// TestRulesFindMutations: each part that is left out is found by a rule.
+func TestRulesFindMutations(t *testing.T) {
+	for _, what := range []string{"no waiting", "stale no", "no barrier", "not enrolled", "right mends", "no quota", "no cut", "no hold", "no tombstone", "free twice", "no fence"} {
+		bad, seed, _ := schedules(2000, broken{what: true})
+		if bad == nil {
+			t.Errorf("%s: no rule finds it", what)
+			continue
+		}
+		t.Logf("%s: found in schedule %d: %s", what, seed, bad.wrong)
+	}
+}
--- /dev/null
+++ b/internal/tenant/unknown.go
@@ -0,0 +1,82 @@
+package tenant
+
+import (
+	"encoding/json"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// fields are those of a document that this version of the program does not know. They
+// are written again as they were read, so that an older conductor takes nothing from a
+// newer operator's form.
+type fields map[string]json.RawMessage
+
+// readKept reads a document into plain, and gives the fields that plain has not.
+func readKept(raw []byte, plain any) (fields, error) {
+	if err := json.Unmarshal(raw, plain); err != nil {
+		return nil, err
+	}
+	var all fields
+	if err := json.Unmarshal(raw, &all); err != nil {
+		return nil, err
+	}
+	t := reflect.TypeOf(plain).Elem()
+	for i := range t.NumField() {
+		key, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		delete(all, key)
+	}
+	if len(all) == 0 {
+		return nil, nil
+	}
+	return all, nil
+}
+
+// writeKept gives the document of plain with the fields beside it, by name.
+func writeKept(plain any, more fields) ([]byte, error) {
+	raw, err := json.Marshal(plain)
+	if err != nil || len(more) == 0 {
+		return raw, err
+	}
+	raw = raw[:len(raw)-1]
+	for _, key := range slices.Sorted(maps.Keys(more)) {
+		name, err := json.Marshal(key)
+		if err != nil {
+			return nil, err
+		}
+		if len(raw) > 1 {
+			raw = append(raw, ',')
+		}
+		raw = append(append(append(raw, name...), ':'), more[key]...)
+	}
+	return append(raw, '}'), nil
+}
+
+// The documents without their methods.
+type (
+	plainForm   Form
+	plainTenant Tenant
+	plainEntry  Entry
+)
+
+func (f *Form) UnmarshalJSON(raw []byte) (err error) {
+	f.more, err = readKept(raw, (*plainForm)(f))
+	return err
+}
+
+func (f *Form) MarshalJSON() ([]byte, error) { return writeKept((*plainForm)(f), f.more) }
+
+func (t *Tenant) UnmarshalJSON(raw []byte) (err error) {
+	t.more, err = readKept(raw, (*plainTenant)(t))
+	return err
+}
+
+func (t *Tenant) MarshalJSON() ([]byte, error) { return writeKept((*plainTenant)(t), t.more) }
+
+func (e *Entry) UnmarshalJSON(raw []byte) (err error) {
+	e.more, err = readKept(raw, (*plainEntry)(e))
+	return err
+}
+
+func (e *Entry) MarshalJSON() ([]byte, error) { return writeKept((*plainEntry)(e), e.more) }
--- /dev/null
+++ b/internal/tenant/world_test.go
@@ -0,0 +1,300 @@
+package tenant
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// world is nodes, a list service, conductors and clients on one drawn clock. Every
+// call takes a drawn time each way and may be lost; every clock has its own rate.
+type world struct {
+	*rand.Rand
+	now    time.Duration
+	queue  queue
+	seq    int
+	wrong  string // the first rule that was broken
+	log    []string
+	broken broken // what a mutation leaves out
+
+	records  map[string]record0
+	version  uint64
+	sessions map[string]*session
+	fence    uint64
+
+	nodes      []*node
+	conductors []*conductor
+	policy     Policy
+	truth      truth
+	quiet      bool // no more faults
+	dieAt      int  // the call at which a conductor dies; 0: never
+	calls      int  // of conductors
+	asked      int
+}
+
+// broken says which parts are left out, by a word each.
+type broken map[string]bool
+
+type record0 struct {
+	value   []byte
+	version uint64
+}
+
+type session struct {
+	node string
+	word *Word
+	at   time.Duration // it ends
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+const (
+	ttl       = 2 * time.Second
+	testDrain = time.Second
+	lost      = 600 * time.Millisecond // a call without an answer is given up
+)
+
+func newWorld(seed uint64, nodes int, what broken) *world {
+	w := &world{Rand: rand.New(rand.NewPCG(seed, 7)), records: map[string]record0{}, sessions: map[string]*session{}, broken: what, truth: newTruth()}
+	w.policy = Policy{Version: 1, Floors: map[string]float64{}, Whole: 9}
+	for t := range 4 {
+		for k := range 40 {
+			w.policy.Floors[fmt.Sprintf("t%d.q%d", t, k)] = 1
+		}
+		w.policy.Floors[fmt.Sprintf("t%d.p", t)] = 1
+	}
+	for i := range nodes {
+		w.start(fmt.Sprint("n", i))
+	}
+	w.grant()
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, do})
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until && w.wrong == "" {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = max(w.now, until)
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.wrong == "" {
+		w.wrong = fmt.Sprintf(format, args...)
+		w.note("WRONG: %s", w.wrong)
+	}
+}
+
+func (w *world) note(format string, args ...any) {
+	w.log = append(w.log, fmt.Sprintf("%8v %s", w.now.Round(time.Millisecond), fmt.Sprintf(format, args...)))
+	if len(w.log) > 400 {
+		w.log = w.log[200:]
+	}
+}
+
+// call carries a call to the service and its answer back, both after drawn times.
+// Where the line is cut then, it is lost; answered tells which.
+func (w *world) call(cut func() bool, serve func(), answered func(ok bool)) {
+	done := false
+	there := time.Duration(1+w.IntN(20)) * time.Millisecond
+	if w.IntN(50) == 0 && !w.quiet {
+		there += time.Duration(w.IntN(700)) * time.Millisecond
+	}
+	w.after(there, func() {
+		if cut() {
+			return
+		}
+		w.expire()
+		serve()
+		w.after(time.Duration(1+w.IntN(20))*time.Millisecond, func() {
+			if !cut() && !done {
+				done = true
+				answered(true)
+			}
+		})
+	})
+	w.after(lost, func() {
+		if !done {
+			done = true
+			answered(false)
+		}
+	})
+}
+
+// expire ends sessions by the service's clock, which is the world's.
+func (w *world) expire() {
+	for id, s := range w.sessions {
+		if w.now > s.at {
+			delete(w.sessions, id)
+		}
+	}
+}
+
+// put writes a record as the list service does.
+func (w *world) put(p Put, fence uint64) (uint64, error) {
+	has := w.records[p.Key]
+	if !w.broken["no fence"] && (fence != w.fence || !p.Free && has.version != p.Version) {
+		return 0, ErrTaken
+	}
+	w.version++
+	if p.Value == nil {
+		delete(w.records, p.Key)
+	} else {
+		w.records[p.Key] = record0{slices.Clone(p.Value), w.version}
+	}
+	w.truth.written(w, p)
+	return w.version, nil
+}
+
+// image is the catalogue as it is on record.
+func (w *world) image() *Image {
+	r, ok := w.records[HeadKey]
+	if !ok {
+		return nil
+	}
+	head, err := DecodeHead(r.value)
+	raw := map[string][]byte{}
+	for key, r := range w.records {
+		if digest, is := keyName(key, PagePrefix); is {
+			raw[digest] = r.value
+		}
+	}
+	image, err2 := Join(head, raw)
+	if err != nil || err2 != nil {
+		w.fail("the catalogue is not whole: %v, %v", err, err2)
+	}
+	return image
+}
+
+func (w *world) book() (b Book) {
+	if r, ok := w.records[BookKey]; ok {
+		if err := json.Unmarshal(r.value, &b); err != nil {
+			w.fail("the book: %v", err)
+		}
+	}
+	return b
+}
+
+// stored gives what a conductor begins from.
+func (w *world) stored() (s Stored) {
+	s.Pages = map[string]uint64{}
+	for _, key := range sortedKeys(w.records) {
+		r := w.records[key]
+		if digest, is := keyName(key, PagePrefix); is {
+			s.Pages[digest] = r.version
+		}
+		if _, is := keyName(key, Prefix); is {
+			t, err := DecodeTenant(r.value, r.version)
+			if err != nil {
+				w.fail("%v", err)
+			}
+			s.Tenants = append(s.Tenants, t)
+		}
+	}
+	s.Book, s.BookVersion = w.book(), w.records[BookKey].version
+	if s.Image = w.image(); s.Image != nil {
+		s.Head, _ = DecodeHead(w.records[HeadKey].value)
+		s.HeadVersion = w.records[HeadKey].version
+	}
+	return s
+}
+
+// look gives what a conductor sees.
+func (w *world) look() (l Look) {
+	w.expire()
+	for _, id := range sortedKeys(w.sessions) {
+		s := w.sessions[id]
+		if s.word == nil {
+			continue
+		}
+		word := *s.word
+		if w.broken["no waiting"] && s.word.Prepared > 0 {
+			word.Prepared, word.Ended = w.truth.number, w.truth.number
+		}
+		l.Sessions = append(l.Sessions, Session{s.node, word})
+	}
+	l.Policy = w.policy
+	if w.broken["free twice"] {
+		l.Policy.Whole *= 2
+	}
+	for k := range 40 {
+		l.Boxes = append(l.Boxes, Box{Zone: fmt.Sprint("z", k), Kind: "k"})
+	}
+	for _, key := range sortedKeys(w.records) {
+		for _, prefix := range []string{AskPrefix, ForgetPrefix} {
+			if name, is := keyName(key, prefix); is {
+				a := Ask{Key: key, Name: name, Version: w.records[key].version}
+				if err := json.Unmarshal(w.records[key].value, &a.Order); err != nil {
+					w.fail("%v", err)
+				}
+				l.Asks = append(l.Asks, a)
+			}
+		}
+	}
+	return l
+}
+
+func sortedKeys[T any](m map[string]T) []string {
+	var all []string
+	for k := range m {
+		all = append(all, k)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// testForm is form k of a tenant: class a's route and quota carry k, class b's never change.
+func testForm(name string, k int) *Form {
+	return &Form{Names: []string{"x-" + name}, Classes: []string{"a", "b"}, DrainMS: testDrain.Milliseconds(),
+		Quotas: []Quota{{fmt.Sprintf("%s.q%d", name, k), []string{"a"}}, {name + ".p", []string{"b"}}},
+		Routes: []Route{{Classes: []string{"a"}, Zones: []string{fmt.Sprint("z", k)}}, {Classes: []string{"b"}, Zones: []string{"z0"}}}}
+}
+
+// ask leaves an order, unless one waits.
+func (w *world) ask(name, do string, k int) bool {
+	key := askKey(do, name)
+	if _, waits := w.records[key]; waits {
+		return false
+	}
+	w.asked++
+	o := Order{V: form, ID: fmt.Sprint("o", w.asked), Do: do}
+	if do == Add || do == Change {
+		o.Form = testForm(name, k)
+	}
+	raw, _ := json.Marshal(o)
+	w.version++
+	w.records[key] = record0{raw, w.version}
+	w.note("asked: %s %s %d", do, name, k)
+	return true
+}
+
+func (w *world) story() string { return strings.Join(w.log, "\n") }
