--- a/internal/tenant/advance.go
+++ b/internal/tenant/advance.go
@@ -41,6 +41,7 @@
 	case Draining:
 		if m.waitFor(r, t, e, needEnded) {
 			m.enter(r, t, Gone)
+			t.finish("")
 			t.Until = m.clockAt(r.now) + m.times.Tomb
 		}
 	}
@@ -65,6 +66,7 @@
 		return
 	}
 	t.Now, t.Next = t.Next, nil
+	t.finish("")
 	m.rest(r, t)
 }
 
@@ -86,13 +88,15 @@
 
 // takeBack leaves a tenant as it was before its order.
 func (m *Machine) takeBack(r *round, t *Tenant, why string) {
-	t.Next, t.Why = nil, why
+	t.Next = nil
+	t.finish(why)
 	m.rest(r, t)
 }
 
 // refuse ends a tenant that never was: nobody has served it.
 func (m *Machine) refuse(r *round, t *Tenant, why string) {
-	t.Now, t.Next, t.Why, t.Until = nil, nil, why, m.clockAt(r.now)+m.times.Tomb
+	t.Now, t.Next, t.Until = nil, nil, m.clockAt(r.now)+m.times.Tomb
+	t.finish(why)
 	m.enter(r, t, Refused)
 }
 
@@ -111,8 +115,8 @@
 		return
 	}
 	t := m.tenants[a.Name]
-	if t != nil && (!t.State.rests() || r.gone[a.Name]) {
-		return // in order: after the one before
+	if t != nil && (!t.State.rests() || r.gone[a.Name] || !entryOf(t).same(m.image.Entries[a.Name])) {
+		return // in order: after the one before is done, and published
 	}
 	if t == nil {
 		if len(m.tenants) >= MaxTenants {
@@ -126,11 +130,11 @@
 		m.tenants[a.Name] = t
 	}
 	if a.Order.ID != t.Order {
-		t.Order, t.Why = a.Order.ID, ""
+		t.Order = a.Order.ID
 		m.asked[a.Name] = r.now
 		r.changed[a.Name] = true
 		if why := m.follow(r, t, a.Order); why != "" {
-			t.Why = why
+			t.finish(why)
 		}
 	}
 	r.puts = append(r.puts, Put{Stage: stageAfter, Key: a.Key, Version: a.Version})
--- a/internal/tenant/desk.go
+++ b/internal/tenant/desk.go
@@ -79,12 +79,17 @@
 	heardAt time.Duration
 	denied  uint64 // a number that was heard of, and that a later read did not bear out
 
-	busy  map[string]int           // open requests by tenant
-	leave map[string]time.Duration // since when a tenant is known to go
-	told  Word
-	tells bool // told was told
+	busy   map[string]int           // open requests by tenant
+	leave  map[string]time.Duration // since when a tenant is known to go
+	told   Word
+	tells  bool // told was told
+	toldAt time.Duration
 }
 
+// A word is told again so often while a tenant moves: an earlier one that was long on
+// its way may have come to the service after it.
+const tellEvery = 5 * time.Second
+
 // NewDesk makes the desk of a node that knows nothing yet. life is of this process,
 // higher than of the one before under its name. With a hold above 0 it serves no
 // tenant after so long without word; it should be several TTLs.
@@ -137,7 +142,7 @@
 		do = append(do, Swap{d.catalogue()})
 	}
 	do = append(do, d.cuts(now)...)
-	return append(do, d.tell()...)
+	return append(do, d.tell(now)...)
 }
 
 // renewed prolongs the right. Where it had run out before the answer came, the session
@@ -239,7 +244,7 @@
 }
 
 // tell gives the session's word where it has changed.
-func (d *Desk) tell() []any {
+func (d *Desk) tell(now time.Duration) []any {
 	w := Word{Life: d.life, Prepared: d.number(), Ended: d.number(), Hold: d.hold, Left: d.leaving && len(d.busy) == 0}
 	for _, e := range d.moving {
 		known := e.Phase == Prepare || e.Phase == Hold || e.Phase == Drain
@@ -250,10 +255,11 @@
 			w.Ended = min(w.Ended, e.Since-1)
 		}
 	}
-	if !d.open || d.tells && w == d.told {
+	again := len(d.moving) > 0 && now-d.toldAt >= tellEvery
+	if !d.open || d.tells && w == d.told && !again {
 		return nil
 	}
-	d.told, d.tells = w, true
+	d.told, d.tells, d.toldAt = w, true, now
 	return []any{Tell{w}}
 }
 
--- a/internal/tenant/image.go
+++ b/internal/tenant/image.go
@@ -54,13 +54,17 @@
 	return e.Now.Drain()
 }
 
-// same tells whether two entries mean the same, since whenever.
+// same tells whether two entries mean the same, since whenever; what only a newer
+// conductor knows is left aside, and kept.
 func (e *Entry) same(o *Entry) bool {
 	if e == nil || o == nil {
 		return e == o
 	}
+	if e.Phase == o.Phase && e.Now == o.Now && e.Next == o.Next { // forms are not changed once they are there
+		return true
+	}
 	a, b := *e, *o
-	a.Since, b.Since = 0, 0
+	a.Since, b.Since, a.more, b.more = 0, 0, nil, nil
 	x, err1 := json.Marshal(&a)
 	y, err2 := json.Marshal(&b)
 	return err1 == nil && err2 == nil && bytes.Equal(x, y)
--- a/internal/tenant/machine.go
+++ b/internal/tenant/machine.go
@@ -241,7 +241,11 @@
 			differs = differs || was != nil
 			continue
 		}
+		if was != nil {
+			e.more = was.more
+		}
 		if e.same(was) && !anew {
+			was.Now, was.Next = e.Now, e.Next // the next comparison is one of pointers
 			e = was
 		} else {
 			e.Since, differs = number, true
--- a/internal/tenant/record.go
+++ b/internal/tenant/record.go
@@ -38,13 +38,29 @@
 	Now   *Form         `json:"now,omitempty"`      // in effect; of one that is gone, the last
 	Next  *Form         `json:"next,omitempty"`     // to come; none while it goes
 	Order string        `json:"order,omitempty"`    // the id of the last order that was taken
-	Why   string        `json:"why,omitempty"`      // the last order was not followed, or taken back
+	Done  []Outcome     `json:"done,omitempty"`     // of the last orders, as many as mostDone
 	Until time.Duration `json:"until_ns,omitempty"` // on the conductors' clock: a tombstone or a refusal goes then
 
 	more    fields
 	version uint64
 }
 
+// Outcome is what came of an order.
+type Outcome struct {
+	Order string `json:"order"`
+	Why   string `json:"why,omitempty"` // it was not followed, or taken back; empty: it is done
+}
+
+const mostDone = 4 // so that whoever asked finds its order's outcome after others
+
+// finish notes what came of the order that was taken last.
+func (t *Tenant) finish(why string) {
+	t.Done = append(t.Done, Outcome{t.Order, why})
+	if n := len(t.Done) - mostDone; n > 0 {
+		t.Done = t.Done[n:]
+	}
+}
+
 const form = 1 // of all documents; a later one may add fields, never change what one means
 
 // The orders.
