--- a/cmd/indigoctl/main.go
+++ b/cmd/indigoctl/main.go
@@ -18,6 +18,6 @@
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(listCommand(), dutyCommand(), releaseCommand())
+	c.AddCommand(listCommand(), dutyCommand(), releaseCommand(), tenantCommand())
 	return c
 }
--- /dev/null
+++ b/cmd/indigoctl/tenant.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"indigotack/internal/duty"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+	"indigotack/internal/tenant"
+)
+
+func tenantCommand() *cobra.Command {
+	var f listFlags
+	c := &cobra.Command{
+		Use:   "tenant",
+		Short: "tenants (books): bring in, change, take out on every node, or on none",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	f.add(c)
+	f.wait = time.Minute
+	c.PersistentFlags().Lookup("wait").DefValue = f.wait.String()
+	c.AddCommand(
+		f.orderTenant(tenant.Add, "NAME FILE", "bring a tenant in; FILE is its form in JSON", formExample),
+		f.orderTenant(tenant.Change, "NAME FILE", "give a tenant another form, on all nodes or on none", ""),
+		f.orderTenant(tenant.Suspend, "NAME", "have all nodes refuse a tenant's requests", ""),
+		f.orderTenant(tenant.Resume, "NAME", "serve a suspended tenant again", ""),
+		f.orderTenant(tenant.Remove, "NAME", "refuse a tenant, let what is open end, and free its quotas", ""),
+		f.orderTenant(tenant.Forget, "NODE", "vouch that a node that is gone serves nothing any more, so that nobody waits for it", ""),
+		f.tenantStatus(), f.conductTenants())
+	return c
+}
+
+const formExample = `
+  {"names": ["kalahari"], "classes": ["ledger-view"], "drain_ms": 5000,
+   "quotas": [{"limit": "book/kalahari"}], "routes": [{"zones": ["a", "b"], "kinds": ["m"], "least": 2}]}`
+
+// orderTenant leaves an order for the conductor, and waits until it is done.
+func (f *listFlags) orderTenant(do, args, short, more string) *cobra.Command {
+	return &cobra.Command{
+		Use:     do + " " + args,
+		Short:   short,
+		Example: "  indigoctl tenant " + do + " " + strings.ToLower(args) + "\n" + more,
+		Args:    cobra.ExactArgs(len(strings.Fields(args))),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			if err := tenant.CheckName(args[0]); err != nil {
+				return err
+			}
+			who := cmp.Or(os.Getenv("USER"), "an operator")
+			o := tenant.Order{ID: fmt.Sprintf("%s-%d", who, time.Now().UnixNano()), Do: do, Who: who}
+			if len(args) > 1 {
+				raw, err := os.ReadFile(args[1])
+				if err != nil {
+					return err
+				}
+				if err := json.Unmarshal(raw, &o.Form); err != nil {
+					return fmt.Errorf("%s: %w", args[1], err)
+				}
+				if err := o.Form.Check(); err != nil {
+					return fmt.Errorf("%s: %w", args[1], err)
+				}
+			}
+			return f.await(ctx, c, k, args[0], o)
+		}),
+	}
+}
+
+const lookEvery = 200 * time.Millisecond
+
+// await places an order once no other waits, and follows it to its end.
+func (f *listFlags) await(ctx context.Context, c *cobra.Command, k *client.Client, name string, o tenant.Order) error {
+	for {
+		placed, err := tenant.Place(ctx, k, name, o)
+		if err != nil {
+			return err
+		}
+		if placed {
+			break
+		}
+		if !pause.For(ctx, lookEvery) {
+			return fmt.Errorf("%s: an order waits there already; does a conductor run (indigoctl tenant conduct)?", name)
+		}
+	}
+	where := "it waits for a conductor (indigoctl tenant conduct)"
+	for {
+		done, now, err := came(ctx, k, name, o)
+		if err == nil && done {
+			fmt.Fprintf(c.OutOrStdout(), "%s: %s is done\n", name, o.Do)
+			return nil
+		}
+		if err != nil && ctx.Err() == nil {
+			return err
+		}
+		if where = cmp.Or(now, where); !pause.For(ctx, lookEvery) {
+			return fmt.Errorf("%s: %s is not done after %v and goes on: %s", name, o.Do, f.wait, where)
+		}
+	}
+}
+
+// came tells whether an order is done, or where it stands; one that was not followed is an error.
+func came(ctx context.Context, k *client.Client, name string, o tenant.Order) (done bool, where string, err error) {
+	if o.Do == tenant.Forget {
+		waits, err := tenant.Waiting(ctx, k, name, o)
+		return !waits, "", err
+	}
+	all, err := standings(ctx, k)
+	if err != nil {
+		return false, "", err
+	}
+	i := slices.IndexFunc(all, func(s tenant.Standing) bool { return s.Name == name })
+	if i < 0 {
+		return false, "", nil
+	}
+	if out, over := all[i].Outcome(o.ID); over && out.Why != "" {
+		return false, "", errors.New(out.Why)
+	} else if over {
+		return true, "", nil
+	}
+	return false, standing(all[i]), nil
+}
+
+func standing(s tenant.Standing) string {
+	where := string(s.State)
+	if !s.Published {
+		where += ", nodes are not told yet"
+	} else if len(s.Waits) > 0 {
+		where += ", waits for " + strings.Join(s.Waits, ", ")
+	}
+	return where
+}
+
+func standings(ctx context.Context, k *client.Client) ([]tenant.Standing, error) {
+	s, err := tenant.ReadStored(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	sessions, err := tenant.ReadSessions(ctx, k)
+	return tenant.Standings(s, sessions), err
+}
+
+func (f *listFlags) tenantStatus() *cobra.Command {
+	return &cobra.Command{
+		Use:     "status [NAME]",
+		Short:   "where tenants are, and which nodes they wait for",
+		Example: "  indigoctl tenant status\n  indigoctl tenant status kalahari --json",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
+			all, err := standings(ctx, k)
+			if err != nil {
+				return err
+			}
+			if len(args) == 1 {
+				if all = slices.DeleteFunc(all, func(s tenant.Standing) bool { return s.Name != args[0] }); len(all) == 0 {
+					return fmt.Errorf("there is no tenant %s", args[0])
+				}
+			}
+			return f.print(c.OutOrStdout(), all, func(t *tabwriter.Writer) {
+				fmt.Fprintln(t, "TENANT\tSTANDS\tCATALOGUE\tLAST ORDER")
+				for _, s := range all {
+					last := "-"
+					if n := len(s.Done); n > 0 {
+						last = cmp.Or(s.Done[n-1].Why, "done")
+					}
+					fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", s.Name, standing(s), s.Number, last)
+				}
+			})
+		}),
+	}
+}
+
+// conductTenants holds the duty of the tenants' conductor.
+func (f *listFlags) conductTenants() *cobra.Command {
+	var ttl time.Duration
+	var process string
+	c := &cobra.Command{
+		Use:     "conduct",
+		Short:   "carry orders out, as the holder of the duty; run it on several machines",
+		Example: "  indigoctl tenant conduct --process ops-1",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			log := slog.New(slog.NewTextHandler(c.ErrOrStderr(), nil))
+			k, err := client.New(client.Config{Addresses: strings.Split(f.addresses, ",")})
+			if err != nil {
+				return err
+			}
+			defer k.Close()
+			p, err := duty.Open(duty.Config{Client: k, Process: process, TTL: ttl, Word: list.Word{Note: "conducts tenants"}, Log: log})
+			if err != nil {
+				return err
+			}
+			err = p.Run(c.Context(), tenant.Duty, func(ctx context.Context, fenced duty.Fence) error {
+				conductor := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fenced}, Fleet: tenant.Listed{List: k}, Every: lookEvery, Times: tenant.DefaultTimes(), Log: log}
+				return conductor.Run(ctx)
+			})
+			if errors.Is(err, context.Canceled) {
+				err = nil
+			}
+			return errors.Join(err, p.Close(ttl))
+		},
+	}
+	host, _ := os.Hostname() // empty where there is none, which the duty tells
+	c.Flags().StringVar(&process, "process", host, "the name of this process, the same over its restarts")
+	c.Flags().DurationVar(&ttl, "ttl", duty.DefaultTTL, "after so long without a word from here, another conducts")
+	return c
+}
--- a/internal/tenant/advance.go
+++ b/internal/tenant/advance.go
@@ -17,13 +17,13 @@
 	}
 	switch t.State {
 	case Reserved:
-		if m.waitFor(r, t, e, needSure) {
+		if m.waitFor(r, t, e) {
 			m.settle(r, t)
 		} else if m.late(r, t) {
 			m.refuse(r, t, m.whoIsLate(t))
 		}
 	case Changing:
-		if m.waitFor(r, t, e, needAll) {
+		if m.waitFor(r, t, e) {
 			if why := m.recheck(r, t); why != "" {
 				m.takeBack(r, t, why)
 				return
@@ -33,13 +33,13 @@
 			m.takeBack(r, t, m.whoIsLate(t))
 		}
 	case Switching:
-		if m.waitFor(r, t, e, needAll) {
+		if m.waitFor(r, t, e) {
 			m.settle(r, t)
 		} else if r.now-m.since[t.Name] >= m.times.Switch {
 			m.enter(r, t, Changing) // nobody has served the next form: the present one is served again
 		}
 	case Draining:
-		if m.waitFor(r, t, e, needEnded) {
+		if m.waitFor(r, t, e) {
 			m.enter(r, t, Gone)
 			t.finish("")
 			t.Until = m.clockAt(r.now) + m.times.Tomb
@@ -48,8 +48,8 @@
 }
 
 // waitFor tells whether all that are needed have taken the tenant's entry up.
-func (m *Machine) waitFor(r *round, t *Tenant, e *Entry, n need) bool {
-	m.waits[t.Name] = m.behind(r, e.Since, n, e.drain())
+func (m *Machine) waitFor(r *round, t *Tenant, e *Entry) bool {
+	m.waits[t.Name] = m.behind(r, e.Since, t.State.need(), e.drain())
 	return len(m.waits[t.Name]) == 0
 }
 
--- /dev/null
+++ b/internal/tenant/fleet.go
@@ -0,0 +1,74 @@
+package tenant
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// PolicyKey is the record of the table that holds.
+const PolicyKey = "policy/current"
+
+// Listed is a fleet as the list service has it: the policy's table on record and the
+// servers on the list.
+type Listed struct{ List *client.Client }
+
+// table is what is needed of a policy's table; its form is decide's.
+type table struct {
+	Limits []struct {
+		Name   string  `json:"name"`
+		Parent int     `json:"parent"`
+		Unit   int     `json:"unit"`
+		Rate   float64 `json:"rate"`
+		Floor  float64 `json:"floor"`
+	} `json:"limits"`
+}
+
+// Policy gives the limits of requests a second with their floors. All floors together
+// fit into the rate of the first limit that is within none: the fleet's. Of a limit in
+// another unit no floor counts. Without a table there is no limit to name.
+func (f Listed) Policy(ctx context.Context) (Policy, error) {
+	r, err := f.List.Record(ctx, PolicyKey)
+	if none(err) {
+		return Policy{}, nil
+	}
+	if err != nil {
+		return Policy{}, err
+	}
+	var t table
+	if err := json.Unmarshal(r.Value, &t); err != nil {
+		return Policy{}, fmt.Errorf("the table on record can't be read: %w", err)
+	}
+	p := Policy{Version: r.Version, Floors: map[string]float64{}}
+	for _, l := range t.Limits {
+		if l.Unit != 0 {
+			l.Floor = 0
+		} else if l.Parent < 0 && p.Whole == 0 {
+			p.Whole = l.Rate
+		}
+		p.Floors[l.Name] = l.Floor
+	}
+	return p, nil
+}
+
+// Boxes gives the servers that are ready.
+func (f Listed) Boxes(ctx context.Context) (all []Box, err error) {
+	a, err := f.List.Current(ctx)
+	for _, e := range a.Endpoints {
+		if e.Status == list.Ready {
+			all = append(all, Box{e.Zone, e.Type, e.Group})
+		}
+	}
+	return all, err
+}
+
+// none tells whether an error says that there is no such record.
+func none(err error) bool {
+	var r *client.Refused
+	return errors.As(err, &r) && r.Status == http.StatusNotFound
+}
--- a/internal/tenant/members.go
+++ b/internal/tenant/members.go
@@ -63,6 +63,17 @@
 	needEnded             // all members' open requests; one without a session counts once it must have cut them
 )
 
+// need is who a tenant in a state waits for.
+func (s State) need() need {
+	switch s {
+	case Reserved:
+		return needSure
+	case Draining:
+		return needEnded
+	}
+	return needAll
+}
+
 // behind gives the members that are not yet at a number of the catalogue.
 func (m *Machine) behind(r *round, number uint64, n need, drain time.Duration) (wait []string) {
 	for _, member := range m.book.Members {
--- a/internal/tenant/store.go
+++ b/internal/tenant/store.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -29,12 +28,6 @@
 	return errors.As(err, &r) && r.Code == string(code)
 }
 
-// none tells whether an error says that there is no such record.
-func none(err error) bool {
-	var r *client.Refused
-	return errors.As(err, &r) && r.Status == http.StatusNotFound
-}
-
 // values reads the records under a prefix, as they are now. One that goes in between is passed over.
 func values(ctx context.Context, k *client.Client, prefix string, seen map[string]list.Record) ([]list.Record, error) {
 	keys, err := k.Records(ctx, prefix)
@@ -199,3 +192,10 @@
 	}
 	return err == nil, err
 }
+
+// Waiting tells whether an order still waits to be taken.
+func Waiting(ctx context.Context, k *client.Client, name string, o Order) (bool, error) {
+	var waits Order
+	version, err := record(ctx, k, askKey(o.Do, name), &waits)
+	return version > 0 && waits.ID == o.ID, err
+}
--- /dev/null
+++ b/internal/tenant/walk_test.go
@@ -0,0 +1,119 @@
+package tenant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// script has tenants come, change, rest and go, each order after the one before, with a
+// conductor that dies, or sleeps while another follows, at one of its calls.
+func script(dieAt int, sleeps time.Duration) *world {
+	w := newWorld(1, 3, 4, broken{})
+	w.quiet, w.dieAt, w.dieSleeps = true, dieAt, sleeps
+	w.after(0, w.clients)
+	orders := []struct {
+		name, do string
+		k        int
+	}{{"t0", Add, 1}, {"t1", Add, 1}, {"t0", Change, 2}, {"t1", Remove, 0}, {"t0", Suspend, 0}, {"t0", Resume, 0}, {"t0", Change, 3}}
+	for i := 0; i < len(orders) && w.wrong == ""; {
+		if w.ask(orders[i].name, orders[i].do, orders[i].k) {
+			i++
+		}
+		w.run(w.now + 300*time.Millisecond)
+	}
+	w.run(w.now + 12*time.Second)
+	w.atRest()
+	return w
+}
+
+// TestEveryCrash: the conductor dies at each of its calls, and sleeps at each; the next
+// brings all that was asked for to its end, and each order is followed once.
+func TestEveryCrash(t *testing.T) {
+	calls := script(0, 0).calls
+	if calls < 60 {
+		t.Fatalf("a conductor makes %d calls only", calls)
+	}
+	for _, sleeps := range []time.Duration{0, ttl + time.Second} {
+		for at := 0; at <= calls; at++ {
+			w := script(at, sleeps)
+			if w.wrong != "" {
+				t.Fatalf("at call %d, asleep for %v: %s\n%s", at, sleeps, w.wrong, w.story())
+			}
+			if a, b := w.truth.told["t0 a"], w.truth.state["t1"]; a != tag(testForm("t0", 3), "a") || b != Gone || w.truth.active["t1"] != 1 {
+				t.Fatalf("at call %d, asleep for %v: t0 is %q, t1 %q\n%s", at, sleeps, a, b, w.story())
+			}
+		}
+	}
+	t.Logf("%d calls, each with a death and with a sleep", calls)
+}
+
+// TestManyAtOnce: 200 tenants come together, in few catalogues, with a node that joins,
+// one that leaves, one that is lost and a new policy in the middle.
+func TestManyAtOnce(t *testing.T) {
+	w := newWorld(2, 4, 200, broken{})
+	w.after(0, w.clients)
+	w.run(2 * time.Second)
+	for i := range w.tenants {
+		w.ask(fmt.Sprint("t", i), Add, 1)
+		w.ask(fmt.Sprint("t", i), Change, 2) // it does not wait: there is an order
+	}
+	began, catalogues := w.now, w.truth.number
+	w.run(w.now + 100*time.Millisecond)
+	w.start("n9")
+	w.newPolicy()
+	w.nodes[1].handle(Leave{})
+	w.nodes[2].dead = true
+	for len(w.truth.active) < w.tenants && w.now < began+20*time.Second && w.wrong == "" {
+		w.run(w.now + 50*time.Millisecond)
+	}
+	took := w.now - began
+	w.run(w.now + 3*time.Second)
+	w.atRest()
+	if w.wrong != "" || len(w.truth.active) != w.tenants || took > 8*time.Second {
+		t.Fatalf("%d are active after %v; %s", len(w.truth.active), took, w.wrong)
+	}
+	if n := w.truth.number - catalogues; n > 8 {
+		t.Errorf("it took %d catalogues", n)
+	} else {
+		t.Logf("200 tenants in %v with %d catalogues", took, n)
+	}
+}
+
+// TestCatalogueCosts: an answer allocates nothing, whatever it is.
+func TestCatalogueCosts(t *testing.T) {
+	image := &Image{Number: 3, Entries: map[string]*Entry{}}
+	for i := range MaxTenants {
+		name := fmt.Sprint("t", i)
+		f := testForm(name, i%40)
+		f.Keys = []string{"a/", "b/"}
+		image.Entries[name] = &Entry{Name: name, Phase: []Phase{Serve, Hold, Drain, "later"}[i%4], Now: f, Next: testForm(name, 41), Since: 3}
+	}
+	d := NewDesk(1, 0)
+	d.Handle(0, Tables{Table{1, func(string) bool { return true }}})
+	d.Handle(0, Opened{0, ttl})
+	d.Handle(1, Read{1, true, image})
+	c := d.catalogue()
+	seen := map[Verdict]bool{}
+	for _, ask := range [][3]string{{"x-t0", "a", "a/1"}, {"x-t0", "a", "c"}, {"x-t0", "z", "a/1"}, {"x-t1", "a", "a/1"}, {"x-t1", "b", "b/1"}, {"x-t2", "a", "a/1"}, {"x-t3", "a", "a/1"}, {"nobody", "a", "a/1"}} {
+		seen[c.Answer(2, ask[0], ask[1], ask[2]).Verdict] = true
+		if n := testing.AllocsPerRun(100, func() { c.Answer(2, ask[0], ask[1], ask[2]) }); n != 0 {
+			t.Errorf("%v allocates %v times", ask, n)
+		}
+	}
+	if len(seen) != 4 {
+		t.Errorf("the answers are of %d kinds", len(seen))
+	}
+}
+
+// TestUnknownFields of a newer program pass through an older one.
+func TestUnknownFields(t *testing.T) {
+	raw := `{"v":1,"name":"n","state":"active","now":{"names":["n"],"classes":["a"],"quotas":null,"routes":null,"later":{"x":[1,2]}},"also":7}`
+	one, err := DecodeTenant([]byte(raw), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := one.MarshalJSON(); string(got) != raw || err != nil {
+		t.Errorf("%s, %v, want %s", got, err, raw)
+	}
+}
