--- /dev/null
+++ b/cmd/indigoctl/tenant_test.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"indigotack/internal/duty"
+	"indigotack/internal/lab/trial"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+	"indigotack/internal/tenant"
+)
+
+// desk is a node as far as tenants go: the real Desk and Reader over the real service.
+type desk struct {
+	mu    sync.Mutex
+	core  *tenant.Desk
+	now   *tenant.Catalogue
+	start time.Time
+}
+
+func (d *desk) clock() time.Duration { return time.Since(d.start) }
+
+// runDesk has a node with a session, until the test ends; it reads and renews each 100 ms.
+func runDesk(t *testing.T, k *client.Client, name string) *desk {
+	d := &desk{core: tenant.NewDesk(uint64(time.Now().UnixMilli()), 0), start: time.Now()}
+	r := &tenant.Reader{List: k, Member: d.core.Member(name)}
+	s := list.Session{ID: "session-" + name, Process: name, TTL: 2 * time.Second, Word: list.Word{Note: tenant.Word{}.Note()}}
+	t.Cleanup(trial.Run(t, func(ctx context.Context) error {
+		sent := d.clock()
+		if err := k.OpenSession(ctx, s); err != nil {
+			return err
+		}
+		d.handle(ctx, k, &s, tenant.Opened{Sent: sent, TTL: s.TTL})
+		d.handle(ctx, k, &s, tenant.Tables{Table: tenant.Table{Version: 1 << 40, Has: func(string) bool { return true }}})
+		for pause.For(ctx, 100*time.Millisecond) {
+			sent := d.clock()
+			if known, err := k.RenewSession(ctx, s.ID); err == nil {
+				d.handle(ctx, k, &s, tenant.Renewed{Sent: sent, Known: known})
+			}
+			if read, err := r.Read(ctx, d.clock); err == nil {
+				d.handle(ctx, k, &s, read)
+			}
+		}
+		return nil
+	}))
+	return d
+}
+
+func (d *desk) handle(ctx context.Context, k *client.Client, s *list.Session, event any) {
+	for _, a := range d.core.Handle(d.clock(), event) {
+		switch a := a.(type) {
+		case tenant.Swap:
+			d.mu.Lock()
+			d.now = a.Catalogue
+			d.mu.Unlock()
+		case tenant.Tell:
+			s.Word.Note = a.Word.Note()
+			k.OpenSession(ctx, *s) // the desk repeats a word while something moves
+		}
+	}
+}
+
+func (d *desk) says(name, class string) tenant.Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.now == nil {
+		return tenant.Unsure
+	}
+	return d.now.Answer(d.clock(), name, class, "").Verdict
+}
+
+// TestTenants: operators bring tenants in, change and remove them on two nodes, over a
+// conductor that hands on in between.
+func TestTenants(t *testing.T) {
+	address, k := trial.List(t)
+	ctx := t.Context()
+	for i, zone := range []string{"a", "b"} {
+		e := list.Entry{Name: fmt.Sprint("s", i), Address: "127.0.0.1:1", Zone: zone, Type: "m", Status: list.Ready, Weight: 1}
+		if _, err := k.Register(ctx, e, 0, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := k.Put(ctx, tenant.PolicyKey, []byte(`{"limits":[{"name":"fleet","parent":-1,"rate":10},{"name":"book/k","floor":6},{"name":"book/l","floor":6}]}`), nil); err != nil {
+		t.Fatal(err)
+	}
+	conduct := func(name string) (stop func()) {
+		return trial.Run(t, func(ctx context.Context) error {
+			p, err := duty.Open(duty.Config{Client: k, Process: name, TTL: time.Second})
+			if err != nil {
+				return err
+			}
+			p.Run(ctx, tenant.Duty, func(ctx context.Context, f duty.Fence) error {
+				c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: f}, Fleet: tenant.Listed{List: k}, Every: 50 * time.Millisecond, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler)}
+				return c.Run(ctx)
+			})
+			return p.Close(time.Second)
+		})
+	}
+	stop := conduct("ops-1")
+	t.Cleanup(conduct("ops-2"))
+	nodes := []*desk{runDesk(t, k, "n0"), runDesk(t, k, "n1")}
+	file := func(name, limit, zone string) string {
+		path := filepath.Join(t.TempDir(), name)
+		raw := fmt.Sprintf(`{"names":[%q],"classes":["c"],"quotas":[{"limit":%q}],"routes":[{"zones":[%q]}]}`, name, limit, zone)
+		if err := os.WriteFile(path, []byte(raw), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	order := func(want string, args ...string) {
+		t.Helper()
+		var out bytes.Buffer
+		c := root()
+		c.SetArgs(append([]string{"tenant", "--list", address}, args...))
+		c.SetOut(&out)
+		c.SetErr(&out)
+		err := c.ExecuteContext(ctx)
+		if got := out.String() + fmt.Sprint(err); !strings.Contains(got, want) {
+			t.Fatalf("%v: %s, want %q", args, got, want)
+		}
+	}
+	await := func(verdict tenant.Verdict) {
+		t.Helper()
+		for _, n := range nodes {
+			trial.Await(t, verdict.String(), func() bool { return n.says("k", "c") == verdict })
+		}
+	}
+	order("done", "add", "k", file("k", "book/k", "a"))
+	await(tenant.Served)
+	order("come to 12, of 10", "add", "l", file("l", "book/l", "b"))
+	order("has 0 boxes", "change", "k", file("k", "book/k", "z"))
+	stop()
+	order("done", "suspend", "k")
+	await(tenant.Declined)
+	order("suspended", "status", "k")
+	order("done", "remove", "k")
+	await(tenant.Unknown)
+	order("tombstone", "add", "k", file("k", "book/k", "a"))
+	order("done", "add", "l", file("l", "book/l", "b"))
+}
--- a/internal/tenant/image.go
+++ b/internal/tenant/image.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -137,27 +138,35 @@
 	return h, nil
 }
 
-// Join makes the catalogue of a head from its pages by digest. A page that is missing
-// or is another is an error: the catalogue is whole or not at all.
-func Join(h Head, raw map[string][]byte) (*Image, error) {
+// decodePage reads a page, which must be what its digest says.
+func decodePage(digest string, raw []byte) ([]*Entry, error) {
+	sum := sha256.Sum256(raw)
+	if hex.EncodeToString(sum[:16]) != digest {
+		return nil, fmt.Errorf("tenant: page %s of the catalogue is another", digest)
+	}
+	var p page
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("tenant: page %s of the catalogue: %w", digest, err)
+	}
+	if slices.ContainsFunc(p.Entries, func(e *Entry) bool { return e == nil || e.Name == "" }) {
+		return nil, fmt.Errorf("tenant: page %s of the catalogue has an entry without a name", digest)
+	}
+	return p.Entries, nil
+}
+
+// errMissing tells of a page that has gone: there is a newer head.
+var errMissing = errors.New("tenant: a page is not there")
+
+// join makes the catalogue of a head from its pages by digest. A page that is missing
+// is an error: the catalogue is whole or not at all.
+func join(h Head, entries map[string][]*Entry) (*Image, error) {
 	i := &Image{Number: h.Number, Entries: map[string]*Entry{}}
 	for _, digest := range h.Pages {
-		if digest == "" {
-			continue
-		}
-		b, ok := raw[digest]
-		sum := sha256.Sum256(b)
-		if !ok || hex.EncodeToString(sum[:16]) != digest {
-			return nil, fmt.Errorf("tenant: page %s of catalogue %d is not there, or another", digest, h.Number)
-		}
-		var p page
-		if err := json.Unmarshal(b, &p); err != nil {
-			return nil, fmt.Errorf("tenant: page %s of catalogue %d: %w", digest, h.Number, err)
+		all, ok := entries[digest]
+		if !ok && digest != "" {
+			return nil, fmt.Errorf("%w: page %s of catalogue %d", errMissing, digest, h.Number)
 		}
-		for _, e := range p.Entries {
-			if e == nil || e.Name == "" {
-				return nil, fmt.Errorf("tenant: page %s of catalogue %d has an entry without a name", digest, h.Number)
-			}
+		for _, e := range all {
 			i.Entries[e.Name] = e
 		}
 	}
--- a/internal/tenant/service_test.go
+++ b/internal/tenant/service_test.go
@@ -71,13 +71,16 @@
 		return w.whole
 	}
 	head, err := DecodeHead(r.value)
-	raw := map[string][]byte{}
+	entries := map[string][]*Entry{}
 	for key, r := range w.records {
 		if digest, is := keyName(key, PagePrefix); is {
-			raw[digest] = r.value
+			var bad error
+			if entries[digest], bad = decodePage(digest, r.value); bad != nil {
+				w.fail("%v", bad)
+			}
 		}
 	}
-	image, err2 := Join(head, raw)
+	image, err2 := join(head, entries)
 	if err != nil || err2 != nil {
 		w.fail("the catalogue is not whole: %v, %v", err, err2)
 	}
--- a/internal/tenant/store.go
+++ b/internal/tenant/store.go
@@ -81,7 +81,8 @@
 // Stored reads all that a conductor begins from.
 func (r *Records) Stored(ctx context.Context) (s Stored, err error) { return ReadStored(ctx, r.List) }
 
-// ReadStored reads all that is on record.
+// ReadStored reads all that is on record. The catalogue may change while it is read by
+// one who does not hold the fence; then it is read again.
 func ReadStored(ctx context.Context, k *client.Client) (s Stored, err error) {
 	tenants, err := values(ctx, k, Prefix, nil)
 	if err != nil {
@@ -97,30 +98,43 @@
 	if s.BookVersion, err = record(ctx, k, BookKey, &s.Book); err != nil {
 		return s, err
 	}
+	for range readTries {
+		if err = s.catalogue(ctx, k); !errors.Is(err, errMissing) {
+			break
+		}
+	}
+	return s, err
+}
+
+// catalogue reads the head and then all pages that there are.
+func (s *Stored) catalogue(ctx context.Context, k *client.Client) error {
+	one, err := k.Record(ctx, HeadKey)
+	if err != nil && !none(err) {
+		return err
+	}
+	there := err == nil
 	found, err := values(ctx, k, PagePrefix, nil)
 	if err != nil {
-		return s, err
+		return err
 	}
-	raw := map[string][]byte{}
+	entries := map[string][]*Entry{}
 	s.Pages = map[string]uint64{}
 	for _, p := range found {
 		digest, _ := keyName(p.Key, PagePrefix)
-		raw[digest] = p.Value
+		if entries[digest], err = decodePage(digest, p.Value); err != nil {
+			return err
+		}
 		s.Pages[digest] = p.Version
 	}
-	one, err := k.Record(ctx, HeadKey)
-	if none(err) {
-		return s, nil
-	}
-	if err != nil {
-		return s, err
+	if !there {
+		return nil
 	}
 	if s.Head, err = DecodeHead(one.Value); err != nil {
-		return s, err
+		return err
 	}
 	s.HeadVersion = one.Version
-	s.Image, err = Join(s.Head, raw)
-	return s, err
+	s.Image, err = join(s.Head, entries)
+	return err
 }
 
 // Sessions gives the nodes' sessions.
