Follow the policy on the node, and share its limits out from the keeper

Need: the table, the shares and the view have to work together in real processes. Change: with govern.policy a node follows policy/current, keeps a ledger on its loop, speaks with the holder over the peers' socket, and is not ready before it has heard of the policy; the keeper joins the view and shares limits out while it holds the duty quota; quota/holder tells who does.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -34,6 +34,7 @@
 	Every    time.Duration `koanf:"every"`   // between two looks
 	Repair   bool          `koanf:"repair"`  // else it only reports
 	Nodes    []Node        `koanf:"node"`
+	Shares   Shares        `koanf:"shares"` // of the limits of the operators' policy; without a fleet this process shares none out
 	Patience `koanf:",squash"`
 }
 
@@ -64,6 +65,7 @@
 		bad(n.Name != "", "node: one has no name")
 		address("node "+n.Name+": control", n.Control)
 	}
+	c.Shares.check(&f)
 	return f.Err()
 }
 
@@ -122,7 +124,12 @@
 		return err
 	}
 	log.Info("serving", "listen", ln.Addr().String(), "nodes", len(c.Nodes))
-	err = p.Run(ctx, dutyName, w.work)
+	all, ctx := errgroup.WithContext(ctx)
+	all.Go(func() error { return p.Run(ctx, dutyName, w.work) })
+	if c.Shares.Fleet != "" {
+		all.Go(func() error { return c.Shares.run(ctx, c.Process, k, p, log) })
+	}
+	err = all.Wait()
 	if errors.Is(err, context.Canceled) {
 		err = nil
 	}
@@ -221,74 +228,3 @@
 		w.mu.Unlock()
 	}
 }
-
-// look sees the list, and every server and node at its address.
-func (w *Keeper) look(ctx context.Context) (Look, error) {
-	call, cancel := context.WithTimeout(ctx, writeTime)
-	defer cancel()
-	a, err := w.client.Items(call)
-	if err != nil {
-		return Look{}, err
-	}
-	l := Look{Items: a.Items, Answers: map[string]bool{}, Nodes: make([]NodeLook, len(w.c.Nodes))}
-	var mu sync.Mutex // of Answers
-	var g errgroup.Group
-	g.SetLimit(together)
-	for _, i := range a.Items {
-		g.Go(func() error {
-			if conn, err := (&net.Dialer{Timeout: lookTime}).DialContext(ctx, "tcp", i.Entry.Address); err == nil {
-				conn.Close()
-				mu.Lock()
-				l.Answers[i.Entry.Name] = true
-				mu.Unlock()
-			}
-			return nil
-		})
-	}
-	for i, n := range w.c.Nodes {
-		g.Go(func() error {
-			l.Nodes[i] = w.node(ctx, n)
-			return nil
-		})
-	}
-	g.Wait() // nothing of it fails
-	return l, ctx.Err()
-}
-
-func (w *Keeper) node(ctx context.Context, n Node) NodeLook {
-	l := NodeLook{Name: n.Name, Discovered: -1}
-	status, _, err := w.get(ctx, "http://"+n.Control+"/healthcheck")
-	l.Up, l.Ready = err == nil, status == http.StatusOK
-	if _, body, err := w.get(ctx, "http://"+n.Control+"/stats"); err == nil {
-		l.Discovered = discovered(body)
-	}
-	return l
-}
-
-func (w *Keeper) get(ctx context.Context, url string) (int, string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0, "", err
-	}
-	resp, err := w.http.Do(req)
-	if err != nil {
-		return 0, "", err
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxStats))
-	return resp.StatusCode, string(raw), err
-}
-
-// discovered reads the number of servers out of a node's figures, or gives -1.
-func discovered(stats string) int {
-	in := bufio.NewScanner(strings.NewReader(stats))
-	for in.Scan() {
-		if rest, ok := strings.CutPrefix(in.Text(), "app.discovered:"); ok {
-			value, _, _ := strings.Cut(rest, "|")
-			if n, err := strconv.Atoi(value); err == nil {
-				return n
-			}
-		}
-	}
-	return -1
-}
--- /dev/null
+++ b/internal/keeper/shares.go
@@ -0,0 +1,157 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"indigotack/decide"
+	"indigotack/internal/conf"
+	"indigotack/internal/duty"
+	"indigotack/internal/fleet"
+	"indigotack/internal/fleet/wire"
+	"indigotack/internal/list/client"
+	"indigotack/internal/node/view"
+	"indigotack/internal/quota"
+	"indigotack/internal/quota/holder"
+	"indigotack/internal/quota/record"
+)
+
+// Shares says by which fleet's view this process shares limits out, whenever it holds the duty for it.
+type Shares struct {
+	Fleet  string   `koanf:"fleet"`  // the fleet's name, as the nodes have it; empty: it shares none out
+	Listen string   `koanf:"listen"` // for datagrams, reachable by the nodes under this very address
+	Join   []string `koanf:"join"`   // members to join by
+}
+
+func (s Shares) check(f *conf.Faults) {
+	if s.Fleet == "" {
+		f.Want(s.Listen == "" && len(s.Join) == 0, "shares: fleet is missing; it names the fleet, as the nodes' configuration does")
+		return
+	}
+	f.Want(len(s.Fleet) <= wire.MaxName, "shares.fleet: %d bytes, %d at most", len(s.Fleet), wire.MaxName)
+	f.Want(len(s.Join) > 0, "shares.join: missing; it has the peer addresses of some nodes")
+	for _, a := range append([]string{s.Listen}, s.Join...) {
+		_, err := netip.ParseAddrPort(a)
+		f.Want(err == nil, "shares: %q is no address: want one such as 127.0.0.1:7946", a)
+	}
+}
+
+const (
+	mostDatagram = 256
+	arrivals     = 4096 // datagrams that wait for the holder: a second's of 300 busy nodes
+	turned       = 16   // events that wait for it
+	expectEvery  = time.Second
+	wallEvery    = time.Minute
+	readAgain    = 50 * time.Millisecond // after a datagram that could not be read
+)
+
+// run takes part in the view, follows the policy and shares limits out whenever the duty is held, until ctx ends.
+func (s Shares) run(ctx context.Context, name string, k *client.Client, p *duty.Process, log *slog.Logger) error {
+	at, _ := netip.ParseAddrPort(s.Listen) // checked with the configuration
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return fmt.Errorf("shares.listen: %w", err)
+	}
+	defer conn.Close()
+	shell := s.join(ctx, name, at, conn, log)
+	in, events := make(chan []byte, arrivals), make(chan quota.Event, turned)
+	all, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	all.Go(func() error { return receive(ctx, conn, shell, in) })
+	all.Go(func() error {
+		follow(ctx, k, events, log)
+		return ctx.Err()
+	})
+	all.Go(func() error { return clock(ctx, shell, events) })
+	all.Go(func() error {
+		return holder.Run(ctx, holder.Config{Fleet: wire.FleetHash(s.Fleet), Name: name, List: k, Duties: p, In: in, Send: shell.Tell, Events: events, Log: log})
+	})
+	return all.Wait()
+}
+
+// join begins to keep the view. This process serves no requests, and so is always joining in the nodes' eyes.
+func (s Shares) join(ctx context.Context, name string, at netip.AddrPort, conn *net.UDPConn, log *slog.Logger) *view.Shell {
+	var seeds []netip.AddrPort
+	for _, a := range s.Join {
+		one, _ := netip.ParseAddrPort(a)
+		seeds = append(seeds, one)
+	}
+	return view.Start(ctx, view.Config{Fleet: s.Fleet, Name: name, Number: -1, Addr: at, Seeds: seeds, Log: log,
+		Doing: func() (fleet.State, uint16) { return fleet.Joining, 0 },
+		Write: func(to netip.AddrPort, data []byte) { conn.WriteToUDPAddrPort(data, to) }}) // none is owed an arrival
+}
+
+// receive shares the socket between the view and the holder until it is closed. One datagram too many is lost.
+func receive(ctx context.Context, conn *net.UDPConn, shell *view.Shell, in chan<- []byte) error {
+	buf := make([]byte, mostDatagram+1)
+	for ctx.Err() == nil {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
+			time.Sleep(readAgain)
+		case n == 0 || n > mostDatagram:
+		case quota.Ours(buf[0]):
+			select {
+			case in <- append([]byte(nil), buf[:n]...):
+			default:
+			}
+		default:
+			shell.Receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n])
+		}
+	}
+	return ctx.Err()
+}
+
+// follow tells the holder of each table, with the one before it.
+func follow(ctx context.Context, k *client.Client, events chan<- quota.Event, log *slog.Logger) {
+	var now *decide.Table
+	version := uint64(0)
+	k.FollowRecords(ctx, record.PolicyPrefix, func(r client.Records) {
+		one := record.Find(r, record.Current)
+		t, err := record.Table(one)
+		if err != nil {
+			log.Error("the policy stays as it was", "err", err)
+			return
+		}
+		if one.Version == version {
+			return
+		}
+		version = one.Version
+		say(ctx, events, quota.Table{Now: t, Before: now})
+		now = t
+	})
+}
+
+// clock tells the holder the time of day, and how many nodes there are about.
+func clock(ctx context.Context, shell *view.Shell, events chan<- quota.Event) error {
+	t := time.NewTicker(expectEvery)
+	defer t.Stop()
+	var told time.Time
+	for {
+		if time.Since(told) >= wallEvery {
+			told = time.Now()
+			say(ctx, events, quota.Wall{Time: told})
+		}
+		say(ctx, events, quota.Expect{Nodes: len(shell.Serving())})
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func say(ctx context.Context, events chan<- quota.Event, e quota.Event) {
+	select {
+	case events <- e:
+	case <-ctx.Done():
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -38,7 +38,8 @@
 	PeerListen string           // where other nodes' messages come; empty: nowhere
 	Peers      []netip.AddrPort // of all nodes, by their numbers; invalid: not to be reached
 
-	Fleet FleetConfig // the view of the fleet
+	Fleet  FleetConfig // the view of the fleet
+	Policy bool        // the operators' policy is followed, and its limits are shared with the other nodes
 
 	known list.Answer // the servers as the node last had them
 	file  any         // all of the file, as JSON has it
@@ -75,6 +76,7 @@
 	PeerListen string          `json:"peer_listen"`
 	Peers      []string        `json:"peers"`
 	Fleet      *fleetForm      `json:"fleet"`
+	Govern     *governForm     `json:"govern"`
 	Known      list.Answer     `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
 }
@@ -120,6 +122,8 @@
 	var all []error
 	c.Fleet, all = in.Fleet.config(in.Name, in.PeerListen, settings)
 	problems = append(problems, all...)
+	c.Policy = in.Govern != nil && in.Govern.Policy
+	problems = append(problems, in.Govern.check(c)...)
 	if settings.MayMessage {
 		c.PeerListen = in.PeerListen
 		for _, peer := range in.Peers {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -70,6 +70,9 @@
 		if shell := n.view.Load(); shell != nil {
 			shell.WriteStats(w)
 		}
+		if n.governed != nil {
+			n.governed.write(w)
+		}
 	})
 	if n.cfg.Fleet.Name != "" {
 		mux.HandleFunc("GET /fleet", n.answerFleet)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -52,6 +52,9 @@
 	shell := view.Start(n.ctx, view.Config{Fleet: c.Name, Name: n.cfg.Name, Number: n.own.number, Addr: c.Address, Seeds: seeds, Peers: n.cfg.Peers,
 		Period: c.Period, Zone: n.own.zone, Version: version(), Doing: n.doing(handed), Write: p.write, Log: n.log, Handed: handed})
 	p.hear[viewKinds], p.hear[viewKindsMore] = shell.Receive, shell.Receive
+	if n.governed != nil {
+		p.hear[quotaKind] = n.hearShares
+	}
 	n.view.Store(shell)
 }
 
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -87,6 +87,9 @@
 		}
 		n.log.Info("the list service moves", "to", cfg.List)
 		n.cfg.List = cfg.List
+		if n.governed != nil {
+			n.governed.k.SetAddresses(cfg.List) // as good as the ones just taken
+		}
 	case *client.Platform:
 		if cfg.Discovery != n.cfg.Discovery {
 			n.log.Info("discovery moves", "to", cfg.Discovery)
@@ -133,5 +136,5 @@
 		n.heard.Do(func() { close(n.told) })
 	}
 	n.stats.discovered.Store(int64(len(n.listed)))
-	n.front.ready.Store(len(n.listed) > 0)
+	n.settleReady()
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -64,6 +64,9 @@
 	if len(n.queue) > 1 {
 		return // the call further up gets to it
 	}
+	if n.governed != nil {
+		n.governed.ledger.At(time.Since(n.start)) // the hand by which requests are judged
+	}
 	for len(n.queue) > 0 {
 		for _, a := range n.module.Handle(n.now(), n.queue[0]) {
 			n.act(a)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	peers    atomic.Pointer[peers] // nil: this node has no socket for them
 	own      own
 	view     atomic.Pointer[view.Shell] // of the fleet; nil: there is none, or not yet
+	governed *governed                  // nil: no policy is followed
 	links    links
 	meeting  string     // where processes of this node meet; empty: nowhere
 	Overlap  func(bool) // told when another process of this node begins and ends to share its limits; may be nil
@@ -90,10 +91,14 @@
 	if n.lists, err = n.newLists(); err != nil {
 		return err
 	}
+	if n.governed, err = newGoverned(n.cfg); err != nil {
+		return err
+	}
 	if n.meeting == "" && n.hears() {
 		n.listenPeers(inner)
 	}
 	go n.loop(inner)
+	n.govern(inner)
 	go n.backends.run(inner)
 	var old *link
 	if n.meeting != "" {
@@ -119,6 +124,7 @@
 		go n.awaitSuccessor(inner)
 	}
 	err = n.front.serve(ctx, ln)
+	n.leaveShares(inner)
 	n.leaveView(inner)
 	stop()
 	<-n.ended
--- a/internal/node/upgrade_old.go
+++ b/internal/node/upgrade_old.go
@@ -12,6 +12,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/pause"
+	"indigotack/internal/quota"
 )
 
 const mostLinks = 4 // processes that may be at the socket at a time
@@ -75,7 +76,12 @@
 		meeting.Close()
 		life := n.handOverView() // before this process drains: the node does not
 		n.front.stopAccepting()
-		n.do(func() { n.handle(decide.HandedOver{}) })
+		n.do(func() {
+			n.handle(decide.HandedOver{})
+			if n.governed != nil {
+				n.tell(quota.Leave{}) // one process of a name has its shares: the new one, from now on
+			}
+		})
 		n.peers.Load().handOver(func(fd int) {
 			if err := l.say(message{Kind: kindYours, Fleet: life}, fd); err != nil {
 				n.log.Warn("handing over", "err", err)
--- a/internal/node/view/changes.go
+++ b/internal/node/view/changes.go
@@ -24,10 +24,12 @@
 	m := a.Member
 	if m.Name == "" {
 		delete(s.numbers, a.Before.Name)
+		s.book.Delete(a.Before.Name)
 		return
 	}
 	s.health[m.Health].Add(1)
 	s.numbers[m.Name] = m.Number
+	s.note(m)
 	if m.Health <= fleet.Suspect {
 		s.known.Store(m.Addr, true)
 	}
--- a/internal/node/view/shell.go
+++ b/internal/node/view/shell.go
@@ -47,6 +47,7 @@
 
 	peers     map[netip.AddrPort]bool // the configured ones
 	known     sync.Map                // addresses (netip.AddrPort) of living members
+	book      sync.Map                // by name: reach
 	strangers *rate.Limiter
 	came      arrivals
 	health    [4]atomic.Int64 // members by health, own included
--- a/internal/quota/holder/holder.go
+++ b/internal/quota/holder/holder.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return err
 	}
+	if err := announce(ctx, h.c.List, f, h.c.Name); err != nil {
+		return err
+	}
 	select {
 	case h.tenures <- tenure{f, seats, version}:
 	case <-ctx.Done():
--- a/internal/quota/holder/record.go
+++ b/internal/quota/holder/record.go
@@ -11,6 +11,7 @@
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
 	"indigotack/internal/quota"
+	quotarecord "indigotack/internal/quota/record"
 )
 
 // RecordKey is the record of enrolled nodes.
@@ -50,6 +51,20 @@
 	return r.Seats, got.Version, nil
 }
 
+// announce tells the nodes who shares limits out from now on.
+func announce(ctx context.Context, k *client.Client, f duty.Fence, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	value, err := json.Marshal(quotarecord.Sharer{Name: name, Fence: f.Fence})
+	if err == nil {
+		_, err = k.As(f).Put(ctx, quotarecord.Holder, value, nil)
+	}
+	if err != nil {
+		return fmt.Errorf("writing %s: %w", quotarecord.Holder, err)
+	}
+	return nil
+}
+
 // write replaces the record that has a version, under the fence, and gives its next one.
 func write(ctx context.Context, k *client.Client, f duty.Fence, seats []quota.Seat, version uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTime)
--- /dev/null
+++ b/internal/quota/record/record.go
@@ -0,0 +1,69 @@
+// Package record is the one definition of what the list service keeps of policies and of who shares their limits out,
+// for those who write it and for those who follow it.
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"indigotack/decide"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// Keys of records.
+const (
+	PolicyPrefix = "policy/"
+	Current      = PolicyPrefix + "current" // the table that holds: its canonical bytes, version 0
+	QuotaPrefix  = "quota/"
+	Holder       = QuotaPrefix + "holder" // who shares limits out
+)
+
+// Sharer is the process that shares limits out. A node takes one with a higher fence than any before.
+type Sharer struct {
+	Name  string `json:"name"` // of its member of the view
+	Fence uint64 `json:"fence"`
+}
+
+// Table reads a table. Its version is that of its record; a record that is gone is version 0 and no table.
+func Table(r list.Record) (*decide.Table, error) {
+	if r.Version == 0 {
+		return nil, nil
+	}
+	t, err := decide.ReadTable(r.Value)
+	if err != nil {
+		return nil, fmt.Errorf("record %s of version %d: %w", r.Key, r.Version, err)
+	}
+	t.Version = r.Version
+	return t, nil
+}
+
+// Value gives the value that a table's record has.
+func Value(t *decide.Table) (json.RawMessage, error) {
+	raw := t.JSON()
+	if len(raw) > list.MaxRecord {
+		return nil, fmt.Errorf("the table has %d bytes, a record %d at most: use fewer limits, or shorter names", len(raw), list.MaxRecord)
+	}
+	return raw, nil
+}
+
+// Find gives the record of a key; one that is not there has version 0.
+func Find(all client.Records, key string) list.Record {
+	i := slices.IndexFunc(all.All, func(r list.Record) bool { return r.Key == key })
+	if i < 0 {
+		return list.Record{Key: key}
+	}
+	return all.All[i]
+}
+
+// ReadSharer reads the record of the holder.
+func ReadSharer(r list.Record) (s Sharer, err error) {
+	if r.Version == 0 {
+		return s, nil
+	}
+	if err := json.Unmarshal(r.Value, &s); err != nil {
+		return Sharer{}, fmt.Errorf("record %s: %w", r.Key, err)
+	}
+	return s, nil
+}
