Draw a history as text, one column for each node

Fleet control is learned and judged by what several nodes did one after the other; a log of each does not show that.

--- /dev/null
+++ b/internal/timeline/cell.go
@@ -0,0 +1,129 @@
+package timeline
+
+import (
+	"fmt"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// texts puts a cell's events into few words: repeats are counted, and what was
+// done to several ("suspects n3", "suspects n4") is said once.
+func texts(events []Event) (out []string) {
+	type kind struct {
+		word    string
+		objects []string
+		times   map[string]int
+	}
+	var kinds []*kind
+	byWord := map[string]*kind{}
+	for _, e := range events {
+		what := clean(e.What)
+		word, object, _ := strings.Cut(what, " ")
+		if strings.Contains(object, " ") {
+			word, object = what, "" // a phrase, not something done to somebody
+		}
+		k := byWord[word]
+		if k == nil {
+			k = &kind{word: word, times: map[string]int{}}
+			byWord[word], kinds = k, append(kinds, k)
+		}
+		if k.times[object]++; k.times[object] == 1 {
+			k.objects = append(k.objects, object)
+		}
+	}
+	for _, k := range kinds {
+		var named []string
+		for _, o := range k.objects {
+			switch n := k.times[o]; {
+			case o == "":
+				out = append(out, k.word+times(n))
+			default:
+				named = append(named, o+times(n))
+			}
+		}
+		if len(named) > 0 {
+			out = append(out, k.word+" "+strings.Join(named, ", "))
+		}
+	}
+	return out
+}
+
+func times(n int) string {
+	if n == 1 {
+		return ""
+	}
+	return fmt.Sprintf(" x%d", n)
+}
+
+// clean keeps what can be drawn on one line.
+func clean(s string) string {
+	s = strings.Map(func(r rune) rune {
+		if !unicode.IsPrint(r) {
+			return ' '
+		}
+		return r
+	}, s)
+	return strings.Join(strings.Fields(s), " ")
+}
+
+// wrap breaks a text into lines, within a word only where the word is longer than a line.
+func wrap(s string, width int) (lines []string) {
+	line := ""
+	for _, word := range strings.Fields(clean(s)) {
+		if line != "" && utf8.RuneCountInString(line)+1+utf8.RuneCountInString(word) <= width {
+			line += " " + word
+			continue
+		}
+		if line != "" {
+			lines = append(lines, line)
+		}
+		r := []rune(word)
+		for ; len(r) > width; r = r[width:] {
+			lines = append(lines, string(r[:width]))
+		}
+		line = string(r)
+	}
+	if line != "" {
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// cell gives the lines of a cell, the further ones counted.
+func cell(events []Event, width int) (lines []string) {
+	all := texts(events)
+	for i, text := range all {
+		next := wrap(text, width)
+		if left := len(all) - i; len(lines)+len(next) > mostLines && len(lines) > 0 {
+			return append(lines, wrap(fmt.Sprintf("+%d more", left), width)...)
+		}
+		lines = append(lines, next...)
+	}
+	return lines
+}
+
+// write writes one row: its time, and beside it the cells, as high as the highest.
+func (t table) write(out *strings.Builder, label string, cells map[string][]Event) {
+	high := 1
+	drawn := make([][]string, len(t.columns))
+	for i, c := range t.columns {
+		drawn[i] = cell(cells[c], t.cells[i])
+		high = max(high, len(drawn[i]))
+	}
+	for k := range high {
+		var line strings.Builder
+		if k > 0 {
+			label = ""
+		}
+		fmt.Fprintf(&line, "%*s ", t.label, label)
+		for i, w := range t.cells {
+			text := ""
+			if k < len(drawn[i]) {
+				text = drawn[i][k]
+			}
+			line.WriteString("| " + text + strings.Repeat(" ", max(0, w+1-utf8.RuneCountInString(text))))
+		}
+		out.WriteString(strings.TrimRight(line.String(), " ") + "\n")
+	}
+}
