--- /dev/null
+++ b/internal/lab/fleet/boxes.go
@@ -0,0 +1,69 @@
+package fleet
+
+// What a step does to boxes.
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"indigotack/internal/lab/box"
+	"indigotack/internal/lab/disco"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/spec"
+	"indigotack/internal/pause"
+)
+
+// drainShare is the part of a drain after which the box ends.
+const drainShare = 0.6
+
+// loseBox takes a box away and brings it back cold.
+func (f *fleet) loseBox(ctx context.Context, s spec.Step, name string) error {
+	toBox := func(e link.Ends) bool { return e.To == name }
+	down := "down-" + name
+	rest := time.Duration(s.For)
+	b := f.host.Box(name)
+	switch s.Do {
+	case "vanish":
+		f.net.Lay(down, link.Shape{Hold: link.Both, Cut: true}, toBox)
+		b.Crash()
+		f.list(name, disco.Gone, "", true)
+	case "drain":
+		f.list(name, disco.Draining, "", false)
+		served := time.Duration(drainShare * float64(rest))
+		pause.For(ctx, served)
+		rest -= served
+		fallthrough
+	default:
+		f.list(name, disco.Gone, "", false)
+		f.net.Lay(down, link.Shape{Refuse: true}, toBox)
+		b.Crash()
+	}
+	pause.For(ctx, rest)
+	since := strconv.FormatInt(f.log.At(f.log.Now()).UnixMilli(), 10)
+	err := b.Start(since)
+	f.net.Lift(down)
+	f.list(name, disco.Ready, since, false)
+	return err
+}
+
+// trouble gives boxes what they suffer from, for the step's time. Troubles of a box add up.
+func (f *fleet) trouble(ctx context.Context, s spec.Step) error {
+	t := box.Trouble{Slower: s.Times}
+	switch s.Do {
+	case "hang":
+		t.Hangs = true
+	case "errors":
+		t.Fails = s.Part
+	case "neighbour":
+		t.Taken = s.Part
+	}
+	for _, name := range s.On {
+		f.host.Box(name).Suffer(s.Name, &t)
+	}
+	pause.For(ctx, time.Duration(s.For))
+	for _, name := range s.On {
+		f.host.Box(name).Suffer(s.Name, nil)
+	}
+	return nil
+}
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -18,6 +18,9 @@
 	limits := check.Limits{Memory: int64(f.e.Fleet.MemoryMB) << 20, FDs: f.e.Fleet.Sockets,
 		Slack: 2*time.Duration(float64(f.w.Cross)*(1+f.w.Jitter)) + o.Figures.WorstLab}
 	o.Verdicts = append(check.All(events, limits), report.Bounds(o.Figures, f.e.Bounds))
+	if f.e.Fleet.View {
+		o.Verdicts = append(o.Verdicts, check.View(events))
+	}
 	if f.service != nil && f.service.crowd != nil {
 		o.Verdicts = append(o.Verdicts, f.service.crowd.verdicts(time.Duration(f.e.Bounds.Followers))...)
 	}
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -5,14 +5,10 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"indigotack/internal/lab/box"
-	"indigotack/internal/lab/disco"
 	"indigotack/internal/lab/history"
-	"indigotack/internal/lab/link"
 	"indigotack/internal/lab/spec"
 	"indigotack/internal/pause"
 )
@@ -76,7 +72,7 @@
 func (f *fleet) step(ctx context.Context, s spec.Step) error {
 	last := time.Duration(s.For)
 	switch s.Do {
-	case "kill", "pause", "restart", "upgrade", "full", "corrupt":
+	case "kill", "pause", "restart", "upgrade", "join", "full", "corrupt":
 		return together(s.On, func(name string) error {
 			if n := f.nodes[name]; n != nil {
 				return n.suffer(ctx, s.Do, last)
@@ -153,110 +149,3 @@
 	}
 	return errors.Join(all...)
 }
-
-// over tells whether a link runs between the ends of a step, and whether it does
-// so in the step's own direction.
-func over(s spec.Step, e link.Ends) (is, forward bool) {
-	in := func(side []string, party string) bool {
-		party, _, _ = strings.Cut(party, "-") // discovery may have moved
-		party, _, _ = strings.Cut(party, "/") // a replica's own calls
-		return slices.Contains(side, party)
-	}
-	if in(s.On, e.From) && in(s.To, e.To) {
-		return true, true
-	}
-	return in(s.On, e.To) && in(s.To, e.From), false
-}
-
-// layStep lays a step's shape on its links.
-func (f *fleet) layStep(s spec.Step) {
-	for _, forward := range []bool{true, false} {
-		shape := shapeOf(s, forward)
-		f.net.Lay(s.Name, shape, func(e link.Ends) bool {
-			is, same := over(s, e)
-			return is && same == forward
-		})
-	}
-}
-
-func shapeOf(s spec.Step, forward bool) link.Shape {
-	way := map[string]link.Way{"": link.Both, "both": link.Both, "forward": link.Forward, "back": link.Back}[s.Way]
-	if !forward && way != link.Both {
-		way ^= link.Both
-	}
-	switch s.Do {
-	case "cut":
-		return link.Shape{Hold: way, Cut: true}
-	case "mute":
-		return link.Shape{Hold: way}
-	case "refuse":
-		return link.Shape{Refuse: true}
-	case "snip":
-		return link.Shape{Snip: s.Bytes}
-	}
-	return link.Shape{Delay: time.Duration(s.Delay), Jitter: time.Duration(s.Jitter), Loss: s.Loss, Rate: int64(s.Rate)}
-}
-
-// storm resets the connections of a step's links, once or again and again.
-func (f *fleet) storm(ctx context.Context, s spec.Step) error {
-	for end := f.log.Now() + time.Duration(s.For); ; {
-		f.net.Reset(func(e link.Ends) bool { is, _ := over(s, e); return is })
-		if s.Every == 0 || f.log.Now()+time.Duration(s.Every) > end || !pause.For(ctx, time.Duration(s.Every)) {
-			return nil
-		}
-	}
-}
-
-// drainShare is the part of a drain after which the box ends.
-const drainShare = 0.6
-
-// loseBox takes a box away and brings it back cold.
-func (f *fleet) loseBox(ctx context.Context, s spec.Step, name string) error {
-	toBox := func(e link.Ends) bool { return e.To == name }
-	down := "down-" + name
-	rest := time.Duration(s.For)
-	b := f.host.Box(name)
-	switch s.Do {
-	case "vanish":
-		f.net.Lay(down, link.Shape{Hold: link.Both, Cut: true}, toBox)
-		b.Crash()
-		f.list(name, disco.Gone, "", true)
-	case "drain":
-		f.list(name, disco.Draining, "", false)
-		served := time.Duration(drainShare * float64(rest))
-		pause.For(ctx, served)
-		rest -= served
-		fallthrough
-	default:
-		f.list(name, disco.Gone, "", false)
-		f.net.Lay(down, link.Shape{Refuse: true}, toBox)
-		b.Crash()
-	}
-	pause.For(ctx, rest)
-	since := strconv.FormatInt(f.log.At(f.log.Now()).UnixMilli(), 10)
-	err := b.Start(since)
-	f.net.Lift(down)
-	f.list(name, disco.Ready, since, false)
-	return err
-}
-
-// trouble gives boxes what they suffer from, for the step's time. Troubles of a box add up.
-func (f *fleet) trouble(ctx context.Context, s spec.Step) error {
-	t := box.Trouble{Slower: s.Times}
-	switch s.Do {
-	case "hang":
-		t.Hangs = true
-	case "errors":
-		t.Fails = s.Part
-	case "neighbour":
-		t.Taken = s.Part
-	}
-	for _, name := range s.On {
-		f.host.Box(name).Suffer(s.Name, &t)
-	}
-	pause.For(ctx, time.Duration(s.For))
-	for _, name := range s.On {
-		f.host.Box(name).Suffer(s.Name, nil)
-	}
-	return nil
-}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -33,11 +33,13 @@
 	Shut   Kind = "shut"   // the node ended an attempt that was open: ID, Box, Node
 	Told   Kind = "told"   // discovery wrote an entry to a node: Node, Box, How (the status), Index, Detail (since_ms)
 	Box    Kind = "box"    // a box changed: Box, How, Detail (since_ms, of a start that is listed)
+	View   Kind = "view"   // a node's view of the fleet changed: Node, Index (its number), How (its digest), Detail (the node's own life), Also ("name health life incarnation" of each member)
 	Proc   Kind = "proc"   // a process: Node, Pid, How (start, ready, signal, exit), Detail, Bad (not as ordered)
 	Sample Kind = "sample" // a process's use: Node, Pid, RSS, FDs, CPU, Stall (both in all since its start)
 	Fault  Kind = "fault"  // a fault: How (begin or end), Detail, Nodes (processes that it touches)
 	Lab    Kind = "lab"    // the lab's own lateness in the second before: Took (worst), P99, CPU (of the lab, in all)
 	Meta   Kind = "meta"   // the run: Detail (experiment), Seed, Took (planned length)
+	Ending Kind = "ending" // all is over; the processes are about to be ended
 )
 
 // How a try or an operation ended.
--- a/internal/lab/spec/check.go
+++ b/internal/lab/spec/check.go
@@ -1,55 +1,12 @@
 package spec
 
 import (
-	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 )
 
-// act is what a fault may be.
-type act struct {
-	on    string          // what it is done to: node, link, box or discovery
-	lasts bool            // it needs a length
-	keys  map[string]bool // what else it takes
-	needs []string        // of them
-	about string
-}
-
-func keys(names ...string) map[string]bool {
-	all := map[string]bool{}
-	for _, n := range names {
-		all[n] = true
-	}
-	return all
-}
-
-// acts are all faults and orders, by the name that a file gives them.
-var acts = map[string]act{
-	"kill":      {on: "node", lasts: true, about: "SIGKILL; started again after for"},
-	"pause":     {on: "node", lasts: true, about: "SIGSTOP, and SIGCONT after for"},
-	"restart":   {on: "node", about: "SIGTERM, and started again once it has ended"},
-	"upgrade":   {on: "node", about: "a new process beside the old one, which gets SIGTERM once the new one says yes"},
-	"cut":       {on: "link", lasts: true, keys: keys("way"), about: "nothing passes and nothing is said; new connections never come up"},
-	"mute":      {on: "link", lasts: true, keys: keys("way"), about: "connections come up, but nothing passes"},
-	"refuse":    {on: "link", lasts: true, about: "new connections are refused"},
-	"reset":     {on: "link", keys: keys("every"), about: "open connections are reset; with every and for, again and again"},
-	"shape":     {on: "link", lasts: true, keys: keys("delay", "jitter", "loss", "rate"), about: "what passes is late, lost or slow"},
-	"snip":      {on: "link", lasts: true, keys: keys("bytes"), needs: []string{"bytes"}, about: "connections are reset after 1 to bytes bytes, anywhere in a message"},
-	"slow":      {on: "box", lasts: true, keys: keys("times"), needs: []string{"times"}, about: "works so many times slower"},
-	"hang":      {on: "box", lasts: true, about: "takes work and answers nothing"},
-	"errors":    {on: "box", lasts: true, keys: keys("part"), needs: []string{"part"}, about: "that part of its requests fails at once"},
-	"neighbour": {on: "box", lasts: true, keys: keys("part"), needs: []string{"part"}, about: "another program takes that part of it"},
-	"crash":     {on: "box", lasts: true, about: "its process dies; it returns cold after for"},
-	"vanish":    {on: "box", lasts: true, about: "its machine is lost without a word; it returns cold after for"},
-	"drain":     {on: "box", lasts: true, about: "listed as draining, then gone; it returns cold after for"},
-	"full":      {on: "replica", lasts: true, about: "its disk takes nothing"},
-	"corrupt":   {on: "replica", lasts: true, about: "SIGKILL, its log is spoilt, and it is started after for, or replaced if it notices"},
-	"move":      {on: "discovery", about: "discovery gets another address, told by SIGHUP; the old one ends after 1.5 s"},
-}
-
 // Least lengths, so that a schedule can be carried out.
 const (
 	leastLength = 2 * time.Second
@@ -77,6 +34,10 @@
 	bad("[fleet]", "zones", f.Zones >= 1 && f.Zones <= min(f.Nodes, f.Boxes), "%d is not between 1 and the number of nodes and of boxes", f.Zones)
 	bad("[fleet]", "memory_mb", f.MemoryMB >= 16, "%d MB are too few, want 16 or more", f.MemoryMB)
 	bad("[fleet]", "sockets", f.Sockets >= 64, "%d are too few, want 64 or more", f.Sockets)
+	bad("[fleet]", "view", !f.View || f.Messages, "a view needs messages = true")
+	absent, err := e.Parties(f.Absent)
+	bad("[fleet]", "absent", err == nil, "%v", err)
+	bad("[fleet]", "absent", len(absent) < f.Nodes && !slices.ContainsFunc(absent, func(p string) bool { return kindOf(p) != "node" }), "want nodes, and not all of them")
 	l := e.Load
 	bad("[load]", "rate", l.Rate >= 0 && (l.Rate == 0 || l.Use == 0), "give either rate or use, 0 or more")
 	bad("[load]", "use", l.Use >= 0 && l.Use <= 20, "%v is not between 0 and 20", l.Use)
@@ -144,6 +105,11 @@
 	bad("share", f.Share >= 0 && f.Share <= 1, "%v is not between 0 and 1", f.Share)
 	bad("to", a.on == "link" || len(f.To) == 0, "%s has no other end", f.Do)
 	bad("do", f.Do != "upgrade" || e.Fleet.Accept || !slices.ContainsFunc(f.On, func(p string) bool { return strings.HasPrefix(p, "n") }), "an upgrade needs fleet.accept_fd = true")
+	if f.Do == "join" {
+		absent, _ := e.Parties(e.Fleet.Absent)
+		joins, _ := e.Parties(f.On)
+		bad("on", !slices.ContainsFunc(joins, func(p string) bool { return !slices.Contains(absent, p) }), "only those of fleet.absent can join")
+	}
 	if a.on == "discovery" {
 		bad("on", len(f.On) == 0, "%s is done to discovery alone", f.Do)
 		return errs
@@ -190,14 +156,6 @@
 	return errs
 }
 
-func exclusive(do string) bool {
-	switch do {
-	case "kill", "pause", "restart", "upgrade", "crash", "vanish", "drain", "full", "corrupt":
-		return true
-	}
-	return false
-}
-
 func (e *Experiment) checkDraw() []error {
 	var errs []error
 	d := e.Draw
@@ -268,13 +226,3 @@
 	}
 	return []error{e.at("[bounds]", 0, key, "%q is no class; there are %s", name, strings.Join(Classes, ", "))}
 }
-
-// Acts lists what a fault may do, for a reader.
-func Acts() []string {
-	var all []string
-	for _, name := range slices.Sorted(maps.Keys(acts)) {
-		all = append(all, fmt.Sprintf("%-10s %-9s %s", name, acts[name].on, acts[name].about))
-	}
-	slices.SortStableFunc(all, func(a, b string) int { return cmp.Compare(strings.Fields(a)[1], strings.Fields(b)[1]) })
-	return all
-}
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -4,16 +4,10 @@
 package spec
 
 import (
-	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Duration is written with its unit: "1.5s", "200ms".
@@ -74,7 +68,10 @@
 	MemoryMB int  `toml:"memory_mb"` // for each node
 	Sockets  int  `toml:"sockets"`   // descriptors for each node
 	Messages bool `toml:"messages"`  // between nodes
-	Accept   bool `toml:"accept_fd"` // the platform holds the clients' sockets, as upgrades need it
+	View     bool `toml:"view"`      // nodes keep a view of each other, by their messages
+
+	Absent []string `toml:"absent"`    // nodes that are not there at first; a join brings them
+	Accept bool     `toml:"accept_fd"` // the platform holds the clients' sockets, as upgrades need it
 }
 
 // Load says what clients ask for. One of Rate and Use is given.
@@ -181,101 +178,3 @@
 
 // recoveredAt leaves room for what single seconds of a hundred operations differ by.
 const recoveredAt = 0.9
-
-// LoadFile reads and checks the experiment at path. Every error names file, line and key.
-func LoadFile(path string) (*Experiment, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("experiment: %w", err)
-	}
-	return Parse(path, string(raw))
-}
-
-// Parse is LoadFile for a text that has been read already.
-func Parse(path, text string) (*Experiment, error) {
-	e := &Experiment{path: path, src: text}
-	d := toml.NewDecoder(strings.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(e); err != nil {
-		return nil, e.decoding(err)
-	}
-	e.fill()
-	errs := e.check()
-	slices.SortStableFunc(errs, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
-	if err := errors.Join(errs...); err != nil {
-		return nil, err
-	}
-	if e.Bounds.Level == 0 {
-		e.Bounds.Level = recoveredAt
-	}
-	return e, nil
-}
-
-func (e *Experiment) decoding(err error) error {
-	var unknown *toml.StrictMissingError
-	if errors.As(err, &unknown) {
-		var all []error
-		for i := range unknown.Errors {
-			line, _ := unknown.Errors[i].Position()
-			all = append(all, fmt.Errorf("%s:%d: %s: unknown key", e.path, line, strings.Join(unknown.Errors[i].Key(), ".")))
-		}
-		return errors.Join(all...)
-	}
-	var bad *toml.DecodeError
-	if errors.As(err, &bad) {
-		line, _ := bad.Position()
-		return fmt.Errorf("%s:%d: %s: %s", e.path, line, strings.Join(bad.Key(), "."), strings.TrimPrefix(bad.Error(), "toml: "))
-	}
-	return fmt.Errorf("%s: %w", e.path, err)
-}
-
-// fill puts in what the file leaves out.
-func (e *Experiment) fill() {
-	if e.Name == "" {
-		e.Name = strings.TrimSuffix(filepath.Base(e.path), ".toml")
-	}
-	for p, v := range map[*int]int{&e.Fleet.Nodes: 3, &e.Fleet.Boxes: 10, &e.Fleet.Zones: 3, &e.Fleet.MemoryMB: 192, &e.Fleet.Sockets: 1024} {
-		if *p == 0 {
-			*p = v
-		}
-	}
-	if e.Load.Rate == 0 && e.Load.Use == 0 {
-		e.Load.Use = 0.5
-	}
-	if e.Load.Bursty && e.Load.Swing == 0 {
-		e.Load.Swing = 0.25
-	}
-}
-
-// line finds a key: in the table of that header, of which it is the nth.
-func (e *Experiment) line(header string, nth int, key string) int {
-	seen, within, found := -1, header == "", 0
-	for i, text := range strings.Split(e.src, "\n") {
-		text = strings.TrimSpace(text)
-		if strings.HasPrefix(text, "[") {
-			within = false
-			if strings.HasPrefix(text, header) && header != "" {
-				seen++
-				within = seen == nth
-				if within {
-					found = i + 1
-				}
-			}
-			continue
-		}
-		name, _, ok := strings.Cut(text, "=")
-		if ok && within && strings.TrimSpace(name) == key {
-			return i + 1
-		}
-	}
-	return max(1, found)
-}
-
-// at makes an error of the file.
-func (e *Experiment) at(header string, nth int, key, format string, args ...any) error {
-	name := strings.Trim(header, "[]")
-	if name != "" {
-		name += "."
-	}
-	return fmt.Errorf("%s:%d: %s%s: %s", e.path, e.line(header, nth, key), name, key, fmt.Sprintf(format, args...))
-}
