Share a limit out among real nodes in the lab, with keepers that are killed, stopped and cut off

Need: quotas that many nodes keep together are shown by processes with faults between them. Change: [quota] with keepers k0..., policies that change in the run, the check quota (the exact bucket over what all boxes see), indigoctl policy apply and show. A keeper ends when it is told to, also without the list service.

--- a/cmd/indigoctl/policy.go
+++ b/cmd/indigoctl/policy.go
@@ -26,7 +26,8 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(policyCheck())
+	var f listFlags
+	c.AddCommand(policyCheck(), f.applyPolicy(), f.showPolicy())
 	return c
 }
 
--- a/cmd/indigolab/play.go
+++ b/cmd/indigolab/play.go
@@ -21,19 +21,20 @@
 
 // player plays experiments one after another.
 type player struct {
-	out  io.Writer // results
-	log  io.Writer // progress
-	node string    // path of the program that nodes run
-	list string    // of the list service's, where an experiment has one
-	ctl  string    // of indigoctl; empty: no experiment needs it
-	dir  string    // under which each run gets a folder
+	out    io.Writer // results
+	log    io.Writer // progress
+	node   string    // path of the program that nodes run
+	list   string    // of the list service's, where an experiment has one
+	ctl    string    // of indigoctl; empty: no experiment needs it
+	keeper string    // of indigokeeper; empty: no experiment needs it
+	dir    string    // under which each run gets a folder
 }
 
 // play plays one run, writes its report and prints its line.
 func (p *player) play(ctx context.Context, e *spec.Experiment, seed uint64) (report.Result, error) {
 	dir := filepath.Join(p.dir, fmt.Sprintf("%s-%d-%s", e.Name, seed, time.Now().UTC().Format("20060102T150405.000")))
 	live := newLive(p.log, e.Name)
-	run, err := fleet.Play(ctx, fleet.Options{Experiment: e, Seed: seed, Dir: dir, Node: []string{p.node}, List: []string{p.list}, Ctl: []string{p.ctl}, Follow: live.follow})
+	run, err := fleet.Play(ctx, fleet.Options{Experiment: e, Seed: seed, Dir: dir, Node: []string{p.node}, List: []string{p.list}, Keeper: []string{p.keeper}, Ctl: []string{p.ctl}, Follow: live.follow})
 	live.end()
 	if err != nil {
 		fmt.Fprintf(p.out, "VOID %s: seed %d, could not be played: %s\n", e.Name, seed, oneLine(err))
--- a/cmd/indigolab/programs.go
+++ b/cmd/indigolab/programs.go
@@ -31,6 +31,15 @@
 		return nil, nil, err
 	}
 	listDone := func() { done(); alsoDone() }
+	if slices.ContainsFunc(experiments, func(e *spec.Experiment) bool { return e.Quota != nil }) {
+		var keeperDone func()
+		if p.keeper, keeperDone, err = findProgram(ctx, log, bin, "indigokeeper"); err != nil {
+			listDone()
+			return nil, nil, err
+		}
+		former := listDone
+		listDone = func() { former(); keeperDone() }
+	}
 	if !slices.ContainsFunc(experiments, func(e *spec.Experiment) bool { return e.Release != nil }) {
 		return p, listDone, nil
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -1,17 +1,13 @@
 package keeper
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -129,11 +125,16 @@
 	if c.Shares.Fleet != "" {
 		all.Go(func() error { return c.Shares.run(ctx, c.Process, k, p, log) })
 	}
+	closed := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() { closed <- p.Close(patience) }) // while the duties end: without the service they would not
 	err = all.Wait()
-	if errors.Is(err, context.Canceled) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, duty.ErrClosed) {
 		err = nil
 	}
-	return errors.Join(err, p.Close(patience))
+	if stop() {
+		return errors.Join(err, p.Close(patience))
+	}
+	return errors.Join(err, <-closed)
 }
 
 func (w *Keeper) routes() http.Handler {
--- a/internal/keeper/shares.go
+++ b/internal/keeper/shares.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -27,6 +28,8 @@
 	Fleet  string   `koanf:"fleet"`  // the fleet's name, as the nodes have it; empty: it shares none out
 	Listen string   `koanf:"listen"` // for datagrams, reachable by the nodes under this very address
 	Join   []string `koanf:"join"`   // members to join by
+	Number int      `koanf:"number"` // this process's place among peers, where those are given
+	Peers  []string `koanf:"peers"`  // where this process finds the members, by their numbers; without, where they say that they are
 }
 
 func (s Shares) check(f *conf.Faults) {
@@ -36,7 +39,8 @@
 	}
 	f.Want(len(s.Fleet) <= wire.MaxName, "shares.fleet: %d bytes, %d at most", len(s.Fleet), wire.MaxName)
 	f.Want(len(s.Join) > 0, "shares.join: missing; it has the peer addresses of some nodes")
-	for _, a := range append([]string{s.Listen}, s.Join...) {
+	f.Want(len(s.Peers) == 0 || s.Number >= 0 && s.Number < len(s.Peers), "shares.number: %d is no place among %d peers", s.Number, len(s.Peers))
+	for _, a := range slices.Concat([]string{s.Listen}, s.Join, s.Peers) {
 		_, err := netip.ParseAddrPort(a)
 		f.Want(err == nil, "shares: %q is no address: want one such as 127.0.0.1:7946", a)
 	}
@@ -78,16 +82,24 @@
 
 // join begins to keep the view. This process serves no requests, and so is always joining in the nodes' eyes.
 func (s Shares) join(ctx context.Context, name string, at netip.AddrPort, conn *net.UDPConn, log *slog.Logger) *view.Shell {
-	var seeds []netip.AddrPort
-	for _, a := range s.Join {
-		one, _ := netip.ParseAddrPort(a)
-		seeds = append(seeds, one)
+	number := -1
+	if len(s.Peers) > 0 {
+		number = s.Number
 	}
-	return view.Start(ctx, view.Config{Fleet: s.Fleet, Name: name, Number: -1, Addr: at, Seeds: seeds, Log: log,
+	return view.Start(ctx, view.Config{Fleet: s.Fleet, Name: name, Number: number, Addr: at, Seeds: addresses(s.Join), Peers: addresses(s.Peers), Log: log,
 		Doing: func() (fleet.State, uint16) { return fleet.Joining, 0 },
 		Write: func(to netip.AddrPort, data []byte) { conn.WriteToUDPAddrPort(data, to) }}) // none is owed an arrival
 }
 
+// addresses are those of a configuration that has been checked.
+func addresses(texts []string) (all []netip.AddrPort) {
+	for _, text := range texts {
+		a, _ := netip.ParseAddrPort(text)
+		all = append(all, a)
+	}
+	return all
+}
+
 // receive shares the socket between the view and the holder until it is closed. One datagram too many is lost.
 func receive(ctx context.Context, conn *net.UDPConn, shell *view.Shell, in chan<- []byte) error {
 	buf := make([]byte, mostDatagram+1)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -31,6 +31,7 @@
 	Seed       uint64
 	Dir        string   // where history, logs and configurations go
 	Node       []string // command of a node
+	Keeper     []string // command of indigokeeper, for those with a quota
 	List       []string // command of a replica of the list service, for experiments that have one
 	Ctl        []string // command of indigoctl, for those with a release
 	Env        []string // further environment of both
@@ -66,7 +67,9 @@
 
 	disturbed disturbed
 
-	release         *releasing // nil: none
+	keepers         []*conductor // that share limits out
+	holders         []string     // where those listen, by number
+	release         *releasing   // nil: none
 	releaseVerdicts []check.Verdict
 }
 
@@ -86,7 +89,6 @@
 	if err == nil {
 		err = f.run(ctx)
 	}
-	log.Add(history.Event{Kind: history.Ending})
 	f.close()
 	if err := errors.Join(err, ctx.Err(), log.Close()); err != nil {
 		return report.Run{}, err
@@ -137,6 +139,9 @@
 		if err := f.service.begin(begin); err != nil {
 			return err
 		}
+		if err := f.startQuota(begin); err != nil {
+			return err
+		}
 	}
 	return f.startNodes(ctx)
 }
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -18,6 +18,13 @@
 	limits := check.Limits{Memory: int64(f.e.Fleet.MemoryMB) << 20, FDs: f.e.Fleet.Sockets,
 		Slack: 2*time.Duration(float64(f.w.Cross)*(1+f.w.Jitter)) + o.Figures.WorstLab}
 	o.Verdicts = append(check.All(events, limits), report.Bounds(o.Figures, f.e.Bounds))
+	if q := f.e.Quota; q != nil {
+		limits := []check.Quota{{Rate: q.Rate, Burst: q.Burst}}
+		for _, c := range q.Changes {
+			limits = append(limits, check.Quota{From: f.start + time.Duration(c.At), Rate: c.Rate, Burst: c.Burst})
+		}
+		o.Verdicts = append(o.Verdicts, check.Quotas(events, limits, f.start, f.start+time.Duration(f.e.Length), f.e.Bounds.Used))
+	}
 	if f.e.Fleet.View {
 		o.Verdicts = append(o.Verdicts, check.View(events))
 	}
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -132,7 +132,7 @@
 		c.PeerListen, c.Peers = n.peerListen.String(), n.peers
 	}
 	if f.e.Fleet.View {
-		c.Fleet = "lab"
+		c.Fleet, c.Govern = fleetName, f.e.Quota != nil
 	}
 	if err := os.MkdirAll(n.dir, 0o755); err != nil {
 		return "", fmt.Errorf("%s: %w", n.name, err)
--- a/internal/lab/fleet/release.go
+++ b/internal/lab/fleet/release.go
@@ -205,8 +205,13 @@
 		}
 	}
 	r.f.releaseVerdicts = r.verdicts()
+	return endAll(r.all)
+}
+
+// endAll ends conductors and keepers ahead of the list service, to which they give their duties back.
+func endAll(all []*conductor) error {
 	var errs []error
-	for _, c := range r.all {
+	for _, c := range all {
 		c.mu.Lock()
 		if c.proc.Running() {
 			errs = append(errs, c.proc.Term(endTime))
--- a/internal/lab/fleet/run.go
+++ b/internal/lab/fleet/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"indigotack/internal/lab/client"
+	"indigotack/internal/lab/history"
 )
 
 func (f *fleet) startNodes(ctx context.Context) error {
@@ -66,11 +67,21 @@
 	}
 	steps := make(chan error, 1)
 	go func() { steps <- f.carryOut(ctx) }()
+	changed := f.changeQuota(ctx)
 	clients.Run(ctx, f.start, f.ops)
-	if err := <-steps; err != nil || f.service == nil {
+	if err := <-changed; err != nil {
 		return err
 	}
-	if err := f.service.await(ctx); err != nil {
+	if err := <-steps; err != nil {
+		return err
+	}
+	if f.service != nil {
+		if err := f.service.await(ctx); err != nil {
+			return err
+		}
+	}
+	f.log.Add(history.Event{Kind: history.Ending})
+	if err := endAll(f.keepers); err != nil || f.service == nil {
 		return err
 	}
 	if f.release != nil {
--- a/internal/lab/fleet/steps.go
+++ b/internal/lab/fleet/steps.go
@@ -77,6 +77,11 @@
 			if n := f.nodes[name]; n != nil {
 				return n.suffer(ctx, s.Do, last)
 			}
+			for _, c := range f.keepers {
+				if c.name == name {
+					return c.suffer(ctx, f, s.Do, last)
+				}
+			}
 			if f.release != nil {
 				for _, c := range f.release.all {
 					if c.name == name {
--- a/internal/lab/platform/config.go
+++ b/internal/lab/platform/config.go
@@ -26,6 +26,7 @@
 	ByServer   bool     // its figures tell servers apart
 	PeerListen string   // empty: nodes have no messages
 	Peers      []string // by number, its own included
+	Govern     bool     // it follows the operators' policy
 	Fleet      string   // the nodes' own view of each other; empty: they keep none
 	Known      disco.Answer
 	Seed       uint64
@@ -64,6 +65,9 @@
 	if n.PeerListen != "" {
 		c["peer_listen"], c["peers"] = n.PeerListen, n.Peers
 	}
+	if n.Govern {
+		c["govern"] = object{"policy": true}
+	}
 	if n.Fleet != "" {
 		c["fleet"] = object{"name": n.Fleet}
 	}
--- a/internal/lab/spec/check.go
+++ b/internal/lab/spec/check.go
@@ -64,6 +64,16 @@
 		bad("[release]", "end", v.End != "", "the phase that it has to come to is missing")
 		bad("[release]", "at", v.At >= 0 && v.At < e.Length, "%v lies outside of the run", time.Duration(v.At))
 	}
+	if q := e.Quota; q != nil {
+		bad("[quota]", "holders", q.Holders >= 1 && q.Holders <= 10 && r > 0 && e.List.Direct && f.View, "want 1 to 10, nodes that follow the list service directly, and fleet.view = true")
+		bad("[quota]", "rate", q.Rate > 0 && q.Burst >= 1, "want a rate above 0 and a burst of 1 or more")
+		for i, c := range q.Changes {
+			if c.At <= 0 || c.At >= e.Length || c.Rate <= 0 || c.Burst < 1 {
+				errs = append(errs, e.at("[[quota.change]]", i, "at", "a change lies within the run, with a rate above 0 and a burst of 1 or more"))
+			}
+		}
+	}
+	bad("[bounds]", "used", e.Bounds.Used >= 0 && e.Bounds.Used <= 1 && (e.Bounds.Used == 0 || e.Quota != nil), "want 0 to 1, and a quota")
 	for i, fault := range e.Faults {
 		errs = append(errs, e.checkFault(i, fault)...)
 	}
--- a/internal/lab/spec/schedule.go
+++ b/internal/lab/spec/schedule.go
@@ -38,6 +38,10 @@
 			got = []string{name}
 		case e.Release != nil && slices.Contains(numbered("c", e.Release.Conductors), name):
 			got = []string{name}
+		case e.Quota != nil && name == "holders":
+			got = numbered("k", e.Quota.Holders)
+		case e.Quota != nil && slices.Contains(numbered("k", e.Quota.Holders), name):
+			got = []string{name}
 		case name == "workers" && e.Duties.Workers > 0:
 			got = numbered("d", e.Duties.Workers)
 		case slices.Contains(numbered("d", e.Duties.Workers), name):
@@ -78,6 +82,8 @@
 		return party
 	case strings.HasPrefix(party, "c"):
 		return "conductor"
+	case strings.HasPrefix(party, "k"):
+		return "keeper"
 	case strings.HasPrefix(party, "n"):
 		return "node"
 	case strings.HasPrefix(party, "r"):
@@ -93,7 +99,7 @@
 func suits(do, party string) bool {
 	kind := kindOf(party)
 	process := do == "kill" || do == "pause" || do == "restart"
-	return kind == acts[do].on || (kind == "replica" || kind == "conductor") && process || kind == "worker" && (process || do == "upgrade")
+	return kind == acts[do].on || (kind == "replica" || kind == "conductor" || kind == "keeper") && process || kind == "worker" && (process || do == "upgrade")
 }
 
 // Zones are the zones' names.
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -53,6 +53,7 @@
 	Faults  []Fault  `toml:"fault"`
 	Duties  Duties   `toml:"duties"`
 	Release *Release `toml:"release"`
+	Quota   *Quota   `toml:"quota"`
 	Draw    *Draw    `toml:"draw"`
 	Bounds  Bounds   `toml:"bounds"`
 
@@ -134,6 +135,21 @@
 	End        string    `toml:"end"`      // the phase that it has to come to
 }
 
+// Quota is a policy of one limit, on the requests of the whole fleet, that keepers share out.
+type Quota struct {
+	Holders int           `toml:"holders"` // k0, k1 and so on: keepers that may hold the duty
+	Rate    float64       `toml:"rate"`    // requests a second
+	Burst   float64       `toml:"burst"`
+	Changes []QuotaChange `toml:"change"`
+}
+
+// QuotaChange is a policy that takes the place of the one before.
+type QuotaChange struct {
+	At    Duration `toml:"at"`
+	Rate  float64  `toml:"rate"`
+	Burst float64  `toml:"burst"`
+}
+
 // Fault is something that goes wrong, or an order of an operator.
 type Fault struct {
 	At  Duration `toml:"at"`
@@ -173,6 +189,7 @@
 	Followers Duration           `toml:"followers"` // until 99% of them know of a change, from the first on
 	Recovered Duration           `toml:"recovered"`
 	Level     float64            `toml:"recovered_at"` // part of what was served before the first fault that counts as recovered; 0: recoveredAt
+	Used      float64            `toml:"used"`         // least part of the quota that is used, over the whole run
 	Attempts  float64            `toml:"attempts"`     // most attempts at boxes for an operation, in the mean
 }
 
