--- a/internal/node/govern.go
+++ b/internal/node/govern.go
@@ -53,7 +53,7 @@
 	holder uint64 // the highest fence that was told
 
 	version, fence, asked, refused atomic.Uint64
-	resting                        atomic.Bool
+	resting, seated                atomic.Bool
 }
 
 func newGoverned(cfg Config) (*governed, error) {
@@ -148,6 +148,7 @@
 	g.refused.Store(s.Refused)
 	g.fence.Store(st.Fence)
 	g.resting.Store(st.Resting)
+	g.seated.Store(st.Seated)
 }
 
 // tell gives the ledger an event and sends what comes of it.
@@ -187,12 +188,15 @@
 	n.front.ready.Store(len(n.listed) > 0 && (n.governed == nil || n.governed.told))
 }
 
+func one(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // write gives the figures of the policy as lines of text.
 func (g *governed) write(w io.Writer) {
-	resting := 0
-	if g.resting.Load() {
-		resting = 1
-	}
-	fmt.Fprintf(w, "app.policy.version:%d|g\napp.policy.asked:%d|c\napp.policy.refused:%d|c\napp.policy.fence:%d|g\napp.policy.resting:%d|g\n",
-		g.version.Load(), g.asked.Load(), g.refused.Load(), g.fence.Load(), resting)
+	fmt.Fprintf(w, "app.policy.version:%d|g\napp.policy.asked:%d|c\napp.policy.refused:%d|c\napp.policy.fence:%d|g\napp.policy.resting:%d|g\napp.policy.seated:%d|g\n",
+		g.version.Load(), g.asked.Load(), g.refused.Load(), g.fence.Load(), one(g.resting.Load()), one(g.seated.Load()))
 }
