Play the view in the simulator: drawn schedules, broken stand-ins, growth and kept drawings

The view is judged by what a fleet's nodes see together. Throughout: sizes, pace, lives that never go back, no blame by a woken node. Thirteen stand-ins, made by altering datagrams or settings, are each found by the check that is there for them. Growth is measured beside the plainest rival, which asks everybody.

--- a/internal/sim/end.go
+++ b/internal/sim/end.go
@@ -74,7 +74,7 @@
 	for _, first := range []bool{true, false} {
 		for _, t := range held {
 			if _, tick := t.e.(Tick); (tick == ticksFirst) == first {
-				t.at = e.world.now
+				t.at = e.world.now + 1
 				e.world.queue.push(t)
 			}
 		}
--- a/internal/sim/play.go
+++ b/internal/sim/play.go
@@ -54,8 +54,13 @@
 }
 
 // Run plays a schedule in the world of a seed. It gives nil for what is broken if all held.
-func (p Play) Run(seed uint64, faults []Fault) (w *World, broken *Broken) {
-	w = New(seed)
+func (p Play) Run(seed uint64, faults []Fault) (*World, *Broken) {
+	w := New(seed)
+	return w, p.RunIn(w, faults)
+}
+
+// RunIn plays a schedule in a world that is new.
+func (p Play) RunIn(w *World, faults []Fault) *Broken {
 	checks := p.Build(w)
 	w.RunTo(p.Warm)
 	over := time.Duration(0)
@@ -68,7 +73,7 @@
 		for _, c := range checks {
 			if c.Throughout != nil {
 				if err := c.Throughout(); err != nil {
-					return w, &Broken{c.Name, w.Now(), err}
+					return &Broken{c.Name, w.Now(), err}
 				}
 			}
 		}
@@ -76,11 +81,11 @@
 	for _, c := range checks {
 		if c.End != nil {
 			if err := c.End(); err != nil {
-				return w, &Broken{c.Name, w.Now(), err}
+				return &Broken{c.Name, w.Now(), err}
 			}
 		}
 	}
-	return w, nil
+	return nil
 }
 
 // begin begins a fault and has it ended in time.
--- /dev/null
+++ b/internal/sim/views/fleet.go
@@ -0,0 +1,119 @@
+package views
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"indigotack/internal/fleet"
+	"indigotack/internal/sim"
+)
+
+// birth is the wall clock's milliseconds at the beginning of every play, from which lives are drawn.
+const birth = 1_750_000_000_000
+
+// Fleet is a fleet of nodes in a world.
+type Fleet struct {
+	World *sim.World
+	Seeds []string                                       // ends by whose addresses nodes join
+	Bend  func(cfg *fleet.Config)                        // changes what a core starts with
+	Core  func(cfg fleet.Config, now time.Duration) Core // nil: fleet.New
+	Wall  func() (wrong time.Duration)                   // how wrong a process's wall clock is at its start; nil: it is right
+	Blind bool                                           // stand-in: no node notices that it stood still
+	Quiet bool                                           // nothing is said in the timeline
+	Nodes []*sim.End                                     // without the strangers
+	watch []func(*Node, time.Duration, fleet.Changed)
+	addrs map[string]netip.AddrPort
+	ends  map[netip.AddrPort]string
+	old   []sent // to be sent again
+	draws *rand.Rand
+}
+
+// NewFleet gives a fleet without nodes.
+func NewFleet(w *sim.World) *Fleet {
+	return &Fleet{World: w, addrs: map[string]netip.AddrPort{}, ends: map[netip.AddrPort]string{}}
+}
+
+// Names gives the names of the first n nodes.
+func Names(n int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprintf("n%d", i+1))
+	}
+	return all
+}
+
+// address gives an end an address of its own.
+func (f *Fleet) address(end string) netip.AddrPort {
+	if a, ok := f.addrs[end]; ok {
+		return a
+	}
+	i := len(f.addrs) + 1
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+	f.addrs[end], f.ends[a] = a, end
+	return a
+}
+
+// Start starts a node at an end that is not there yet.
+func (f *Fleet) Start(end string) *sim.End {
+	f.address(end)
+	e := f.World.Add(end, func(now time.Duration) sim.Actor { return f.process(end, now) })
+	f.Nodes = append(f.Nodes, e)
+	return e
+}
+
+func (f *Fleet) process(end string, now time.Duration) *Node {
+	at := f.World.Now()
+	if f.Wall != nil {
+		at += f.Wall()
+	}
+	cfg := fleet.Config{Fleet: "books", Name: nameAt(end), Number: -1, Addr: f.address(end), Seed: f.World.Rand().Uint64(),
+		Life: uint64(birth + at.Milliseconds()), Facts: fleet.Facts{Zone: "zone-a", Version: "2.1.0", State: fleet.Serving}}
+	for _, s := range f.Seeds {
+		cfg.Seeds = append(cfg.Seeds, f.address(s))
+	}
+	if f.Bend != nil {
+		f.Bend(&cfg)
+	}
+	core := Core(nil)
+	if f.Core != nil {
+		core = f.Core(cfg, now)
+	} else {
+		core = fleet.New(cfg, now)
+	}
+	return &Node{Core: core, Name: cfg.Name, Life: cfg.Life, fleet: f, end: end, living: 1,
+		self: fleet.Member{Name: cfg.Name, Life: cfg.Life, Facts: cfg.Facts}}
+}
+
+// Watch has every change of any node's view told.
+func (f *Fleet) Watch(saw func(n *Node, now time.Duration, c fleet.Changed)) {
+	f.watch = append(f.watch, saw)
+}
+
+// Live gives the processes that run, stand not still, keep their name and do not leave.
+func (f *Fleet) Live() (all []*Node) {
+	for _, e := range f.Nodes {
+		if n, ok := e.Actor().(*Node); ok && !e.Still() && !n.yielded && !n.leaving {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// Member gives what a node believes of a name; without a Name if it knows nothing.
+func (n *Node) Member(name string) fleet.Member {
+	for _, m := range n.Core.View().Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return fleet.Member{}
+}
+
+// StartAll starts nodes of these names, spread over a time.
+func (f *Fleet) StartAll(names []string, over time.Duration) {
+	for i, name := range names {
+		f.address(name)
+		f.World.After(over*time.Duration(i)/time.Duration(len(names)), func() { f.Start(name) })
+	}
+}
--- /dev/null
+++ b/internal/sim/views/growth.go
@@ -0,0 +1,166 @@
+package views
+
+import (
+	"fmt"
+	"time"
+
+	"indigotack/internal/fleet"
+	"indigotack/internal/sim"
+)
+
+// Growth says what is measured, at one size.
+type Growth struct {
+	Nodes  int
+	Seed   uint64
+	Rival  bool          // everybody asks everybody, instead of the view
+	Losses []float64     // at which false deaths are counted
+	Hours  float64       // node hours of counting, at each loss
+	Cut    time.Duration // of halves, before the heal
+}
+
+// Grown is what it came to. Times are until all running nodes know, by the changes that they tell; 0: not within mostWait.
+type Grown struct {
+	Nodes       int
+	Sent, Bytes float64 // a node and second, with nothing happening
+	Joined      time.Duration
+	Join        time.Duration // of one more
+	Death       time.Duration
+	Heal        time.Duration
+	False       []float64 // deaths of running nodes in anybody's view, a node and hour, by loss
+}
+
+const (
+	mostWait = 2 * time.Minute
+	idle     = 10 * time.Second
+)
+
+// grower is one measurement under way.
+type grower struct {
+	Growth
+	w     *sim.World
+	f     *Fleet
+	alive map[string]int // of how many nodes it is known that they have a name alive
+	dead  map[string]int
+	wrong map[wrongly]bool
+}
+
+// wrongly is one life and incarnation of a running node that somebody took for dead.
+type wrongly struct {
+	name        string
+	life        uint64
+	incarnation uint32
+}
+
+// Measure plays a fleet of one size through a join, a death, a cut and losses.
+func (g Growth) Measure() (out Grown, err error) {
+	m := g.begin()
+	out.Nodes = g.Nodes
+	names := Names(g.Nodes)
+	over := max(time.Second, time.Duration(g.Nodes)*time.Second/300)
+	m.f.StartAll(names, over)
+	m.w.RunTo(over)
+	if out.Joined, err = m.until("all have joined", m.whole); err != nil {
+		return out, err
+	}
+	m.w.RunTo(m.w.Now() + 5*time.Second)
+	out.Sent, out.Bytes = m.pace()
+
+	victim := names[g.Nodes/2]
+	m.w.End(victim).Kill()
+	live := g.Nodes - 1
+	if out.Death, err = m.until("a death is known", func() bool { return m.dead[victim] == live }); err != nil {
+		return out, err
+	}
+	m.f.Start(newcomer)
+	if out.Join, err = m.until("a join is known", func() bool { return m.alive[newcomer] >= live && m.whole() }); err != nil {
+		return out, err
+	}
+	half := m.w.Net.Break(func(from, to string) bool { return m.side(from) != m.side(to) }, sim.Cut)
+	m.w.RunTo(m.w.Now() + g.Cut)
+	m.w.Net.Mend(half)
+	if out.Heal, err = m.until("the halves are one", m.whole); err != nil {
+		return out, err
+	}
+	for _, loss := range g.Losses {
+		m.w.RunTo(m.w.Now() + 5*time.Second)
+		out.False = append(out.False, m.falseDeaths(loss))
+	}
+	return out, nil
+}
+
+// newcomer is the node that joins alone. The rival needs it on its list from the beginning.
+const newcomer = "x"
+
+func (g Growth) begin() *grower {
+	w := sim.New(g.Seed)
+	m := &grower{Growth: g, w: w, f: NewFleet(w), alive: map[string]int{}, dead: map[string]int{}, wrong: map[wrongly]bool{}}
+	m.f.Quiet = true
+	m.f.Seeds = Names(1)
+	if g.Rival {
+		m.f.Seeds = append(Names(g.Nodes), newcomer)
+		m.f.Core = func(cfg fleet.Config, now time.Duration) Core { return newRival(cfg, now) }
+	}
+	m.f.Watch(m.saw)
+	return m
+}
+
+func (m *grower) saw(_ *Node, _ time.Duration, c fleet.Changed) {
+	count := func(x fleet.Member, by int) {
+		switch {
+		case x.Name == "":
+		case x.Health <= fleet.Suspect:
+			m.alive[x.Name] += by
+		case x.Health == fleet.Dead:
+			m.dead[x.Name] += by
+		}
+	}
+	count(c.Before, -1)
+	count(c.Member, 1)
+	if e := m.w.End(c.Member.Name); c.Member.Health == fleet.Dead && e.Up() {
+		m.wrong[wrongly{c.Member.Name, c.Member.Life, c.Member.Incarnation}] = true
+	}
+}
+
+// whole says that every running node has as many alive as there are.
+func (m *grower) whole() bool {
+	live := m.f.Live()
+	for _, n := range live {
+		if n.living != len(live) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *grower) side(end string) bool { return m.f.addrs[end].Addr().As4()[3]%2 == 0 }
+
+func (m *grower) until(what string, cond func() bool) (time.Duration, error) {
+	took, ok := m.w.Until(mostWait, 50*time.Millisecond, cond)
+	if !ok {
+		return 0, fmt.Errorf("%d nodes: not within %v: %s", m.Nodes, mostWait, what)
+	}
+	return took, nil
+}
+
+func (m *grower) pace() (sent, bytes float64) {
+	count := func() (sent, bytes int) {
+		for _, e := range m.f.Nodes {
+			sent, bytes = sent+e.Sent, bytes+e.Bytes
+		}
+		return sent, bytes
+	}
+	s0, b0 := count()
+	m.w.RunTo(m.w.Now() + idle)
+	s1, b1 := count()
+	per := float64(m.Nodes) * idle.Seconds()
+	return float64(s1-s0) / per, float64(b1-b0) / per
+}
+
+func (m *grower) falseDeaths(loss float64) float64 {
+	wrong := m.w.Net.Break(func(string, string) bool { return true }, func(l *sim.Link) { l.Loss = loss })
+	defer m.w.Net.Mend(wrong)
+	clear(m.wrong)
+	took := time.Duration(m.Hours / float64(m.Nodes) * float64(time.Hour))
+	m.w.RunTo(m.w.Now() + took)
+	return float64(len(m.wrong)) / (took.Hours() * float64(m.Nodes))
+}
--- /dev/null
+++ b/internal/sim/views/play.go
@@ -0,0 +1,87 @@
+package views
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"indigotack/internal/fleet"
+	"indigotack/internal/sim"
+	"indigotack/internal/timeline"
+)
+
+// Options are what a play of the view may be bent by.
+type Options struct {
+	Nodes int
+	// Bend, where set, changes a fleet that is not started yet: a broken stand-in.
+	Bend func(f *Fleet)
+	// Took, where set, is told how long after the last fault all views were the same and right.
+	Took func(time.Duration)
+}
+
+// Wild draws all that can go wrong, and checks what holds all the same.
+func Wild(o Options) sim.Play {
+	p := base(o)
+	p.Kinds = append(kinds(), sim.Kill)
+	p.Build = func(w *sim.World) []sim.Check {
+		f := start(w, o)
+		return append(f.checks(), f.settling(o.Took)...)
+	}
+	return p
+}
+
+// Mild draws only what a fleet must bear without taking anybody for dead: a bad pair, a lossy network, a short pause.
+func Mild(o Options) sim.Play {
+	p := base(o)
+	short := sim.Pause
+	short.Draw = func(rng *rand.Rand, names []string) sim.Fault {
+		return sim.Fault{Who: []string{names[rng.IntN(len(names))]}, For: time.Duration(rng.Int64N(int64(800 * time.Millisecond)))}
+	}
+	p.Kinds = []sim.Kind{sim.OneWay, sim.SlowPair, sim.Lossy, sim.Doubled, facts, stale, flood, short, leaves, joins}
+	p.Build = func(w *sim.World) []sim.Check {
+		f := start(w, o)
+		return append(append(f.checks(), f.never("nobody dead", fleet.Dead)), f.settling(o.Took)...)
+	}
+	return p
+}
+
+// Pairs draws pairs that can't talk well, and nothing else: others vouch for both, so that nobody is even suspected.
+func Pairs(o Options) sim.Play {
+	p := base(o)
+	p.Warm = 15 * time.Second                                 // groups that found each other first may ask a seed of the others 10 s later
+	p.Kinds, p.Most = []sim.Kind{sim.OneWay, sim.SlowPair}, 2 // so that of three helpers one at least has good links
+	p.Build = func(w *sim.World) []sim.Check {
+		f := start(w, o)
+		return append(append(f.checks(), f.never("nobody suspected", fleet.Suspect)), f.settling(o.Took)...)
+	}
+	return p
+}
+
+func base(o Options) sim.Play {
+	names := Names(o.Nodes)
+	return sim.Play{Names: names, Most: 8, Warm: 5 * time.Second, Length: 40 * time.Second, Every: 250 * time.Millisecond,
+		Drawn: timeline.Drawing{Columns: names, Step: 500 * time.Millisecond, Fold: 3 * time.Second}}
+}
+
+// start starts a fleet within two seconds; all nodes know all addresses, as a node's settings name its peers. One process in
+// four starts with a wall clock that is up to ten minutes wrong.
+func start(w *sim.World, o Options) *Fleet {
+	f := NewFleet(w)
+	w.Play = f
+	f.draws = rand.New(rand.NewPCG(w.Rand().Uint64(), 1))
+	f.Seeds = Names(o.Nodes)
+	f.Wall = func() time.Duration {
+		if w.Rand().IntN(4) > 0 {
+			return 0
+		}
+		return time.Duration(w.Rand().Int64N(int64(20*time.Minute))) - 10*time.Minute
+	}
+	w.Pass = func(from, _ string, data []byte) [][]byte {
+		f.remember(from, data)
+		return [][]byte{data}
+	}
+	if o.Bend != nil {
+		o.Bend(f)
+	}
+	f.StartAll(f.Seeds, 2*time.Second)
+	return f
+}
--- /dev/null
+++ b/internal/sim/views/scenarios.go
@@ -0,0 +1,85 @@
+package views
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"indigotack/internal/fleet"
+	"indigotack/internal/sim"
+	"indigotack/internal/timeline"
+)
+
+// Scenario is one hard case, played always the same, so that its drawing can be kept and read.
+type Scenario struct {
+	Name  string
+	Says  string // what is to be seen, and why it must be so
+	Nodes int
+	Seeds []string // nil: n1 is the one known address
+	Warm  time.Duration
+	// Faults begin after Warm, which is not drawn.
+	Faults  []sim.Fault
+	Length  time.Duration
+	Columns []string // nil: the nodes
+	Step    time.Duration
+	Fold    time.Duration
+	// Spared are nodes that nobody may take for dead, as nothing is wrong with them. nil: all.
+	Spared []string
+}
+
+// Play plays a scenario and gives its drawing. It is an error if a spared node was taken for dead, a check was
+// broken, or the views are not the same and right at the end.
+func (s Scenario) Play(bend func(*Fleet)) (string, error) {
+	w := sim.New(7)
+	f := NewFleet(w)
+	w.Play = f
+	f.draws = rand.New(rand.NewPCG(7, 1))
+	f.Seeds = s.Seeds
+	if f.Seeds == nil {
+		f.Seeds = Names(1)
+	}
+	names := Names(s.Nodes)
+	spared := s.Spared
+	if spared == nil {
+		spared = names
+	}
+	w.Pass = func(from, _ string, data []byte) [][]byte {
+		f.remember(from, data)
+		return [][]byte{data}
+	}
+	if bend != nil {
+		bend(f)
+	}
+	var broken error
+	f.Watch(func(n *Node, _ time.Duration, c fleet.Changed) {
+		if m := c.Member; m.Health == fleet.Dead && slices.Contains(spared, m.Name) {
+			broken = fmt.Errorf("%s takes %s for dead, accused by %s", n.end, m.Name, m.By)
+		}
+	})
+	p := sim.Play{Kinds: kinds(), Warm: s.Warm, Quiet: s.Length, Every: 250 * time.Millisecond, Build: func(*sim.World) []sim.Check {
+		f.StartAll(names, time.Duration(s.Nodes)*300*time.Millisecond)
+		return append(f.checks(), holds("spared", &broken), sim.Check{Name: "settled", End: f.Settled})
+	}}
+	b := p.RunIn(w, s.Faults)
+	d := timeline.Drawing{Says: s.Says, Columns: s.Columns, Step: s.Step, Fold: s.Fold}
+	if d.Columns == nil {
+		d.Columns = names
+	}
+	var events []timeline.Event
+	for _, e := range w.Log() {
+		if e.At >= s.Warm {
+			e.At -= s.Warm
+			events = append(events, e)
+		}
+	}
+	if b != nil {
+		return d.Draw(events), b
+	}
+	return d.Draw(events), nil
+}
+
+func kinds() []sim.Kind {
+	return []sim.Kind{sim.Kill, sim.Pause, sim.Late, sim.CutOff, sim.OneWay, sim.Deaf, sim.SlowPair, sim.Halves, sim.Lossy, sim.Doubled,
+		sim.Flap, leaves, joins, twins, facts, stale, flood}
+}
--- /dev/null
+++ b/internal/sim/views/standins_test.go
@@ -0,0 +1,138 @@
+package views
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"indigotack/internal/fleet"
+	"indigotack/internal/fleet/wire"
+	"indigotack/internal/sim"
+)
+
+// rewrite gives a stand-in whose datagrams are altered, or dropped by giving nil.
+func rewrite(alter func(f *Fleet, from, to string, d *wire.Datagram) bool) func(*Fleet) {
+	return func(f *Fleet) {
+		f.World.Pass = func(from, to string, data []byte) [][]byte {
+			f.remember(from, data)
+			d, err := wire.Decode(data)
+			if err != nil || !alter(f, from, to, &d) {
+				return nil
+			}
+			b := d.Encode()
+			for _, s := range d.Statements {
+				b, _ = wire.AppendStatement(b, s)
+			}
+			return [][]byte{b}
+		}
+	}
+}
+
+// without drops the statements that are picked.
+func without(drop func(f *Fleet, from, to string, s wire.Statement) bool) func(*Fleet) {
+	return rewrite(func(f *Fleet, from, to string, d *wire.Datagram) bool {
+		d.Statements = slices.DeleteFunc(d.Statements, func(s wire.Statement) bool { return drop(f, from, to, s) })
+		return true
+	})
+}
+
+func withoutKinds(kinds ...wire.Kind) func(*Fleet) {
+	return rewrite(func(_ *Fleet, _, _ string, d *wire.Datagram) bool { return !slices.Contains(kinds, d.Kind) })
+}
+
+// standins are broken cores, and the checks of which one must find each.
+var standins = []struct {
+	name  string
+	play  func(Options) sim.Play
+	kinds []sim.Kind // those that bring it out soonest; nil: all of the play's
+	bend  func(*Fleet)
+	found []string
+}{
+	{"nobody refutes", Wild, []sim.Kind{sim.Pause}, rewrite(func(_ *Fleet, from, _ string, d *wire.Datagram) bool {
+		all := len(d.Statements)
+		d.Statements = slices.DeleteFunc(d.Statements, func(s wire.Statement) bool { return s.Name == nameAt(from) && s.Incarnation > 0 })
+		return d.Kind != wire.Gossip || len(d.Statements) == all
+	}), []string{"alive"}},
+	{"no digests, and news that get lost", Wild, []sim.Kind{joins, facts}, func(f *Fleet) {
+		rewrite(func(f *Fleet, from, _ string, d *wire.Datagram) bool {
+			d.Statements = slices.DeleteFunc(d.Statements, func(s wire.Statement) bool { return s.Name != nameAt(from) && f.draws.IntN(10) > 0 })
+			return d.Kind < wire.Digest || d.Kind > wire.Told
+		})(f)
+	}, []string{"settled", "alive", "dead"}},
+	{"the dead are not asked, nor seeds by those that have met", Wild, []sim.Kind{sim.Halves}, rewrite(func(f *Fleet, from, to string, d *wire.Datagram) bool {
+		n, ok := f.World.End(from).Actor().(*Node)
+		return !ok || d.Kind != wire.Ping || n.living == 1 || n.Member(nameAt(to)).Health <= fleet.Suspect
+	}), []string{"alive"}},
+	{"lives do not count", Wild, []sim.Kind{sim.Kill}, rewrite(func(_ *Fleet, _, _ string, d *wire.Datagram) bool {
+		d.Life = birth
+		for i := range d.Statements {
+			d.Statements[i].Life = birth
+		}
+		return d.Kind != wire.Gossip
+	}), []string{"alive"}},
+	{"deaths are not told, and nobody is suspected", Wild, nil, without(func(_ *Fleet, _, _ string, s wire.Statement) bool {
+		return s.Health == fleet.Suspect || s.Health == fleet.Dead
+	}), []string{"settled", "alive", "dead"}},
+	{"the dead are forgotten at once", Wild, []sim.Kind{sim.Kill, stale}, func(f *Fleet) {
+		f.Bend = func(cfg *fleet.Config) { cfg.Fresh, cfg.Forget = time.Millisecond, 2*time.Millisecond }
+	}, []string{"lives", "dead"}},
+	{"lateness is not noticed", Wild, []sim.Kind{sim.Pause}, func(f *Fleet) { f.Blind = true }, []string{"blame"}},
+	{"a twin is not told", Wild, []sim.Kind{twins}, func(f *Fleet) {
+		rewrite(func(f *Fleet, from, to string, d *wire.Datagram) bool {
+			to = nameAt(to)
+			d.Statements = slices.DeleteFunc(d.Statements, func(s wire.Statement) bool { return s.Name == to && s.Health == fleet.Alive })
+			return nameAt(from) != to
+		})(f)
+	}, []string{"one of a name", "settled", "alive"}},
+	{"nobody is asked for others", Pairs, nil, withoutKinds(wire.PingReq), []string{"nobody suspected"}},
+	{"suspicion is death", Mild, nil, rewrite(func(_ *Fleet, _, _ string, d *wire.Datagram) bool {
+		for i := range d.Statements {
+			if d.Statements[i].Health == fleet.Suspect {
+				d.Statements[i].Health = fleet.Dead
+			}
+		}
+		return true
+	}), []string{"nobody dead"}},
+	{"leaving is death", Mild, nil, rewrite(func(_ *Fleet, _, _ string, d *wire.Datagram) bool {
+		for i := range d.Statements {
+			if d.Statements[i].Health == fleet.Left {
+				d.Statements[i].Health, d.Statements[i].Incarnation = fleet.Dead, d.Statements[i].Incarnation+1
+			}
+		}
+		return true
+	}), []string{"nobody dead"}},
+	{"a byte too many", Mild, nil, func(f *Fleet) {
+		f.World.Pass = func(_, _ string, data []byte) [][]byte {
+			return [][]byte{append(slices.Clone(data), make([]byte, 200)...)}
+		}
+	}, []string{"size"}},
+	{"all that is sent is sent eight times", Mild, nil, func(f *Fleet) {
+		f.World.Pass = func(_, _ string, data []byte) [][]byte { return slices.Repeat([][]byte{data}, 8) }
+	}, []string{"pace"}},
+}
+
+// Each check finds what it is there for, within a few schedules.
+func TestStandins(t *testing.T) {
+	for _, s := range standins {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			p := s.play(Options{Nodes: 5, Bend: s.bend})
+			p.Length = 20 * time.Second
+			if s.kinds != nil {
+				p.Kinds = s.kinds
+			}
+			for seed := uint64(1); seed <= 60; seed++ {
+				_, broken := p.Run(seed, p.Faults(seed))
+				if broken == nil {
+					continue
+				}
+				if !slices.Contains(s.found, broken.Check) {
+					t.Fatalf("seed %d: found by the wrong check: %v", seed, broken)
+				}
+				t.Logf("seed %d: %v", seed, broken)
+				return
+			}
+			t.Fatal("not found in 60 schedules")
+		})
+	}
+}
