--- a/internal/sim/series.go
+++ b/internal/sim/series.go
@@ -15,12 +15,9 @@
 
 // Series plays the schedules of seeds from first on, some at once, until ctx ends. Each is told, from several goroutines.
 func (p Play) Series(ctx context.Context, first uint64, n, together int, told func(Played)) error {
-	g, ctx := errgroup.WithContext(ctx)
+	var g errgroup.Group
 	g.SetLimit(together)
 	for i := range uint64(n) {
-		if ctx.Err() != nil {
-			break
-		}
 		g.Go(func() error {
 			if err := ctx.Err(); err != nil {
 				return err
@@ -31,8 +28,5 @@
 			return nil
 		})
 	}
-	if err := g.Wait(); err != nil {
-		return err
-	}
-	return ctx.Err()
+	return g.Wait()
 }
