Tell inner limits of demand that one around them turns away

A limit whose requests were refused by an outer one seemed to have little demand, so that its floor was not apportioned. Admit now notes the refusal at each limit that was asked; the shares' tests judge by Admit itself.

--- a/decide/limits.go
+++ b/decide/limits.go
@@ -35,6 +35,9 @@
 				continue
 			}
 			if h.Left(slot) < l.needed(amount, a.Priority, h, slot) {
+				for i, inner := range at[:k] { // it came to them, too
+					h.Refused(inner, amounts[i])
+				}
 				h.Refused(slot, amount)
 				return Verdict{Limit: j, Status: l.Status, RetryAfter: l.Wait}
 			}
--- a/internal/quota/actors_test.go
+++ b/internal/quota/actors_test.go
@@ -123,40 +123,35 @@
 	w.after(time.Duration(w.rng.ExpFloat64()/n.load[limit]*float64(time.Second)), func() { w.clients(n, limit) })
 }
 
-// request is judged over the limit and those around it.
-func (n *node) request(limit int) bool {
-	n.led.At(n.clock.at(n.w.now))
+// request is judged by the table, as on a node.
+func (n *node) request(limit int) {
 	l := n.w.table.Limits
-	for i := limit; i >= 0; i = l[i].Parent {
-		if n.led.Left(i) < 1 {
-			for in := limit; in != l[i].Parent; in = l[in].Parent {
-				n.led.Refused(in, 1)
-			}
-			n.w.checks[limit].refused++
-			return false
-		}
+	n.led.At(n.clock.at(n.w.now))
+	v := n.w.table.Admit(decide.Ask{Book: n.w.table.Parts[l[limit].Part].Word}, n.led)
+	if !v.OK {
+		n.w.checks[limit].refused++
+		return
 	}
-	for i := limit; i >= 0; i = l[i].Parent {
-		n.led.Take(i, 1)
-		n.w.checks[i].admitted(n.w.now)
-		if gen := n.gen; l[i].Unit == decide.UnitOpen {
-			n.open[i]++
-			n.w.after(time.Duration(n.w.rng.Int64N(int64(time.Second))), func() { n.end(i, gen) })
-		}
+	n.w.checks[limit].admitted(n.w.now)
+	if first := n.w.table.Parts[0]; first.Count > 0 && limit != first.First {
+		n.w.checks[first.First].admitted(n.w.now)
+	}
+	if gen := n.gen; l[limit].Unit == decide.UnitOpen {
+		n.open[limit]++
+		n.w.after(time.Duration(n.w.rng.Int64N(int64(time.Second))), func() { n.end(limit, v.Held, gen) })
 	}
-	return true
 }
 
 // end gives an open request back, as soon as the process runs.
-func (n *node) end(limit, gen int) {
+func (n *node) end(limit int, held decide.Held, gen int) {
 	switch {
 	case n.gen != gen:
 	case n.paused:
-		n.w.after(tickEvery, func() { n.end(limit, gen) })
+		n.w.after(tickEvery, func() { n.end(limit, held, gen) })
 	default:
 		n.open[limit]--
 		n.w.checks[limit].level--
-		n.led.At(n.clock.at(n.w.now)).Give(limit, 1)
+		held.Release(n.led.At(n.clock.at(n.w.now)))
 	}
 }
 
