Wait in the list service's test until the list is kept

TestListService failed in 9 plays of 9 under load 30 to 44, at too: the node serves as soon as it has the list and keeps it for the next start after that, and the test went on to the start without a service in between.

--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -101,9 +102,12 @@
 		list []string
 	}{{"with one replica of two", []string{"127.0.0.1:1", at}}, {"with none", []string{"127.0.0.1:1"}}} {
 		n := startNodeWith(t, func(n *Node) { n.cfg.List, n.cfg.ListFile = c.list, file })
-		for until := time.Now().Add(enough); !n.front.ready.Load(); time.Sleep(time.Millisecond) {
+		for until := time.Now().Add(enough); ; time.Sleep(time.Millisecond) {
+			if _, err := os.Stat(file); err == nil && n.front.ready.Load() { // it serves first, and keeps the list then
+				break
+			}
 			if time.Now().After(until) {
-				t.Fatalf("%s: not ready", c.when)
+				t.Fatalf("%s: not ready, or no list kept", c.when)
 			}
 		}
 		if a := do(t, n.request(t, "GET", "saldo", "x", "20", nil)); a.body != "x" {
