Have new nodes go on asking seeds, so that no islands wait for the slow round

Followed in the history's views; ruled out: addresses, links, the holder's grants (n1 had its leases all the time). The lines: askSeeds took having met anybody for having joined. A new node now goes once through its seeds, 16 at most, one a period, and asks one each second of its first minute: one datagram a second and its answer. TestIslands fails without either half.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -16,6 +16,13 @@
 	deadPeriods  = 5
 )
 
+// Nodes that start together may meet in islands, or while a cut still lasts. So a new node goes on asking seeds, though it has met
+// somebody: one a period through its first round, of mostAtFirst at most, and then as one that is alone does, for youngPeriods.
+const (
+	mostAtFirst  = 16
+	youngPeriods = 300 // a minute: what starts a whole fleet is over by then
+)
+
 // joining are the addresses to join by.
 type joining struct {
 	seeds []netip.AddrPort
@@ -33,9 +40,9 @@
 func (c *Core) askSeeds() {
 	every := uint64(seedPeriods)
 	switch {
-	case !c.own.met:
+	case !c.own.met || c.join.at < min(len(c.join.seeds), mostAtFirst):
 		every = 1
-	case c.living == 0:
+	case c.living == 0 || c.beats < youngPeriods:
 		every = alonePeriods
 	}
 	if len(c.join.seeds) == 0 || c.beats%every != 0 {
