--- a/internal/fleet/net_test.go
+++ b/internal/fleet/net_test.go
@@ -21,6 +21,7 @@
 	loss  float64
 	cut   func(from, to *node) bool
 	slow  func(from, to *node) Time
+	drop  [256]bool // kinds that the network loses
 }
 
 type node struct {
@@ -41,29 +42,6 @@
 	Changed
 }
 
-type event struct {
-	at    Time
-	count uint64
-	to    *node
-	wake  uint64 // 0: a datagram
-	e     Event
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].count < q[j].count)
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 func newNetwork(t testing.TB, seed uint64) *network {
 	return &network{t: t, rng: rand.New(rand.NewPCG(seed, 1)),
 		cut: func(_, _ *node) bool { return false }, slow: func(_, _ *node) Time { return 0 }}
@@ -117,6 +95,9 @@
 
 func (w *network) send(n *node, s Send) {
 	n.sent[s.Data[0]]++
+	if w.drop[s.Data[0]] {
+		return
+	}
 	if len(s.Data) > 256 {
 		w.t.Fatalf("datagram of %d bytes", len(s.Data))
 	}
--- a/internal/node/check.go
+++ b/internal/node/check.go
@@ -53,6 +53,9 @@
 			notes = append(notes, fmt.Sprintf("peers.%d: %q is not to be reached", i, peer))
 		}
 	}
+	if c.Fleet.Name != "" && !c.Settings.MayMessage {
+		notes = append(notes, "fleet: "+viewOff)
+	}
 	for _, err := range in.Known.Odd {
 		notes = append(notes, "known.endpoints: passed over: "+err.Error())
 	}
