Answer all that comes on open connections after SIGTERM, and wait for the agent's first word

After SIGTERM's 0.6 s http.Server's Shutdown dropped, without an answer, each request whose head was whole only then: on a new connection, or with a head cut in two. It closed kept connections of whose next request bytes had been read, too. Now the node stops accepting, closes only connections that rest, answers the others, and cuts the time of what comes so late to the earliest SIGKILL. A new process was ready on the list of before; now it waits for the agent's whole list, 500 ms at most.

--- a/internal/node/accept/listener.go
+++ b/internal/node/accept/listener.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,8 +21,9 @@
 	net.Listener
 	slots chan struct{}
 
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time // since when
+	mu     sync.Mutex
+	idle   map[net.Conn]time.Time // since when
+	ending bool                   // none is to rest any more
 }
 
 // Limit has ln accept most connections at a time.
@@ -51,17 +51,6 @@
 	return lc, nil
 }
 
-// Note follows which connections are idle, for http.Server's ConnState.
-func (l *Listener) Note(c net.Conn, s http.ConnState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s == http.StateIdle {
-		l.idle[c] = time.Now()
-	} else {
-		delete(l.idle, c)
-	}
-}
-
 // Outlive returns when ctx ends, or all connections have and the least time is over.
 func (l *Listener) Outlive(ctx context.Context, least time.Duration) {
 	for ok := pause.For(ctx, least); ok && len(l.slots) > 0; {
@@ -69,24 +58,10 @@
 	}
 }
 
-func (l *Listener) evict() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var oldest net.Conn
-	for c, since := range l.idle {
-		if oldest == nil || since.Before(l.idle[oldest]) {
-			oldest = c
-		}
-	}
-	if oldest != nil {
-		delete(l.idle, oldest)
-		oldest.Close()
-	}
-}
-
 // Conn is a client's connection.
 type Conn struct {
 	net.Conn
+	turn    atomic.Int32 // busy, resting or left
 	began   atomic.Int64 // when the request under way did, or the connection
 	free    func()
 	framing framing
@@ -108,6 +83,9 @@
 	} else if n, err = c.Conn.Read(p); err != nil && n == 0 {
 		return 0, err
 	}
+	if !c.turn.CompareAndSwap(resting, busy) && c.turn.Load() == left {
+		return 0, net.ErrClosed
+	}
 	if c.framing.between() && c.served {
 		c.began.Store(time.Now().UnixNano())
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -13,6 +12,7 @@
 const (
 	lingerTime  = 600 * time.Millisecond // after SIGTERM new connections still come for a while
 	finishSlack = 100 * time.Millisecond // what is open then may take the longest deadline and this
+	killMost    = 3 * time.Second        // SIGKILL may come so long after lingerTime and finishSlack, or a longest deadline that is shorter
 )
 
 // serve takes requests until ctx ends. Then it goes on for a while, as the
@@ -42,18 +42,38 @@
 		limited.Outlive(ctx, outliveLeast)
 	case <-ctx.Done():
 	}
-	if f.draining.Store(true); ctx.Err() != nil {
+	f.draining.Store(true)
+	longest := f.rules.Load().longest
+	if ctx.Err() != nil {
+		last := time.Now().Add(lingerTime + min(longest, f.killMost))
 		f.linger()
+		f.answerBy.Store(&last)
 	}
-	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.rules.Load().longest+finishSlack)
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest+finishSlack)
 	defer cancel()
-	err := srv.Shutdown(end)
-	if errors.Is(err, context.DeadlineExceeded) {
-		// All requests are past their deadlines and so are answered: what is
-		// left are connections on which none has come.
-		return srv.Close()
+	f.finish(end, ln, limited)
+	srv.Close()
+	return nil
+}
+
+// finish ends what rests and waits until the rest has been answered, or end is
+// over: then all requests are past their deadlines, and what is left are
+// connections on which none has come. http.Server's Shutdown does not do, as
+// it drops without an answer each request whose head is whole after its call.
+func (f *frontend) finish(end context.Context, ln net.Listener, limited *accept.Listener) {
+	ln.Close() // nothing is to be done about an error
+	limited.CloseIdle()
+	limited.Outlive(end, 0)
+}
+
+// left is how much of the time of a request, whose last byte is here now, there
+// is for its answer: what comes late after the order to stop has to be answered
+// ahead of SIGKILL.
+func (f *frontend) left(wait time.Duration) time.Duration {
+	if last := f.answerBy.Load(); last != nil {
+		return min(wait, time.Until(*last))
 	}
-	return err
+	return wait
 }
 
 // stopAccepting leaves new connections to another process that listens on the
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -34,10 +34,12 @@
 	open     atomic.Bool   // it accepts
 	handed   atomic.Bool   // to a new process
 	closing  chan struct{} // closed when it is to accept no more
+	killMost time.Duration
+	answerBy atomic.Pointer[time.Time] // for requests that come from now on; nil: their deadlines
 }
 
 func newFrontend(n *Node, most int) *frontend {
-	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }, closing: make(chan struct{})}
+	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }, closing: make(chan struct{}), killMost: killMost}
 	f.rules.Store(newRules(n.cfg.Settings, nil))
 	return f
 }
@@ -80,7 +82,7 @@
 	outstanding := &f.node.stats.outstanding
 	if up := req.out.rest; up != nil {
 		http.NewResponseController(w).EnableFullDuplex() // an answer may come ahead of the body's end
-		up.whole = func(wait time.Duration) { f.node.post(func() { f.node.whole(req, wait) }) }
+		up.whole = func(wait time.Duration) { f.node.post(func() { f.node.whole(req, f.left(wait)) }) }
 		defer up.close()
 	} else {
 		outstanding.Add(1)
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -23,6 +23,11 @@
 // listHold is short, so that a node soon notices a replica that is cut off without a word.
 const listHold = 5 * time.Second
 
+// firstWord is how long a new process waits for what the agent holds, which
+// counts from its first moment. An agent answers at once, or is silent with
+// discovery: then the list of before has to do.
+const firstWord = 500 * time.Millisecond
+
 var states = map[string]decide.ServerState{list.Ready: decide.Ready, list.Draining: decide.Draining, list.Gone: decide.Gone}
 
 func kindOf(l list.Answer) decide.ListKind {
@@ -50,6 +55,25 @@
 	return &service{k: k, listed: listed}, nil
 }
 
+// beginLists takes the list of before, and follows where lists are pushed.
+func (n *Node) beginLists(ctx context.Context) {
+	pushed := !n.cfg.Settings.AskForList
+	if _, agent := n.lists.(*client.Platform); pushed && agent {
+		n.unheard = true
+		time.AfterFunc(n.first, func() { n.post(n.welcome) })
+	}
+	n.follow(n.cfg.known, decide.ListCached)
+	if pushed {
+		n.lists.Follow(ctx)
+	}
+}
+
+// welcome tells the front that clients may come, once there are servers for them.
+func (n *Node) welcome() {
+	n.unheard = false
+	n.front.ready.Store(len(n.listed) > 0)
+}
+
 // service is the list service with its several replicas. It pushes lists for ever,
 // so a module that asks is told what is there.
 type service struct {
@@ -129,9 +153,11 @@
 			}
 		}
 	}
+	n.stats.discovered.Store(int64(len(n.listed)))
 	if kind != decide.ListCached {
 		n.heard.Do(func() { close(n.told) })
 	}
-	n.stats.discovered.Store(int64(len(n.listed)))
-	n.front.ready.Store(len(n.listed) > 0)
+	if kind != decide.ListCached || !n.unheard {
+		n.welcome()
+	}
 }
--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -109,6 +110,13 @@
 		if a := do(t, n.request(t, "GET", "saldo", "x", "20", nil)); a.body != "x" {
 			t.Errorf("%s: answer %+v", c.when, a)
 		}
+		for until := time.Now().Add(enough); ; time.Sleep(time.Millisecond) { // it is kept after it is taken
+			if _, err := os.Stat(file); err == nil {
+				break
+			} else if time.Now().After(until) {
+				t.Fatal(err)
+			}
+		}
 		n.stopNow(t)
 		replica.CloseClientConnections()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,8 +41,10 @@
 	file     any                   // the configuration file last taken; for Reread
 	peers    atomic.Pointer[peers] // nil: this node has no socket for them
 	links    links
-	meeting  string     // where processes of this node meet; empty: nowhere
-	Overlap  func(bool) // told when another process of this node begins and ends to share its limits; may be nil
+	first    time.Duration // the most that the agent's first word is awaited
+	listTime time.Duration // the same in an upgrade, in which the old process serves meanwhile
+	meeting  string        // where processes of this node meet; empty: nowhere
+	Overlap  func(bool)    // told when another process of this node begins and ends to share its limits; may be nil
 
 	// The rest belongs to the loop.
 	ctx      context.Context
@@ -50,6 +52,7 @@
 	ids      *ids
 	listed   map[string]decide.ServerID
 	told     chan struct{}   // closed when discovery has told the list
+	unheard  bool            // the agent's first word is still awaited
 	heard    sync.Once       // for that
 	banned   map[string]bool // names of servers in maintenance
 	requests map[decide.RequestID]*request
@@ -61,7 +64,7 @@
 	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), calls: make(chan func()), told: make(chan struct{}), ended: make(chan struct{}),
 		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{}, banned: map[string]bool{},
 		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes, cfg.BackendStats),
-		file: cfg.file}
+		file: cfg.file, first: firstWord, listTime: listTime}
 	if n.fences, n.unfit = fence.Open(cfg.Fences); n.unfit != nil {
 		n.fences, _ = fence.Open("") // of memory alone, which can't fail
 	}
@@ -100,10 +103,7 @@
 	for _, err := range n.cfg.known.Odd {
 		n.log.Warn("list entry skipped", "err", err)
 	}
-	n.post(func() { n.follow(n.cfg.known, decide.ListCached) })
-	if !n.cfg.Settings.AskForList {
-		n.post(func() { n.lists.Follow(inner) })
-	}
+	n.post(func() { n.beginLists(inner) })
 	if old != nil {
 		n.succeed(ctx, old)
 	}
--- a/internal/node/upgrade_new.go
+++ b/internal/node/upgrade_new.go
@@ -98,7 +98,7 @@
 			}
 		})
 	}()
-	n.await(ctx, listTime, n.told)
+	n.await(ctx, n.listTime, n.told)
 	if err := l.say(message{Kind: kindReady}, -1); err != nil {
 		n.log.Warn("the old process is gone", "err", err)
 		return
--- a/internal/node/validate.go
+++ b/internal/node/validate.go
@@ -70,7 +70,7 @@
 	case err != nil:
 		return bad(http.StatusBadRequest, "reading the body: %w", err)
 	}
-	patience -= answerMargin
+	patience = f.left(patience - answerMargin)
 	u := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
 	deadline := time.Now().Add(patience) // its last byte has come now, and its client waits from there
 	var rest *upload
