--- a/decide/handle.go
+++ b/decide/handle.go
@@ -46,6 +46,10 @@
 		m.looked(e)
 	case MessageReceived:
 		m.hear(e)
+	case TableChanged:
+		m.take(e)
+	case LevelChanged:
+		m.level = e.Level
 	case TimerFired:
 		if e.Token != lookToken {
 			m.tick()
