--- a/internal/node/govern.go
+++ b/internal/node/govern.go
@@ -185,7 +185,7 @@
 // settleReady lets clients in once there are servers and, where a policy is followed, it has been heard of: before that
 // the node would admit what no limit bounds.
 func (n *Node) settleReady() {
-	n.front.ready.Store(len(n.listed) > 0 && (n.governed == nil || n.governed.told))
+	n.front.ready.Store(len(n.listed) > 0 && !n.unheard && (n.governed == nil || n.governed.told))
 }
 
 func one(on bool) int {
