--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,114 @@
+// Package policy is the operators' language of rate limits: text in HCL's syntax is read, checked as a whole, and
+// compiled to the flat table that nodes judge requests by (decide.Table). It is pure: same text, same known names, same
+// bytes. Nodes take tables and never link this package.
+package policy
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"indigotack/decide"
+)
+
+// Known are the names that a policy may speak of. A list that is empty is not checked against.
+type Known struct {
+	Sites, Books, Pods []string
+	Classes            []Class
+}
+
+// Class is a kind of request.
+type Class struct {
+	Name  string
+	Worth float64
+	Work  time.Duration // of its heaviest request; 0: not known
+}
+
+// KnownOf takes the names from a node's settings. A class's work is not told there.
+func KnownOf(s decide.Settings) Known {
+	k := Known{Sites: s.Zones}
+	for _, t := range s.Tenants {
+		k.Books = append(k.Books, t.Name)
+	}
+	for _, c := range s.Classes {
+		k.Classes = append(k.Classes, Class{Name: c.Name, Worth: c.Worth})
+	}
+	return k
+}
+
+// sorted has each name once and in order, so that no list's order shows in the table.
+func (k Known) sorted() Known {
+	names := func(from []string) []string { return slices.Compact(slices.Sorted(slices.Values(from))) }
+	classes := slices.Clone(k.Classes)
+	slices.SortStableFunc(classes, func(a, b Class) int { return strings.Compare(a.Name, b.Name) })
+	classes = slices.CompactFunc(classes, func(a, b Class) bool { return a.Name == b.Name })
+	return Known{names(k.Sites), names(k.Books), names(k.Pods), classes}
+}
+
+func (k Known) classNames() []string {
+	var names []string
+	for _, c := range k.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+// Compile makes a file's text into a table, or says all that is wrong with it, as *Errors.
+func Compile(file string, text []byte, known Known) (*decide.Table, error) {
+	c := &compiler{known: known.sorted(), source: text}
+	if err := c.bounded(); err != nil {
+		return nil, err
+	}
+	table := c.compile(file)
+	if c.diags.HasErrors() {
+		return nil, &Errors{diags: c.inOrder(), file: file, text: text}
+	}
+	return table, nil
+}
+
+type compiler struct {
+	known  Known
+	source []byte
+	diags  hcl.Diagnostics
+	ctx    *hcl.EvalContext
+	parts  int      // made so far
+	usual  figuring // for all limits
+	zone   int
+	levels []*level
+}
+
+func (c *compiler) compile(file string) *decide.Table {
+	f, diags := hclsyntax.ParseConfig(c.source, file, hcl.InitialPos)
+	if diags.HasErrors() {
+		c.diags = diags
+		return nil
+	}
+	body := f.Body.(*hclsyntax.Body)
+	if !c.affordable(body) {
+		return nil
+	}
+	fleet := c.file(body)
+	if fleet == nil {
+		return nil
+	}
+	c.checkNames(fleet)
+	c.checkShape(fleet)
+	c.resolve(fleet)
+	c.order(fleet)
+	if c.diags.HasErrors() { // sums of figures that aren't there would only add to the noise
+		return nil
+	}
+	t := c.flatten(fleet)
+	c.checkFloors(t, fleet)
+	c.checkSize(t, fleet)
+	if c.diags.HasErrors() {
+		return nil
+	}
+	if err := t.Ready(); err != nil {
+		c.fail(fleet.at, "No table", err.Error())
+	}
+	return t
+}
