--- a/internal/tenant/conductor.go
+++ b/internal/tenant/conductor.go
@@ -90,7 +90,7 @@
 func (c *Conductor) round(ctx context.Context, m *Machine, now func() time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, roundTime)
 	defer cancel()
-	l, err := c.look(ctx)
+	l, err := c.look(ctx, m.Rests())
 	if err != nil {
 		return err
 	}
@@ -111,15 +111,19 @@
 	return nil
 }
 
-func (c *Conductor) look(ctx context.Context) (l Look, err error) {
+// look reads what the machine needs; what tenants are checked against only where one is
+// to be. Sessions come last: who is waited for is decided by them.
+func (c *Conductor) look(ctx context.Context, rests bool) (l Look, err error) {
 	if l.Asks, err = c.Store.Asks(ctx); err != nil {
 		return l, fmt.Errorf("tenant: orders: %w", err)
 	}
-	if l.Policy, err = c.Fleet.Policy(ctx); err != nil {
-		return l, fmt.Errorf("tenant: policy: %w", err)
-	}
-	if l.Boxes, err = c.Fleet.Boxes(ctx); err != nil {
-		return l, fmt.Errorf("tenant: boxes: %w", err)
+	if len(l.Asks) > 0 || !rests {
+		if l.Policy, err = c.Fleet.Policy(ctx); err != nil {
+			return l, fmt.Errorf("tenant: policy: %w", err)
+		}
+		if l.Boxes, err = c.Fleet.Boxes(ctx); err != nil {
+			return l, fmt.Errorf("tenant: boxes: %w", err)
+		}
 	}
 	if l.Sessions, err = c.Store.Sessions(ctx); err != nil {
 		return l, fmt.Errorf("tenant: sessions: %w", err)
--- a/internal/tenant/machine.go
+++ b/internal/tenant/machine.go
@@ -26,6 +26,7 @@
 	cutSlack   = time.Second      // beyond late: a node looks at its drains within it
 	clockEvery = 10 * time.Second // the book's clock is written so often while a tombstone waits for it
 	enrolMost  = 2000             // members; as many as the list service has sessions
+	mostAhead  = 1 << 32          // a node that says to be further ahead of the catalogue is not believed
 )
 
 // Policy is what the machine needs of the current table.
@@ -119,8 +120,15 @@
 	return m
 }
 
-// Waits tells which members a tenant waits for.
-func (m *Machine) Waits(name string) []string { return m.waits[name] }
+// Rests tells whether no tenant is on its way.
+func (m *Machine) Rests() bool {
+	for _, t := range m.tenants {
+		if !t.State.rests() {
+			return false
+		}
+	}
+	return true
+}
 
 // round is one look, with the writes that come of it.
 type round struct {
@@ -138,7 +146,12 @@
 func (m *Machine) Handle(now time.Duration, l Look) ([]Put, error) {
 	r := &round{Look: l, now: now, sessions: map[string][]Word{}, changed: map[string]bool{}, gone: map[string]bool{}}
 	m.waits = map[string][]string{}
-	for _, s := range l.Sessions {
+	r.Sessions = slices.Clone(l.Sessions)
+	for i, s := range r.Sessions {
+		if s.Word.Prepared > m.head.Number+mostAhead {
+			s.Word.Prepared, s.Word.Ended = 0, 0
+			r.Sessions[i] = s
+		}
 		r.sessions[s.Node] = append(r.sessions[s.Node], s.Word)
 	}
 	if len(l.Asks) > 0 {
