--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 
 	"indigotack/internal/fleet/wire"
 )
@@ -106,12 +107,14 @@
 	p.askAt = c.next
 	c.sendTo(p.target, c.fill(c.numbered(wire.Ping, p.seq, 0)))
 	var asked [helpers]*record
-	for i := range min(helpers, c.living-1) {
-		h := c.pickLiving(p.target)
-		if h == nil || h == asked[0] || h == asked[1] {
-			continue
+	for p.asked < min(helpers, c.living-1) {
+		h := c.pick(func(r *record) bool {
+			return r != c.self && r != p.target && r.living() && !slices.Contains(asked[:], r)
+		})
+		if h == nil {
+			return
 		}
-		asked[i] = h
+		asked[p.asked] = h
 		p.asked++
 		c.sendTo(h, c.numbered(wire.PingReq, p.seq, p.target.hash))
 	}
