Bound the datagrams that only correct an old word

Two nodes of which one can't take the other's word up (of another version, or a stand-in that strips refutations) answered each other once a round trip: 5,300 datagrams a second and node among six. Sixteen a period are ample for what nodes hear otherwise.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -40,6 +40,7 @@
 	own    own
 
 	strangers     int // answers left for strangers in this period
+	corrections   int // datagrams left in it for senders with an old word of this node
 	yielded, gone bool
 	leaveLeft     int // periods in which the leave is still to be told; 0: not leaving
 }
@@ -120,7 +121,7 @@
 // beat is one period: the same few datagrams each time, however large the fleet is.
 func (c *Core) beat() {
 	c.beats++
-	c.strangers, c.sync.credit = strangersPerPeriod, syncPerPeriod
+	c.strangers, c.corrections, c.sync.credit = strangersPerPeriod, correctionsPerPeriod, syncPerPeriod
 	c.expireSuspects()
 	c.putAway()
 	if c.leaveLeft > 0 {
--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -10,6 +10,10 @@
 // are answered within one, and a flood costs no more.
 const strangersPerPeriod = 64
 
+// correctionsPerPeriod bounds the datagrams that only tell a sender the newer word of this node. Nodes hear about two datagrams a period, so
+// there is room; without a bound two nodes of which one can't take the other's word up answer each other once a round trip.
+const correctionsPerPeriod = 16
+
 // received takes a datagram. What is not of this fleet is dropped by its first five bytes.
 func (c *Core) received(e Received) {
 	if !wire.Ours(e.Data, c.fleet) {
@@ -144,7 +148,8 @@
 	case wire.Want:
 		c.answerWant(r, d)
 	}
-	if tellSelf {
+	if tellSelf && c.corrections > 0 {
+		c.corrections--
 		c.sendTo(r, c.fill(c.head(wire.Gossip), lead...))
 	}
 }
