--- a/cmd/indigolab/sim.go
+++ b/cmd/indigolab/sim.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -59,6 +61,7 @@
 	if f.schedules < 1 || f.together < 1 || f.nodes < 2 || f.nodes > 1000 || plays[names[0]] == nil {
 		return unplayed{errors.New("--schedules and --together are 1 or more, --nodes 2 to 1000, --play wild, mild, pairs or all")}
 	}
+	debug.SetGCPercent(400) // small worlds that live for milliseconds: collecting took half of the time
 	began := time.Now()
 	var broken int
 	t := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
@@ -132,7 +135,7 @@
 				slices.ContainsFunc(g.Losses, func(l float64) bool { return l < 0 || l >= 1 }) {
 				return unplayed{errors.New("--nodes and --rival are 2 to 5000, --losses 0 to below 1, --hours 0 or more")}
 			}
-			return grow(c.OutOrStdout(), g, sizes, rivals)
+			return grow(c.Context(), c.OutOrStdout(), g, sizes, rivals)
 		},
 	}
 	c.Flags().IntSliceVar(&sizes, "nodes", []int{3, 30, 300}, "sizes of the fleet")
@@ -143,7 +146,7 @@
 	return c
 }
 
-func grow(out io.Writer, g views.Growth, sizes, rivals []int) error {
+func grow(ctx context.Context, out io.Writer, g views.Growth, sizes, rivals []int) error {
 	fmt.Fprintf(out, "%-6s %6s  %12s %12s  %10s %10s %10s %10s  false deaths a node and hour at loss", "view", "nodes", "datagrams/s", "bytes/s", "all joined", "one joins", "one dies", "heal")
 	for _, l := range g.Losses {
 		fmt.Fprintf(out, " %.0f%%", 100*l)
@@ -156,7 +159,7 @@
 			sizes, name = rivals, "rival"
 		}
 		for _, g.Nodes = range sizes {
-			o, err := g.Measure()
+			o, err := g.Measure(ctx)
 			if err != nil {
 				return unplayed{err}
 			}
--- a/internal/sim/end.go
+++ b/internal/sim/end.go
@@ -14,20 +14,21 @@
 	Name          string
 	Sent, Bytes   int           // datagrams so far
 	Biggest, Lost int           // bytes of the biggest; datagrams that came while nobody was there or the buffer was full
-	Woken         time.Duration // true time of the last Resume
-
-	world  *World
-	start  func(now time.Duration) Actor
-	actor  Actor
-	life   int // of the process, from 1
-	rate   float64
-	skew   time.Duration
-	timers map[string]uint64
-	count  uint64
-	still  bool
-	held   []task // while it stands still
-	late   time.Duration
-	free   time.Duration // when a late process is through with what came before
+	Woken, Stood  time.Duration // true time of the last Resume, and how long it had stood still
+
+	world   *World
+	start   func(now time.Duration) Actor
+	actor   Actor
+	life    int // of the process, from 1
+	rate    float64
+	skew    time.Duration
+	timers  map[string]uint64
+	count   uint64
+	still   bool
+	stopped time.Duration // when, by the true time
+	held    []task        // while it stands still
+	late    time.Duration
+	free    time.Duration // when a late process is through with what came before
 }
 
 // Up says that a process runs there, be it standing still.
@@ -60,14 +61,18 @@
 func (e *End) Kill() { e.actor, e.held, e.still, e.late, e.free = nil, nil, false, 0, 0 }
 
 // Stop lets the process stand still until Resume.
-func (e *End) Stop() { e.still = e.Up() }
+func (e *End) Stop() {
+	if e.Up() && !e.still {
+		e.still, e.stopped = true, e.world.now
+	}
+}
 
 // Resume wakes the process: what came and what fell due meanwhile comes now, the datagrams or the timers first as it is drawn.
 func (e *End) Resume() {
 	if !e.still {
 		return
 	}
-	e.still, e.Woken = false, e.world.now
+	e.still, e.Woken, e.Stood = false, e.world.now, e.world.now-e.stopped
 	held := e.held
 	e.held = nil
 	ticksFirst := e.world.rng.IntN(2) == 0
