--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/fence"
+	"indigotack/internal/node/view"
 )
 
 const (
@@ -40,9 +41,14 @@
 	stats    *stats
 	file     any                   // the configuration file last taken; for Reread
 	peers    atomic.Pointer[peers] // nil: this node has no socket for them
+	own      own
+	view     atomic.Pointer[view.Shell] // of the fleet; nil: there is none, or not yet
+	governed *governed                  // nil: no policy is followed
 	links    links
-	meeting  string     // where processes of this node meet; empty: nowhere
-	Overlap  func(bool) // told when another process of this node begins and ends to share its limits; may be nil
+	first    time.Duration // the most that the agent's first word is awaited
+	listTime time.Duration // the same in an upgrade, in which the old process serves meanwhile
+	meeting  string        // where processes of this node meet; empty: nowhere
+	Overlap  func(bool)    // told when another process of this node begins and ends to share its limits; may be nil
 
 	// The rest belongs to the loop.
 	ctx      context.Context
@@ -50,6 +56,7 @@
 	ids      *ids
 	listed   map[string]decide.ServerID
 	told     chan struct{}   // closed when discovery has told the list
+	unheard  bool            // the agent's first word is still awaited
 	heard    sync.Once       // for that
 	banned   map[string]bool // names of servers in maintenance
 	requests map[decide.RequestID]*request
@@ -58,10 +65,11 @@
 
 // New makes a node; Run starts it.
 func New(cfg Config, log *slog.Logger) *Node {
+	cfg = cfg.withoutView(log)
 	n := &Node{cfg: cfg, log: log, start: time.Now(), inbox: make(chan func(), inboxSize), calls: make(chan func()), told: make(chan struct{}), ended: make(chan struct{}),
 		module: decide.New(cfg.Settings, cfg.Seed), ids: newIDs(), listed: map[string]decide.ServerID{}, banned: map[string]bool{},
 		requests: map[decide.RequestID]*request{}, stats: newStats(cfg.Settings.Classes, cfg.BackendStats),
-		file: cfg.file}
+		file: cfg.file, first: firstWord, listTime: listTime}
 	if n.fences, n.unfit = fence.Open(cfg.Fences); n.unfit != nil {
 		n.fences, _ = fence.Open("") // of memory alone, which can't fail
 	}
@@ -69,6 +77,7 @@
 	n.backends = newPool(cfg.Settings, cfg.Sockets-spareSockets-clients)
 	n.backends.forwards = &n.stats.forwards
 	n.front = newFrontend(n, clients)
+	n.own = newOwn(cfg, clients)
 	n.front.room, n.backends.room = newRoom(cfg.MemoryMB), newRoom(cfg.MemoryMB)
 	return n
 }
@@ -85,10 +94,14 @@
 	if n.lists, err = n.newLists(); err != nil {
 		return err
 	}
+	if n.governed, err = newGoverned(n.cfg); err != nil {
+		return err
+	}
 	if n.meeting == "" && n.hears() {
 		n.listenPeers(inner)
 	}
 	go n.loop(inner)
+	n.govern(inner)
 	go n.backends.run(inner)
 	var old *link
 	if n.meeting != "" {
@@ -100,10 +113,7 @@
 	for _, err := range n.cfg.known.Odd {
 		n.log.Warn("list entry skipped", "err", err)
 	}
-	n.post(func() { n.follow(n.cfg.known, decide.ListCached) })
-	if !n.cfg.Settings.AskForList {
-		n.post(func() { n.lists.Follow(inner) })
-	}
+	n.post(func() { n.beginLists(inner) })
 	if old != nil {
 		n.succeed(ctx, old)
 	}
@@ -114,6 +124,8 @@
 		go n.awaitSuccessor(inner)
 	}
 	err = n.front.serve(ctx, ln)
+	n.leaveShares(inner)
+	n.leaveView(inner)
 	stop()
 	<-n.ended
 	return err
