Answer by the catalogue of tenants on the real node

Nothing on a node knew tenants. With govern.tenants a node keeps a session with the list service, reads the catalogue whenever its head or book changes, and judges each request by it in the same step of the loop in which the module hears of it: 404 only by right, 503 while it can't be sure, 403 where it may not. A route of zones and kinds is a variant of the class, of which limits and figures know nothing. Off unless the configuration names it.

--- a/decide/limiting.go
+++ b/decide/limiting.go
@@ -30,6 +30,7 @@
 	table *Table
 	hand  Hand
 	tally Tally
+	of    map[string]string // by variant: its class
 }
 
 // grant is what a request holds of a table's limits on open requests.
@@ -42,7 +43,7 @@
 func (m *Module) Tallies() (holds, tried Tally) { return m.limits[0].tally, m.limits[1].tally }
 
 func (m *Module) take(e TableChanged) {
-	l := limiter{table: e.Table, hand: e.Hand}
+	l := limiter{table: e.Table, hand: e.Hand, of: m.limits[0].of}
 	if e.Table != nil {
 		l.tally.By = make([]uint64, len(e.Table.Limits)+1)
 	}
@@ -53,11 +54,27 @@
 	}
 }
 
+// nameVariants tells the limits of the variants of classes in the settings, and in those before.
+func (m *Module) nameVariants() {
+	of := map[string]string{}
+	for _, all := range []map[string]*class{m.former, m.classes} {
+		for _, c := range all {
+			if c.Of != "" {
+				of[c.Name] = c.Of
+			}
+		}
+	}
+	m.limits[0].of, m.limits[1].of = of, of
+}
+
 // judge asks a table and counts what it says.
 func (l *limiter) judge(a Ask) Verdict {
 	if l.table == nil {
 		return Verdict{OK: true}
 	}
+	if class, variant := l.of[a.Class]; variant {
+		a.Class = class
+	}
 	v := l.table.Admit(a, l.hand)
 	if l.tally.Asked++; !v.OK {
 		l.tally.Refused++
--- a/decide/module.go
+++ b/decide/module.go
@@ -34,11 +34,14 @@
 		k := &class{relative: 1}
 		if before := m.former[c.Name]; before != nil {
 			*k = *before
+		} else if before := m.former[c.Of]; before != nil && c.Of != "" { // a variant begins with what its class has learned
+			*k = *before
 		}
 		m.classes[c.Name], m.order = k, append(m.order, k)
 		k.Class, k.group = c, m.groupOf(c.OnlyZones, c.OnlyKinds)
 		k.group.top = math.Max(k.group.top, c.Worth)
 	}
+	m.nameVariants()
 	used := map[*group]bool{m.groupOf(nil, nil): true} // for classes that the settings lack
 	for _, c := range m.order {
 		used[c.group] = true
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -42,6 +42,7 @@
 	Streamed    bool          // the answer is a stream
 	OnlyZones   []string      // the zones open to it; nil: all, empty: none
 	OnlyKinds   []string      // the machine kinds open to it; nil: all, empty: none
+	Of          string        // the class that this is a variant of, as which limits know it; empty: none
 }
 
 // Tenant is a customer with a guaranteed share.
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -59,6 +59,7 @@
 			return
 		}
 		n.handle(decide.StreamStarted{ID: r.id, Attempt: number, Server: server, Elapsed: took})
+		r.stream = res.stream
 		n.finish(r.id, answer{status: http.StatusOK, header: res.header, stream: res.stream})
 	})
 	select {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -41,6 +41,8 @@
 	Fleet  FleetConfig // the view of the fleet
 	Policy bool        // the operators' policy is followed, and its limits are shared with the other nodes
 
+	Tenants TenantsConfig
+
 	known list.Answer // the servers as the node last had them
 	file  any         // all of the file, as JSON has it
 }
@@ -123,6 +125,7 @@
 	c.Fleet, all = in.Fleet.config(in.Name, in.PeerListen, settings)
 	problems = append(problems, all...)
 	c.Policy = in.Govern != nil && in.Govern.Policy
+	c.Tenants = in.Govern.tenants()
 	problems = append(problems, in.Govern.check(c)...)
 	if settings.MayMessage {
 		c.PeerListen = in.PeerListen
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -73,10 +73,16 @@
 		if n.governed != nil {
 			n.governed.write(w)
 		}
+		if n.tenants != nil {
+			n.tenants.write(w)
+		}
 	})
 	if n.cfg.Fleet.Name != "" {
 		mux.HandleFunc("GET /fleet", n.answerFleet)
 	}
+	if n.cfg.Tenants.Known {
+		mux.HandleFunc("GET /tenants", n.answerTenants)
+	}
 	mux.HandleFunc("POST /backends/{id}/maint", func(w http.ResponseWriter, r *http.Request) { n.answerMaintenance(w, r, true) })
 	mux.HandleFunc("POST /backends/{id}/ready", func(w http.ResponseWriter, r *http.Request) { n.answerMaintenance(w, r, false) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/govern.go
+++ b/internal/node/govern.go
@@ -24,14 +24,20 @@
 
 // governForm is the form of the key govern in the configuration file.
 type governForm struct {
-	Policy bool `json:"policy"`
+	Policy  bool  `json:"policy"`
+	Tenants bool  `json:"tenants"`
+	HoldMS  int64 `json:"hold_ms"`
 }
 
 // check says what else a governed node needs.
 func (g *governForm) check(c Config) (problems []error) {
-	if g == nil || !g.Policy {
+	if g == nil {
 		return nil
 	}
+	problems = g.checkTenants(c)
+	if !g.Policy {
+		return problems
+	}
 	if c.Fleet.Name == "" {
 		problems = append(problems, fmt.Errorf("govern: policy needs the view of the fleet: the key fleet with its name"))
 	}
@@ -105,6 +111,7 @@
 	}
 	g.told = true
 	g.version.Store(one.Version)
+	n.tenantTable(t)
 	n.tell(quota.Table{Now: t})
 	if t == nil {
 		n.handle(decide.TableChanged{})
@@ -138,7 +145,7 @@
 	g, shell := n.governed, n.view.Load()
 	if shell != nil && g.ticks%peersTick == 0 {
 		n.tell(quota.Peers{Names: shell.Serving()})
-		shell.SetVersions(0, g.version.Load())
+		n.tellVersions()
 	}
 	g.ticks++
 	n.tell(quota.Tick{})
@@ -182,9 +189,9 @@
 }
 
 // settleReady lets clients in once there are servers and, where a policy is followed, it has been heard of: before that
-// the node would admit what no limit bounds.
+// the node would admit what no limit bounds. Where tenants are known, it has the catalogue, too, and is on the book.
 func (n *Node) settleReady() {
-	n.front.ready.Store(len(n.listed) > 0 && (n.governed == nil || n.governed.told))
+	n.front.ready.Store(len(n.listed) > 0 && (n.governed == nil || n.governed.told) && (n.tenants == nil || n.tenants.now.Ready()))
 }
 
 // write gives the figures of the policy as lines of text.
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -90,6 +90,9 @@
 		if n.governed != nil {
 			n.governed.k.SetAddresses(cfg.List) // as good as the ones just taken
 		}
+		if n.tenants != nil {
+			n.tenants.k.SetAddresses(cfg.List)
+		}
 	case *client.Platform:
 		if cfg.Discovery != n.cfg.Discovery {
 			n.log.Info("discovery moves", "to", cfg.Discovery)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	own      own
 	view     atomic.Pointer[view.Shell] // of the fleet; nil: there is none, or not yet
 	governed *governed                  // nil: no policy is followed
+	tenants  *tenants                   // nil: tenants are not told apart
 	links    links
 	meeting  string     // where processes of this node meet; empty: nowhere
 	Overlap  func(bool) // told when another process of this node begins and ends to share its limits; may be nil
@@ -70,6 +71,9 @@
 	if n.fences, n.unfit = fence.Open(cfg.Fences); n.unfit != nil {
 		n.fences, _ = fence.Open("") // of memory alone, which can't fail
 	}
+	if n.unfit == nil {
+		n.tenants, n.unfit = newTenants(cfg)
+	}
 	clients := int(clientPart * float64(cfg.Sockets-spareSockets))
 	n.backends = newPool(cfg.Settings, cfg.Sockets-spareSockets-clients)
 	n.backends.forwards = &n.stats.forwards
@@ -107,6 +111,7 @@
 			n.log.Warn("nothing is taken over", "err", err)
 		}
 	}
+	n.followTenants(inner)
 	for _, err := range n.cfg.known.Odd {
 		n.log.Warn("list entry skipped", "err", err)
 	}
@@ -124,8 +129,10 @@
 		go n.awaitSuccessor(inner)
 	}
 	err = n.front.serve(ctx, ln)
+	leave := n.leaveTenants(inner)
 	n.leaveShares(inner)
 	n.leaveView(inner)
+	leave()
 	stop()
 	<-n.ended
 	return err
--- a/internal/node/reply.go
+++ b/internal/node/reply.go
@@ -22,7 +22,7 @@
 		return aborted
 	case a.status == http.StatusOK:
 		return succeeded
-	case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
+	case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests, a.status == http.StatusForbidden || a.status == http.StatusNotFound:
 		return declined
 	}
 	return aborted
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -24,7 +24,9 @@
 	attempts  []context.CancelFunc
 	running   int
 	guard     *time.Timer
-	leaveRoom func() // gives back what its body has taken; may be nil
+	tenant    string  // by its name in the catalogue, until the request is over; empty: tenants are not told apart
+	stream    *stream // the long answer that has begun; nil: none
+	leaveRoom func()  // gives back what its body has taken; may be nil
 }
 
 // answer is a final answer to a client.
@@ -50,6 +52,9 @@
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
+	if !n.judge(r, &e) {
+		return
+	}
 	n.requests[r.id] = r
 	if r.out.rest != nil {
 		e.Coming, e.Patience = true, r.out.rest.wait
@@ -125,5 +130,6 @@
 func (n *Node) forget(r *request) {
 	if r.done && r.running == 0 {
 		delete(n.requests, r.id)
+		n.overTenant(r)
 	}
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -135,7 +135,7 @@
 			n.cfg.Settings = cfg.Settings
 			n.stats.add(cfg.Settings.Classes)
 			n.backends.configure(cfg.Settings)
-			n.handle(decide.SettingsChanged{Settings: cfg.Settings})
+			n.handle(decide.SettingsChanged{Settings: n.withVariants(cfg.Settings)})
 			n.front.rules.Store(newRules(cfg.Settings, n.front.rules.Load()))
 		}
 		n.moveLists(cfg)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -25,17 +25,29 @@
 	rest   io.Reader
 	conn   *conn
 	ended  chan error // takes how it ended, once
+	leash
 }
 
 // pass writes a stream to its client, piece by piece. An error means that the
 // client does not have all of it.
 func (s *stream) pass(w http.ResponseWriter) error {
 	control := http.NewResponseController(w)
+	s.take(func() {
+		s.conn.SetDeadline(time.Unix(1, 0))
+		control.SetWriteDeadline(time.Unix(1, 0))
+	})
+	return s.drop(s.copy(w, control))
+}
+
+func (s *stream) copy(w http.ResponseWriter, control *http.ResponseController) error {
 	put := func(p []byte) error {
 		if len(p) == 0 {
 			return nil
 		}
 		control.SetWriteDeadline(time.Now().Add(progressTime))
+		if s.pulled() {
+			return errCut
+		}
 		if _, err := w.Write(p); err != nil {
 			return errClientGone
 		}
@@ -50,6 +62,9 @@
 		var n int
 		var rerr error
 		s.conn.SetReadDeadline(time.Now().Add(progressTime))
+		if s.pulled() {
+			return errCut
+		}
 		n, rerr = s.rest.Read(buf)
 		if passed += int64(n); passed > maxLarge {
 			return errLong
--- /dev/null
+++ b/internal/node/tenants_lanes.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/tenant"
+)
+
+const (
+	mostVariants = 128         // of classes: the module goes through its placements all the time
+	laneRetry    = time.Second // told to a request whose route the module does not have
+)
+
+// lanes are the routes of the catalogue as the module knows them: variants of classes that are open to some zones and
+// kinds only. A route that names pods has none, as the module does not choose by pods.
+type lanes struct {
+	names map[lane]string         // by route and class: the variant
+	wants map[string]decide.Class // variants of the catalogue
+	has   map[string]decide.Class // variants that the module was given
+	late  bool                    // it is to be given others
+	tried *tenant.Image           // of which names and wants are
+}
+
+type lane struct {
+	route *tenant.Route
+	class string
+}
+
+func newLanes() lanes {
+	return lanes{names: map[lane]string{}, wants: map[string]decide.Class{}, has: map[string]decide.Class{}}
+}
+
+// of gives the class by which the module places a request; empty: it can't.
+func (l *lanes) of(route *tenant.Route, class string) string {
+	if !narrows(route) {
+		return class
+	}
+	name := l.names[lane{route, class}]
+	if _, given := l.has[name]; given {
+		return name
+	}
+	return ""
+}
+
+func narrows(r *tenant.Route) bool { return len(r.Zones)+len(r.Kinds)+len(r.Pods) > 0 }
+
+// plan finds the variants that a catalogue needs, in the order of its tenants' names: equal routes share one.
+func (l *lanes) plan(i *tenant.Image, classes []decide.Class) {
+	l.names, l.wants, l.tried = map[lane]string{}, map[string]decide.Class{}, i
+	if i == nil {
+		return
+	}
+	byName := map[string]decide.Class{}
+	for _, c := range classes {
+		byName[c.Name] = c
+	}
+	for _, e := range i.Sorted() {
+		for _, f := range []*tenant.Form{e.Now, e.Next} {
+			if f == nil {
+				continue
+			}
+			for _, class := range f.Classes {
+				if c, known := byName[class]; known {
+					l.add(f.Route(class), c)
+				}
+			}
+		}
+	}
+}
+
+func (l *lanes) add(r *tenant.Route, c decide.Class) {
+	if r == nil || !narrows(r) || len(r.Pods) > 0 {
+		return
+	}
+	v := variant(c, r)
+	if _, there := l.wants[v.Name]; !there && len(l.wants) >= mostVariants {
+		return
+	}
+	l.wants[v.Name] = v
+	l.names[lane{r, c.Name}] = v.Name
+}
+
+// variant is a class with the zones and kinds of a route alone. Its name is the same for equal routes, in every process,
+// and none that a client can send.
+func variant(c decide.Class, r *tenant.Route) decide.Class {
+	zones, kinds := narrow(c.OnlyZones, r.Zones), narrow(c.OnlyKinds, r.Kinds)
+	c.Of = c.Name
+	c.Name = strings.Join([]string{c.Name, "zones:" + strings.Join(zones, "\x00"), "kinds:" + strings.Join(kinds, "\x00")}, "\x00")
+	c.OnlyZones, c.OnlyKinds = zones, kinds
+	return c
+}
+
+// narrow gives what is open to both, in order. Of a class nil is all, of a route none is.
+func narrow(class, route []string) []string {
+	if len(route) == 0 {
+		return class
+	}
+	both := []string{}
+	for _, one := range route {
+		if class == nil || slices.Contains(class, one) {
+			both = append(both, one)
+		}
+	}
+	slices.Sort(both)
+	return slices.Compact(both)
+}
+
+// withVariants adds the variants that the catalogue needs to settings, for the module alone. It is told of them.
+func (n *Node) withVariants(s decide.Settings) decide.Settings {
+	t := n.tenants
+	if t == nil {
+		return s
+	}
+	t.lanes.plan(t.lanes.tried, s.Classes)
+	t.lanes.has, t.lanes.late = t.lanes.wants, false
+	s.Classes = slices.Clone(s.Classes)
+	for _, name := range slices.Sorted(maps.Keys(t.lanes.has)) {
+		s.Classes = append(s.Classes, t.lanes.has[name])
+	}
+	return s
+}
+
+// planLanes follows a catalogue up.
+func (n *Node) planLanes(i *tenant.Image) {
+	l := &n.tenants.lanes
+	if l.tried == i {
+		return
+	}
+	l.plan(i, n.cfg.Settings.Classes)
+	for name := range l.wants {
+		if _, given := l.has[name]; !given {
+			l.late = true
+		}
+	}
+	n.giveLanes()
+}
+
+// giveLanes gives the module the variants that it lacks. While requests still come in the form of the settings before,
+// which it would forget, it waits: until then the routes that are new get a 503.
+func (n *Node) giveLanes() {
+	if n.tenants.lanes.late && time.Now().After(n.front.rules.Load().formerUntil) {
+		n.handle(decide.SettingsChanged{Settings: n.withVariants(n.cfg.Settings)})
+	}
+}
--- /dev/null
+++ b/internal/node/tenants_report.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"indigotack/internal/tenant"
+)
+
+// write gives the figures of tenants as lines of text.
+func (t *tenants) write(w io.Writer) {
+	fmt.Fprintf(w, "app.tenants.number:%d|g\napp.tenants.known:%d|g\napp.tenants.unsure:%d|c\napp.tenants.declined:%d|c\napp.tenants.unknown:%d|c\n",
+		t.number.Load(), t.known.Load(), t.unsure.Load(), t.declined.Load(), t.unknown.Load())
+}
+
+// answerTenants tells an operator what this node knows of tenants, MaxTenants at most.
+func (n *Node) answerTenants(w http.ResponseWriter, _ *http.Request) {
+	var r tenant.Report
+	if !n.do(func() { r = n.tenants.desk.Report(n.clock()) }) {
+		http.Error(w, "the node has ended", http.StatusServiceUnavailable)
+		return
+	}
+	r.Tenants = r.Tenants[:min(len(r.Tenants), tenant.MaxTenants)]
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(r)
+}
--- a/internal/node/upgrade_link.go
+++ b/internal/node/upgrade_link.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/tenant"
 )
 
 const (
@@ -31,8 +32,9 @@
 	Bans    []string                   `json:"bans,omitempty"`
 	Backend string                     `json:"backend,omitempty"`
 	On      bool                       `json:"on,omitempty"`
-	Number  int                        `json:"number,omitempty"` // of a call that is forwarded
-	Fleet   json.RawMessage            `json:"fleet,omitempty"`  // a view.Handed, the node's life in the fleet; what can't be read of it costs only the life
+	Number  int                        `json:"number,omitempty"`  // of a call that is forwarded
+	Tenants *tenant.Member             `json:"tenants,omitempty"` // how the tenants' book has the node
+	Fleet   json.RawMessage            `json:"fleet,omitempty"`   // a view.Handed, the node's life in the fleet; what can't be read of it costs only the life
 }
 
 // The kinds of message, in the order in which they come.
--- a/internal/node/upgrade_new.go
+++ b/internal/node/upgrade_new.go
@@ -63,6 +63,7 @@
 	for _, name := range m.Bans {
 		n.setMaintenance(name, true)
 	}
+	n.succeedTenants(m.Tenants)
 	if m.Learned == nil {
 		return
 	}
@@ -99,7 +100,9 @@
 			}
 		})
 	}()
+	end := time.Now().Add(listTime)
 	n.await(ctx, listTime, n.told)
+	n.await(ctx, time.Until(end), n.tenants.isReady())
 	if err := l.say(message{Kind: kindReady}, -1); err != nil {
 		n.log.Warn("the old process is gone", "err", err)
 		return
--- a/internal/node/upgrade_old.go
+++ b/internal/node/upgrade_old.go
@@ -98,5 +98,6 @@
 		m.Names[n.ids.byID[s.ID]] = s.ID
 	}
 	m.Bans = slices.Sorted(maps.Keys(n.banned))
+	m.Tenants = n.tenants.member()
 	return m
 }
--- a/internal/node/validate.go
+++ b/internal/node/validate.go
@@ -35,6 +35,9 @@
 		return bad(http.StatusBadRequest, "want one X-Request-Id of at most %d bytes", maxIDLength)
 	}
 	e.ID = decide.RequestID(id)
+	if f.node.cfg.Tenants.Known && len(r.Header.Values("X-Tenant")) > 1 {
+		return bad(http.StatusBadRequest, "want one X-Tenant")
+	}
 	former, err := f.rules.Load().effect(e.Class, func(effect decide.Effect) error { return fits(r, e.Class, effect) })
 	if err != nil {
 		var wrong formError
--- a/internal/node/view/tell.go
+++ b/internal/node/view/tell.go
@@ -7,10 +7,11 @@
 	"indigotack/internal/fleet"
 )
 
-// reach is how a member is reached, and whether it serves.
+// reach is how a member is reached, whether it serves, and which catalogue of tenants it has.
 type reach struct {
-	at     netip.AddrPort
-	serves bool
+	at        netip.AddrPort
+	serves    bool
+	catalogue uint64 // 0 of one that is not alive
 }
 
 // Tell sends a datagram of another part of the program to a member by its name, if it is known. It does not wait.
@@ -32,7 +33,20 @@
 	return all
 }
 
+// Catalogue is the highest number of a catalogue of tenants that a live member says it has.
+func (s *Shell) Catalogue() (number uint64) {
+	s.book.Range(func(_, r any) bool {
+		number = max(number, r.(reach).catalogue)
+		return true
+	})
+	return number
+}
+
 // note keeps how a member is reached.
 func (s *Shell) note(m fleet.Member) {
-	s.book.Store(m.Name, reach{s.address(m.Name, m.Addr), m.Health == fleet.Alive && m.Facts.State == fleet.Serving})
+	r := reach{at: s.address(m.Name, m.Addr)}
+	if m.Health == fleet.Alive {
+		r.serves, r.catalogue = m.Facts.State == fleet.Serving, m.Facts.Catalogue
+	}
+	s.book.Store(m.Name, r)
 }
--- a/internal/tenant/compile.go
+++ b/internal/tenant/compile.go
@@ -27,7 +27,7 @@
 func compile(f *Form, t Table) *compiled {
 	c := &compiled{suspended: f.Suspended, quota: t.covers(f), lanes: map[string]lane{}, keys: f.Keys}
 	for _, class := range f.Classes {
-		if r, l := f.route(class), f.limit(class); r != nil && l != "" {
+		if r, l := f.Route(class), f.limit(class); r != nil && l != "" {
 			c.lanes[class] = lane{route: r, limit: l}
 		}
 	}
@@ -66,7 +66,7 @@
 // places gives the names of a catalogue.
 func places(i *Image, t Table) map[string]*place {
 	all := map[string]*place{}
-	for _, e := range i.sorted() {
+	for _, e := range i.Sorted() {
 		var now, next *compiled
 		if e.Now != nil {
 			now = compile(e.Now, t)
--- a/internal/tenant/desk.go
+++ b/internal/tenant/desk.go
@@ -141,7 +141,7 @@
 		return
 	}
 	d.names = places(d.image, d.table)
-	d.moving = slices.DeleteFunc(d.image.sorted(), func(e *Entry) bool { return e.Phase == Serve })
+	d.moving = slices.DeleteFunc(d.image.Sorted(), func(e *Entry) bool { return e.Phase == Serve })
 	for name := range d.leave {
 		if e := d.image.Entries[name]; e == nil || !e.going() {
 			delete(d.leave, name)
--- a/internal/tenant/form.go
+++ b/internal/tenant/form.go
@@ -75,8 +75,8 @@
 // Drain is how long what is open has to end.
 func (f *Form) Drain() time.Duration { return time.Duration(f.DrainMS) * time.Millisecond }
 
-// route and limit give what holds for a class; nil and "" where nothing does.
-func (f *Form) route(class string) *Route {
+// Route and limit give what holds for a class; nil and "" where nothing does.
+func (f *Form) Route(class string) *Route {
 	for i := range f.Routes {
 		if has(f.Routes[i].Classes, class) {
 			return &f.Routes[i]
@@ -124,7 +124,7 @@
 		return fmt.Errorf("routes and quotas: %d and %d, %d at most", len(f.Routes), len(f.Quotas), MaxRoutes)
 	}
 	for _, class := range f.Classes {
-		if f.route(class) == nil {
+		if f.Route(class) == nil {
 			return fmt.Errorf("routes: none has class %s", class)
 		}
 		if f.limit(class) == "" {
--- a/internal/tenant/image.go
+++ b/internal/tenant/image.go
@@ -173,7 +173,7 @@
 	return i, nil
 }
 
-// sorted gives the entries by name.
-func (i *Image) sorted() []*Entry {
+// Sorted gives the entries by name.
+func (i *Image) Sorted() []*Entry {
 	return slices.SortedFunc(maps.Values(i.Entries), func(a, b *Entry) int { return cmp.Compare(a.Name, b.Name) })
 }
--- a/internal/tenant/rules_test.go
+++ b/internal/tenant/rules_test.go
@@ -33,7 +33,7 @@
 	if f.Suspended {
 		return suspended
 	}
-	return f.route(class).Zones[0] + " " + f.limit(class)
+	return f.Route(class).Zones[0] + " " + f.limit(class)
 }
 
 // written notes what a write means, and checks what records must keep to.
