--- a/internal/node/tenants_session.go
+++ b/internal/node/tenants_session.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"indigotack/internal/list"
-	"indigotack/internal/list/client"
 	"indigotack/internal/pause"
 	"indigotack/internal/tenant"
 )
@@ -16,10 +15,7 @@
 const (
 	sessionTTL  = 3 * time.Second        // without the list service, a definite no ends so long after the last word
 	sessionCall = time.Second            // for one call about the session: what is late by more is made anew
-	readTries   = 5 * time.Second        // for one read of the catalogue
 	callAgain   = 200 * time.Millisecond // and as much again at random, after a call that failed
-	tenantTick  = 250 * time.Millisecond // of the desk's clock: it wants each half second
-	leftTime    = 2 * time.Second        // for the word that the node has left, and for the book to follow
 )
 
 // session is the node's session with the list service. One goroutine makes all calls about it.
@@ -55,87 +51,6 @@
 	}
 }
 
-// followTenants keeps the session, reads the catalogue and has the desk's clock run until ctx ends.
-func (n *Node) followTenants(ctx context.Context) {
-	t := n.tenants
-	if t == nil {
-		return
-	}
-	open, stop := context.WithCancel(ctx)
-	t.session.close = stop
-	go n.keepSession(open)
-	go n.readTenants(ctx)
-	for _, key := range []string{tenant.HeadKey, tenant.BookKey} { // the pages are read as they are wanted
-		go t.k.FollowRecords(ctx, key, func(client.Records) { t.session.ask() })
-	}
-	go func() {
-		defer t.k.Close()
-		every := time.NewTicker(tenantTick)
-		defer every.Stop()
-		for {
-			select {
-			case <-every.C:
-				n.post(n.tenantTick)
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-}
-
-func (n *Node) tenantTick() {
-	if shell := n.view.Load(); shell != nil {
-		n.desk(tenant.Heard{Number: shell.Catalogue()})
-	}
-	n.desk(tenant.Tick{})
-	n.giveLanes()
-}
-
-// readTenants reads the catalogue whenever it is asked to, until that has worked.
-func (n *Node) readTenants(ctx context.Context) {
-	t := n.tenants
-	r := &tenant.Reader{List: t.k, Member: t.as}
-	for failed := false; ; {
-		select {
-		case <-t.session.reads:
-		case <-ctx.Done():
-			return
-		}
-		call, done := context.WithTimeout(ctx, readTries)
-		got, err := r.Read(call, n.clock)
-		done()
-		if err != nil {
-			if !failed {
-				n.log.Warn("the catalogue of tenants can't be read for now", "err", err)
-			}
-			t.session.ask()
-			pauseAgain(ctx)
-		} else {
-			n.post(func() { n.takeTenants(got) })
-		}
-		failed = err != nil
-	}
-}
-
-// takeTenants takes what was read. The routes come first: what the desk then says to be taken up can be served.
-func (n *Node) takeTenants(got tenant.Read) {
-	t := n.tenants
-	if got.Image != nil && got.Image.Number >= t.desk.Number() {
-		n.planLanes(got.Image)
-	}
-	n.desk(got)
-	if t.now.Ready() || got.Enrolled {
-		return
-	}
-	if w := t.desk.Word(); w.Left {
-		select {
-		case <-t.off:
-		default:
-			close(t.off)
-		}
-	}
-}
-
 // keepSession has the node have a session until ctx ends, and closes the last one.
 func (n *Node) keepSession(ctx context.Context) {
 	s := n.tenants.session
@@ -232,29 +147,3 @@
 }
 
 func pauseAgain(ctx context.Context) { pause.For(ctx, callAgain+rand.N(callAgain)) }
-
-// leaveTenants says that this process serves no tenant any more, once it has ended all its requests. wait returns when
-// the book has followed, or late, with the session closed: until then changes of tenants wait for this node. One whose
-// word has not been seen runs out by itself, so that it still can be.
-func (n *Node) leaveTenants(ctx context.Context) (wait func()) {
-	t := n.tenants
-	if t == nil {
-		return func() {}
-	}
-	ctx, stop := context.WithTimeout(ctx, leftTime)
-	n.post(func() { n.desk(tenant.Leave{}) })
-	return func() {
-		defer stop()
-		gone := n.await(ctx, leftTime, t.session.left)
-		if gone && !n.front.handed.Load() { // else the book goes on to have the process that follows
-			t.session.ask()
-			gone = n.await(ctx, leftTime, t.off)
-		}
-		if !gone {
-			n.log.Warn("the tenants' book may still have this node: indigoctl tenant forget")
-			return
-		}
-		t.session.close()
-		n.await(ctx, leftTime, t.session.ended)
-	}
-}
