--- /dev/null
+++ b/internal/node/tenants_test.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/tenant"
+)
+
+func formOf(drain time.Duration, routes ...tenant.Route) *tenant.Form {
+	return &tenant.Form{Names: []string{"k"}, Classes: []string{"saldo", "pagar"}, Quotas: []tenant.Quota{{Limit: "book/k"}}, Routes: routes, DrainMS: drain.Milliseconds()}
+}
+
+// withTenants has a node know tenants, with no list service: what that would tell comes by the test.
+func withTenants(t *testing.T, n *Node) {
+	n.cfg.Tenants.Known, n.cfg.List = true, []string{"127.0.0.1:1"}
+	var err error
+	if n.tenants, err = newTenants(n.cfg); err != nil {
+		t.Fatal(err)
+	}
+	n.cfg.List = nil
+}
+
+func (n *Node) read(number uint64, phase tenant.Phase, f *tenant.Form) {
+	i := &tenant.Image{Number: number, Entries: map[string]*tenant.Entry{"k": {Name: "k", Phase: phase, Now: f, Since: number}}}
+	n.takeTenants(tenant.Read{Began: n.clock(), Enrolled: true, Image: i})
+}
+
+// TestTenantIsCutOff: when a tenant drains, what may have run is no refusal, what has begun at its client breaks off, and
+// both are over for the word that the node gives.
+func TestTenantIsCutOff(t *testing.T) {
+	came := make(chan bool, 2)
+	n := startNodeWith(t, func(n *Node) {
+		withTenants(t, n)
+		n.tenantTable(&decide.Table{Limits: []decide.Limit{{Name: "book/k", Part: -1}}})
+		n.read(1, tenant.Serve, formOf(0, tenant.Route{Zones: []string{"a"}}))
+	}, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for req := readRequest(r); req != nil; req = readRequest(r) {
+			if req.Header.Get("X-Request-Id") == "long" {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 2*maxBody)
+				c.Write(make([]byte, maxBody+1))
+			}
+			came <- true
+		}
+	}))
+	send := func(id string) raw {
+		c := n.dial(t)
+		fmt.Fprintf(c, "GET /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: saldo\r\nX-Tenant: k\r\nX-Deadline: 20\r\n\r\n", id)
+		return c
+	}
+	open, long := send("open"), send("long")
+	for range 2 {
+		wait(t, came, "the backend")
+	}
+	resp, err := http.ReadResponse(long.read, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	n.do(func() { n.read(2, tenant.Drain, formOf(0, tenant.Route{})) })
+	if status := open.status(t); status != http.StatusBadGateway {
+		t.Errorf("what may have run is answered with %d", status)
+	}
+	long.SetReadDeadline(time.Now().Add(progressTime / 2)) // before its standstill would end it
+	if _, err := io.ReadAll(resp.Body); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a long answer goes on: %v", err)
+	}
+	for until := time.Now().Add(enough); ; time.Sleep(time.Millisecond) {
+		var r tenant.Report
+		n.do(func() { r = n.tenants.desk.Report(n.clock()) })
+		if len(r.Tenants) == 1 && r.Tenants[0].Open == 0 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatalf("not over: %+v", r)
+		}
+	}
+	// The name may be another's by now, as the node has no right: no 403.
+	if status := send("late").status(t); status != http.StatusServiceUnavailable {
+		t.Errorf("after it: %d", status)
+	}
+}
+
+// TestTenantsKeepAFrontShut: until the node has the catalogue and is on the book.
+func TestTenantsKeepAFrontShut(t *testing.T) {
+	n := New(testConfig("127.0.0.1:1"), quiet)
+	withTenants(t, n)
+	n.listed["s"] = 1
+	for i, event := range []any{tenant.Tables{}, tenant.Read{Enrolled: true}, tenant.Read{Image: &tenant.Image{Number: 1}}, tenant.Read{Enrolled: true, Image: &tenant.Image{Number: 1}}} {
+		n.desk(event)
+		if n.settleReady(); n.front.ready.Load() != (i == 3) {
+			t.Errorf("ready is wrong after %d events", i+1)
+		}
+	}
+}
+
+// TestLanes: a class's variant has the zones and kinds that both it and the route have; equal routes share one; a route
+// that names pods has none, nor has one beyond the bound.
+func TestLanes(t *testing.T) {
+	classes := []decide.Class{{Name: "saldo", OnlyZones: []string{"a", "b"}, Worth: 3}, {Name: "pagar", OnlyKinds: []string{}}}
+	l := newLanes()
+	f := formOf(0, tenant.Route{Zones: []string{"b", "c", "b"}, Kinds: []string{"m"}})
+	same := formOf(0, tenant.Route{Zones: []string{"c", "b"}, Kinds: []string{"m"}})
+	pods := formOf(0, tenant.Route{Pods: []int{1}})
+	entries := map[string]*tenant.Entry{"x": {Name: "x", Now: f, Next: same}, "y": {Name: "y", Now: pods}}
+	l.plan(&tenant.Image{Entries: entries}, classes)
+	l.has = l.wants
+	one := l.of(&f.Routes[0], "saldo")
+	if v := l.has[one]; v.Of != "saldo" || v.Worth != 3 || !slices.Equal(v.OnlyZones, []string{"b"}) || !slices.Equal(v.OnlyKinds, []string{"m"}) {
+		t.Errorf("%q: %+v", one, v)
+	}
+	if v := l.has[l.of(&f.Routes[0], "pagar")]; v.OnlyKinds == nil || len(v.OnlyKinds) != 0 || !slices.Equal(v.OnlyZones, []string{"b", "c"}) {
+		t.Errorf("%+v", v)
+	}
+	if other := l.of(&same.Routes[0], "saldo"); other != one || len(l.has) != 2 {
+		t.Errorf("equal routes have %q and %q of %d", one, other, len(l.has))
+	}
+	if name := l.of(&pods.Routes[0], "saldo"); name != "" {
+		t.Errorf("a route of pods has %q", name)
+	}
+	if name := l.of(&tenant.Route{Least: 2}, "saldo"); name != "saldo" {
+		t.Errorf("a route of everything has %q", name)
+	}
+	for i := range mostVariants {
+		entries[fmt.Sprint(i)] = &tenant.Entry{Name: fmt.Sprint(i), Now: formOf(0, tenant.Route{Zones: []string{fmt.Sprint(i)}})}
+	}
+	if l.plan(&tenant.Image{Entries: entries}, classes); len(l.wants) != mostVariants {
+		t.Errorf("%d variants", len(l.wants))
+	}
+}
