--- a/cmd/indigolab/sim.go
+++ b/cmd/indigolab/sim.go
@@ -128,7 +128,7 @@
 		Use:   "growth",
 		Short: "measure what the view costs and how fast it is, by the size of the fleet, beside everybody asking everybody",
 		Long: `The times are of the fleet's clock, until every running node knows: all joined by one address, one more node, one death, halves that
-were cut off. False deaths are of running nodes in anybody's view, a node and hour. Of 3,000 nodes it takes some minutes and 8 GB.`,
+were cut off. False deaths are of running nodes in anybody's view, a node and hour. 1,000 nodes take 2 minutes of one processor and 0.8 GB, 3,000 nine times as much.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if g.Hours < 0 || slices.ContainsFunc(slices.Concat(sizes, rivals), func(n int) bool { return n < 2 || n > 5000 }) ||
