--- a/decide/limiting.go
+++ b/decide/limiting.go
@@ -1,6 +1,8 @@
 package decide
 
-// What a module keeps of the operators' tables. What they decide is in limits.go.
+// What a module keeps of the operators' tables, and how a request comes to them. What they decide is in limits.go.
+
+import "time"
 
 // Events of the operators' limits.
 type (
@@ -98,3 +100,25 @@
 		h.Give(int(at), 1)
 	}
 }
+
+// permit asks the table that holds and the one that is tried. The latter's word only counts.
+func (m *Module) permit(r *request, e *RequestArrived) bool {
+	if m.limits[0].table == nil && m.limits[1].table == nil {
+		return true
+	}
+	a := Ask{Site: m.set.Zone, Book: e.Tenant, Class: e.Class, Key: e.Key, Repeat: e.Repeat,
+		Priority: r.priority, Cost: time.Duration(r.class.hint * float64(time.Second)), Level: m.level}
+	if e.HasHint {
+		a.Cost = e.WorkHint
+	}
+	v, tried := m.limits[0].judge(a), m.limits[1].judge(a)
+	if m.limits[1].table != nil && v.OK != tried.OK {
+		m.limits[1].tally.Apart++
+	}
+	r.grants = [2]grant{{m.limits[0].hand, v.Held}, {m.limits[1].hand, tried.Held}}
+	if !v.OK {
+		m.do(Refuse{ID: r.id, HoldOff: min(m.jitter(v.RetryAfter), m.set.MaxHoldOff), Status: v.Status})
+		m.close(r)
+	}
+	return v.OK
+}
--- a/decide/shedding.go
+++ b/decide/shedding.go
@@ -35,13 +35,3 @@
 	return !r.coming && r.class.LateWorth == 0 && r.class.Aim > 0 && spent > 0 &&
 		spent+after >= r.class.Aim.Seconds()
 }
-
-// within takes a token of the tenant's share, if there is one.
-func (t *tenant) within(now Time) bool {
-	t.tokens, t.at = math.Min(t.perNode, t.tokens+t.perNode*(now-t.at).Seconds()), now
-	ok := t.tokens >= 1
-	if ok {
-		t.tokens--
-	}
-	return ok
-}
--- a/decide/state.go
+++ b/decide/state.go
@@ -2,7 +2,10 @@
 
 // The state that the decisions keep. Nothing is decided here.
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Mode is the overload state of a server as this node sees it: the paper's s = 0, 1, 2.
 type Mode int
@@ -130,3 +133,13 @@
 	limits             [2]limiter // of the table that holds; of the one that is tried
 	level              int        // of degradation
 }
+
+// within takes a token of the tenant's share, if there is one.
+func (t *tenant) within(now Time) bool {
+	t.tokens, t.at = math.Min(t.perNode, t.tokens+t.perNode*(now-t.at).Seconds()), now
+	ok := t.tokens >= 1
+	if ok {
+		t.tokens--
+	}
+	return ok
+}
