--- a/decide/limiting.go
+++ b/decide/limiting.go
@@ -1,6 +1,8 @@
 package decide
 
-// What a module keeps of the operators' tables. What they decide is in limits.go.
+// What a module keeps of the operators' tables, and how a request comes to them. What they decide is in limits.go.
+
+import "time"
 
 // Events of the operators' limits.
 type (
@@ -30,6 +32,7 @@
 	table *Table
 	hand  Hand
 	tally Tally
+	of    map[string]string // by variant: its class
 }
 
 // grant is what a request holds of a table's limits on open requests.
@@ -42,7 +45,7 @@
 func (m *Module) Tallies() (holds, tried Tally) { return m.limits[0].tally, m.limits[1].tally }
 
 func (m *Module) take(e TableChanged) {
-	l := limiter{table: e.Table, hand: e.Hand}
+	l := limiter{table: e.Table, hand: e.Hand, of: m.limits[0].of}
 	if e.Table != nil {
 		l.tally.By = make([]uint64, len(e.Table.Limits)+1)
 	}
@@ -53,11 +56,27 @@
 	}
 }
 
+// nameVariants tells the limits of the variants of classes in the settings, and in those before.
+func (m *Module) nameVariants() {
+	of := map[string]string{}
+	for _, all := range []map[string]*class{m.former, m.classes} {
+		for _, c := range all {
+			if c.Of != "" {
+				of[c.Name] = c.Of
+			}
+		}
+	}
+	m.limits[0].of, m.limits[1].of = of, of
+}
+
 // judge asks a table and counts what it says.
 func (l *limiter) judge(a Ask) Verdict {
 	if l.table == nil {
 		return Verdict{OK: true}
 	}
+	if class, variant := l.of[a.Class]; variant {
+		a.Class = class
+	}
 	v := l.table.Admit(a, l.hand)
 	if l.tally.Asked++; !v.OK {
 		l.tally.Refused++
@@ -81,3 +100,25 @@
 		h.Give(int(at), 1)
 	}
 }
+
+// permit asks the table that holds and the one that is tried. The latter's word only counts.
+func (m *Module) permit(r *request, e *RequestArrived) bool {
+	if m.limits[0].table == nil && m.limits[1].table == nil {
+		return true
+	}
+	a := Ask{Site: m.set.Zone, Book: e.Tenant, Class: e.Class, Key: e.Key, Repeat: e.Repeat,
+		Priority: r.priority, Cost: time.Duration(r.class.hint * float64(time.Second)), Level: m.level}
+	if e.HasHint {
+		a.Cost = e.WorkHint
+	}
+	v, tried := m.limits[0].judge(a), m.limits[1].judge(a)
+	if m.limits[1].table != nil && v.OK != tried.OK {
+		m.limits[1].tally.Apart++
+	}
+	r.grants = [2]grant{{m.limits[0].hand, v.Held}, {m.limits[1].hand, tried.Held}}
+	if !v.OK {
+		m.do(Refuse{ID: r.id, HoldOff: min(m.jitter(v.RetryAfter), m.set.MaxHoldOff), Status: v.Status})
+		m.close(r)
+	}
+	return v.OK
+}
