--- /dev/null
+++ b/internal/lab/check/quota_test.go
@@ -0,0 +1,47 @@
+package check
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"indigotack/internal/lab/history"
+)
+
+// arrivals are requests at boxes, evenly at a rate between two times; each comes twice, as a second attempt would.
+func arrivals(rate float64, from, to time.Duration) (events []history.Event) {
+	for t := from; t < to; t += time.Duration(float64(time.Second) / rate) {
+		for range 2 {
+			events = append(events, history.Event{T: t, Kind: history.Arrive, ID: fmt.Sprint(t)})
+		}
+	}
+	return events
+}
+
+// TestQuotas: a fleet that keeps to its limit passes, and one that goes on by the former one for too long, that lets a
+// burst through, or that leaves too much of it unused is found.
+func TestQuotas(t *testing.T) {
+	const s = time.Second
+	limits := []Quota{{Rate: 50, Burst: 20}, {From: 10 * s, Rate: 25, Burst: 10}}
+	good := append(arrivals(50, 0, 10*s), arrivals(25, 10*s, 20*s)...)
+	burst := append(arrivals(50, 0, 5*s), arrivals(400, 5*s, 5*s+200*time.Millisecond)...)
+	for name, c := range map[string]struct {
+		events []history.Event
+		used   float64
+		want   string
+	}{
+		"kept":                {good, 0.95, ""},
+		"lowered in time":     {append(arrivals(50, 0, 13*s), arrivals(25, 13*s, 20*s)...), 0, ""},
+		"lowered too late":    {append(arrivals(50, 0, 17*s), arrivals(25, 17*s, 20*s)...), 0, "more than leak away at 25.0"},
+		"a second holder":     {arrivals(100, 0, 10*s), 0, "more than leak away at 50.0"},
+		"a burst":             {burst, 0, "the burst is 20.0"},
+		"hardly used":         {arrivals(10, 0, 20*s), 0.5, "of the quota was used"},
+		"asked little, as is": {arrivals(10, 0, 20*s), 0, ""},
+	} {
+		v := Quotas(c.events, limits, 0, 20*s, c.used)
+		if got := fmt.Sprint(v.Broken); c.want == "" && !v.OK() || !strings.Contains(got, c.want) {
+			t.Errorf("%s: %s, measured %v", name, got, v.Measured)
+		}
+	}
+}
