Name the policy's record in one place, and compile a policy file in one call

Change: tenants take the key from the record's own package; compilePolicy takes the settings' file. Behaviour is as it was.

--- a/cmd/indigoctl/policy.go
+++ b/cmd/indigoctl/policy.go
@@ -43,11 +43,7 @@
 		Example: "  indigoctl policy check site.hcl --settings node.json\n  indigoctl policy check site.hcl --limits",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			known, err := knownNames(settings)
-			if err != nil {
-				return err
-			}
-			t, err := compilePolicy(c.ErrOrStderr(), args[0], known)
+			t, err := compilePolicy(c.ErrOrStderr(), args[0], settings)
 			if err != nil {
 				return err
 			}
@@ -60,8 +56,12 @@
 	return c
 }
 
-// compilePolicy compiles a file and prints what is wrong with it.
-func compilePolicy(errs io.Writer, path string, known policy.Known) (*decide.Table, error) {
+// compilePolicy compiles a file by the names that the file settings knows, and prints what is wrong with it.
+func compilePolicy(errs io.Writer, path, settings string) (*decide.Table, error) {
+	known, err := knownNames(settings)
+	if err != nil {
+		return nil, err
+	}
 	text, err := readMost(path, mostPolicy)
 	if err != nil {
 		return nil, err
--- a/cmd/indigoctl/policy_apply.go
+++ b/cmd/indigoctl/policy_apply.go
@@ -22,11 +22,7 @@
 		Example: "  indigoctl policy apply site.hcl --settings node.json",
 		Args:    cobra.ExactArgs(1),
 		RunE: f.with(func(ctx context.Context, c *cobra.Command, k *client.Client, args []string) error {
-			known, err := knownNames(settings)
-			if err != nil {
-				return err
-			}
-			t, err := compilePolicy(c.ErrOrStderr(), args[0], known)
+			t, err := compilePolicy(c.ErrOrStderr(), args[0], settings)
 			if err != nil {
 				return err
 			}
--- a/internal/lab/fleet/quota.go
+++ b/internal/lab/fleet/quota.go
@@ -17,9 +17,7 @@
 	"indigotack/internal/quota/record"
 )
 
-const (
-	fleetName = "lab"
-)
+const fleetName = "lab"
 
 // startQuota puts the policy on record and starts the keepers.
 func (f *fleet) startQuota(ctx context.Context) error {
--- a/internal/tenant/fleet.go
+++ b/internal/tenant/fleet.go
@@ -9,10 +9,11 @@
 
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
+	quotarecord "indigotack/internal/quota/record"
 )
 
 // PolicyKey is the record of the table that holds.
-const PolicyKey = "policy/current"
+const PolicyKey = quotarecord.Current
 
 // Listed is a fleet as the list service has it: the policy's table on record and the
 // servers on the list.
