--- a/decide/learning.go
+++ b/decide/learning.go
@@ -35,16 +35,11 @@
 	c.latency += gainC * (t - c.latency)
 	c.ambient += gainC * (m.mean - c.ambient)
 	c.relative = c.latency / c.ambient // not to m.mean: a rare class must not keep a past trouble's latency
-	m.weigh(a.server, c, took)
+	m.weigh(a.server, took.Seconds()/c.relative)
 }
 
-// weigh takes a server's latency.
-func (m *Module) weigh(s *server, c *class, took time.Duration) {
-	m.weighAs(s, took.Seconds()/c.relative)
-}
-
-// weighAs takes the latency of a mean request, capped, as a heavy one tells of itself and not of its server.
-func (m *Module) weighAs(s *server, took float64) {
+// weigh takes the latency of a mean request, capped, as a heavy one tells of itself and not of its server.
+func (m *Module) weigh(s *server, took float64) {
 	l := m.latencyOf(s)
 	l += latencyGain * (math.Min(took, muteFactor*math.Max(l, m.mean)) - l)
 	s.excess, s.latencyAt = l-m.mean, m.now
--- a/decide/lists.go
+++ b/decide/lists.go
@@ -23,14 +23,6 @@
 		(g.kinds == nil || slices.Contains(g.kinds, s.Kind))
 }
 
-// sharing is how many nodes work with a server. Of many, each sees too little of it to know it in time.
-func (m *Module) sharing() float64 {
-	if m.looks {
-		return reachLook
-	}
-	return reachOwn
-}
-
 // askLeast is the shortest wait between calls to discovery, which serves all nodes in turn: nodes that start
 // together and call together fill its queue with calls that fail in it and so are made again.
 func (m *Module) askLeast() time.Duration {
@@ -81,10 +73,14 @@
 	ring, start := m.list, ringStart(m.set.Self, len(m.list))
 	m.list = append(append([]*server{}, m.list[start:]...), m.list[:start]...)
 	m.sharers = 0
+	each := reachOwn // how many nodes work with a server: of many, each sees too little of it to know it in time
+	if m.looks {
+		each = reachLook
+	}
 	for _, g := range m.groups {
 		g.list = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return !g.open(s) })
 		size := float64(len(g.list))
-		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, m.sharing()*size/float64(m.set.Nodes))))
+		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, each*size/float64(m.set.Nodes))))
 		for _, s := range g.list[:int(g.reach)] {
 			s.home = true
 		}
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -107,7 +107,7 @@
 		return
 	}
 	if len(e.Data) > noteBytes && m.mean > 0 {
-		m.weighAs(s, noteFinest*math.Exp2(float64(e.Data[noteBytes])/noteSteps))
+		m.weigh(s, noteFinest*math.Exp2(float64(e.Data[noteBytes])/noteSteps))
 	}
 	t := note{from: e.From, load: float64(e.Data[5]) / noteScale, at: m.now}
 	for i := range s.notes {
--- a/decide/retries.go
+++ b/decide/retries.go
@@ -26,7 +26,7 @@
 			continue
 		}
 		m.uncount(a, 0)
-		m.weigh(a.server, r.class, m.now-a.sent)
+		m.weigh(a.server, (m.now-a.sent).Seconds()/r.class.relative)
 		if m.set.MayCancel && m.budget >= 1 && !m.worthless(r, m.mean*r.class.relative) && m.hasOther(r) {
 			m.do(CancelAttempt{ID: r.id, Attempt: i})
 		}
--- a/decide/suspicion.go
+++ b/decide/suspicion.go
@@ -40,7 +40,7 @@
 		if e.Code == ServerError || e.Code == Reset {
 			s.unanswered = 0 // not an answer, but no silence
 		}
-		m.weigh(s, r.class, max(e.Elapsed, r.class.Aim))
+		m.weigh(s, max(e.Elapsed, r.class.Aim).Seconds()/r.class.relative)
 		m.strike(s, e.Code)
 	}
 }
