Look at what a send rests on once more, right before its first byte

Symptom: a request was written to a server that had begun to drain, had left the list or had been replaced while the connection to it came up; a keyed one after its window; and one whose client had left, where the settings forbid calling attempts off. An attempt on an idle connection was also written now and then after it had been called off.

Cause: the module looks at all of it when it chooses a server (decide/attempts.go, maySend), and internal/node/exchange.go (attempt) looked at nothing but maintenance once the connection was there: up to the connect time-out later. ctx ends an attempt by a goroutine that spoils the deadline, which the write could overtake. The list's "draining" reached the module alone, never the pool.

Ruled out: the choice itself (the module's checker finds no such send), and dials that are called off (net.Dialer gives no connection once its context is over).

Change: Send says until when it may be written, by the deadline and by when the first server that may have run a keyed request forgets its key; the pool knows which servers drain; a request knows by itself that its client has left. attempt asks all three and its context when it has the connection. What was not written ends as Moot, which proves that it never ran (it ended as Cancelled, which does not, or as a failure to connect, which blames the server), and an unused connection goes back to the pool.

Tests hold a connection back on a real socket while each of these happens.

--- a/decide/actions.go
+++ b/decide/actions.go
@@ -14,6 +14,7 @@
 		ID      RequestID
 		Server  ServerID
 		Timeout time.Duration // 0: until the client stops waiting
+		Before  Time          // nothing of it may be written from then on, however late its connection comes up
 	}
 	// Refuse is a final answer: a new try does no harm.
 	Refuse struct {
--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -13,7 +13,7 @@
 	for i := range r.attempts {
 		a, c := &r.attempts[i], r.class
 		if a.server == s || a.mayRun && c.Effect != Safe && (c.Effect == Unsafe ||
-			m.now+m.set.MinTick >= a.sent+c.DedupWindow || c.KeyScope == ScopeZone && s.Zone != a.server.Zone ||
+			m.now+m.set.MinTick >= r.known() || c.KeyScope == ScopeZone && s.Zone != a.server.Zone ||
 			c.KeyScope == ScopeCell && s.Cell != a.server.Cell) {
 			return false
 		}
@@ -21,17 +21,27 @@
 	return true
 }
 
+// known is until when a keyed request that may have run is known where it was first sent.
+func (r *request) known() Time {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.mayRun && r.class.Effect == Keyed {
+			return a.sent + r.class.DedupWindow
+		}
+	}
+	return forever
+}
+
 // send is the only way to a server.
 func (m *Module) send(r *request, s *server, timeout time.Duration) bool {
 	if s == nil || !m.maySend(r, s) {
 		return false
 	}
-	work := r.heavy * r.class.relative
+	work, before := r.heavy*r.class.relative, min(r.deadline, r.known())
 	r.attempts = append(r.attempts,
 		attempt{server: s, sent: m.now, mayRun: true, lost: r.coming, work: work})
 	r.out++
 	s.tokens--
-	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
+	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now), Before: before})
 	if !r.coming { // else it counts from its last byte on
 		m.count(r, &r.attempts[len(r.attempts)-1])
 	}
--- a/decide/checker_test.go
+++ b/decide/checker_test.go
@@ -30,6 +30,9 @@
 	if w.now > q.deadline {
 		w.fault("send after the deadline")
 	}
+	if a.Before > q.deadline {
+		w.fault("it may be written after the deadline")
+	}
 	if z, k := q.class.OnlyZones, q.class.OnlyKinds; z != nil && !slices.Contains(z, s.Zone) ||
 		k != nil && !slices.Contains(k, s.Kind) {
 		w.fault("send to zone %s, kind %s, not open to %s", s.Zone, s.Kind, q.class.Name)
@@ -51,6 +54,8 @@
 			w.fault("unsafe request sent again")
 		} else if !sameGroup(q.class.KeyScope, s, w.servers[p.server]) || w.now > p.at+q.class.DedupWindow {
 			w.fault("keyed request sent outside its group or window")
+		} else if a.Before > p.at+q.class.DedupWindow {
+			w.fault("it may be written outside its window")
 		}
 	}
 	w.sends[a.Server] = append(w.sends[a.Server], w.now)
--- a/decide/state.go
+++ b/decide/state.go
@@ -7,6 +7,8 @@
 	"time"
 )
 
+const forever Time = math.MaxInt64
+
 // Mode is the overload state of a server as this node sees it: the paper's s = 0, 1, 2.
 type Mode int
 
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -33,7 +33,8 @@
 	began := time.Now()
 	go func() {
 		defer cancel()
-		res := n.backends.attempt(ctx, a.Server, r.out, func(res result) error {
+		may := func() bool { return !r.abandoned() && n.now() < a.Before }
+		res := n.backends.attempt(ctx, a.Server, r.out, may, func(res result) error {
 			return n.passOn(r, number, a.Server, time.Since(n.startOf(r, began)), res)
 		})
 		took := time.Since(n.startOf(r, began))
--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/list"
+)
+
+// heldDial has a pool's connections come up when they are released, from a number on.
+type heldDial struct {
+	began   chan struct{}
+	release chan struct{}
+}
+
+func holdDials(n *Node, from int32) heldDial {
+	h, dials := heldDial{make(chan struct{}, 10), make(chan struct{})}, atomic.Int32{}
+	n.backends.dialer.Control = func(string, string, syscall.RawConn) error {
+		if dials.Add(1) >= from {
+			h.began <- struct{}{}
+			<-h.release
+		}
+		return nil
+	}
+	return h
+}
+
+// on runs f on a node's loop.
+func (n *Node) on(t *testing.T, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	n.post(func() { f(); close(done) })
+	wait(t, done, "the loop")
+}
+
+// TestNothingIsSentOnceItMayNot: what held when a server was chosen has ended when the connection to it is there.
+func TestNothingIsSentOnceItMayNot(t *testing.T) {
+	entry := func(n *running, status string, since int64) list.Entry {
+		return list.Entry{Name: "s-0", Address: n.backends.backends[n.listed["s-0"]].address, Zone: "a", Type: "m2", Status: status, SinceMS: since}
+	}
+	for _, c := range []struct {
+		name   string
+		happen func(t *testing.T, n *running, c raw)
+		status int // of the answer; 0: nobody is there to read it
+	}{
+		{"its client has left", func(t *testing.T, n *running, c raw) {
+			c.Close()
+			n.gone(t, "q")
+		}, 0},
+		{"its client has left, and nothing may be called off", func(t *testing.T, n *running, c raw) {
+			n.on(t, func() {
+				n.cfg.Settings.MayCancel = false
+				n.handle(decide.SettingsChanged{Settings: n.cfg.Settings})
+			})
+			c.Close()
+			n.gone(t, "q")
+		}, 0},
+		{"its server drains", func(t *testing.T, n *running, _ raw) {
+			n.on(t, func() { n.follow(list.Answer{Endpoints: []list.Entry{entry(n, list.Draining, 0)}}, decide.ListChanges) })
+		}, 503},
+		{"its server has left", func(t *testing.T, n *running, _ raw) {
+			n.on(t, func() { n.follow(list.Answer{Snapshot: true}, decide.ListFull) })
+		}, 503},
+		{"its server is another process", func(t *testing.T, n *running, _ raw) {
+			n.on(t, func() { n.follow(list.Answer{Endpoints: []list.Entry{entry(n, list.Ready, 1)}}, decide.ListChanges) })
+		}, 503},
+		{"its server is in maintenance", func(t *testing.T, n *running, _ raw) {
+			if err := n.maintain(context.Background(), "s-0", true); err != nil {
+				t.Error(err)
+			}
+		}, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var dial heldDial
+			n := startNodeWith(t, func(n *Node) { dial = holdDials(n, 1) }, serving(t))
+			conn := n.dial(t)
+			conn.ask(t, "saldo", "q", "60")
+			wait(t, dial.began, "the connection to begin")
+			c.happen(t, n, conn)
+			close(dial.release)
+			if c.status != 0 {
+				if s := conn.status(t); s != c.status {
+					t.Errorf("answer %d, want %d", s, c.status)
+				}
+			}
+			n.empty(t)
+			if sent := n.stats.forwards.Load(); sent != 0 {
+				t.Errorf("it is sent %d times", sent)
+			}
+		})
+	}
+}
+
+// gone waits until the loop knows that the client of a request has left.
+func (n *running) gone(t *testing.T, id decide.RequestID) {
+	t.Helper()
+	until(t, "the client's end", func() (done bool) {
+		n.on(t, func() { r := n.requests[id]; done = r == nil || r.done })
+		return done
+	})
+}
+
+// empty waits until nothing is open, at the node or counted at its servers.
+func (n *running) empty(t *testing.T) {
+	t.Helper()
+	until(t, "the requests' end", func() (none bool) {
+		n.on(t, func() { none = len(n.requests) == 0 })
+		return none && n.stats.outstanding.Load() == 0
+	})
+}
+
+// TestRepeatIsNotWrittenAfterItsWindow: the window was open when the second server was chosen.
+func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	var dial heldDial
+	failing := func() string {
+		return backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			for readRequest(r) != nil {
+				io.WriteString(c, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+	}
+	n := startNodeWith(t, func(n *Node) { dial = holdDials(n, 2) }, failing(), failing())
+	before := n.now()
+	answered := make(chan reply, 1)
+	go func() {
+		req := n.request(t, "POST", "pedido", "q", "60", strings.NewReader("x"))
+		req.Header.Set("Idempotency-Key", "k")
+		answered <- do(t, req)
+	}()
+	wait(t, dial.began, "the second connection to begin")
+	until(t, "the window's end", func() bool { return n.now() > before+2*time.Second }) // it lasts one, from the first send
+	close(dial.release)
+	if a := wait(t, answered, "the answer"); a.status != http.StatusBadGateway {
+		t.Errorf("answer %+v, want a failure", a)
+	}
+	if sent := n.stats.forwards.Load(); sent != 1 {
+		t.Errorf("it is sent %d times, want once", sent)
+	}
+}
+
+// TestCalledOffBeforeTheWrite: an idle connection is there at once, and is as good as it was.
+func TestCalledOffBeforeTheWrite(t *testing.T) {
+	p := testPool(serving(t))
+	try(t, p, enough)
+	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	cancel()
+	for range 100 {
+		if res := p.attempt(ctx, 1, get("/api/x"), always, nil); res.code != decide.Moot {
+			t.Fatalf("outcome %d, want Moot", res.code)
+		}
+	}
+	if sent := p.forwards.Load(); sent != 1 || p.open != 1 {
+		t.Errorf("%d requests sent on %d connections, want 1 on 1", sent, p.open)
+	}
+	if res := try(t, p, enough); res.code != decide.OK || p.open != 1 {
+		t.Errorf("outcome %d with %d connections, want OK on the one", res.code, p.open)
+	}
+}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -24,27 +24,30 @@
 
 // attempt sends a request once and waits for its answer until ctx ends. When
 // it returns, its connection is closed or back in the pool, so that a further
-// attempt cannot overlap it. A long answer is given to begun, which returns
-// when that is over and tells how it ended; ctx has no part in it any more.
-func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound, begun func(result) error) result {
+// attempt cannot overlap it. The connection may take its time to come up, so
+// may says right before the first byte whether the request may still be sent.
+// A long answer is given to begun, which returns when that is over and tells
+// how it ended; ctx has no part in it any more.
+func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound, may func() bool, begun func(result) error) result {
 	end, ok := ctx.Deadline()
 	if !ok {
 		return result{code: decide.Moot} // an attempt without an end could hang for ever
 	}
 	c, err := p.get(ctx, id)
 	if err != nil {
-		if errors.Is(context.Cause(ctx), context.Canceled) {
-			return result{code: decide.Cancelled}
-		}
-		if ownLimit(err) {
+		if calledOff(ctx) || ownLimit(err) {
 			return result{code: decide.Moot}
 		}
 		return result{code: decide.ConnectFailed}
 	}
-	if p.isHeld(id) { // since it was picked
+	if p.barred(id, c) {
 		c.discard()
 		return result{code: decide.Moot}
 	}
+	if ctx.Err() != nil || !may() {
+		c.release() // it has carried nothing
+		return result{code: decide.Moot}
+	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	defer c.leaveRoom()
@@ -88,16 +91,23 @@
 	if err != nil {
 		return decide.Moot, false
 	}
-	if sent, err := c.Write(msg); err != nil {
-		if sent < len(msg) {
-			return decide.ConnectFailed, false
-		}
+	sent, err := c.Write(msg)
+	switch {
+	case err == nil:
+	case sent == len(msg):
 		return ending(ctx, err), false // a last byte that left with an error may have come
+	case calledOff(ctx):
+		return decide.Moot, false
+	default:
+		return decide.ConnectFailed, false
 	}
 	c.pool.forwards.Add(1)
 	return decide.OK, true
 }
 
+// calledOff tells that an attempt was ended from here, before its time was over.
+func calledOff(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
 // progress writes to a server that may take its time, but may not stand still.
 type progress struct {
 	*conn
@@ -151,7 +161,7 @@
 		return res, clean, err
 	case err == nil && res.code != decide.OK: // a proper word that it is not wanted
 		return res, false, nil
-	case errors.Is(ctx.Err(), context.Canceled):
+	case calledOff(ctx):
 		return result{code: decide.Cancelled, spent: res.spent}, false, werr
 	}
 	return result{code: decide.ConnectFailed, spent: res.spent}, false, werr
@@ -179,7 +189,7 @@
 // was written, so it may have run. broken is how the connection ended, if it did.
 func ending(ctx context.Context, broken error) decide.OutcomeCode {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case calledOff(ctx):
 		return decide.Cancelled
 	case ctx.Err() != nil, errors.Is(broken, os.ErrDeadlineExceeded):
 		return decide.TimedOut
--- a/internal/node/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -123,7 +123,7 @@
 		} else {
 			go func() { <-got; cancel() }()
 		}
-		res := p.attempt(ctx, 1, get("/api/x"), nil)
+		res := p.attempt(ctx, 1, get("/api/x"), always, nil)
 		cancel()
 		if res.code != want {
 			t.Errorf("%s: outcome %d, want %d", name, res.code, want)
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -147,6 +147,7 @@
 		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
 			n.listed[e.Name] = id
 			n.backends.set(id, e.Address, e.SinceMS)
+			n.backends.drain(id, state == decide.Draining)
 		}
 	}
 	n.handle(u)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -34,6 +34,7 @@
 	address string
 	since   int64
 	closed  bool
+	drains  bool    // nothing new is to be written to it
 	idle    []*conn // the one used last comes last
 }
 
@@ -123,10 +124,21 @@
 	}
 }
 
-func (p *pool) isHeld(id decide.ServerID) bool {
+// drain says whether a server takes nothing new.
+func (p *pool) drain(id decide.ServerID, on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.held[id]
+	if b := p.backends[id]; b != nil {
+		b.drains = on
+	}
+}
+
+// barred tells whether nothing may be written on a connection any more: since its server was picked, that has
+// restarted, moved, begun to drain or left the list, or is held.
+func (p *pool) barred(id decide.ServerID, c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.of.closed || c.of.drains || p.held[id]
 }
 
 func (p *pool) drop(b *backend) {
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -25,11 +25,19 @@
 	return &outbound{method: http.MethodGet, url: &url.URL{Path: path}, host: "app.svc", header: http.Header{"X-Request-Id": {"q"}}}
 }
 
+func always() bool { return true }
+
+func (p *pool) isHeld(id decide.ServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held[id]
+}
+
 func try(t *testing.T, p *pool, wait time.Duration) result {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	return p.attempt(ctx, 1, get("/api/x"), func(res result) error {
+	return p.attempt(ctx, 1, get("/api/x"), always, func(res result) error {
 		_, err := io.Copy(io.Discard, res.stream.rest)
 		return err
 	})
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -24,9 +24,20 @@
 	attempts  []context.CancelFunc
 	running   int
 	guard     *time.Timer
-	tenant    string  // by its name in the catalogue, until the request is over; empty: tenants are not told apart
-	stream    *stream // the long answer that has begun; nil: none
-	leaveRoom func()  // gives back what its body has taken; may be nil
+	tenant    string          // by its name in the catalogue, until the request is over; empty: tenants are not told apart
+	stream    *stream         // the long answer that has begun; nil: none
+	leaveRoom func()          // gives back what its body has taken; may be nil
+	gone      <-chan struct{} // closed when its client has left
+}
+
+// abandoned tells whether a request's client has left, ahead of the loop.
+func (r *request) abandoned() bool {
+	select {
+	case <-r.gone:
+		return true
+	default:
+		return false
+	}
 }
 
 // answer is a final answer to a client.
--- a/internal/node/validate.go
+++ b/internal/node/validate.go
@@ -80,7 +80,7 @@
 	if long {
 		rest = startUpload(r, reader, len(body), patience)
 	}
-	return &request{id: e.ID, deadline: deadline, leaveRoom: back, class: e.Class, answer: make(chan answer, 1),
+	return &request{id: e.ID, deadline: deadline, leaveRoom: back, class: e.Class, answer: make(chan answer, 1), gone: r.Context().Done(),
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body, rest: rest}}, e, 0, nil
 }
 
