Ask the system right before a send whether its client has left

Symptom: a request that waited unread (in the listener's queue with all places taken, or while the node was late) and whose client had closed meanwhile was sent on: TestLeftBeforeItIsRead had it answered 200 by the server.

Cause: only net/http's background read learns of a client's end (server.go, startBackgroundRead), in a goroutine that begins with the handler. On a node with one core the handler wakes the loop, the loop starts the attempt, and each goes ahead of that read; the end of the connection may have been in the socket all the time.

Change: accept.Conn.Left peeks at the socket (it does not wait, and takes no lock that a read holds); a request asks it beside its context right before the first byte of each attempt.

The test holds back the server's read and gives the request and its client's end to the node at once.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"indigotack/decide"
 	"indigotack/internal/list"
 )
@@ -165,3 +167,47 @@
 		t.Errorf("outcome %d with %d connections, want OK on the one", res.code, p.open)
 	}
 }
+
+// TestLeftBeforeItIsRead: the end of its connection is here when a request is read, but the server's own read, which would
+// tell, comes later than the attempt.
+func TestLeftBeforeItIsRead(t *testing.T) {
+	n := startNode(t, serving(t))
+	first, second := make(chan struct{}), make(chan struct{})
+	n.tap.reads.Store(&[]chan struct{}{first, second})
+	c := n.dial(t)
+	c.ask(t, "saldo", "q", "60")
+	c.CloseWrite()
+	until(t, "the node's system to have it", func() bool { return tcpState(t, c.TCPConn) == finWait2 })
+	close(first)
+	if s := c.status(t); s != http.StatusServiceUnavailable {
+		t.Errorf("answer %d, want a refusal", s)
+	}
+	close(second)
+	n.empty(t)
+	if sent := n.stats.forwards.Load(); sent != 0 {
+		t.Errorf("it is sent %d times", sent)
+	}
+}
+
+// finWait2 is the state of a connection whose end the other side has acknowledged, in Linux's numbers.
+const finWait2 = 5
+
+func tcpState(t *testing.T, c *net.TCPConn) (state uint8) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		state = info.State
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return state
+}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/node/accept"
 )
 
 const (
@@ -27,16 +28,17 @@
 	tenant    string          // by its name in the catalogue, until the request is over; empty: tenants are not told apart
 	stream    *stream         // the long answer that has begun; nil: none
 	leaveRoom func()          // gives back what its body has taken; may be nil
-	gone      <-chan struct{} // closed when its client has left
+	client    *accept.Conn    // nil: not known
+	gone      <-chan struct{} // closed when the server knows that the client has left
 }
 
-// abandoned tells whether a request's client has left, ahead of the loop.
+// abandoned tells whether a request's client has left, which the loop may not know yet.
 func (r *request) abandoned() bool {
 	select {
 	case <-r.gone:
 		return true
 	default:
-		return false
+		return r.client != nil && r.client.Left()
 	}
 }
 
--- a/internal/node/term_test.go
+++ b/internal/node/term_test.go
@@ -19,6 +19,7 @@
 	accepted, read atomic.Int64 // connections, and bytes on all of them
 	once           sync.Once
 	closed         chan struct{}
+	reads          atomic.Pointer[[]chan struct{}] // of connections from now on: each waits for its channel; nil: none waits
 }
 
 func (l *tapped) Accept() (net.Conn, error) {
@@ -27,9 +28,26 @@
 		return nil, err
 	}
 	l.accepted.Add(1)
+	if held := l.reads.Load(); held != nil {
+		return &heldConn{c.(*net.TCPConn), *held}, nil
+	}
 	return tappedConn{c, l}, nil
 }
 
+// heldConn is a connection whose first reads wait until they are let go.
+type heldConn struct {
+	*net.TCPConn
+	reads []chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	if len(c.reads) > 0 {
+		<-c.reads[0]
+		c.reads = c.reads[1:]
+	}
+	return c.TCPConn.Read(p)
+}
+
 func (l *tapped) Close() error {
 	defer l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
--- a/internal/node/validate.go
+++ b/internal/node/validate.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/node/accept"
 )
 
 const (
@@ -80,7 +81,8 @@
 	if long {
 		rest = startUpload(r, reader, len(body), patience)
 	}
-	return &request{id: e.ID, deadline: deadline, leaveRoom: back, class: e.Class, answer: make(chan answer, 1), gone: r.Context().Done(),
+	client, _ := r.Context().Value(connKey{}).(*accept.Conn)
+	return &request{id: e.ID, deadline: deadline, leaveRoom: back, class: e.Class, answer: make(chan answer, 1), client: client, gone: r.Context().Done(),
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body, rest: rest}}, e, 0, nil
 }
 
