--- a/internal/node/term_test.go
+++ b/internal/node/term_test.go
@@ -29,18 +29,18 @@
 	}
 	l.accepted.Add(1)
 	if held := l.reads.Load(); held != nil {
-		return &heldConn{c.(*net.TCPConn), *held}, nil
+		return &lateConn{c.(*net.TCPConn), *held}, nil
 	}
 	return tappedConn{c, l}, nil
 }
 
-// heldConn is a connection whose first reads wait until they are let go.
-type heldConn struct {
+// lateConn is a connection whose first reads wait until they are let go.
+type lateConn struct {
 	*net.TCPConn
 	reads []chan struct{}
 }
 
-func (c *heldConn) Read(p []byte) (int, error) {
+func (c *lateConn) Read(p []byte) (int, error) {
 	if len(c.reads) > 0 {
 		<-c.reads[0]
 		c.reads = c.reads[1:]
--- a/internal/node/crossing_test.go
+++ b/internal/node/unsent_test.go
@@ -18,14 +18,14 @@
 	"indigotack/internal/list"
 )
 
-// heldDial has a pool's connections come up when they are released, from a number on.
-type heldDial struct {
+// lateDial has a pool's connections come up when they are released, from a number on.
+type lateDial struct {
 	began   chan struct{}
 	release chan struct{}
 }
 
-func holdDials(n *Node, from int32) heldDial {
-	h, dials := heldDial{make(chan struct{}, 10), make(chan struct{})}, atomic.Int32{}
+func holdDials(n *Node, from int32) lateDial {
+	h, dials := lateDial{make(chan struct{}, 10), make(chan struct{})}, atomic.Int32{}
 	n.backends.dialer.Control = func(string, string, syscall.RawConn) error {
 		if dials.Add(1) >= from {
 			h.began <- struct{}{}
@@ -82,7 +82,7 @@
 		}, 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var dial heldDial
+			var dial lateDial
 			n := startNodeWith(t, func(n *Node) { dial = holdDials(n, 1) }, serving(t))
 			conn := n.dial(t)
 			conn.ask(t, "saldo", "q", "60")
@@ -122,7 +122,7 @@
 
 // TestRepeatIsNotWrittenAfterItsWindow: the window was open when the second server was chosen.
 func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
-	var dial heldDial
+	var dial lateDial
 	failing := func() string {
 		return backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 			for readRequest(r) != nil {
