Know a second silent call to discovery in a row within the list's clock

Symptom: where the watch falls silent and the call made anew does, too, the list that they miss came 12.1 s after the fall; it counts as told at 6 s. A watch that was reset was sent again by net/http itself, held, with what was left of the former's time, so that its silence, or a healthy hold, was judged by the wrong clock. After a refused or broken answer the connection of before was used again.

Cause: platform.go, follow and ask: every call after a failure was a held watch (hold + grace, 6 s or 21.5 s); net/http's Transport repeats a GET on a reused connection that breaks (shouldRetryRequest); call left idle connections.

Ruled out: a shorter grace (the agent answers at once, but the node has 8 ms of processor time a second); keep-alive off (a dial for each change of a list).

Change: silence.go derives the bound in one place. After any failure the next call comes at once, on a connection of its own, and is not held; only then the list is watched. One call is one request. The hold of a pushed watch is 3.5 s: notHeld + hold + grace + grace + wait is 5.7 s of 6. Where lists are asked for, a call that broke is made anew like a silent one, as net/http had done; that costs one call more for each failure, none otherwise. That the whole list is still to come is now a field of the task, as a move that the module's Ask overtook forgot it.

--- /dev/null
+++ b/internal/list/client/call.go
@@ -0,0 +1,82 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"indigotack/internal/list"
+)
+
+const maxPlatform = 4 << 20 // bytes of a list; a thousand servers take a twentieth
+
+var (
+	errResent  = errors.New("the connection broke")
+	errRefused = errors.New("discovery answers")
+)
+
+// call asks once, for the whole list where that is to come, else for what is
+// newer than the version known, and passes the answer on. After a failure no
+// connection of before is used again: what silenced one may have silenced all.
+func (d *Platform) call(ctx context.Context, hold time.Duration) error {
+	query := ""
+	if !d.whole {
+		query = fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds())
+	}
+	l, err := d.get(ctx, query, hold)
+	if err != nil {
+		d.client.CloseIdleConnections()
+		return err
+	}
+	d.index, d.whole = l.Index, false
+	d.told++
+	for _, err := range l.Odd {
+		d.log.Warn("list entry skipped", "err", err)
+	}
+	d.listed(l)
+	return nil
+}
+
+// get makes one request. net/http would send it again by itself on a
+// connection that breaks, with what is left of its time for the whole hold.
+func (d *Platform) get(ctx context.Context, query string, hold time.Duration) (l list.Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+d.grace)
+	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	sent := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: func(string) {
+		if sent {
+			stop(errResent)
+		}
+		sent = true
+	}})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
+	if err != nil {
+		return l, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return l, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return l, fmt.Errorf("%w %s", errRefused, resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlatform+1))
+	if err != nil {
+		return l, fmt.Errorf("discovery's list: %w", err)
+	}
+	if len(body) > maxPlatform {
+		return l, errors.New("discovery's list is too long")
+	}
+	if err := json.Unmarshal(body, &l); err != nil {
+		return l, fmt.Errorf("discovery's list: %w", err)
+	}
+	return l, nil
+}
--- a/internal/list/client/platform_test.go
+++ b/internal/list/client/platform_test.go
@@ -45,7 +45,7 @@
 	lists := make(chan list.Answer, 10)
 	d := NewPlatform(s.Listener.Addr().String(), false, 41, slog.New(slog.DiscardHandler), func(l list.Answer) { lists <- l }, func() { t.Error("told a failure") })
 	d.hold = time.Millisecond
-	go d.follow(ctx, false)
+	go d.follow(ctx)
 	select {
 	case l := <-lists:
 		if l.Index != 43 || l.Snapshot || len(l.Endpoints) != 1 {
--- /dev/null
+++ b/internal/list/client/silence.go
@@ -0,0 +1,32 @@
+package client
+
+import "time"
+
+// The bound for silence. What a silent call misses counts as told 6 s after it
+// fell silent or, for one that is held, 2 s after its hold if that is later. A
+// call is silent if it has no whole answer by the end of its hold and grace,
+// wherever it stands still: at the connection, ahead of the first byte or amid
+// the answer. After that, and any other failure, no connection of before is used
+// again, and the next call is not held, so that its own silence shows after the
+// grace alone.
+//
+// So two silences in a row fit into the clock of the first where lists are
+// pushed, also if the connection fell silent right after an answer: notHeld,
+// holdPushed, gracePushed, at once the next, gracePushed, 1.5 * backoffLow, which
+// makes 5.7 s. Where they are asked for, the call after a silent one is made
+// within holdAsked + graceAsked + spreadSilent, 21.75 s of 22 s, and if it is
+// silent, too, the module knows graceAsked later.
+const (
+	holdPushed  = 3500 * time.Millisecond // a watch on the agent costs it nothing, and the node little
+	holdAsked   = 20 * time.Second        // a call to the shared service costs it work
+	holdLeast   = time.Millisecond        // of a call to be answered at once with what is new
+	gracePushed = time.Second             // the agent is on this machine; three calls fit into the 4 s after a move
+	graceAsked  = 1500 * time.Millisecond // the shared service takes calls in turn
+	notHeld     = 100 * time.Millisecond  // before a call that follows an answer that was not held; 200 ms would end the watch
+
+	backoffLow  = 50 * time.Millisecond  // before the second call that fails in a row
+	backoffHigh = 250 * time.Millisecond // what the agent holds counts as told, outage or not
+
+	spreadSilent = 250 * time.Millisecond // over which nodes ask again whose calls to the shared service fell silent or broke together
+	spreadMove   = 600 * time.Millisecond // and whose discovery moved: two calls fit into what is left of the 4 s
+)
--- a/internal/list/client/silence_test.go
+++ b/internal/list/client/silence_test.go
@@ -30,19 +30,23 @@
 	{"amid a late answer", 4 * time.Second, half},
 }
 
-// TestSilentCallIsMadeAnew in time: the list that it missed is there before it counts as told.
+// TestSilentCallIsMadeAnew in time: the list that it missed is there before it counts as told, where lists are pushed
+// also if the call made anew falls silent, too.
 func TestSilentCallIsMadeAnew(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		asked bool
 		call  int // that falls silent
+		row   int // how many calls do so from there on
 		hold  time.Duration
 	}{
-		{"pushed, the first call", false, 0, 0},
-		{"pushed, the watch", false, 1, holdPushed},
-		{"pushed, a later watch", false, 2, holdPushed},
-		{"asked for, the watch", true, 0, holdAsked},
-		{"asked for, a later watch", true, 1, holdAsked},
+		{"pushed, the first call", false, 0, 1, 0},
+		{"pushed, the watch", false, 1, 1, 0},
+		{"pushed, a later watch", false, 2, 1, 0},
+		{"pushed, the first two calls", false, 0, 2, 0},
+		{"pushed, the watch and the call anew", false, 1, 2, 0},
+		{"asked for, the watch", true, 0, 1, holdAsked},
+		{"asked for, a later watch", true, 1, 1, holdAsked},
 	} {
 		for _, how := range silences {
 			t.Run(c.name+" "+how.name, func(t *testing.T) {
@@ -53,7 +57,7 @@
 					case call == c.call:
 						time.Sleep(how.after)
 						how.serve(w, r)
-					case call == c.call+1:
+					case call == c.call+c.row:
 						tell(w, 100)
 					default:
 						silent(w, r)
@@ -71,7 +75,7 @@
 					began := s.now()
 					l := next(t, lists)
 					limit := afterSilence(began, began+how.after, c.hold)
-					if !c.asked && c.call == 0 {
+					if !c.asked && c.call == 0 && c.row == 1 {
 						limit = 2 * time.Second // for which an upgrade waits
 					}
 					if l.Index != 100 || l.at > limit {
@@ -88,8 +92,8 @@
 	inBubble(t, func(_ int, w http.ResponseWriter, r *http.Request) { silent(w, r) }, func(ctx context.Context, s *standIn) {
 		d, lists := s.platform(true)
 		d.Ask(ctx, false, true)
-		if l := next(t, lists); l.at > 0 {
-			t.Errorf("list %d at %v, want a failure", l.Index, l.at)
+		if l := next(t, lists); l.at > 0 || -l.at > holdAsked+4*time.Second {
+			t.Errorf("list %d at %v, want a failure, soon after the second call", l.Index, l.at)
 		}
 		time.Sleep(time.Minute)
 		synctest.Wait()
--- a/internal/list/client/standin_test.go
+++ b/internal/list/client/standin_test.go
@@ -24,13 +24,15 @@
 
 	mu    sync.Mutex
 	down  time.Duration // connections are refused until then
+	dials int
 	calls []heardCall
 }
 
 // heardCall is one call, in time since the start.
 type heardCall struct {
-	host, from string
-	came, over time.Duration
+	host, from, hold string
+	dials            int // so far
+	came, over       time.Duration
 }
 
 func (s *standIn) Accept() (net.Conn, error) {
@@ -51,6 +53,7 @@
 	if s.now() < s.down {
 		return nil, errors.New("refused")
 	}
+	s.dials++
 	near, far := net.Pipe()
 	s.conns <- far
 	return near, nil
@@ -64,7 +67,7 @@
 		s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.mu.Lock()
 			n := len(s.calls)
-			s.calls = append(s.calls, heardCall{host: r.Host, from: r.URL.Query().Get("from"), came: s.now()})
+			s.calls = append(s.calls, heardCall{host: r.Host, from: r.URL.Query().Get("from"), hold: r.URL.Query().Get("hold_ms"), dials: s.dials, came: s.now()})
 			s.mu.Unlock()
 			serve(n, w, r)
 			s.mu.Lock()
