Run a request by the settings by which its head was read

Symptom: a request of a class that may not run twice is sent twice. The head comes under settings in which its class is fragile, SIGHUP makes the class retryable while the body comes, the first server breaks the connection after the last byte: a second server gets it (test: 2 attempts, want 1). The reverse loses worth: a retryable one is not tried again after its class became fragile.

Cause: the front found the effect by its rules (validate.go:41), but only the name and a mark "former" went on to the loop, which looked the class up anew at open (requests.go:43, decide/module.go:69): whatever settings had come by then. With two changes in between "former" meant other settings than the front's.

Ruled out: the order of SettingsChanged and the front's rules in Reload. Both are one step of the loop, so a request read under the later rules is opened after the module has them.

At open the number says which of the two settings that the module knows the class is of. A request of earlier ones is refused, unsent. Rules and module are changed in one place, swapRules.

Test: TestSettingsChangeAmidARequest holds the request between its head (seen by 100 Continue) and its body.

--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -17,6 +17,7 @@
 type request struct {
 	id        decide.RequestID
 	class     string
+	settings  int // number of those that its class is of
 	out       *outbound
 	deadline  time.Time
 	answer    chan answer // takes the one final answer
@@ -47,11 +48,14 @@
 		r.answer <- answer{status: http.StatusConflict}
 		return
 	}
-	if most := n.cfg.Settings.MaxOpen; most > 0 && len(n.requests) >= most {
+	now := n.front.rules.Load().number // those that the module has, as both change in one step
+	if most := n.cfg.Settings.MaxOpen; most > 0 && len(n.requests) >= most || r.settings < now-1 {
+		// The module does not know its class any more: another of that name may be repeated freely.
 		r.done = true
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
+	e.Former = r.settings < now
 	if !n.judge(r, &e) {
 		return
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -135,16 +135,23 @@
 			n.cfg.Settings = cfg.Settings
 			n.stats.add(cfg.Settings.Classes)
 			n.backends.configure(cfg.Settings)
-			n.handle(decide.SettingsChanged{Settings: n.withVariants(cfg.Settings)})
-			n.front.rules.Store(newRules(cfg.Settings, n.front.rules.Load()))
+			n.swapRules(newRules(cfg.Settings, n.front.rules.Load()))
 		}
 		n.moveLists(cfg)
 		n.stats.sighupApplied.Add(1)
 	})
 }
 
+// swapRules gives the module the node's settings and the front the rules of them,
+// in one step of the loop: each request that it opens has either these or those before.
+func (n *Node) swapRules(next *rules) {
+	n.handle(decide.SettingsChanged{Settings: n.withVariants(n.cfg.Settings)})
+	n.front.rules.Store(next)
+}
+
 // rules is what the front must know of the settings to take a request.
 type rules struct {
+	number      int                      // one more each time that the module is given settings: it knows the last two
 	effects     map[string]decide.Effect // of the classes
 	longest     time.Duration            // deadline of a class
 	former      map[string]decide.Effect // of the settings before
@@ -158,11 +165,27 @@
 		r.longest = max(r.longest, c.Deadline)
 	}
 	if before != nil {
+		r.number = before.number + 1
 		r.former, r.formerUntil = before.effects, time.Now().Add(max(formerLeast, before.longest))
 	}
 	return r
 }
 
+// again is for the same settings, given once more.
+func (r *rules) again() *rules {
+	next := *r
+	next.number, next.former = r.number+1, nil
+	return &next
+}
+
+// of is the number of the settings of which a request has the form.
+func (r *rules) of(former bool) int {
+	if former {
+		return r.number - 1
+	}
+	return r.number
+}
+
 // effect finds what a repeat of a request would do: by its class, or by that
 // class as it was, where only that agrees with the request's form.
 func (r *rules) effect(class string, fits func(decide.Effect) error) (former bool, err error) {
--- /dev/null
+++ b/internal/node/settings_flight_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"indigotack/decide"
+)
+
+// change gives the node other settings and returns when it has them.
+func (n *running) change(classes ...decide.Class) {
+	cfg := n.cfg
+	cfg.Settings.Classes = classes
+	n.Reload(cfg)
+	have := make(chan struct{})
+	n.post(func() { close(have) })
+	<-have
+}
+
+// TestSettingsChangeAmidARequest: new settings come when the head of a request has been read and its body has not. It
+// has the effect that its class had then, or is refused unsent where the module does not know that any more.
+func TestSettingsChangeAmidARequest(t *testing.T) {
+	type settings [][]decide.Class
+	is := func(effect decide.Effect) []decide.Class {
+		return []decide.Class{{Name: "a", Worth: 1, Aim: enough, Deadline: 2 * enough, Effect: effect, DedupWindow: enough}}
+	}
+	gone := is(decide.Unsafe)
+	gone[0].Name = "b"
+	for _, c := range []struct {
+		name           string
+		before         settings
+		method, key    string
+		changes        settings
+		status, served int
+	}{
+		{"unsafe, then safe", settings{is(decide.Unsafe)}, "POST", "", settings{is(decide.Safe)}, 502, 1},
+		{"keyed in a cell, then safe", settings{is(decide.Keyed)}, "POST", "k", settings{is(decide.Safe)}, 502, 2},
+		{"unsafe, then gone", settings{is(decide.Unsafe)}, "POST", "", settings{gone}, 502, 1},
+		{"safe, then unsafe", settings{is(decide.Safe)}, "GET", "", settings{is(decide.Unsafe)}, 503, 2},
+		{"safe, then gone", settings{is(decide.Safe)}, "GET", "", settings{gone}, 503, 2},
+		{"unsafe, then gone, then safe", settings{is(decide.Unsafe)}, "POST", "", settings{gone, is(decide.Safe)}, 503, 0},
+		{"unsafe, then keyed, then safe", settings{is(decide.Unsafe)}, "POST", "", settings{is(decide.Keyed), is(decide.Safe)}, 503, 0},
+		{"former and unsafe, then keyed", settings{is(decide.Unsafe), is(decide.Safe)}, "POST", "", settings{is(decide.Keyed)}, 503, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var served atomic.Int32
+			breaks := func(_ int, conn net.Conn, r *bufio.Reader) {
+				if readRequest(r) != nil {
+					served.Add(1)
+				}
+			}
+			n := startNode(t, backendServer(t, breaks), backendServer(t, breaks))
+			for _, classes := range c.before {
+				n.change(classes...)
+			}
+			conn := n.dial(t)
+			fmt.Fprintf(conn, "%s /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: a\r\nX-Deadline: 20\r\n"+
+				"Expect: 100-continue\r\nContent-Length: 1\r\n", c.method)
+			if c.key != "" {
+				fmt.Fprintf(conn, "Idempotency-Key: %s\r\n", c.key)
+			}
+			fmt.Fprint(conn, "\r\n")
+			if line, err := conn.read.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" { // its head is read
+				t.Fatalf("%q, %v", line, err)
+			}
+			conn.read.ReadString('\n')
+			for _, classes := range c.changes {
+				n.change(classes...)
+			}
+			fmt.Fprint(conn, "x")
+			if status := conn.status(t); status != c.status || int(served.Load()) != c.served {
+				t.Errorf("%d after %d attempts, want %d after %d", status, served.Load(), c.status, c.served)
+			}
+		})
+	}
+}
--- a/internal/node/tenants_lanes.go
+++ b/internal/node/tenants_lanes.go
@@ -21,6 +21,7 @@
 	names map[lane]string         // by route and class: the variant
 	wants map[string]decide.Class // variants of the catalogue
 	has   map[string]decide.Class // variants that the module was given
+	had   map[string]decide.Class // and those with the settings before
 	late  bool                    // it is to be given others
 	tried *tenant.Image           // of which names and wants are
 }
@@ -34,13 +35,18 @@
 	return lanes{names: map[lane]string{}, wants: map[string]decide.Class{}, has: map[string]decide.Class{}}
 }
 
-// of gives the class by which the module places a request; empty: it can't.
-func (l *lanes) of(route *tenant.Route, class string) string {
+// of gives the class by which the module places a request; empty: it can't. One in the form of the settings before
+// is placed by a variant that came with those.
+func (l *lanes) of(route *tenant.Route, class string, former bool) string {
 	if !narrows(route) {
 		return class
 	}
 	name := l.names[lane{route, class}]
-	if _, given := l.has[name]; given {
+	given := l.has
+	if former {
+		given = l.had
+	}
+	if _, there := given[name]; there {
 		return name
 	}
 	return ""
@@ -116,7 +122,7 @@
 		return s
 	}
 	t.lanes.plan(t.lanes.tried, s.Classes)
-	t.lanes.has, t.lanes.late = t.lanes.wants, false
+	t.lanes.had, t.lanes.has, t.lanes.late = t.lanes.has, t.lanes.wants, false
 	s.Classes = slices.Clone(s.Classes)
 	for _, name := range slices.Sorted(maps.Keys(t.lanes.has)) {
 		s.Classes = append(s.Classes, t.lanes.has[name])
@@ -143,6 +149,6 @@
 // which it would forget, it waits: until then the routes that are new get a 503.
 func (n *Node) giveLanes() {
 	if n.tenants.lanes.late && time.Now().After(n.front.rules.Load().formerUntil) {
-		n.handle(decide.SettingsChanged{Settings: n.withVariants(n.cfg.Settings)})
+		n.swapRules(n.front.rules.Load().again())
 	}
 }
--- a/internal/node/tenants_test.go
+++ b/internal/node/tenants_test.go
@@ -113,20 +113,23 @@
 	entries := map[string]*tenant.Entry{"x": {Name: "x", Now: f, Next: same}, "y": {Name: "y", Now: pods}}
 	l.plan(&tenant.Image{Entries: entries}, classes)
 	l.has = l.wants
-	one := l.of(&f.Routes[0], "saldo")
+	one := l.of(&f.Routes[0], "saldo", false)
 	if v := l.has[one]; v.Of != "saldo" || v.Worth != 3 || !slices.Equal(v.OnlyZones, []string{"b"}) || !slices.Equal(v.OnlyKinds, []string{"m"}) {
 		t.Errorf("%q: %+v", one, v)
 	}
-	if v := l.has[l.of(&f.Routes[0], "pagar")]; v.OnlyKinds == nil || len(v.OnlyKinds) != 0 || !slices.Equal(v.OnlyZones, []string{"b", "c"}) {
+	if v := l.has[l.of(&f.Routes[0], "pagar", false)]; v.OnlyKinds == nil || len(v.OnlyKinds) != 0 || !slices.Equal(v.OnlyZones, []string{"b", "c"}) {
 		t.Errorf("%+v", v)
 	}
-	if other := l.of(&same.Routes[0], "saldo"); other != one || len(l.has) != 2 {
+	if name := l.of(&f.Routes[0], "saldo", true); name != "" { // the module's former class of that name may be none
+		t.Errorf("a variant that the settings before had not: %q", name)
+	}
+	if other := l.of(&same.Routes[0], "saldo", false); other != one || len(l.has) != 2 {
 		t.Errorf("equal routes have %q and %q of %d", one, other, len(l.has))
 	}
-	if name := l.of(&pods.Routes[0], "saldo"); name != "" {
+	if name := l.of(&pods.Routes[0], "saldo", false); name != "" {
 		t.Errorf("a route of pods has %q", name)
 	}
-	if name := l.of(&tenant.Route{Least: 2}, "saldo"); name != "saldo" {
+	if name := l.of(&tenant.Route{Least: 2}, "saldo", false); name != "saldo" {
 		t.Errorf("a route of everything has %q", name)
 	}
 	for i := range mostVariants {
--- a/internal/node/validate.go
+++ b/internal/node/validate.go
@@ -38,13 +38,13 @@
 	if f.node.cfg.Tenants.Known && len(r.Header.Values("X-Tenant")) > 1 {
 		return bad(http.StatusBadRequest, "want one X-Tenant")
 	}
-	former, err := f.rules.Load().effect(e.Class, func(effect decide.Effect) error { return fits(r, e.Class, effect) })
+	rules := f.rules.Load()
+	former, err := rules.effect(e.Class, func(effect decide.Effect) error { return fits(r, e.Class, effect) })
 	if err != nil {
 		var wrong formError
 		errors.As(err, &wrong)
 		return bad(wrong.status, "%w", err)
 	}
-	e.Former = former
 	patience, err := seconds(r.Header.Get("X-Deadline"))
 	if err != nil {
 		return bad(http.StatusBadRequest, "X-Deadline: %w", err)
@@ -80,7 +80,7 @@
 	if long {
 		rest = startUpload(r, reader, len(body), patience)
 	}
-	return &request{id: e.ID, deadline: deadline, leaveRoom: back, class: e.Class, answer: make(chan answer, 1),
+	return &request{id: e.ID, settings: rules.of(former), deadline: deadline, leaveRoom: back, class: e.Class, answer: make(chan answer, 1),
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body, rest: rest}}, e, 0, nil
 }
 
