Say a new process the state ahead of the calls that come meanwhile

Symptom: an operator's call at the old process while a new one greets it costs the hand-over. The new one hears "call" where it waits for "state", gives up and serves without the bans: it sends to backends in maintenance. A call at the new one right behind its bans is never told to the old one, which goes on serving.

Ruled out: joining only after the state is said, as a call between the two would be in neither.

Change: joining, gathering and writing the state are one step under the link's lock, for which whoever forwards a call has to wait; that is bounded by the loop's turn and helloTime. The new process joins before it takes the bans.

--- a/internal/node/upgrade_link.go
+++ b/internal/node/upgrade_link.go
@@ -103,13 +103,18 @@
 
 // say writes one message, with a descriptor unless that is negative.
 func (l *link) say(m message, fd int) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.write(m, fd)
+}
+
+// write is say for whoever holds the lock.
+func (l *link) write(m message, fd int) error {
 	line, err := json.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	line = append(line, '\n')
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.conn.SetWriteDeadline(time.Now().Add(helloTime))
 	if fd >= 0 {
 		_, _, err = l.conn.WriteMsgUnix(line, syscall.UnixRights(fd), nil)
--- a/internal/node/upgrade_new.go
+++ b/internal/node/upgrade_new.go
@@ -53,6 +53,7 @@
 		l.drop()
 		return nil, err
 	}
+	n.join(l, false) // before any call can be in force here that the old process has not heard of
 	n.do(func() { n.restore(m) })
 	return l, nil
 }
@@ -83,11 +84,10 @@
 	n.log.Info("taken over", "servers", len(servers))
 }
 
-// succeed goes on where greet ended: it waits for the list, has the old process
+// succeed goes on where greet ended, with a link that has been joined: it waits for the list, has the old process
 // let go, and stays linked with it until it ends. It returns when this process
 // is to serve.
 func (n *Node) succeed(ctx context.Context, l *link) {
-	n.join(l, false)
 	yours := make(chan struct{})
 	let := sync.OnceFunc(func() { close(yours) })
 	go func() {
--- a/internal/node/upgrade_old.go
+++ b/internal/node/upgrade_old.go
@@ -59,12 +59,8 @@
 		n.log.Warn("not a new process", "says", m.Kind, "version", m.Version, "err", err)
 		return
 	}
-	if !n.join(l, true) {
-		l.say(message{Kind: kindRefused}, -1)
-		return
-	}
 	defer n.leave(l)
-	if !n.do(func() { m = n.known() }) || l.say(m, -1) != nil {
+	if !n.introduce(l) {
 		return
 	}
 	n.log.Info("a new process is here")
@@ -90,6 +86,19 @@
 	})
 }
 
+// introduce joins a new process and tells it what this one knows. A maintenance call is part of that, or goes out
+// behind it: whoever forwards one from the joining on has to wait for the lock.
+func (n *Node) introduce(l *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !n.join(l, true) {
+		l.write(message{Kind: kindRefused}, -1)
+		return false
+	}
+	var m message
+	return n.do(func() { m = n.known() }) && l.write(m, -1) == nil
+}
+
 // known is what a new process is told.
 func (n *Node) known() message {
 	learned := n.module.Learned(n.now())
