Follow SIGHUP until the process ends, not until SIGTERM

Symptom: a SIGHUP after SIGTERM is heard by nobody. The old address of discovery closes, and a node that may finish requests for as long as the longest deadline takes sends repeats to servers whose drain it was told of.

Test: TestSIGHUPWhileItEnds holds a request at its backend, sends SIGTERM, waits for the drain, then moves discovery by SIGHUP and sends a second SIGTERM: the new address is called, the request answered, the status 0. Without the change the new address is never called.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -60,13 +60,13 @@
 		n.Overlap = limitMemory
 		n.TakeOver(os.TempDir())
 	}
-	control := cmp.Or(os.Getenv("GW_CONTROL"), cfg.Control) // the environment is this process's own
-	operated, closeControl := context.WithCancel(context.Background())
-	defer closeControl()
+	control := cmp.Or(os.Getenv("GW_CONTROL"), cfg.Control)   // the environment is this process's own
+	operated, end := context.WithCancel(context.Background()) // until Run returns: also while it finishes what is open
+	defer end()
 	if control != "" {
 		go n.ServeControl(operated, control)
 	}
-	go reload(ctx, hup, path, n, log)
+	go reload(operated, hup, path, n, log)
 	return n.Run(ctx, ln)
 }
 
--- /dev/null
+++ b/cmd/indigotack/signals_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// rewrite changes a key of the configuration file of a process that runs.
+func (c *process) rewrite(t *testing.T, key string, value any) {
+	t.Helper()
+	var path string
+	for _, v := range c.Env {
+		if after, ok := strings.CutPrefix(v, "GW_CONFIG="); ok {
+			path = after // the last one holds
+		}
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := map[string]any{}
+	if err := json.Unmarshal(raw, &config); err != nil {
+		t.Fatal(err)
+	}
+	config[key] = value
+	if raw, err = json.Marshal(config); err == nil {
+		err = os.WriteFile(path, raw, 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSIGHUPWhileItEnds: a process that has got SIGTERM sends what is open to servers still, so it follows discovery.
+// A second SIGTERM changes nothing.
+func TestSIGHUPWhileItEnds(t *testing.T) {
+	p := newPlatform(t)
+	c := p.start(t)
+	c.waitReady(t)
+	hold, called := make(chan struct{}), make(chan struct{}, 100)
+	open := p.waitOpen(t, hold)
+	signal := func(s syscall.Signal) {
+		t.Helper()
+		if err := c.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signal(syscall.SIGTERM)
+	for until := time.Now().Add(enough); ; time.Sleep(time.Millisecond) {
+		if status, _, _ := ask("GET", "http://"+c.control+"/healthcheck", nil); status == http.StatusServiceUnavailable {
+			break
+		} else if time.Now().After(until) {
+			t.Fatal("the process does not drain")
+		}
+	}
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		called <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(next.Close)
+	c.rewrite(t, "discovery", next.Listener.Addr().String())
+	signal(syscall.SIGHUP)
+	select {
+	case <-called:
+	case <-time.After(enough):
+		t.Error("the new discovery is not called")
+	}
+	signal(syscall.SIGTERM)
+	close(hold)
+	if got := <-open; got != "200 open true\n" {
+		t.Errorf("the open request: %q", got)
+	}
+	c.waitEnd(t)
+}
