Hold SIGTERM back up to the exit, so that a second one does not kill

Symptom: a process that has finished all it had ends by the signal instead of with status 0, where a second SIGTERM comes as it returns from run.

Cause: run put stop() off to its return (main.go:32), which gives SIGTERM and SIGINT back to the system, and the process still has lines to go.

Change: the signals are never given back; the process ends anyway. SIGHUP is held in the same way already.

Test: TestSIGTERMAtTheLastLine stops the program behind main and sends SIGTERM, SIGHUP and SIGINT there. Without the change it ends by the signal.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -27,8 +27,8 @@
 }
 
 func run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	// Never stopped: a second SIGTERM would kill a process that is about to exit with 0.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	hup := make(chan os.Signal, 16) // before all else, as an unheard SIGHUP ends a process
 	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv("GW_CONFIG")
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +21,10 @@
 func TestMain(m *testing.M) {
 	if os.Getenv("INDIGOTACK_AS_PROGRAM") == "1" {
 		main()
+		if os.Getenv("INDIGOTACK_HELD") == "1" { // at its last line
+			fmt.Fprintln(os.Stderr, "the program has run")
+			io.ReadAll(os.Stdin)
+		}
 		return
 	}
 	os.Exit(m.Run())
--- a/cmd/indigotack/platform_test.go
+++ b/cmd/indigotack/platform_test.go
@@ -25,6 +25,7 @@
 	fetches    chan bool // whole lists that were asked for
 	hold       atomic.Pointer[chan struct{}]
 	peerListen string
+	stdin      *os.File // of processes; nil: none
 }
 
 func newPlatform(t *testing.T) *platform {
--- a/cmd/indigotack/process_test.go
+++ b/cmd/indigotack/process_test.go
@@ -52,6 +52,9 @@
 	}
 	cmd, _ := program(t, string(raw))
 	cmd.ExtraFiles = []*os.File{p.socket}
+	if p.stdin != nil {
+		cmd.Stdin = p.stdin
+	}
 	cmd.Env = append(append(cmd.Env, "GW_ACCEPT_FD=3", "TMPDIR="+p.dir), env...)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
--- a/cmd/indigotack/signals_test.go
+++ b/cmd/indigotack/signals_test.go
@@ -78,3 +78,26 @@
 	}
 	c.waitEnd(t)
 }
+
+// TestSIGTERMAtTheLastLine does not make a process fail that has finished all it had.
+func TestSIGTERMAtTheLastLine(t *testing.T) {
+	p := newPlatform(t)
+	hold, release, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hold.Close()
+	defer release.Close()
+	p.stdin = hold
+	c := p.start(t, "INDIGOTACK_HELD=1")
+	c.waitReady(t)
+	c.Process.Signal(syscall.SIGTERM)
+	c.waitSaid(t, "the program has run")
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
+		if err := c.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	release.Close()
+	c.waitEnd(t)
+}
