--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -27,8 +27,8 @@
 }
 
 func run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	// Never stopped: a second SIGTERM would kill a process that is about to exit with 0.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	hup := make(chan os.Signal, 16) // before all else, as an unheard SIGHUP ends a process
 	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv("GW_CONFIG")
@@ -60,13 +60,13 @@
 		n.Overlap = limitMemory
 		n.TakeOver(os.TempDir())
 	}
-	control := cmp.Or(os.Getenv("GW_CONTROL"), cfg.Control) // the environment is this process's own
-	operated, closeControl := context.WithCancel(context.Background())
-	defer closeControl()
+	control := cmp.Or(os.Getenv("GW_CONTROL"), cfg.Control)   // the environment is this process's own
+	operated, end := context.WithCancel(context.Background()) // until Run returns: also while it finishes what is open
+	defer end()
 	if control != "" {
 		go n.ServeControl(operated, control)
 	}
-	go reload(ctx, hup, path, n, log)
+	go reload(operated, hup, path, n, log)
 	return n.Run(ctx, ln)
 }
 
