Stop a long request where its server has answered ahead of it, whatever its writer is at

Symptom: a server that is full may say so (503, X-Not-Run) as soon as it is connected. If that comes before the writer has begun, the long request is still written whole to it: it may run there, while the node counts an attempt that never ran, tells the client that another try does no harm, and can't send the request elsewhere, as its body is spent.

Cause: exchange.go, exchange: the reader ends the writer by a write deadline in the past, once, and progress.Write sets its own ahead of each piece, which undoes it; only the end of the attempt's context was looked at. Likewise the reader asks once whether some of the body has been taken, and a writer that takes some just after holds the answer back until the client sends more.

Ruled out: closing the connection instead (the answer that is being read may have more to come, and why the server has closed is read after a failed write).

Change: the writer has a context of its own, which the reader ends before it sets the deadline; progress.Write already looks at its context after its deadline is set. The body is read under the same context: either the reader finds that some was taken, or no more is.

--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -117,8 +117,10 @@
 // byte. What broke before that one never ran.
 func (c *conn) exchange(ctx context.Context, o *outbound) (res result, clean bool, err error) {
 	sent := make(chan error, 1)
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
 	go func() {
-		err := o.request(o.rest.wait).Write(progress{c, ctx})
+		err := o.request(sending, o.rest.wait).Write(progress{c, sending})
 		if err == nil {
 			c.pool.forwards.Add(1)
 			o.rest.wholeAt.Store(time.Now().UnixNano())
@@ -137,6 +139,7 @@
 	select {
 	case werr = <-sent:
 	default: // it has answered early, or the connection has broken
+		stop()
 		c.SetWriteDeadline(time.Unix(1, 0))
 		if o.rest.taken.Load() {
 			o.rest.pipe.Close()
--- a/internal/node/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -140,3 +141,52 @@
 		}
 	}
 }
+
+// heldConn keeps a writer where it states its time, until the reader has given it up.
+type heldConn struct {
+	*net.TCPConn
+	began, givenUp func()
+	up             chan struct{}
+}
+
+func (c heldConn) SetWriteDeadline(at time.Time) error {
+	if at.After(time.Now()) {
+		c.began()
+		<-c.up
+	}
+	err := c.TCPConn.SetWriteDeadline(at)
+	if at.Before(time.Now()) {
+		c.givenUp()
+	}
+	return err
+}
+
+// TestTurnedAwayAheadOfTheHead: a server may say that it is full as soon as it is connected. Nothing of the request goes to it
+// any more, so that another one can have it.
+func TestTurnedAwayAheadOfTheHead(t *testing.T) {
+	began, up := make(chan struct{}), make(chan struct{})
+	p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		<-began
+		io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		readRequest(r)
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	defer cancel()
+	c, err := p.get(ctx, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Conn = heldConn{c.Conn.(*net.TCPConn), sync.OnceFunc(func() { close(began) }), sync.OnceFunc(func() { close(up) }), up}
+	c.release()
+	stood(p, strayTime)
+	rest, client := io.Pipe()
+	go func() { client.Write(pattern(10)); client.Close() }()
+	o := get("/api/x")
+	o.method, o.body = "POST", pattern(maxBody+1)
+	o.rest = &upload{length: maxBody + 11, pipe: rest, wait: enough, ended: make(chan struct{}), whole: func(time.Duration) {}}
+	got := p.attempt(ctx, 1, o, nil)
+	if got.code != decide.Full || got.spent || p.forwards.Load() != 0 {
+		t.Errorf("outcome %d, spent %v, %d written whole; want one that never ran and is left whole", got.code, got.spent, p.forwards.Load())
+	}
+	rest.Close()
+}
--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -64,9 +65,9 @@
 	return append(b, o.body...), nil
 }
 
-// request is the same for a long request, which goes out as it comes.
-func (o *outbound) request(wait time.Duration) *http.Request {
-	body := io.MultiReader(bytes.NewReader(o.body), o.rest)
+// request is the same for a long request, which goes out as it comes until ctx ends.
+func (o *outbound) request(ctx context.Context, wait time.Duration) *http.Request {
+	body := io.MultiReader(bytes.NewReader(o.body), taking{ctx, o.rest})
 	if o.rest.length >= 0 {
 		// Writing reads on past a stated length. The answer may be here by then, and the upload closed.
 		body = io.LimitReader(body, o.rest.length)
--- a/internal/node/outbound_test.go
+++ b/internal/node/outbound_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/url"
@@ -47,7 +48,7 @@
 	o := outbound{method: "POST", url: &url.URL{Path: "/api"}, host: "app.svc", body: []byte("ab"), rest: &upload{length: 6, pipe: read},
 		header: http.Header{}}
 	var sent strings.Builder
-	if err := o.request(time.Second).Write(&sent); err != nil || !strings.HasSuffix(sent.String(), "\r\n\r\nabcdef") {
+	if err := o.request(context.Background(), time.Second).Write(&sent); err != nil || !strings.HasSuffix(sent.String(), "\r\n\r\nabcdef") {
 		t.Errorf("%q, %v", sent.String(), err)
 	}
 }
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -102,10 +102,22 @@
 	w.CloseWithError(err)
 }
 
-// Read takes from the upload for an attempt.
-func (u *upload) Read(p []byte) (int, error) {
-	u.taken.Store(true)
-	return u.pipe.Read(p)
+// taking is an upload as an attempt reads it until ctx ends.
+type taking struct {
+	ctx context.Context
+	*upload
+}
+
+// Read takes some of it. Whoever ends ctx before it asks whether some has been
+// taken hears of it, or no more will be.
+func (t taking) Read(p []byte) (int, error) {
+	if t.ctx.Err() == nil {
+		t.taken.Store(true)
+	}
+	if err := t.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return t.pipe.Read(p)
 }
 
 // close ends the reading from the client, if that goes on.
