Give an answer's room back before its connection can carry the next request

Symptom: none seen; by the order of events the room of an answer that is not small may be given back by the attempt before its own: once too early, or not taken at all, so that more such answers are held than the memory is reckoned for.

Cause: exchange.go, attempt: leaveRoom was deferred, so it ran after release, when another attempt may have the connection and write to the same field of it.

Change: release and discard give it back first; each attempt ends in one of them.

TestCrossings fails without it (tried: six rows; the room is still taken when the connection is made ready for the next). Its table also shows what was sound: a close or a reset ahead of the write, the end of the attempt at its last byte, a restart, the list, expiry, eviction amid an answer.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -107,6 +107,7 @@
 
 // discard closes a connection that is not known to be at an answer's end.
 func (c *conn) discard() {
+	c.leaveRoom()
 	c.Conn.Close()
 	c.pool.mu.Lock()
 	c.pool.open--
@@ -115,6 +116,7 @@
 
 // release puts a connection back that has been read cleanly to its end.
 func (c *conn) release() {
+	c.leaveRoom() // from here on it is the next attempt's
 	c.SetDeadline(time.Time{})
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -73,7 +73,7 @@
 				wait(t, came, "the first")
 				if c.idle {
 					close(speak)
-					awaitWord(t, p)
+					awaitWord(t, p.backends[1].idle[0].Conn)
 				}
 				if stood(p, -enough); c.rested { // however slow this machine is
 					stood(p, strayTime)
@@ -93,10 +93,10 @@
 	}
 }
 
-// awaitWord returns once an idle connection has something to read, or its end.
-func awaitWord(t *testing.T, p *pool) {
+// awaitWord returns once a connection has something to read, or its end.
+func awaitWord(t *testing.T, c net.Conn) {
 	t.Helper()
-	for until := time.Now().Add(enough); silent(p.backends[1].idle[0].Conn); time.Sleep(time.Millisecond) {
+	for until := time.Now().Add(enough); silent(c); time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
 			t.Fatal("what the server says never shows")
 		}
--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+)
+
+// crossedConn has something happen at its steps.
+type crossedConn struct {
+	*net.TCPConn
+	write, read func()          // ahead of a write, behind the read of the last byte
+	deadline    func(time.Time) // behind a new one
+	left        int             // to be read
+}
+
+func (c *crossedConn) Write(b []byte) (int, error) {
+	c.write()
+	return c.TCPConn.Write(b)
+}
+
+func (c *crossedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if c.left -= n; c.left == 0 {
+		c.read()
+	}
+	return n, err
+}
+
+func (c *crossedConn) SetDeadline(at time.Time) error {
+	err := c.TCPConn.SetDeadline(at)
+	c.deadline(at)
+	return err
+}
+
+// TestCrossings: whatever crosses an attempt on a connection that has been used before, its outcome claims no more than is
+// known, its connection is closed or can be used, and what its answer took of the room is back before another can have it.
+func TestCrossings(t *testing.T) {
+	answer := named(strings.Repeat("x", smallBody+1)) // takes room
+	for _, c := range []struct {
+		name      string
+		ends      string // what the server does ahead of the write
+		answering func(p *pool, cancel func())
+		want      decide.OutcomeCode
+		open      int
+	}{
+		{"nothing", "", nil, decide.OK, 1},
+		{"the server closes", "close", nil, decide.Reset, 0},
+		{"the server resets", "reset", nil, decide.ConnectFailed, 0},
+		{"the attempt is called off", "", func(_ *pool, cancel func()) { cancel() }, decide.OK, 0},
+		{"the server is restarted", "", func(p *pool, _ func()) { p.set(1, p.backends[1].address, 5) }, decide.OK, 0},
+		{"the server leaves the list", "", func(p *pool, _ func()) { p.remove(1) }, decide.OK, 0},
+		{"idle connections are closed", "", func(p *pool, _ func()) { p.closeIdle(1) }, decide.OK, 1},
+		{"idle connections expire", "", func(p *pool, _ func()) { p.expire(time.Now().Add(p.maxIdle)) }, decide.OK, 1},
+		{"another one needs room", "", func(p *pool, _ func()) { p.share(true) }, decide.OK, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			end := make(chan struct{})
+			p := testPool(backendServer(t, func(number int, conn net.Conn, r *bufio.Reader) {
+				for readRequest(r) != nil {
+					io.WriteString(conn, answer)
+					if number == 0 && c.ends != "" {
+						<-end
+						if c.ends == "reset" {
+							conn.(*net.TCPConn).SetLinger(0)
+						}
+						return
+					}
+				}
+			}))
+			p.most = 2
+			if got := ask(p, "/api/x"); got.code != decide.OK {
+				t.Fatalf("outcome %d", got.code)
+			}
+			stood(p, strayTime)
+			ctx, cancel := context.WithTimeout(context.Background(), enough)
+			defer cancel()
+			spoilt := make(chan struct{})
+			spoil := sync.OnceFunc(func() { close(spoilt) })
+			idle := p.backends[1].idle[0]
+			x := &crossedConn{TCPConn: idle.Conn.(*net.TCPConn), left: len(answer)}
+			idle.Conn = x
+			x.deadline = func(at time.Time) {
+				if at.IsZero() && len(p.room) != 0 {
+					t.Error("the next one can have it before its room is given back")
+				} else if !at.IsZero() {
+					spoil()
+				}
+			}
+			x.write = func() {
+				if close(end); c.ends != "" {
+					awaitWord(t, x)
+				}
+			}
+			x.read = func() {
+				if c.answering == nil {
+					return
+				}
+				if c.answering(p, cancel); ctx.Err() != nil {
+					<-spoilt
+				}
+			}
+			got := p.attempt(ctx, 1, get("/api/x"), nil)
+			if got.code != c.want || got.code == decide.OK && len(got.body) != smallBody+1 {
+				t.Errorf("outcome %d with %d bytes, want %d", got.code, len(got.body), c.want)
+			}
+			cancel() // too late to spoil anything
+			if p.open != c.open || len(p.room) != 0 {
+				t.Errorf("%d connections open, %d of the room taken, want %d, 0", p.open, len(p.room), c.open)
+			}
+			p.set(1, x.RemoteAddr().String(), 5)
+			if got := ask(p, "/api/x"); got.code != decide.OK || p.open != 1 {
+				t.Errorf("the next one: outcome %d, %d open", got.code, p.open)
+			}
+		})
+	}
+}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -47,7 +47,6 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	defer c.leaveRoom()
 	var res result
 	var clean bool
 	if o.rest != nil {
