--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -40,17 +40,12 @@
 		}
 		return result{code: decide.ConnectFailed}
 	}
-	if p.barred(id, c) {
-		c.discard()
-		return result{code: decide.Moot}
-	}
-	if ctx.Err() != nil || !may() {
-		c.release() // it has carried nothing
+	if ctx.Err() != nil || p.barred(id, c) || !may() {
+		c.discard() // it has been idle for longer than a release would say
 		return result{code: decide.Moot}
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	defer c.leaveRoom()
 	var res result
 	var clean bool
 	if o.rest != nil {
@@ -127,8 +122,10 @@
 // byte. What broke before that one never ran.
 func (c *conn) exchange(ctx context.Context, o *outbound) (res result, clean bool, err error) {
 	sent := make(chan error, 1)
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
 	go func() {
-		err := o.request(o.rest.wait).Write(progress{c, ctx})
+		err := o.request(sending, o.rest.wait).Write(progress{c, sending})
 		if err == nil {
 			c.pool.forwards.Add(1)
 			o.rest.wholeAt.Store(time.Now().UnixNano())
@@ -147,6 +144,7 @@
 	select {
 	case werr = <-sent:
 	default: // it has answered early, or the connection has broken
+		stop()
 		c.SetWriteDeadline(time.Unix(1, 0))
 		if o.rest.taken.Load() {
 			o.rest.pipe.Close()
