--- a/internal/node/accept/idle.go
+++ b/internal/node/accept/idle.go
@@ -6,51 +6,51 @@
 	"time"
 )
 
-// What a connection is at. A client whose connection ends between two requests
-// sends the one that crosses this anew; one of whose request a byte has been
-// read is owed an answer. A new connection is busy, as its first request is not
-// sent anew.
+// The states of a connection, in net/http's terms. A client whose connection
+// ends between two requests sends the one that crosses this anew; one of whose
+// request a byte has been read is owed an answer. A new connection is active,
+// as its first request is not sent anew.
 const (
-	busy    = iota
-	resting // nothing of a next request has been read
-	left    // closed while it rested: what is read later is not taken
+	active = iota
+	idle   // nothing of a next request has been read
+	closed // while it was idle: what is read later is not taken
 )
 
-// Note follows which connections rest, for http.Server's ConnState. The server
+// Note follows which connections are idle, for http.Server's ConnState. The server
 // calls it while it does not read.
 func (l *Listener) Note(c net.Conn, s http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.idle, c)
-	if s != http.StateIdle || !c.(*Conn).rest() {
+	if s != http.StateIdle || !c.(*Conn).goIdle() {
 		return
 	}
 	if l.ending {
-		c.(*Conn).leave()
+		c.(*Conn).closeIdle()
 		return
 	}
 	l.idle[c] = time.Now()
 }
 
-// rest tells whether nothing of a next request is here yet.
-func (c *Conn) rest() bool {
+// goIdle tells whether nothing of a next request is here yet.
+func (c *Conn) goIdle() bool {
 	if !c.framing.between() || len(c.behind) > 0 {
 		return false
 	}
-	c.turn.Store(resting)
+	c.state.Store(idle)
 	return true
 }
 
-// leave closes a connection that rests.
-func (c *Conn) leave() bool {
-	if !c.turn.CompareAndSwap(resting, left) {
+// closeIdle closes a connection that is idle.
+func (c *Conn) closeIdle() bool {
+	if !c.state.CompareAndSwap(idle, closed) {
 		return false
 	}
 	c.Close()
 	return true
 }
 
-// evict closes the connection that has rested longest.
+// evict closes the connection that has been idle longest.
 func (l *Listener) evict() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -62,19 +62,19 @@
 			}
 		}
 		delete(l.idle, oldest)
-		if oldest.(*Conn).leave() {
+		if oldest.(*Conn).closeIdle() {
 			return
 		}
 	}
 }
 
-// CloseIdle closes all connections that rest, now or later, and no other.
+// CloseIdle closes all connections that are idle, now or later, and no other.
 func (l *Listener) CloseIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ending = true
 	for c := range l.idle {
-		c.(*Conn).leave()
+		c.(*Conn).closeIdle()
 	}
 	clear(l.idle)
 }
--- a/internal/node/accept/listener.go
+++ b/internal/node/accept/listener.go
@@ -23,7 +23,7 @@
 
 	mu     sync.Mutex
 	idle   map[net.Conn]time.Time // since when
-	ending bool                   // none is to rest any more
+	ending bool                   // none is to stay idle any more
 }
 
 // Limit has ln accept most connections at a time.
@@ -61,7 +61,7 @@
 // Conn is a client's connection.
 type Conn struct {
 	net.Conn
-	turn    atomic.Int32 // busy, resting or left
+	state   atomic.Int32 // active, idle or closed
 	began   atomic.Int64 // when the request under way did, or the connection
 	free    func()
 	framing framing
@@ -83,7 +83,7 @@
 	} else if n, err = c.Conn.Read(p); err != nil && n == 0 {
 		return 0, err
 	}
-	if !c.turn.CompareAndSwap(resting, busy) && c.turn.Load() == left {
+	if !c.state.CompareAndSwap(idle, active) && c.state.Load() == closed {
 		return 0, net.ErrClosed
 	}
 	if c.framing.between() && c.served {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// finish ends what rests and waits until the rest has been answered, or end is
+// finish ends what is idle and waits until the rest has been answered, or end is
 // over: then all requests are past their deadlines, and what is left are
 // connections on which none has come. http.Server's Shutdown does not do, as
 // it drops without an answer each request whose head is whole after its call.
