End clients' connections by a half-close, and let those that go idle give way

Symptom: a client whose bytes nobody had read (a crossing request, what follows a malformed one) got a reset instead of the end of its connection; what was still on its way of the last answer goes with it. Clients that came while no place was free and none was idle waited until a connection ended by itself, up to IdleTimeout's 2 minutes.

Cause: accept/listener.go, Conn.Close closed the descriptor at once, and net/http calls it right after an answer with Connection: close (each one while draining), after its own 400 and timeouts, and closeIdle did at an eviction and at the end. Accept evicted once and then waited for a place, whatever went idle later. Ruled out: writes held back (Go sets TCP_NODELAY on accepted sockets, also from net.FileListener: TestSmallWritesAreNotHeldBack).

Now Close ends the node's side, reads and drops until the client has closed, for 500 ms and 256 KiB at most, and closes then; the place is taken until then. It runs on the server's own goroutine for the connection: closing an idle one marks it and wakes that goroutine, and no later deadline of the server's undoes this. Where the client's end was seen nothing is waited for, nor at the end of the process. Accept evicts again every 20 ms until it has a place.

Stand-ins in term_test.go show their half-close now, and its clients close when they have been told to.

--- a/internal/node/accept/idle.go
+++ b/internal/node/accept/idle.go
@@ -6,14 +6,16 @@
 	"time"
 )
 
-// The states of a connection, in net/http's terms. A client whose connection
+// state is a connection's, in net/http's terms. A client whose connection
 // ends between two requests sends the one that crosses this anew; one of whose
 // request a byte has been read is owed an answer. A new connection is active,
 // as its first request is not sent anew.
+type state int
+
 const (
-	active = iota
-	idle   // nothing of a next request has been read
-	closed // while it was idle: what is read later is not taken
+	active state = iota
+	idle         // nothing of a next request has been read
+	closed       // while it was idle: what is read later is not taken
 )
 
 // Note follows which connections are idle, for http.Server's ConnState. The server
@@ -32,21 +34,27 @@
 	l.idle[c] = time.Now()
 }
 
-// goIdle tells whether nothing of a next request is here yet.
+// goIdle marks a connection as idle, unless something of a next request is here.
 func (c *Conn) goIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.framing.between() || len(c.behind) > 0 {
 		return false
 	}
-	c.state.Store(idle)
+	c.state = idle
 	return true
 }
 
-// closeIdle closes a connection that is idle.
+// closeIdle closes a connection that is idle: the server's read ends, upon
+// which the server closes it.
 func (c *Conn) closeIdle() bool {
-	if !c.state.CompareAndSwap(idle, closed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != idle {
 		return false
 	}
-	c.Close()
+	c.state = closed
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
 	return true
 }
 
--- a/internal/node/accept/listener_test.go
+++ b/internal/node/accept/listener_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -50,3 +52,67 @@
 		t.Errorf("the oldest is not closed: %v", err)
 	}
 }
+
+// TestClientThatGoesIdleGivesWay to one that came while none was idle.
+func TestClientThatGoesIdleGivesWay(t *testing.T) {
+	ln := listen(t)
+	l := Limit(ln, 1)
+	began, release := make(chan bool, 1), make(chan bool, 2)
+	serve(t, l, func(http.ResponseWriter, *http.Request) {
+		began <- true
+		<-release
+	})
+	go func() {
+		for let := range ln.halved {
+			let()
+		}
+	}()
+	first := dial(t, ln)
+	io.WriteString(first, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	wait(t, began, "the request")
+	second := dial(t, ln)
+	io.WriteString(second, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	release <- true
+	release <- true
+	if _, err := http.ReadResponse(bufio.NewReader(second), nil); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestSmallWritesAreNotHeldBack by the system, on a socket taken over from another process too.
+func TestSmallWritesAreNotHeldBack(t *testing.T) {
+	for _, inherited := range []bool{false, true} {
+		var ln net.Listener = listen(t).TCPListener
+		if inherited {
+			f, err := ln.(*net.TCPListener).File()
+			if err != nil {
+				t.Fatal(err)
+			}
+			fd, err := syscall.Dup(int(f.Fd())) // Inherited closes it
+			if err != nil {
+				t.Fatal(err)
+			}
+			if ln, err = Inherited(strconv.Itoa(fd)); err != nil {
+				t.Fatal(err)
+			}
+			f.Close()
+		}
+		l := Limit(ln, 1)
+		dial(t, ln)
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := c.(*Conn).Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Control(func(fd uintptr) {
+			if on, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err != nil || on == 0 {
+				t.Errorf("inherited %v: TCP_NODELAY is %d, %v", inherited, on, err)
+			}
+		})
+		l.Hurry()
+		c.Close()
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -52,6 +52,7 @@
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest+finishSlack)
 	defer cancel()
 	f.finish(end, ln, limited)
+	limited.Hurry()
 	srv.Close()
 	return nil
 }
--- a/internal/node/term_test.go
+++ b/internal/node/term_test.go
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	l.accepted.Add(1)
-	return tappedConn{c, l}, nil
+	return tappedConn{c.(*net.TCPConn), l}, nil
 }
 
 func (l *tapped) Close() error {
@@ -36,12 +36,12 @@
 }
 
 type tappedConn struct {
-	net.Conn
+	*net.TCPConn
 	tap *tapped
 }
 
 func (c tappedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.TCPConn.Read(p)
 	c.tap.read.Add(int64(n))
 	return n, err
 }
@@ -134,7 +134,9 @@
 						if rest, err := io.ReadAll(idle); err != nil || len(rest) > 0 {
 							t.Errorf("an idle connection ends with %q, %v", rest, err)
 						}
+						idle.Close()
 						if c.idle {
+							conn.Close()
 							n.wantEnd(t)
 							return
 						}
@@ -148,6 +150,8 @@
 					if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
 						t.Errorf("answer %s, told to close %v, %v", resp.Status, resp.Close, err)
 					}
+					conn.Close()
+					idle.Close()
 					n.linger()
 					n.wantEnd(t)
 				})
