--- a/internal/node/term_test.go
+++ b/internal/node/term_test.go
@@ -31,21 +31,7 @@
 	if held := l.reads.Load(); held != nil {
 		return &lateConn{c.(*net.TCPConn), *held}, nil
 	}
-	return tappedConn{c, l}, nil
-}
-
-// lateConn is a connection whose first reads wait until they are let go.
-type lateConn struct {
-	*net.TCPConn
-	reads []chan struct{}
-}
-
-func (c *lateConn) Read(p []byte) (int, error) {
-	if len(c.reads) > 0 {
-		<-c.reads[0]
-		c.reads = c.reads[1:]
-	}
-	return c.TCPConn.Read(p)
+	return tappedConn{c.(*net.TCPConn), l}, nil
 }
 
 func (l *tapped) Close() error {
@@ -54,12 +40,12 @@
 }
 
 type tappedConn struct {
-	net.Conn
+	*net.TCPConn
 	tap *tapped
 }
 
 func (c tappedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.TCPConn.Read(p)
 	c.tap.read.Add(int64(n))
 	return n, err
 }
@@ -152,7 +138,9 @@
 						if rest, err := io.ReadAll(idle); err != nil || len(rest) > 0 {
 							t.Errorf("an idle connection ends with %q, %v", rest, err)
 						}
+						idle.Close()
 						if c.idle {
+							conn.Close()
 							n.wantEnd(t)
 							return
 						}
@@ -166,6 +154,8 @@
 					if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
 						t.Errorf("answer %s, told to close %v, %v", resp.Status, resp.Close, err)
 					}
+					conn.Close()
+					idle.Close()
 					n.linger()
 					n.wantEnd(t)
 				})
--- a/internal/node/unsent_test.go
+++ b/internal/node/unsent_test.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// lateConn is a connection whose first reads wait until they are let go.
+type lateConn struct {
+	*net.TCPConn
+	reads []chan struct{}
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	if len(c.reads) > 0 {
+		<-c.reads[0]
+		c.reads = c.reads[1:]
+	}
+	return c.TCPConn.Read(p)
+}
+
 // TestLeftBeforeItIsRead: the end of its connection is here when a request is read, but the server's own read, which would
 // tell, comes later than the attempt.
 func TestLeftBeforeItIsRead(t *testing.T) {
