Take no list from discovery that is older than what it told, or broken

Symptom: an answer to a watch with a lower index was taken, so that a server that was told to drain was ready again and got requests; {} or null (no index, no servers) set the version back to 0; a whole list with "endpoints" null or missing emptied the node's list; changes in answer to the call for the whole list were taken for it. The project's own client emptied its list on null, too.

Ruled out: an unknown status, an empty address, a wrong type in an entry (list.Answer passes the entry over, TestMalformedEntriesAreSkipped); a wrong type of a field fails the answer and always did.

Change: an answer to a watch that is older than the version known is not taken, and the whole list is asked for at once; what that says is the truth, whatever its version (a service that lost its state). It has to be whole and to name its servers, [] if there are none.

Without the mend, each tried: without the look at the index TestAnswerThatIsNotTaken fails in its four rows of older or empty answers, without the one at the servers in "no servers" (and TestServiceAnswerThatIsNotTaken, also without its call in watch.go), without that at changes in its last two.

--- a/internal/list/client/broken_test.go
+++ b/internal/list/client/broken_test.go
@@ -23,6 +23,7 @@
 // TestAnswerThatIsNotTaken, or none: what is known stands, and the next call comes at once, on a connection of its
 // own, and is not held. Only then the list is watched.
 func TestAnswerThatIsNotTaken(t *testing.T) {
+	server := entryJSON("s", "127.0.0.1:1", "ready")
 	for _, c := range []struct {
 		name  string
 		call  int // 0 is for the whole list, 1 is a watch from 42
@@ -33,7 +34,14 @@
 		{"refused", 1, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, false},
 		{"cut off", 1, text(`{"index":43,"endp`), false},
 		{"of another type", 1, text(`{"index":"43","snapshot":false,"endpoints":[]}`), false},
+		{"no servers", 1, text(`{"index":43,"snapshot":true,"endpoints":null}`), false},
 		{"no body", 1, text(``), false},
+		{"empty", 1, text(`{}`), true},
+		{"null", 1, text(`null`), true},
+		{"older changes", 1, text(`{"index":41,"snapshot":false,"endpoints":[` + server + `]}`), true},
+		{"an older list", 1, text(`{"index":41,"snapshot":true,"endpoints":[` + server + `]}`), true},
+		{"null for the whole list", 0, text(`null`), true},
+		{"changes for the whole list", 0, text(`{"index":43,"snapshot":false,"endpoints":[` + server + `]}`), true},
 	} {
 		for name, asked := range map[string]bool{"pushed": false, "asked for": true} {
 			if asked && c.name == "refused" {
@@ -83,6 +91,36 @@
 	}
 }
 
+// TestServiceAnswerThatIsNotTaken: the list that is known stands, also with the project's own service.
+func TestServiceAnswerThatIsNotTaken(t *testing.T) {
+	for name, bad := range map[string]string{
+		"no servers":    `{"index":43,"epoch":"e","snapshot":true,"endpoints":null}`,
+		"another epoch": `{"index":43,"epoch":"f","snapshot":false,"endpoints":[]}`,
+		"empty":         `{}`,
+		"older":         `{"index":41,"epoch":"e","snapshot":true,"endpoints":[]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(call int, w http.ResponseWriter, r *http.Request) {
+				switch call {
+				case 0, 2:
+					tell(w, uint64(42+call))
+				case 1:
+					text(bad)(w, r)
+				default:
+					silent(w, r)
+				}
+			}, func(ctx context.Context, s *standIn) {
+				k, lists := s.service(DefaultHold)
+				defer k.Close()
+				go k.Follow(ctx)
+				if l, m := next(t, lists), next(t, lists); l.Index != 42 || m.Index != 44 || len(m.Endpoints) != 1 {
+					t.Errorf("%+v, then %+v", l, m)
+				}
+			})
+		})
+	}
+}
+
 // TestResetWatchIsNotSentAgain by net/http itself, with what is left of its time for the whole hold: the next call is
 // one that is not held.
 func TestResetWatchIsNotSentAgain(t *testing.T) {
--- a/internal/list/client/call.go
+++ b/internal/list/client/call.go
@@ -18,6 +18,7 @@
 var (
 	errResent  = errors.New("the connection broke")
 	errRefused = errors.New("discovery answers")
+	errOlder   = errors.New("discovery's list is older than what it told")
 )
 
 // call asks once, for the whole list where that is to come, else for what is
@@ -29,6 +30,13 @@
 		query = fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds())
 	}
 	l, err := d.get(ctx, query, hold)
+	if err == nil {
+		err = wholeList(l, d.whole)
+	}
+	if err == nil && !d.whole && l.Index < d.index {
+		// A server that was told to drain would be ready again. The whole list is the truth.
+		d.whole, err = true, errOlder
+	}
 	if err != nil {
 		d.client.CloseIdleConnections()
 		return err
@@ -42,6 +50,17 @@
 	return nil
 }
 
+// wholeList says what is wrong with an answer that is, or was to be, the whole list.
+func wholeList(l list.Answer, asked bool) error {
+	switch {
+	case asked && !l.Snapshot:
+		return errors.New("the whole list was asked for, and changes came")
+	case l.Snapshot && l.Endpoints == nil:
+		return errors.New("a whole list without its servers")
+	}
+	return nil
+}
+
 // get makes one request. net/http would send it again by itself on a
 // connection that breaks, with what is left of its time for the whole hold.
 func (d *Platform) get(ctx context.Context, query string, hold time.Duration) (l list.Answer, err error) {
--- a/internal/list/client/silence_test.go
+++ b/internal/list/client/silence_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"indigotack/internal/list"
 )
 
 // afterSilence is the clock for a call that began at t0 and fell silent later: what
@@ -187,13 +184,7 @@
 						silent(w, r)
 					}
 				}, func(ctx context.Context, s *standIn) {
-					lists := make(chan took, 100)
-					k, err := New(Config{Addresses: []string{"one:1"}, Hold: hold, Log: slog.New(slog.DiscardHandler),
-						Taken: func(l list.Answer) { lists <- took{l, s.now()} }})
-					if err != nil {
-						t.Fatal(err)
-					}
-					k.http.Transport.(*http.Transport).DialContext = s.dial
+					k, lists := s.service(hold)
 					defer k.Close()
 					go k.Follow(ctx)
 					for range call {
--- a/internal/list/client/standin_test.go
+++ b/internal/list/client/standin_test.go
@@ -102,6 +102,17 @@
 	return d, lists
 }
 
+// service is a client of the project's own service, which the stand-in plays.
+func (s *standIn) service(hold time.Duration) (*Client, chan took) {
+	lists := make(chan took, 100)
+	k, err := New(Config{Addresses: []string{"one:1"}, Hold: hold, Taken: func(l list.Answer) { lists <- took{l, s.now()} }})
+	if err != nil {
+		panic(err)
+	}
+	k.http.Transport.(*http.Transport).DialContext = s.dial
+	return k, lists
+}
+
 // next is the next list. None in an hour is an error, as a list that never comes would hang the test.
 func next(t *testing.T, lists chan took) took {
 	t.Helper()
--- a/internal/list/client/watch.go
+++ b/internal/list/client/watch.go
@@ -100,6 +100,9 @@
 	if err := json.Unmarshal(body, &a); err != nil {
 		return Nothing, fmt.Errorf("an answer that can't be read: %w", err)
 	}
+	if err := wholeList(a, from == 0); err != nil {
+		return Nothing, err
+	}
 	for _, err := range a.Odd {
 		k.log.Warn("an entry of the list is passed over", "err", err)
 	}
--- a/internal/list/entry.go
+++ b/internal/list/entry.go
@@ -79,7 +79,9 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return err
 	}
-	a.Endpoints, a.Odd = []Entry{}, nil
+	if a.Endpoints, a.Odd = nil, nil; in.Endpoints != nil { // none told is not the same as told that there are none
+		a.Endpoints = []Entry{}
+	}
 	for _, one := range in.Endpoints {
 		var e Entry
 		err := json.Unmarshal(one, &e)
