Keep a dial to discovery that stands still from holding up later calls

Symptom: discovery moves to an address whose connections do not come up, back, and there again, twice within a second: the list from there came a second later than the address could be reached. The same for any two calls whose context ends early.

Cause: platform.go, NewPlatform: MaxConnsPerHost 2. net/http goes on dialling for a call that has been given up, up to the dialer's time, and each such dial holds one of the two places.

Ruled out: the moves themselves. A task begins when the former has ended, also where that stands at the node's full inbox, so the former address's list goes ahead of the newer's; a move that another overtakes asks nobody.

Change: no bound on connections. Calls come one after another, and each dial ends by itself within the grace, so there are never more than a few.

--- a/internal/list/client/platform.go
+++ b/internal/list/client/platform.go
@@ -44,7 +44,7 @@
 		hold, grace = holdAsked, graceAsked
 	}
 	return &Platform{url: platformURL(address), hold: hold, grace: grace, sleep: pause.For, log: log, index: index, listed: listed, failed: failed,
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1,
 			DialContext: (&net.Dialer{Timeout: grace}).DialContext}}}
 }
 
