Follow lists by itself where SIGHUP turns them from asked for to pushed

Symptom: a node whose settings say "on_request" and then, by SIGHUP, "pushed" hears of lists until the watch fails that its module has asked for. Then it is blind until it ends: the module does not ask where lists are pushed (decide/handle.go:97), and the follower is started at the start alone.

Cause: moveLists (lists.go:102) looked at the address only.

Change: a change of the mode moves the follower as a change of address does. The other direction was sound: the module subscribes at its next round, which ends the following in Platform.begin.

Test: TestReloadTurnsPushed turns a node at one address and waits for its own call for the whole list, which never comes without the change.

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -98,10 +98,14 @@
 	}
 }
 
-// moveLists goes on where a new configuration says.
-func (n *Node) moveLists(cfg Config) {
+// moveLists goes on where a new configuration says, and in the way that it says, if that has turned: a module that
+// lists are pushed to does not ask for them when a watch fails.
+func (n *Node) moveLists(cfg Config, turned bool) {
 	switch l := n.lists.(type) {
 	case *service:
+		if turned {
+			l.Follow(n.ctx)
+		}
 		if slices.Equal(cfg.List, n.cfg.List) {
 			return
 		}
@@ -118,7 +122,7 @@
 			n.tenants.k.SetAddresses(cfg.List)
 		}
 	case *client.Platform:
-		if cfg.Discovery != n.cfg.Discovery {
+		if cfg.Discovery != n.cfg.Discovery || turned {
 			n.log.Info("discovery moves", "to", cfg.Discovery)
 			n.cfg.Discovery = cfg.Discovery
 			l.Move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+
+	"indigotack/decide"
 )
 
 // TestReloadMovesDiscovery: after a move the node lets go of the old address,
@@ -78,3 +80,31 @@
 	n.linger()
 	<-n.Node.ended
 }
+
+// TestReloadTurnsPushed: where lists have been asked for and are pushed from now on, at the same address, the node
+// follows by itself; the module will not ask when the watch fails that it has asked for.
+func TestReloadTurnsPushed(t *testing.T) {
+	watched, whole := make(chan bool, 10), make(chan bool, 10)
+	disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") != "" {
+			watched <- true
+			<-r.Context().Done()
+			return
+		}
+		whole <- true
+		fmt.Fprint(w, `{"index":1,"snapshot":true,"endpoints":[]}`)
+	}))
+	defer disc.Close()
+	n := startNodeWith(t, func(n *Node) {
+		n.cfg.Discovery = disc.Listener.Addr().String()
+		n.cfg.Settings.AskForList = true
+		n.module = decide.New(n.cfg.Settings, 1)
+	})
+	defer n.stopNow(t)
+	wait(t, watched, "the watch that the module asks for")
+	cfg := n.cfg
+	cfg.Settings.AskForList = false
+	n.Reload(cfg)
+	wait(t, whole, "the node's own call")
+	wait(t, watched, "the node's own watch")
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -130,6 +130,7 @@
 // the address of discovery and the settings.
 func (n *Node) Reload(cfg Config) {
 	n.post(func() {
+		turned := cfg.Settings.AskForList != n.cfg.Settings.AskForList
 		if !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
 			n.log.Info("new settings", "classes", len(cfg.Settings.Classes), "attempts", cfg.Settings.MaxAttempts)
 			n.cfg.Settings = cfg.Settings
@@ -137,7 +138,7 @@
 			n.backends.configure(cfg.Settings)
 			n.swapRules(newRules(cfg.Settings, n.front.rules.Load()))
 		}
-		n.moveLists(cfg)
+		n.moveLists(cfg, turned)
 		n.stats.sighupApplied.Add(1)
 	})
 }
