Let requests of earlier settings end by their own deadlines after SIGTERM

Symptom: SIGHUP brings shorter deadlines, SIGTERM follows, and a request that was taken before is cut off without an answer: EOF 0.1 s after the new longest deadline (test: 0.12 s of its 2 s).

Cause: serve (drain.go:46) stays for the longest deadline of the settings that hold now, while a request keeps the deadline with which it came.

Ruled out: keeping the longest of the settings before, as there may be two changes within one request; capping the late requests' time by it, as SIGKILL comes by the present settings (left is as it was).

Change: the front notes the latest deadline of all requests that it has read, on the monotonic clock, and stays for that, if it is later.

Test: TestStopAfterShorterDeadlines; without the change the client gets EOF.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -49,7 +49,8 @@
 		f.linger()
 		f.answerBy.Store(&last)
 	}
-	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest+finishSlack)
+	stay := max(longest, time.Duration(f.latest.Load())-time.Since(f.node.start)) // requests of earlier settings may have longer deadlines
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), stay+finishSlack)
 	defer cancel()
 	f.finish(end, ln, limited)
 	srv.Close()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -35,6 +35,7 @@
 	handed   atomic.Bool   // to a new process
 	closing  chan struct{} // closed when it is to accept no more
 	killMost time.Duration
+	latest   atomic.Int64              // deadline of a request read so far, from the node's start
 	answerBy atomic.Pointer[time.Time] // for requests that come from now on; nil: their deadlines
 }
 
--- a/internal/node/settings_flight_test.go
+++ b/internal/node/settings_flight_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"indigotack/decide"
 )
@@ -77,3 +79,19 @@
 		})
 	}
 }
+
+// TestStopAfterShorterDeadlines: the settings have shorter deadlines by the time of SIGTERM than those with which a
+// request was taken. It gets its answer by its own.
+func TestStopAfterShorterDeadlines(t *testing.T) {
+	server, got, _ := silentServer(t)
+	n := startNode(t, server)
+	answers := make(chan reply, 1)
+	go func() { answers <- do(t, n.request(t, "POST", "pagar", "q", "2", strings.NewReader("x"))) }()
+	wait(t, got, "the attempt")
+	n.change(decide.Class{Name: "pagar", Aim: time.Millisecond, Deadline: time.Millisecond})
+	n.stop()
+	n.linger()
+	if a := wait(t, answers, "the answer"); a.status != 502 {
+		t.Errorf("answer %+v, want a failure at the deadline", a)
+	}
+}
--- a/internal/node/validate.go
+++ b/internal/node/validate.go
@@ -76,6 +76,7 @@
 	patience = f.left(patience - answerMargin)
 	u := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
 	deadline := time.Now().Add(patience) // its last byte has come now, and its client waits from there
+	f.keepLatest(deadline)
 	var rest *upload
 	if long {
 		rest = startUpload(r, reader, len(body), patience)
@@ -84,6 +85,15 @@
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body, rest: rest}}, e, 0, nil
 }
 
+// keepLatest notes how long the front may have to stay, whatever its settings say by then.
+func (f *frontend) keepLatest(deadline time.Time) {
+	for at := int64(deadline.Sub(f.node.start)); ; {
+		if before := f.latest.Load(); at <= before || f.latest.CompareAndSwap(before, at) {
+			return
+		}
+	}
+}
+
 // formError is a request whose form its class does not have.
 type formError struct {
 	status int
