Keep the list that discovery told ahead of what the configuration knew

Symptom: a SIGHUP moves discovery while a new process waits for the state of the old one (2.5 s at most). The new address tells the list, then the process takes the older one of its configuration in its place: servers that are gone or drain get requests until the next call is answered.

Ruled out: beginning the lists ahead of greet, as what the old process has learned has to come before the first list.

Change: once discovery has told a list, the known one is not taken.

Test: TestReloadBeforeTheFirstList has the old process say its state when the new address has told its list, after which that address is silent. Without the change the request is refused (503).

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -62,7 +62,11 @@
 		n.unheard = true
 		time.AfterFunc(n.first, func() { n.post(n.welcome) })
 	}
-	n.follow(n.cfg.known, decide.ListCached)
+	select {
+	case <-n.told: // by an address to which SIGHUP has moved the node meanwhile: what is known is older
+	default:
+		n.follow(n.cfg.known, decide.ListCached)
+	}
 	if pushed {
 		n.lists.Follow(ctx)
 	}
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"indigotack/decide"
+	"indigotack/internal/list"
 )
 
 // TestReloadMovesDiscovery: after a move the node lets go of the old address,
@@ -108,3 +109,43 @@
 	wait(t, whole, "the node's own call")
 	wait(t, watched, "the node's own watch")
 }
+
+// TestReloadBeforeTheFirstList: discovery moves while a new process still waits for the state of the old one, and the
+// new address tells the list. What the configuration knew of before does not replace it.
+func TestReloadBeforeTheFirstList(t *testing.T) {
+	dir, told := meetingPlace(t), make(chan chan struct{}, 1)
+	oldProcess(t, dir, func(o other) {
+		o.read.ReadString('\n')
+		<-<-told
+		o.say(t, `{"v":1,"kind":"state"}`)
+		o.hear(t, kindReady)
+		o.say(t, `{"kind":"yours"}`)
+		io.Copy(io.Discard, o)
+	})
+	server, ids := echoServer(t)
+	first := make(chan bool, 1)
+	first <- true
+	disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-first:
+			fmt.Fprintf(w, `{"index":1,"snapshot":true,"endpoints":[%s]}`, entryJSON("new", server, "ready"))
+		default: // silent from then on
+			<-r.Context().Done()
+		}
+	}))
+	defer disc.Close()
+	n := startNodeWith(t, func(n *Node) {
+		n.TakeOver(dir)
+		n.cfg.known = list.Answer{Snapshot: true, Endpoints: []list.Entry{{Name: "old", Address: refusing(t), Status: list.Ready}}}
+		told <- n.told
+		cfg := n.cfg
+		cfg.Discovery = disc.Listener.Addr().String()
+		n.Reload(cfg) // carried out as soon as the loop runs
+	})
+	defer n.stopNow(t)
+	if a := do(t, n.request(t, "GET", "saldo", "q", "20", nil)); a.status != 200 {
+		t.Errorf("answer %+v", a)
+	} else if id := wait(t, ids, "the attempt"); id != "q" {
+		t.Errorf("the new server got %q", id)
+	}
+}
