Let no module wait for probes that a node can't send

Symptom: under settings that allow probes, report loads in them and price them low, a node refuses each request with 503.

Cause: the module then looks before each send (decide/module.go:26, decide/looks.go:19) and takes only servers that have answered a probe. The node has no probes ("action not carried out", loop.go:104), as a server takes nothing from it but clients' requests: the settings are the simulator's.

Ruled out: carrying probes out.

Change: a node's configuration never has the module think that it may probe.

Test: TestServesWhereProbesAreAllowed; without the change the answer is 503.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -108,6 +108,7 @@
 		for _, err := range all {
 			wrong("settings: %w", err)
 		}
+		settings.MayProbe = false // servers take nothing from a node but clients' requests, whatever the simulator's may
 	}
 	for _, a := range in.addresses() {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -156,6 +156,17 @@
 	figure(t, address, "app.results.pagar.succeeded:1|c")
 }
 
+// TestServesWhereProbesAreAllowed: a node has no way to probe, so its module must not wait for answers to probes.
+func TestServesWhereProbesAreAllowed(t *testing.T) {
+	n, reread := rereader(t, serving(t))
+	if err := reread(strings.Replace(reloadConfig, `"caps":{`, `"report":{"how":"probe"},"caps":{"probes":true,`, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if a := do(t, n.request(t, "GET", "saldo", "q", "20", nil)); a.status != 200 {
+		t.Errorf("answer %+v", a)
+	}
+}
+
 // TestFormerFormRunsUnderFormerClass.
 func TestFormerFormRunsUnderFormerClass(t *testing.T) {
 	r := newRules(decide.Settings{Classes: []decide.Class{{Name: "a", Effect: decide.Unsafe}}},
