Show that a hand-over and SIGTERM at one moment drop nothing

Sound as it was: handed is set before the listener is closed, serve takes either end of its select (drain.go:38) for the same order to stop, and the listener is closed, not shut down, so that the queue is the other process's. There was no test of the two together.

--- /dev/null
+++ b/internal/node/upgrade_signal_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+)
+
+// TestHandOverAndSIGTERM: both come at one moment, in either order, or the second while the process lingers after the
+// first. What is open is answered, what connects then is the other process's, and the end is no error.
+func TestHandOverAndSIGTERM(t *testing.T) {
+	handed := func(n *running) {
+		n.front.handed.Store(true)
+		n.front.stopAccepting()
+	}
+	for _, c := range []struct {
+		name  string
+		steps []func(n *running)
+	}{
+		{"handed over, then SIGTERM", []func(*running){handed, func(n *running) { n.stop() }}},
+		{"handed over and closed, then SIGTERM", []func(*running){handed, func(n *running) { <-n.tap.closed; n.stop() }}},
+		{"SIGTERM, then handed over", []func(*running){func(n *running) { n.stop() }, handed}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release, got := make(chan struct{}), make(chan bool, 1)
+			n := startNode(t, backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if readRequest(r) != nil {
+					got <- true
+					<-release
+					io.WriteString(conn, okAnswer)
+				}
+			}))
+			shared, err := n.tap.Listener.(*net.TCPListener).File()
+			if err != nil {
+				t.Fatal(err)
+			}
+			next, err := net.FileListener(shared) // of the other process
+			shared.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer next.Close()
+			open := n.opened(t)
+			open.ask(t, "saldo", "q", "60")
+			wait(t, got, "the attempt")
+			for _, step := range c.steps {
+				step(n)
+			}
+			wait(t, n.tap.closed, "the listener to be closed")
+			late := n.dial(t)
+			taken := make(chan net.Conn, 1)
+			go func() {
+				conn, _ := next.Accept()
+				taken <- conn
+			}()
+			if conn := wait(t, taken, "the connection at the other process"); conn.RemoteAddr().String() != late.LocalAddr().String() {
+				t.Errorf("it has that of %v, want %v", conn.RemoteAddr(), late.LocalAddr())
+			}
+			n.linger()
+			close(release)
+			if status := open.status(t); status != 200 {
+				t.Errorf("the open request: %d", status)
+			}
+			if err := wait(t, n.ended, "the node's end"); err != nil {
+				t.Errorf("the node ends with %v", err)
+			}
+		})
+	}
+}
