Blame no server for a write that its own request's end cut short

Symptom: an attempt that is called off between its choice and its write ends as "could not connect", which is a strike against the server and, after some, has it left out; a burst of clients that leave can do that to a healthy one.

Cause: exchange.go, send: each write that breaks ahead of its last byte was ConnectFailed, also where the end of the attempt's context had set the deadline that broke it.

Change: it is Moot then: never sent, and nothing is said of the server. The end of the attempt's time stays as it was.

TestCrossings, "called off ahead of the write", fails without it (tried: outcome ConnectFailed).

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -46,7 +46,7 @@
 	answer := named(strings.Repeat("x", smallBody+1)) // takes room
 	for _, c := range []struct {
 		name      string
-		ends      string // what the server does ahead of the write
+		ends      string // what happens ahead of the write
 		answering func(p *pool, cancel func())
 		want      decide.OutcomeCode
 		open      int
@@ -54,7 +54,8 @@
 		{"nothing", "", nil, decide.OK, 1},
 		{"the server closes", "close", nil, decide.Reset, 0},
 		{"the server resets", "reset", nil, decide.ConnectFailed, 0},
-		{"the attempt is called off", "", func(_ *pool, cancel func()) { cancel() }, decide.OK, 0},
+		{"it is called off ahead of the write", "cancel", nil, decide.Moot, 0},
+		{"it is called off behind the last byte", "", func(_ *pool, cancel func()) { cancel() }, decide.OK, 0},
 		{"the server is restarted", "", func(p *pool, _ func()) { p.set(1, p.backends[1].address, 5) }, decide.OK, 0},
 		{"the server leaves the list", "", func(p *pool, _ func()) { p.remove(1) }, decide.OK, 0},
 		{"idle connections are closed", "", func(p *pool, _ func()) { p.closeIdle(1) }, decide.OK, 1},
@@ -95,7 +96,11 @@
 				}
 			}
 			x.write = func() {
-				if close(end); c.ends != "" {
+				switch close(end); c.ends {
+				case "cancel":
+					cancel()
+					<-spoilt
+				case "close", "reset":
 					awaitWord(t, x)
 				}
 			}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -88,10 +88,13 @@
 		return decide.Moot, false
 	}
 	if sent, err := c.Write(msg); err != nil {
-		if sent < len(msg) {
-			return decide.ConnectFailed, false
+		switch {
+		case sent == len(msg): // a last byte that left with an error may have come
+			return ending(ctx, err), false
+		case errors.Is(ctx.Err(), context.Canceled): // no fault of the server's
+			return decide.Moot, false
 		}
-		return ending(ctx, err), false // a last byte that left with an error may have come
+		return decide.ConnectFailed, false
 	}
 	c.pool.forwards.Add(1)
 	return decide.OK, true
