Show that only a whole answer is one, however its connection ends or goes on

Sound before, and shown now. TestEndsOfAnswers: each form of an answer, cut at its places, with a close, a reset or silence behind it; a reset is no end where no length is stated. TestEndlessAnswers: heads, 1xx, empty lines, extensions, trailers without end cost an attempt its time at most, and leave no connection, no room, and a server that has been told.

--- a/internal/node/response_test.go
+++ b/internal/node/response_test.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"indigotack/decide"
 )
@@ -29,3 +33,91 @@
 		}
 	}
 }
+
+const okHead, chunkedHead = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// TestEndsOfAnswers: only a whole answer is one, whatever its connection does then. A reset is no end, and silence is none.
+func TestEndsOfAnswers(t *testing.T) {
+	long := okHead + "\r\n" + strings.Repeat("x", maxBody+1)
+	const OK, Reset, TimedOut, Full, never = decide.OK, decide.Reset, decide.TimedOut, decide.Full, -1 // not by the attempt's time
+	for _, c := range []struct {
+		name, answer          string
+		closed, reset, silent decide.OutcomeCode
+	}{
+		{"nothing", "", Reset, Reset, TimedOut},
+		{"half a head", okHead + "Content-", Reset, Reset, TimedOut},
+		{"a length", okAnswer, OK, OK, OK},
+		{"half a length", okHead + "Content-Length: 4\r\n\r\nhi", Reset, Reset, TimedOut},
+		{"chunks", chunkedHead + "2\r\nhi\r\n0\r\n\r\n", OK, OK, OK},
+		{"no last chunk", chunkedHead + "2\r\nhi\r\n", Reset, Reset, TimedOut},
+		{"no empty line", chunkedHead + "2\r\nhi\r\n0\r\n", Reset, Reset, TimedOut},
+		{"no length", okHead + "\r\nhi", OK, Reset, TimedOut},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nhi", OK, Reset, TimedOut},
+		{"no length, long", long, OK, Reset, never},
+		{"a refusal", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", Full, Full, Full},
+	} {
+		for end, want := range map[string]decide.OutcomeCode{"closed": c.closed, "reset": c.reset, "silent": c.silent} {
+			if want == never {
+				continue
+			}
+			t.Run(c.name+", "+end, func(t *testing.T) {
+				endsAs(t, want, func(conn net.Conn, r *bufio.Reader) {
+					if io.WriteString(conn, c.answer); end == "silent" {
+						r.ReadByte()
+					} else if end == "reset" {
+						conn.(*net.TCPConn).SetLinger(0)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestEndlessAnswers take nothing but their attempts' time.
+func TestEndlessAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		begin, again string
+		pause        time.Duration
+		want         decide.OutcomeCode
+	}{
+		"a head byte by byte": {okHead + "X-A: ", "x", time.Millisecond, decide.TimedOut},
+		"a line of a head":    {okHead + "X-A: ", "xxxxxxxxxxxxxxxx", 0, decide.ServerError},
+		"lines of a head":     {okHead, "X-A: xxxxxxxxxx\r\n", 0, decide.ServerError},
+		"1xx answers":         {"", "HTTP/1.1 103 Early Hints\r\n\r\n", 0, decide.ServerError},
+		"a chunk's extension": {chunkedHead + "2;x=", "xxxxxxxxxxxxxxxx", 0, decide.ServerError},
+		"a trailer":           {chunkedHead + "2\r\nhi\r\n0\r\n", "X-A: xxxxxxxxxx\r\n", 0, decide.ServerError},
+		"empty lines":         {"", "\r\n", 0, decide.ServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			endsAs(t, c.want, func(conn net.Conn, _ *bufio.Reader) {
+				for _, err := io.WriteString(conn, c.begin); err == nil; time.Sleep(c.pause) {
+					_, err = io.WriteString(conn, c.again)
+				}
+			})
+		})
+	}
+}
+
+// endsAs has a server answer an attempt, which has to end as it should, and to leave nothing taken and the server told.
+func endsAs(t *testing.T, want decide.OutcomeCode, answer func(net.Conn, *bufio.Reader)) {
+	t.Parallel()
+	over := make(chan bool, 1)
+	p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		if readRequest(r) != nil {
+			answer(conn, r)
+			over <- true
+		}
+	}))
+	time := enough
+	if want == decide.TimedOut {
+		time /= 100
+	}
+	if got := try(t, p, time); got.code != want {
+		t.Errorf("outcome %d, want %d", got.code, want)
+	}
+	p.closeIdle(1)
+	wait(t, over, "the end of its server's part")
+	if p.open != 0 || len(p.room) != 0 {
+		t.Errorf("%d connections open, %d of the room taken", p.open, len(p.room))
+	}
+}
