Hold an answer that drips on to its request's time, until it has shown to be long

Symptom: an answer of no stated length that gives a byte now and then and never ends is passed on after 0.1 s, and then goes on until its client leaves or 32 MB have come: a request has to get its final answer half a second after its time at the latest.

Cause: stream.go, copy: once a stream has begun, only 20 s without a byte ended it.

Ruled out: ending it right at its time (a long one that comes slowly would be cut off); a shorter standstill (a drip has none).

Change: until 64 KiB have come, more must have come by the request's time and 0.4 s, and what it has given needs at half of 64 kB a second, the rate already asked of clients. Time in which the node does not read does not count. Then its client's connection ends without an end of chunks, and the attempt as broken. What has given more, or states a length, is held to progress alone, as before.

TestAnswerThatDripsOn and TestTimeOfStream fail without it (tried). TestLongAnswerBreaksOff has one that is reset, too.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -161,7 +161,7 @@
 		return carried{outcome: write(w, a), answered: true}
 	}
 	writeHeader(w, a, a.stream.length)
-	err := a.stream.pass(w)
+	err := a.stream.pass(w, req.deadline)
 	a.stream.ended <- err
 	if err != nil {
 		f.node.log.Info("a long answer breaks off", "id", req.id, "err", err)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -29,17 +29,17 @@
 }
 
 // pass writes a stream to its client, piece by piece. An error means that the
-// client does not have all of it.
-func (s *stream) pass(w http.ResponseWriter) error {
+// client does not have all of it. due is when its request's time is over.
+func (s *stream) pass(w http.ResponseWriter, due time.Time) error {
 	control := http.NewResponseController(w)
 	s.take(func() {
 		s.conn.SetDeadline(time.Unix(1, 0))
 		control.SetWriteDeadline(time.Unix(1, 0))
 	})
-	return s.drop(s.copy(w, control))
+	return s.drop(s.copy(w, control, due))
 }
 
-func (s *stream) copy(w http.ResponseWriter, control *http.ResponseController) error {
+func (s *stream) copy(w http.ResponseWriter, control *http.ResponseController, due time.Time) error {
 	put := func(p []byte) error {
 		if len(p) == 0 {
 			return nil
@@ -56,16 +56,19 @@
 		}
 		return nil
 	}
+	returned := time.Now() // from the last read
 	err, passed := put(s.start), int64(len(s.start))
 	s.start = nil
 	for buf := make([]byte, copyBuffer); err == nil; {
 		var n int
 		var rerr error
-		s.conn.SetReadDeadline(time.Now().Add(progressTime))
+		due = due.Add(time.Since(returned)) // only the server's time counts
+		s.conn.SetReadDeadline(s.by(due, passed))
 		if s.pulled() {
 			return errCut
 		}
 		n, rerr = s.rest.Read(buf)
+		returned = time.Now()
 		if passed += int64(n); passed > maxLarge {
 			return errLong
 		}
@@ -78,3 +81,18 @@
 	}
 	return err
 }
+
+// by is when more of it must have come. Of a long answer the first byte is
+// timed, of any other the last one, and one of no stated length is long only
+// once so much has come: until then it may not drip on past its request's time,
+// and still gets there at the rate that is asked of clients.
+func (s *stream) by(due time.Time, passed int64) time.Time {
+	by := time.Now().Add(progressTime)
+	if s.length >= 0 || passed > maxBody {
+		return by
+	}
+	if last := due.Add(bodyGrace + time.Duration(passed)*time.Second/bodyRate); last.Before(by) {
+		return last
+	}
+	return by
+}
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/sha256"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 )
@@ -56,11 +58,17 @@
 	for form, head := range map[string]string{
 		"length": "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n",
 		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf4240\r\n",
+		"reset":  "HTTP/1.1 200 OK\r\n\r\n",
 	} {
+		begun := make(chan bool, 1)
 		n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 			if readRequest(r) != nil {
 				io.WriteString(c, head)
 				c.Write(pattern(300000))
+				if form == "reset" { // else it discards what has not left
+					<-begun
+					c.(*net.TCPConn).SetLinger(0)
+				}
 			}
 		}))
 		address := n.operate(t)
@@ -70,6 +78,7 @@
 		if err != nil || resp.StatusCode != 200 {
 			t.Fatalf("%s: %v", form, err)
 		}
+		begun <- true
 		if got, err := io.ReadAll(resp.Body); err == nil {
 			t.Errorf("%s: %d bytes look like a whole answer", form, len(got))
 		}
@@ -150,3 +159,55 @@
 		t.Error("the bytes are others")
 	}
 }
+
+// TestAnswerThatDripsOn ends with its request's time, and its client can tell.
+func TestAnswerThatDripsOn(t *testing.T) {
+	n := startNode(t, backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		if readRequest(r) == nil {
+			return
+		}
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for over := time.Now().Add(enough / 2); err == nil && time.Now().Before(over); time.Sleep(20 * time.Millisecond) {
+			_, err = io.WriteString(conn, "1\r\nx\r\n")
+		}
+		io.WriteString(conn, "0\r\n\r\n")
+	}))
+	c := n.dial(t)
+	c.ask(t, "saldo", "q", "3")
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("no answer begins: %v", err)
+	}
+	if got, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("%d bytes look like a whole answer", len(got))
+	}
+}
+
+// TestTimeOfStream: only what is not known to be long is held to its request's time.
+func TestTimeOfStream(t *testing.T) {
+	for _, c := range []struct {
+		length int64
+		start  int
+		due    time.Duration
+		whole  bool
+	}{
+		{-1, 10, -time.Hour, false},
+		{-1, maxBody, -time.Hour, false},
+		{-1, 10, time.Hour, true},
+		{-1, maxBody + 1, -time.Hour, true},
+		{maxBody + 20, 10, -time.Hour, true},
+	} {
+		p := testPool(backendServer(t, func(_ int, conn net.Conn, _ *bufio.Reader) { conn.Write(make([]byte, 10)) }))
+		ctx, cancel := context.WithTimeout(context.Background(), enough)
+		conn, err := p.get(ctx, 1)
+		if cancel(); err != nil {
+			t.Fatal(err)
+		}
+		s := &stream{length: c.length, start: make([]byte, c.start), rest: conn.Conn, conn: conn}
+		w := httptest.NewRecorder()
+		if err := s.pass(w, time.Now().Add(c.due)); (err == nil) != c.whole || c.whole && w.Body.Len() != c.start+10 {
+			t.Errorf("%+v: %d bytes, %v", c, w.Body.Len(), err)
+		}
+		conn.discard()
+	}
+}
