Hear that a client leaves also when it has sent something behind its request

Symptom: a client that sent a byte more than its request (a next request, part of one, an empty line) and then closed or reset its connection was not seen to leave: its request was still sent on, its place in the queue and its attempt stayed until its deadline.

Cause: net/http hears of it by a background read of one byte beside the handler (server.go, connReader.backgroundRead).

Now a read beside a handler is given nothing: what comes behind is kept, 16 KiB at most, and served in its turn; the client's end, in whatever way, goes up as the error that cancels the request. The server's own end of that read (its deadline) leaves what is kept. A client that has left is served nothing more. Past 16 KiB behind a request in flight the byte is given as before.

TestBehindARequestInFlight shows that a client that stays is served.

--- a/internal/node/accept/conn.go
+++ b/internal/node/accept/conn.go
@@ -16,6 +16,7 @@
 	// lingerBytes are read of what a client still sends then: some of the
 	// longest requests. One that sends more reads no answer.
 	lingerBytes = 256 << 10
+	aheadStep   = 1 << 10 // bytes read at a time behind a request in flight
 )
 
 // Conn is a client's connection.
@@ -25,51 +26,64 @@
 	began    atomic.Int64 // when the request under way did, or the connection
 	free     func()
 
-	mu      sync.Mutex // of what follows
-	state   state
-	ended   bool // the client's side has
-	framing framing
-	served  bool   // something has come before
-	behind  []byte // what came with the end of a request
+	mu       sync.Mutex // of what follows
+	state    state
+	ended    error // how the client's side has; nil: it has not
+	framing  framing
+	inFlight bool   // the server has a whole request, and has not ended it
+	served   bool   // something has come before
+	behind   []byte // what came after the end of a request
 }
 
 // Read holds back what follows a head of ambiguous length. It ends at the end
-// of a request: beside a handler the server reads one byte ahead, and an error
-// in what comes behind a request must not end the request. The server never
-// has two reads at a time.
-func (c *Conn) Read(p []byte) (n int, err error) {
+// of a request: an error in what comes behind a request must not end the
+// request. The server never has two reads at a time.
+func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.framing.err != nil {
-		return 0, c.framing.err
-	}
-	if len(c.behind) > 0 {
-		n = copy(p, c.behind)
-		c.behind = c.behind[n:]
-	} else if n, err = c.receive(p); err != nil {
-		return 0, err
-	}
-	if c.framing.between() && c.served {
-		c.began.Store(time.Now().UnixNano())
-	}
-	c.served = true
-	passed := c.framing.pass(p[:n])
-	if passed < n && c.framing.err == nil {
-		c.behind = append(append([]byte(nil), p[passed:n]...), c.behind...)
-	}
-	if passed == 0 && c.framing.err != nil {
-		return 0, c.framing.err
+	watches := c.watches(p)
+	for buf := p; ; {
+		switch {
+		case c.framing.err != nil:
+			return 0, c.framing.err
+		case c.ended != nil:
+			return 0, c.ended // whatever is kept: a client that has left is owed no more
+		case len(c.behind) > 0 && (!watches || len(c.behind) >= MaxHead):
+			n, err := c.pass(p[:copy(p, c.behind)])
+			c.behind = c.behind[n:]
+			return n, err
+		}
+		n, err := c.receive(buf)
+		if err != nil {
+			return 0, err
+		}
+		if !watches {
+			passed, err := c.pass(p[:n])
+			c.behind = append([]byte(nil), p[passed:n]...)
+			return passed, err
+		}
+		if c.behind = append(c.behind, buf[:n]...); len(buf) < aheadStep {
+			buf = make([]byte, aheadStep)
+		}
 	}
-	return passed, nil
 }
 
+// watches tells whether a read is the server's beside a handler, by which it
+// hears that the client leaves. It asks for one byte, and hears nothing more once
+// it has one: so it gets none while there is room to keep what comes. Where the
+// request ends is not known of one in chunks, but there the server reads
+// one byte at no other time.
+func (c *Conn) watches(p []byte) bool { return c.inFlight || c.framing.chunked && len(p) == 1 }
+
 // receive takes what the client has sent, unless the connection has been closed.
 func (c *Conn) receive(p []byte) (int, error) {
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	if n == 0 && err != nil {
-		c.ended = c.ended || !errors.Is(err, os.ErrDeadlineExceeded)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.ended = err
+		}
 		return 0, err
 	}
 	if c.state == closed {
@@ -79,6 +93,20 @@
 	return n, nil
 }
 
+// pass follows what the server is given, and tells how much that is.
+func (c *Conn) pass(p []byte) (int, error) {
+	if c.framing.between() && c.served {
+		c.began.Store(time.Now().UnixNano())
+	}
+	c.served = true
+	n := c.framing.pass(p)
+	if n == 0 && c.framing.err != nil {
+		return 0, c.framing.err
+	}
+	c.inFlight, c.framing.ended = c.inFlight || c.framing.ended, false
+	return n, nil
+}
+
 // SetReadDeadline leaves a connection that has been closed as it is.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -98,7 +126,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.state = closed
-	ended := c.ended
+	ended := c.ended != nil
 	c.mu.Unlock()
 	if !ended && !c.listener.hurried.Load() {
 		c.linger()
--- a/internal/node/accept/framing.go
+++ b/internal/node/accept/framing.go
@@ -24,6 +24,7 @@
 	codings int
 	body    int64 // bytes still to come
 	chunked bool  // this one ends where the server says; what follows is never served
+	ended   bool  // a request has, of which the server has been given the last byte
 	err     error
 }
 
@@ -38,6 +39,7 @@
 			n := int(min(f.body, int64(len(p)-i)))
 			f.body -= int64(n)
 			if i += n; f.body == 0 {
+				f.ended = true
 				return i
 			}
 			continue
@@ -54,6 +56,7 @@
 			return i + end
 		}
 		if i += end + 1; whole && f.body == 0 && !f.chunked {
+			f.ended = true
 			return i
 		}
 	}
--- a/internal/node/accept/idle.go
+++ b/internal/node/accept/idle.go
@@ -38,6 +38,7 @@
 func (c *Conn) goIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.inFlight = false
 	if !c.framing.between() || len(c.behind) > 0 {
 		return false
 	}
--- /dev/null
+++ b/internal/node/behind_test.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+const (
+	chunkedPost = "POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: pagar\r\nX-Deadline: 60\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nrent\r\n0\r\n\r\n"
+	nextGet     = "GET /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: next\r\nX-Class: saldo\r\nX-Deadline: 60\r\n\r\n"
+)
+
+// TestClientThatLeavesIsHeard, whatever it has sent behind its request, which is then not sent on and counts no more.
+func TestClientThatLeavesIsHeard(t *testing.T) {
+	server, got, gone := silentServer(t)
+	n := startNode(t, server)
+	leave := map[string]func(raw){
+		"closed":      func(c raw) { c.Close() },
+		"reset":       func(c raw) { c.SetLinger(0); c.Close() },
+		"half-closed": func(c raw) { c.CloseWrite() },
+	}
+	for request, sent := range map[string]string{"get": wholeGet, "post": wholePost, "chunked": chunkedPost} {
+		for _, behind := range []string{"", "x", "\r\n", nextGet[:20], nextGet, nextGet + nextGet[:20]} {
+			for how, leave := range leave {
+				t.Run(fmt.Sprintf("%s, %d bytes behind, %s", request, len(behind), how), func(t *testing.T) {
+					c := n.opened(t)
+					io.WriteString(c, sent)
+					wait(t, got, "the attempt")
+					before := n.tap.read.Load()
+					io.WriteString(c, behind)
+					until(t, "the node to read", func() bool { return n.tap.read.Load() >= before+int64(len(behind)) })
+					leave(c)
+					if id := wait(t, gone, "the attempt's end"); id != "q" {
+						t.Errorf("%q has been sent on", id)
+					}
+					until(t, "the request's end", func() (over bool) {
+						n.do(func() { over = len(n.requests) == 0 && n.stats.outstanding.Load() == 0 })
+						return over
+					})
+				})
+			}
+		}
+	}
+	if len(got) > 0 {
+		t.Errorf("%q has been sent on", <-got)
+	}
+}
+
+// TestBehindARequestInFlight: what a client that stays sends meanwhile is served in its turn, also where it is too much to keep.
+func TestBehindARequestInFlight(t *testing.T) {
+	long := strings.Replace(strings.Replace(wholePost, "Id: q", "Id: next", 1), "4\r\n\r\nrent", "40000\r\n\r\n"+strings.Repeat("x", 40000), 1)
+	for _, behind := range []string{nextGet, "\r\n" + nextGet + nextGet, long, nextGet + long} {
+		t.Run(fmt.Sprintf("%d bytes", len(behind)), func(t *testing.T) {
+			n, release := startHolding(t, false)
+			c := n.opened(t)
+			n.send(t, c, wholePost)
+			before := n.tap.read.Load()
+			io.WriteString(c, behind)
+			until(t, "the node to read", func() bool { return n.tap.read.Load() >= before+min(int64(len(behind)), 16<<10) })
+			close(release)
+			for range 1 + strings.Count(behind, "HTTP/1.1") {
+				if s := c.status(t); s != http.StatusOK {
+					t.Errorf("answer %d", s)
+				}
+			}
+		})
+	}
+}
