Accept what waits in the clients' queue before the socket closes

Symptom: connections that waited in the listener's queue at the end of accepting, 0.6 s after SIGTERM, were reset with the requests on them; with all places for clients taken, each one there was.

Cause: drain.go, finish closed the socket at once, and the kernel resets what is queued; stopAccepting left the close to another goroutine. Accept waited for a place and did not hear of the close.

Now the end of accepting is a deadline on the socket (accept.Listener.Drain). An Accept that it ends, or that begins after it, looks whether something waits, and takes it; as idle connections are closed and the others told to close, places get free. Once nothing waits the socket is closed, at the latest when all requests are past their deadlines. In a hand-over it is closed at once, before the new process is told: the queue is the new one's. What comes between the last look and the close is still reset: the system has no step for both.

TestQueueIsServedAtTheEnd fails with the close in place of the deadline: 6 of 6 connections reset.

--- a/internal/node/accept/close_test.go
+++ b/internal/node/accept/close_test.go
@@ -125,7 +125,7 @@
 				}
 				if !c.ends {
 					wait(t, idle, "the connection to go idle")
-					l.CloseIdle()
+					l.Drain()
 				}
 				select {
 				case let := <-ln.halved:
--- a/internal/node/accept/idle.go
+++ b/internal/node/accept/idle.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// CloseIdle closes all connections that are idle, now or later, and no other.
-func (l *Listener) CloseIdle() {
+// closeAllIdle closes all connections that are idle, now or later, and no other.
+func (l *Listener) closeAllIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ending = true
--- a/internal/node/accept/listener_test.go
+++ b/internal/node/accept/listener_test.go
@@ -116,3 +116,40 @@
 		c.Close()
 	}
 }
+
+// TestQueueIsServedAtTheEnd of accepting, whether that finds all places taken or Accept not yet called. Then it is closed.
+func TestQueueIsServedAtTheEnd(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		ln := listen(t)
+		l := Limit(ln.TCPListener, 1)
+		began, release := make(chan bool, 10), make(chan bool)
+		handle := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			began <- true
+			<-release
+		}
+		if taken {
+			serve(t, l, handle)
+			io.WriteString(dial(t, ln), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+			wait(t, began, "the request")
+		}
+		var queue []*net.TCPConn
+		for range 3 {
+			c := dial(t, ln)
+			io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+			queue = append(queue, c)
+		}
+		l.Drain()
+		if !taken {
+			serve(t, l, handle)
+		}
+		close(release)
+		for i, c := range queue {
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+				t.Errorf("taken %v: connection %d: %v, %v", taken, i, resp, err)
+			}
+			c.Close()
+		}
+		wait(t, l.shut, "the end of accepting")
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -22,22 +22,21 @@
 	srv := f.server()
 	limited := accept.Limit(ln, f.most)
 	srv.ConnState = limited.Note
-	failed := make(chan error, 1)
+	f.clients.Store(limited)
+	if f.handed.Load() { // before there was anything to close
+		limited.Close()
+	}
 	f.open.Store(true)
-	go func() { failed <- srv.Serve(limited) }()
-	ended := make(chan struct{})
-	defer close(ended)
+	var failed error
+	served := make(chan struct{})
 	go func() {
-		select {
-		case <-f.closing:
-			ln.Close()
-		case <-ended:
-		}
+		defer close(served)
+		failed = srv.Serve(limited)
 	}()
 	select {
-	case err := <-failed:
+	case <-served:
 		if !f.handed.Load() {
-			return fmt.Errorf("serving clients: %w", err)
+			return fmt.Errorf("serving clients: %w", failed)
 		}
 		limited.Outlive(ctx, outliveLeast)
 	case <-ctx.Done():
@@ -51,7 +50,7 @@
 	}
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest+finishSlack)
 	defer cancel()
-	f.finish(end, ln, limited)
+	finish(end, served, limited)
 	limited.Hurry()
 	srv.Close()
 	return nil
@@ -61,9 +60,13 @@
 // over: then all requests are past their deadlines, and what is left are
 // connections on which none has come. http.Server's Shutdown does not do, as
 // it drops without an answer each request whose head is whole after its call.
-func (f *frontend) finish(end context.Context, ln net.Listener, limited *accept.Listener) {
-	ln.Close() // nothing is to be done about an error
-	limited.CloseIdle()
+func finish(end context.Context, served <-chan struct{}, limited *accept.Listener) {
+	limited.Drain()
+	select {
+	case <-served:
+	case <-end.Done():
+		limited.Close()
+	}
 	limited.Outlive(end, 0)
 }
 
@@ -82,5 +85,7 @@
 // handed is set: those that come on open connections are asked to close.
 func (f *frontend) stopAccepting() {
 	f.draining.Store(true)
-	close(f.closing)
+	if limited := f.clients.Load(); limited != nil {
+		limited.Close()
+	}
 }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -31,15 +31,15 @@
 	linger   func() // goes on accepting for a while after the order to stop
 	ready    atomic.Bool
 	draining atomic.Bool
-	open     atomic.Bool   // it accepts
-	handed   atomic.Bool   // to a new process
-	closing  chan struct{} // closed when it is to accept no more
+	open     atomic.Bool                     // it accepts
+	handed   atomic.Bool                     // to a new process
+	clients  atomic.Pointer[accept.Listener] // nil: it does not serve yet
 	killMost time.Duration
 	answerBy atomic.Pointer[time.Time] // for requests that come from now on; nil: their deadlines
 }
 
 func newFrontend(n *Node, most int) *frontend {
-	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }, closing: make(chan struct{}), killMost: killMost}
+	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }, killMost: killMost}
 	f.rules.Store(newRules(n.cfg.Settings, nil))
 	return f
 }
--- a/internal/node/running_test.go
+++ b/internal/node/running_test.go
@@ -67,7 +67,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &running{Node: New(testConfig(disc.Listener.Addr().String()), quiet), address: ln.Addr().String(), stop: stop,
-		ended: make(chan error, 1), tap: &tapped{Listener: ln, closed: make(chan struct{})}}
+		ended: make(chan error, 1), tap: &tapped{TCPListener: ln.(*net.TCPListener), closed: make(chan struct{})}}
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
 	n.front.linger = func() { <-lingered }
--- a/internal/node/term_test.go
+++ b/internal/node/term_test.go
@@ -15,14 +15,14 @@
 
 // tapped is the clients' socket of a node under test. It tells what the node has taken from it.
 type tapped struct {
-	net.Listener
+	*net.TCPListener
 	accepted, read atomic.Int64 // connections, and bytes on all of them
 	once           sync.Once
 	closed         chan struct{}
 }
 
 func (l *tapped) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -32,7 +32,7 @@
 
 func (l *tapped) Close() error {
 	defer l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	return l.TCPListener.Close()
 }
 
 type tappedConn struct {
