Answer what is read behind a request while draining before asking to close

Symptom: a client whose next request, whole or begun, had been read behind the one in flight as the node got SIGTERM got an answer with Connection: close and then an end: the request read was dropped.

Cause: frontend.go, ServeHTTP and passOn set Connection: close whenever the node drained, whatever was behind.

Now askToClose, right before each answer, does so only if nothing of a next request has been read; if some has, that request is answered and the client asked then. What comes after that decision is dropped with the connection, and its client has the answer that told it to close.

TestWhatIsReadBehindIsAnswered (one byte, 30 bytes, a whole request behind; before and after the end of accepting) fails in all 6 cases without the look behind: "answer 1: unexpected EOF".

--- a/internal/node/accept/conn.go
+++ b/internal/node/accept/conn.go
@@ -120,6 +120,13 @@
 // Began is when the first byte of the request under way came, or the connection.
 func (c *Conn) Began() time.Time { return time.Unix(0, c.began.Load()) }
 
+// Pending tells whether something has been read behind the request under way.
+func (c *Conn) Pending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.behind) > 0
+}
+
 // Close ends the connection, and then gives its place to another. A close over
 // bytes that nobody has read is a reset, which may destroy an answer on its
 // way; so the client is told first, and has some time to close.
--- a/internal/node/behind_test.go
+++ b/internal/node/behind_test.go
@@ -69,3 +69,43 @@
 		})
 	}
 }
+
+// TestWhatIsReadBehindIsAnswered, though the order to stop and the end of accepting come before the answer to the
+// request ahead of it. Only then the client is told to close.
+func TestWhatIsReadBehindIsAnswered(t *testing.T) {
+	for _, split := range []int{1, 30, len(nextGet)} {
+		for _, late := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes, late %v", split, late), func(t *testing.T) {
+				n, release := startHolding(t, false)
+				c := n.opened(t)
+				n.send(t, c, wholeGet)
+				before := n.tap.read.Load()
+				io.WriteString(c, nextGet[:split])
+				until(t, "the node to read", func() bool { return n.tap.read.Load() >= before+int64(split) })
+				n.stop()
+				until(t, "the drain", n.front.draining.Load)
+				if late {
+					n.linger()
+					wait(t, n.tap.closed, "the listener's end")
+				}
+				close(release)
+				for i, last := range []bool{false, true} {
+					resp, err := http.ReadResponse(c.read, nil)
+					if err != nil {
+						t.Fatalf("answer %d: %v", i, err)
+					}
+					io.Copy(io.Discard, resp.Body)
+					if resp.StatusCode != http.StatusOK || resp.Close != last {
+						t.Errorf("answer %d: %s, told to close %v", i, resp.Status, resp.Close)
+					}
+					if !last {
+						io.WriteString(c, nextGet[split:])
+					}
+				}
+				c.Close()
+				n.linger()
+				n.wantEnd(t)
+			})
+		}
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -57,17 +57,19 @@
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// The length of a chunked body is for the server alone to tell, so nothing
 	// that comes behind it may count as a request.
-	if f.draining.Load() || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	switch r.URL.Path {
 	case "/health/ready":
+		f.askToClose(w, r)
 		if !f.serving() && !f.handed.Load() { // the new process has this address too
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
 		fallthrough
 	case "/health/live":
+		f.askToClose(w, r)
 		io.WriteString(w, "ok\n")
 		return
 	}
@@ -76,6 +78,7 @@
 		defer req.leaveRoom()
 	}
 	if err != nil {
+		f.askToClose(w, r)
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -102,6 +105,14 @@
 	}
 }
 
+// askToClose has a client close after the answer that is written next, if the node
+// drains. If some of its next request has been read, that is answered before.
+func (f *frontend) askToClose(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*accept.Conn); f.draining.Load() && !(ok && c.Pending()) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // serving tells whether new clients are welcome.
 func (f *frontend) serving() bool { return f.ready.Load() && f.open.Load() && !f.draining.Load() }
 
@@ -126,6 +137,7 @@
 				continue
 			}
 			f.node.post(func() { f.node.abandon(req) })
+			f.askToClose(w, r)
 			http.Error(w, "the body is not whole", http.StatusBadRequest)
 			return carried{outcome: aborted}
 		default:
@@ -134,6 +146,7 @@
 		case <-broken:
 			continue // see above
 		case a := <-req.answer:
+			f.askToClose(w, r)
 			return f.passOn(w, req, a)
 		case <-r.Context().Done():
 			f.node.post(func() { f.node.abandon(req) })
@@ -149,9 +162,6 @@
 
 // passOn gives a client its answer.
 func (f *frontend) passOn(w http.ResponseWriter, req *request, a answer) carried {
-	if f.draining.Load() { // since the request came
-		w.Header().Set("Connection", "close")
-	}
 	if up := req.out.rest; up != nil {
 		if up.pipe.Close(); up.wholeAt.Load() == 0 {
 			w.Header().Set("Connection", "close") // what it has still to send is not read
