Bound the time of a next request that stops before its fourth byte

Symptom: a client that sent one to three bytes of a next request and stopped kept its place for 2 minutes, as its connection was no longer idle and gave way to nobody; a draining node waited for it until all requests were past their deadlines.

Cause: net/http waits for four bytes under IdleTimeout and begins ReadHeaderTimeout only then (server.go, conn.serve, Peek(4)).

Now the connection sets the time of a head itself from the first byte of each later request on. TestNextRequestThatStops fails without it.

--- a/internal/node/accept/close_test.go
+++ b/internal/node/accept/close_test.go
@@ -153,3 +153,16 @@
 	_, err := io.ReadAll(r)
 	return err
 }
+
+// TestNextRequestThatStops at its first bytes, of which the server takes no notice, is not waited for as an idle client is.
+func TestNextRequestThatStops(t *testing.T) {
+	ln := listen(t)
+	l := Limit(ln, 1)
+	l.HeadTime = 50 * time.Millisecond
+	_, idle := serve(t, l, func(http.ResponseWriter, *http.Request) {})
+	conn := dial(t, ln)
+	io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	wait(t, idle, "the connection to go idle")
+	io.WriteString(conn, "GE")
+	wait(t, ln.halved, "the half-close")()
+}
--- a/internal/node/accept/conn.go
+++ b/internal/node/accept/conn.go
@@ -96,7 +96,11 @@
 // pass follows what the server is given, and tells how much that is.
 func (c *Conn) pass(p []byte) (int, error) {
 	if c.framing.between() && c.served {
-		c.began.Store(time.Now().UnixNano())
+		now := time.Now()
+		c.began.Store(now.UnixNano())
+		if d := c.listener.HeadTime; d > 0 { // the server begins to count at the fourth byte
+			c.Conn.SetReadDeadline(now.Add(d))
+		}
 	}
 	c.served = true
 	n := c.framing.pass(p)
--- a/internal/node/accept/listener.go
+++ b/internal/node/accept/listener.go
@@ -27,10 +27,11 @@
 // descriptors for the servers.
 type Listener struct {
 	net.Listener
-	slots   chan struct{}
-	hurried atomic.Bool // no client's close is waited for
-	shut    chan struct{}
-	once    sync.Once // for that
+	HeadTime time.Duration // for a later request's head to come, from its first byte on; 0: the server's matter
+	slots    chan struct{}
+	hurried  atomic.Bool // no client's close is waited for
+	shut     chan struct{}
+	once     sync.Once // for that
 
 	mu     sync.Mutex
 	idle   map[net.Conn]time.Time // since when
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -21,6 +21,7 @@
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := f.server()
 	limited := accept.Limit(ln, f.most)
+	limited.HeadTime = headTime
 	srv.ConnState = limited.Note
 	f.clients.Store(limited)
 	if f.handed.Load() { // before there was anything to close
