--- a/internal/node/accept/idle.go
+++ b/internal/node/accept/idle.go
@@ -38,6 +38,7 @@
 func (c *Conn) goIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.inFlight = false
 	if !c.framing.between() || len(c.behind) > 0 {
 		return false
 	}
@@ -76,8 +77,8 @@
 	}
 }
 
-// CloseIdle closes all connections that are idle, now or later, and no other.
-func (l *Listener) CloseIdle() {
+// closeAllIdle closes all connections that are idle, now or later, and no other.
+func (l *Listener) closeAllIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ending = true
