Let the last of several entries of one name in a list count

Symptom: an answer with over a dozen entries in which one server comes twice (gone and back, ready and then draining) ended in either state: of 50 that left 18 stayed listed and in use.

Cause: lists.go, follow: slices.SortFunc, which is not stable, over names alone.

Ruled out: the module and the pool take entries one after another, so that they end with the last. An unknown status never gets there (list.Answer).

Change: a stable sort. TestLastEntryOfANameCounts fails without it (68 listed, want 50).

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -131,8 +131,8 @@
 func (n *Node) follow(l list.Answer, kind decide.ListKind) {
 	entries := slices.Clone(l.Endpoints)
 	// In one order whatever the list's, as the numbers of names that share a
-	// hash depend on it.
-	slices.SortFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
+	// hash depend on it. Of entries of one name the last counts.
+	slices.SortStableFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
 	u := decide.ListUpdate{Kind: kind, Version: l.Index}
 	missing := map[string]bool{}
 	if kind != decide.ListChanges {
--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -84,6 +84,31 @@
 	check("empty", nil)
 }
 
+// TestLastEntryOfANameCounts, however many an answer has.
+func TestLastEntryOfANameCounts(t *testing.T) {
+	n := New(testConfig("127.0.0.1:1"), quiet)
+	l := list.Answer{Index: 2}
+	for _, status := range []string{list.Gone, list.Ready, list.Draining} {
+		for i := range 50 {
+			l.Endpoints = append(l.Endpoints, list.Entry{Name: fmt.Sprint("moved-", i), Address: "127.0.0.1:1", Status: status})
+		}
+	}
+	for _, status := range []string{list.Ready, list.Gone} {
+		for i := range 50 {
+			l.Endpoints = append(l.Endpoints, list.Entry{Name: fmt.Sprint("left-", i), Address: "127.0.0.1:1", Status: status})
+		}
+	}
+	n.follow(l, decide.ListChanges)
+	if len(n.listed) != 50 || len(n.backends.backends) != 50 {
+		t.Errorf("%d are listed, %d in the pool, want 50", len(n.listed), len(n.backends.backends))
+	}
+	for name := range n.listed {
+		if !strings.HasPrefix(name, "moved-") {
+			t.Errorf("%s has left", name)
+		}
+	}
+}
+
 // TestListService: a node that follows the list service takes the list from whichever
 // replica answers, and a later process starts from what was kept, with no service at all.
 func TestListService(t *testing.T) {
