Follow the list in the new way where a reload changes how lists come

Symptom: a SIGHUP whose settings have lists pushed where they were asked for ends the module's calls, and nobody else watches: when the open watch fails the list never comes again. The other way round the node went on with the pushed watch's times (3.5 s calls to a service that prices them).

Cause: lists.go, moveLists looked at the address alone; platform.go fixed hold and grace when it was made.

Ruled out: a reload during the start. Move ends before Follow begins, and leaves its address.

Change: the follower knows in which way it follows, a change of it is a move (the whole list first), and hold and grace go with the move. The client of the project's own service follows from then on.

TestReloadChangesHowListsCome fails without the condition (no call for the whole list) and without the new times (the old hold).

--- a/internal/list/client/move_test.go
+++ b/internal/list/client/move_test.go
@@ -37,8 +37,8 @@
 		}
 		d.Follow(ctx)
 		<-busy
-		d.Move(ctx, "two:1", true)
-		d.Move(ctx, "three:1", true)
+		d.Move(ctx, "two:1", false)
+		d.Move(ctx, "three:1", false)
 		synctest.Wait()
 		close(release)
 		synctest.Wait()
@@ -52,7 +52,7 @@
 func TestMoveThatIsOvertaken(t *testing.T) {
 	inBubble(t, func(_ int, w http.ResponseWriter, r *http.Request) { silent(w, r) }, func(ctx context.Context, s *standIn) {
 		d, _ := s.platform(true)
-		d.Move(ctx, "two:1", false)
+		d.Move(ctx, "two:1", true)
 		d.Ask(ctx, false, true)
 		synctest.Wait()
 		if len(s.calls) != 1 || s.calls[0].host != "two:1" || s.calls[0].from != "" {
@@ -84,12 +84,12 @@
 		d.Follow(ctx)
 		next(t, lists)
 		for range left {
-			d.Move(ctx, "two:1", true)
+			d.Move(ctx, "two:1", false)
 			<-stood
-			d.Move(ctx, "one:1", true)
+			d.Move(ctx, "one:1", false)
 			next(t, lists)
 		}
-		d.Move(ctx, "two:1", true)
+		d.Move(ctx, "two:1", false)
 		if l := next(t, lists); l.at > 0 {
 			t.Errorf("the list comes after %v", l.at)
 		}
--- a/internal/list/client/platform.go
+++ b/internal/list/client/platform.go
@@ -29,8 +29,9 @@
 	listed func(list.Answer)
 	failed func()
 
-	stop context.CancelFunc // of the task under way, which owns url, index, whole and told
-	done chan struct{}      // closed when it has ended
+	asked bool               // lists come only when they are asked for
+	stop  context.CancelFunc // of the task under way, which owns url, hold, grace, index, whole and told
+	done  chan struct{}      // closed when it has ended
 }
 
 func platformURL(address string) string { return "http://" + address + "/registry/instances" }
@@ -39,15 +40,22 @@
 // come only when they are asked for, asked is true. Both functions are called
 // from one task at a time.
 func NewPlatform(address string, asked bool, index uint64, log *slog.Logger, listed func(list.Answer), failed func()) *Platform {
-	hold, grace := holdPushed, gracePushed
-	if asked {
-		hold, grace = holdAsked, graceAsked
-	}
-	return &Platform{url: platformURL(address), hold: hold, grace: grace, sleep: pause.For, log: log, index: index, listed: listed, failed: failed,
+	d := &Platform{url: platformURL(address), asked: asked, sleep: pause.For, log: log, index: index, listed: listed, failed: failed,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1,
-			DialContext: (&net.Dialer{Timeout: grace}).DialContext}}}
+			DialContext: (&net.Dialer{Timeout: graceAsked}).DialContext}}}
+	d.pace(asked)
+	return d
 }
 
+func (d *Platform) pace(asked bool) {
+	if d.hold, d.grace = holdPushed, gracePushed; asked {
+		d.hold, d.grace = holdAsked, graceAsked
+	}
+}
+
+// Asked tells whether lists come only when they are asked for.
+func (d *Platform) Asked() bool { return d.asked }
+
 // watch follows the list until a call fails. The calls come back to back, so
 // that discovery counts them as one watch.
 func (d *Platform) watch(ctx context.Context) error {
@@ -179,12 +187,13 @@
 	}
 }
 
-// Move goes on at another address. Versions seen at the old one mean nothing
-// there, so it begins with the whole list.
-func (d *Platform) Move(ctx context.Context, address string, pushed bool) {
+// Move goes on at another address, or in the other way. Versions seen before
+// mean nothing there, so it begins with the whole list.
+func (d *Platform) Move(ctx context.Context, address string, asked bool) {
+	d.asked = asked
 	d.begin(ctx, func(ctx context.Context) {
 		d.url, d.index, d.whole = platformURL(address), 0, true
-		if pushed {
+		if d.pace(asked); !asked {
 			d.follow(ctx)
 		} else if d.sleep(ctx, drawn(spreadMove)) {
 			d.end(ctx, d.ask(ctx))
--- a/internal/list/client/silence_test.go
+++ b/internal/list/client/silence_test.go
@@ -130,7 +130,7 @@
 					}
 					time.Sleep(300 * time.Millisecond)
 					hup := s.now()
-					d.Move(ctx, "two:1", !asked)
+					d.Move(ctx, "two:1", asked)
 					if l := next(t, lists); l.Index != 7 || l.at > hup+4*time.Second {
 						t.Errorf("list %d at %v, SIGHUP came at %v", l.Index, l.at, hup)
 					}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -102,6 +102,9 @@
 func (n *Node) moveLists(cfg Config) {
 	switch l := n.lists.(type) {
 	case *service:
+		if !n.cfg.Settings.AskForList {
+			l.Follow(n.ctx)
+		}
 		if slices.Equal(cfg.List, n.cfg.List) {
 			return
 		}
@@ -118,10 +121,11 @@
 			n.tenants.k.SetAddresses(cfg.List)
 		}
 	case *client.Platform:
-		if cfg.Discovery != n.cfg.Discovery {
-			n.log.Info("discovery moves", "to", cfg.Discovery)
+		asked := n.cfg.Settings.AskForList
+		if cfg.Discovery != n.cfg.Discovery || asked != l.Asked() {
+			n.log.Info("discovery moves", "to", cfg.Discovery, "asked", asked)
 			n.cfg.Discovery = cfg.Discovery
-			l.Move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
+			l.Move(n.ctx, cfg.Discovery, asked)
 		}
 	}
 }
--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -109,6 +109,36 @@
 	}
 }
 
+// TestReloadChangesHowListsCome: from then on they are watched in the new way, the whole one first.
+func TestReloadChangesHowListsCome(t *testing.T) {
+	calls := make(chan string, 100)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls <- r.URL.RawQuery; r.URL.RawQuery == "" {
+			fmt.Fprint(w, listOf(9))
+			return
+		}
+		<-r.Context().Done()
+	}))
+	defer discovery.Close()
+	n := startNodeWith(t, func(n *Node) { n.cfg.Discovery = discovery.Listener.Addr().String() })
+	defer n.stopNow(t)
+	cfg := n.cfg
+	for _, want := range []string{"from=9&hold_ms=3500", "from=9&hold_ms=20000", "from=9&hold_ms=3500"} {
+		got := "none"
+		for got != "" { // what the former way still asks for
+			got = wait(t, calls, "the call for the whole list")
+		}
+		for got == "" { // the module may ask again
+			got = wait(t, calls, "the watch")
+		}
+		if got != want {
+			t.Fatalf("the watch asks for %q, want %q", got, want)
+		}
+		cfg.Settings.AskForList = !cfg.Settings.AskForList
+		n.Reload(cfg)
+	}
+}
+
 // TestListService: a node that follows the list service takes the list from whichever
 // replica answers, and a later process starts from what was kept, with no service at all.
 func TestListService(t *testing.T) {
