--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -104,10 +104,10 @@
 
 // moveLists goes on where a new configuration says, and in the way that it says, if that has turned: a module that
 // lists are pushed to does not ask for them when a watch fails.
-func (n *Node) moveLists(cfg Config, turned bool) {
+func (n *Node) moveLists(cfg Config) {
 	switch l := n.lists.(type) {
 	case *service:
-		if turned {
+		if !n.cfg.Settings.AskForList {
 			l.Follow(n.ctx)
 		}
 		if slices.Equal(cfg.List, n.cfg.List) {
@@ -126,10 +126,11 @@
 			n.tenants.k.SetAddresses(cfg.List)
 		}
 	case *client.Platform:
-		if cfg.Discovery != n.cfg.Discovery || turned {
-			n.log.Info("discovery moves", "to", cfg.Discovery)
+		asked := n.cfg.Settings.AskForList
+		if cfg.Discovery != n.cfg.Discovery || asked != l.Asked() {
+			n.log.Info("discovery moves", "to", cfg.Discovery, "asked", asked)
 			n.cfg.Discovery = cfg.Discovery
-			l.Move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
+			l.Move(n.ctx, cfg.Discovery, asked)
 		}
 	}
 }
@@ -139,8 +140,8 @@
 func (n *Node) follow(l list.Answer, kind decide.ListKind) {
 	entries := slices.Clone(l.Endpoints)
 	// In one order whatever the list's, as the numbers of names that share a
-	// hash depend on it.
-	slices.SortFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
+	// hash depend on it. Of entries of one name the last counts.
+	slices.SortStableFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
 	u := decide.ListUpdate{Kind: kind, Version: l.Index}
 	missing := map[string]bool{}
 	if kind != decide.ListChanges {
--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -84,6 +84,61 @@
 	check("empty", nil)
 }
 
+// TestLastEntryOfANameCounts, however many an answer has.
+func TestLastEntryOfANameCounts(t *testing.T) {
+	n := New(testConfig("127.0.0.1:1"), quiet)
+	l := list.Answer{Index: 2}
+	for _, status := range []string{list.Gone, list.Ready, list.Draining} {
+		for i := range 50 {
+			l.Endpoints = append(l.Endpoints, list.Entry{Name: fmt.Sprint("moved-", i), Address: "127.0.0.1:1", Status: status})
+		}
+	}
+	for _, status := range []string{list.Ready, list.Gone} {
+		for i := range 50 {
+			l.Endpoints = append(l.Endpoints, list.Entry{Name: fmt.Sprint("left-", i), Address: "127.0.0.1:1", Status: status})
+		}
+	}
+	n.follow(l, decide.ListChanges)
+	if len(n.listed) != 50 || len(n.backends.backends) != 50 {
+		t.Errorf("%d are listed, %d in the pool, want 50", len(n.listed), len(n.backends.backends))
+	}
+	for name := range n.listed {
+		if !strings.HasPrefix(name, "moved-") {
+			t.Errorf("%s has left", name)
+		}
+	}
+}
+
+// TestReloadChangesHowListsCome: from then on they are watched in the new way, the whole one first.
+func TestReloadChangesHowListsCome(t *testing.T) {
+	calls := make(chan string, 100)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls <- r.URL.RawQuery; r.URL.RawQuery == "" {
+			fmt.Fprint(w, listOf(9))
+			return
+		}
+		<-r.Context().Done()
+	}))
+	defer discovery.Close()
+	n := startNodeWith(t, func(n *Node) { n.cfg.Discovery = discovery.Listener.Addr().String() })
+	defer n.stopNow(t)
+	cfg := n.cfg
+	for _, want := range []string{"from=9&hold_ms=3500", "from=9&hold_ms=20000", "from=9&hold_ms=3500"} {
+		got := "none"
+		for got != "" { // what the former way still asks for
+			got = wait(t, calls, "the call for the whole list")
+		}
+		for got == "" { // the module may ask again
+			got = wait(t, calls, "the watch")
+		}
+		if got != want {
+			t.Fatalf("the watch asks for %q, want %q", got, want)
+		}
+		cfg.Settings.AskForList = !cfg.Settings.AskForList
+		n.Reload(cfg)
+	}
+}
+
 // TestListService: a node that follows the list service takes the list from whichever
 // replica answers, and a later process starts from what was kept, with no service at all.
 func TestListService(t *testing.T) {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -130,7 +130,6 @@
 // the address of discovery and the settings.
 func (n *Node) Reload(cfg Config) {
 	n.post(func() {
-		turned := cfg.Settings.AskForList != n.cfg.Settings.AskForList
 		if !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
 			n.log.Info("new settings", "classes", len(cfg.Settings.Classes), "attempts", cfg.Settings.MaxAttempts)
 			n.cfg.Settings = cfg.Settings
@@ -138,7 +137,7 @@
 			n.backends.configure(cfg.Settings)
 			n.swapRules(newRules(cfg.Settings, n.front.rules.Load()))
 		}
-		n.moveLists(cfg, turned)
+		n.moveLists(cfg)
 		n.stats.sighupApplied.Add(1)
 	})
 }
--- a/internal/node/upgrade_signal_test.go
+++ b/internal/node/upgrade_signal_test.go
@@ -31,7 +31,7 @@
 					io.WriteString(conn, okAnswer)
 				}
 			}))
-			shared, err := n.tap.Listener.(*net.TCPListener).File()
+			shared, err := n.tap.File()
 			if err != nil {
 				t.Fatal(err)
 			}
