Leave net/http no connection on which to send a call to discovery again

Symptom: one in 200 runs of TestResetWatchIsNotSentAgain under load: the reset watch was sent again by net/http after all.

Ruled out: closing the connection in GotConn (it is the transport's, says httptrace); a context value (the count of the one call under way does).

Change: the follower's own dial refuses a connection to a call that was sent, and no idle one is left ahead of that.

--- a/internal/list/client/call.go
+++ b/internal/list/client/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -61,19 +62,25 @@
 	return nil
 }
 
-// get makes one request. net/http would send it again by itself on a
-// connection that breaks, with what is left of its time for the whole hold.
+// connect makes the connection of a call, and none for one that was sent already.
+func (d *Platform) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.sends.Load() > 1 {
+		return nil, errResent
+	}
+	return d.dial(ctx, network, address)
+}
+
+// get makes one request. net/http would send it again by itself where a
+// connection that was used before breaks, with what is left of its time for the
+// whole hold: a second try finds neither an idle connection nor a new one.
 func (d *Platform) get(ctx context.Context, query string, hold time.Duration) (l list.Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+d.grace)
 	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	sent := false
+	d.sends.Store(0)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: func(string) {
-		if sent {
-			stop(errResent)
+		if d.sends.Add(1) > 1 {
+			d.client.CloseIdleConnections()
 		}
-		sent = true
 	}})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
 	if err != nil {
--- a/internal/list/client/move_test.go
+++ b/internal/list/client/move_test.go
@@ -72,7 +72,7 @@
 		d, lists := s.platform(false)
 		stood := make(chan bool)
 		left := 2
-		d.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		d.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 			if address != "two:1" || left == 0 {
 				return s.dial(ctx, network, address)
 			}
--- a/internal/list/client/platform.go
+++ b/internal/list/client/platform.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"indigotack/internal/list"
@@ -19,6 +20,8 @@
 type Platform struct {
 	url    string
 	client *http.Client
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	sends  atomic.Int32 // of the call under way
 	hold   time.Duration
 	grace  time.Duration
 	sleep  func(context.Context, time.Duration) bool
@@ -41,8 +44,8 @@
 // from one task at a time.
 func NewPlatform(address string, asked bool, index uint64, log *slog.Logger, listed func(list.Answer), failed func()) *Platform {
 	d := &Platform{url: platformURL(address), asked: asked, sleep: pause.For, log: log, index: index, listed: listed, failed: failed,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1,
-			DialContext: (&net.Dialer{Timeout: graceAsked}).DialContext}}}
+		dial: (&net.Dialer{Timeout: graceAsked}).DialContext}
+	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: d.connect}}
 	d.pace(asked)
 	return d
 }
--- a/internal/list/client/standin_test.go
+++ b/internal/list/client/standin_test.go
@@ -98,7 +98,7 @@
 	lists := make(chan took, 100)
 	d := NewPlatform("one:1", asked, 41, slog.New(slog.DiscardHandler),
 		func(l list.Answer) { lists <- took{l, s.now()} }, func() { lists <- took{at: -s.now()} })
-	d.client.Transport.(*http.Transport).DialContext = s.dial
+	d.dial = s.dial
 	return d, lists
 }
 
