End the old process when the one that accepts in its place has ended

Symptom: a new process says that it is ready, the old one lets go of the clients' socket, and the new one ends before it is seen to serve. Nobody accepts. The old one stays, draining, for as long as any client keeps a connection, which may be idle for 2 minutes; the agent has refused the new version and takes the old process to go on (docs/agent.md).

Cause: serve (drain.go:41) waits for the connections' end alone once it has handed over; the end of the link (upgrade_old.go:72) told it nothing.

Ruled out: going on without letting go until SIGTERM, as both would serve; taking everything back, as the peers' socket, the life in the fleet and the shares have gone over, too, and a third process may be there by then.

Change: the end of that link has the front end what is idle, answer what is open and return. The platform starts a process as after any other end; connections wait in the socket's queue meanwhile.

Test: TestNewProcessEndsBehindTheHandOver, with an idle connection and a request at its server; without the change the process does not end in 30 s.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -39,7 +39,16 @@
 		if !f.handed.Load() {
 			return fmt.Errorf("serving clients: %w", err)
 		}
-		limited.Outlive(ctx, outliveLeast)
+		beside, end := context.WithCancel(ctx)
+		go func() {
+			defer end()
+			select {
+			case <-f.alone: // nobody accepts until this process ends and another is started
+			case <-beside.Done():
+			}
+		}()
+		limited.Outlive(beside, outliveLeast)
+		end()
 	case <-ctx.Done():
 	}
 	f.draining.Store(true)
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -34,13 +34,14 @@
 	open     atomic.Bool   // it accepts
 	handed   atomic.Bool   // to a new process
 	closing  chan struct{} // closed when it is to accept no more
+	alone    chan struct{} // closed when the process has ended that accepts in its place
 	killMost time.Duration
 	latest   atomic.Int64              // deadline of a request read so far, from the node's start
 	answerBy atomic.Pointer[time.Time] // for requests that come from now on; nil: their deadlines
 }
 
 func newFrontend(n *Node, most int) *frontend {
-	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }, closing: make(chan struct{}), killMost: killMost}
+	f := &frontend{node: n, most: most, linger: func() { time.Sleep(lingerTime) }, closing: make(chan struct{}), alone: make(chan struct{}), killMost: killMost}
 	f.rules.Store(newRules(n.cfg.Settings, nil))
 	return f
 }
--- a/internal/node/upgrade_old.go
+++ b/internal/node/upgrade_old.go
@@ -64,10 +64,12 @@
 		return
 	}
 	n.log.Info("a new process is here")
+	handed := false
 	n.attend(l, func(m message) {
 		if m.Kind != kindReady || n.front.handed.Swap(true) {
 			return
 		}
+		handed = true
 		n.log.Info("handing over")
 		meeting.Close()
 		life := n.handOverView() // before this process drains: the node does not
@@ -84,6 +86,10 @@
 			}
 		})
 	})
+	if handed && n.ctx.Err() == nil {
+		n.log.Info("the new process has ended")
+		close(n.front.alone)
+	}
 }
 
 // introduce joins a new process and tells it what this one knows. A maintenance call is part of that, or goes out
--- a/internal/node/upgrade_signal_test.go
+++ b/internal/node/upgrade_signal_test.go
@@ -68,3 +68,38 @@
 		})
 	}
 }
+
+// TestNewProcessEndsBehindTheHandOver: it ends when the old one has let go, and nobody accepts. The old one answers
+// what is open, waits for no client that rests, and ends, so that another process is started.
+func TestNewProcessEndsBehindTheHandOver(t *testing.T) {
+	dir := meetingPlace(t)
+	release, got := make(chan struct{}), make(chan bool, 2)
+	n := startNodeWith(t, func(n *Node) { n.TakeOver(dir) }, backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for req := readRequest(r); req != nil; req = readRequest(r) {
+			if got <- true; req.Header.Get("X-Request-Id") == "q" {
+				<-release
+			}
+			io.WriteString(conn, okAnswer)
+		}
+	}))
+	idle, open := n.kept(t), n.opened(t)
+	wait(t, got, "the attempt before")
+	open.ask(t, "saldo", "q", "60")
+	wait(t, got, "the attempt")
+	o := meet(t, dir)
+	o.say(t, hello)
+	o.hear(t, kindState)
+	o.say(t, `{"kind":"ready"}`)
+	o.hear(t, kindYours)
+	o.Close()
+	if _, err := idle.read.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection ends with %v", err)
+	}
+	close(release)
+	if status := open.status(t); status != 200 {
+		t.Errorf("the open request: %d", status)
+	}
+	if err := wait(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+}
