Show that SIGHUP in a storm, and one for another process's keys, are sound

Sound as they were: each signal that the channel of 16 keeps is followed by a whole read of the file, so one of them reads what the last dropped one was for; reads and their application are in one order each (reload is one goroutine, the loop's inbox a queue). Name, address and limits of a file are not taken by a process that runs, as on-call.md says. There were no tests.

--- a/cmd/indigotack/signals_test.go
+++ b/cmd/indigotack/signals_test.go
@@ -79,6 +79,34 @@
 	c.waitEnd(t)
 }
 
+// TestSIGHUPStorm: however many signals are dropped, what the file says at the last one holds.
+func TestSIGHUPStorm(t *testing.T) {
+	p := newPlatform(t)
+	c := p.start(t)
+	c.waitReady(t)
+	called := make(chan struct{}, 100)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		called <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(next.Close)
+	for i := range 200 {
+		if i == 199 {
+			c.rewrite(t, "discovery", next.Listener.Addr().String())
+		}
+		if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case <-called:
+	case <-time.After(enough):
+		t.Error("the new discovery is not called")
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	c.waitEnd(t)
+}
+
 // TestSIGTERMAtTheLastLine does not make a process fail that has finished all it had.
 func TestSIGTERMAtTheLastLine(t *testing.T) {
 	p := newPlatform(t)
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -156,6 +156,26 @@
 	figure(t, address, "app.results.pagar.succeeded:1|c")
 }
 
+// TestReloadLeavesTheProcess: the settings of a file are taken, not what a process has at its start.
+func TestReloadLeavesTheProcess(t *testing.T) {
+	n, reread := rereader(t, serving(t))
+	other := strings.NewReplacer(`"n0"`, `"n9"`, `"127.0.0.1:5000"`, `"127.0.0.1:1"`, `512`, `64`, `"max_attempts":4`, `"max_attempts":2`)
+	if err := reread(other.Replace(reloadConfig)); err != nil {
+		t.Fatal(err)
+	}
+	if a := do(t, n.request(t, "GET", "saldo", "q", "20", nil)); a.status != 200 {
+		t.Errorf("answer %+v", a)
+	}
+	n.do(func() {
+		if n.cfg.Settings.MaxAttempts != 2 || n.cfg.Name != "n0" || n.cfg.Sockets != 512 || n.front.most < 100 {
+			t.Errorf("it is %+v", n.cfg)
+		}
+	})
+	if err := n.Reread(t.TempDir()); err == nil {
+		t.Error("a folder is taken for a file")
+	}
+}
+
 // TestServesWhereProbesAreAllowed: a node has no way to probe, so its module must not wait for answers to probes.
 func TestServesWhereProbesAreAllowed(t *testing.T) {
 	n, reread := rereader(t, serving(t))
