--- a/internal/list/client/silence_test.go
+++ b/internal/list/client/silence_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"indigotack/internal/list"
 )
 
 // afterSilence is the clock for a call that began at t0 and fell silent later: what
@@ -30,19 +27,23 @@
 	{"amid a late answer", 4 * time.Second, half},
 }
 
-// TestSilentCallIsMadeAnew in time: the list that it missed is there before it counts as told.
+// TestSilentCallIsMadeAnew in time: the list that it missed is there before it counts as told, where lists are pushed
+// also if the call made anew falls silent, too.
 func TestSilentCallIsMadeAnew(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		asked bool
 		call  int // that falls silent
+		row   int // how many calls do so from there on
 		hold  time.Duration
 	}{
-		{"pushed, the first call", false, 0, 0},
-		{"pushed, the watch", false, 1, holdPushed},
-		{"pushed, a later watch", false, 2, holdPushed},
-		{"asked for, the watch", true, 0, holdAsked},
-		{"asked for, a later watch", true, 1, holdAsked},
+		{"pushed, the first call", false, 0, 1, 0},
+		{"pushed, the watch", false, 1, 1, 0},
+		{"pushed, a later watch", false, 2, 1, 0},
+		{"pushed, the first two calls", false, 0, 2, 0},
+		{"pushed, the watch and the call anew", false, 1, 2, 0},
+		{"asked for, the watch", true, 0, 1, holdAsked},
+		{"asked for, a later watch", true, 1, 1, holdAsked},
 	} {
 		for _, how := range silences {
 			t.Run(c.name+" "+how.name, func(t *testing.T) {
@@ -53,7 +54,7 @@
 					case call == c.call:
 						time.Sleep(how.after)
 						how.serve(w, r)
-					case call == c.call+1:
+					case call == c.call+c.row:
 						tell(w, 100)
 					default:
 						silent(w, r)
@@ -71,7 +72,7 @@
 					began := s.now()
 					l := next(t, lists)
 					limit := afterSilence(began, began+how.after, c.hold)
-					if !c.asked && c.call == 0 {
+					if !c.asked && c.call == 0 && c.row == 1 {
 						limit = 2 * time.Second // for which an upgrade waits
 					}
 					if l.Index != 100 || l.at > limit {
@@ -88,8 +89,8 @@
 	inBubble(t, func(_ int, w http.ResponseWriter, r *http.Request) { silent(w, r) }, func(ctx context.Context, s *standIn) {
 		d, lists := s.platform(true)
 		d.Ask(ctx, false, true)
-		if l := next(t, lists); l.at > 0 {
-			t.Errorf("list %d at %v, want a failure", l.Index, l.at)
+		if l := next(t, lists); l.at > 0 || -l.at > holdAsked+4*time.Second {
+			t.Errorf("list %d at %v, want a failure, soon after the second call", l.Index, l.at)
 		}
 		time.Sleep(time.Minute)
 		synctest.Wait()
@@ -129,7 +130,7 @@
 					}
 					time.Sleep(300 * time.Millisecond)
 					hup := s.now()
-					d.Move(ctx, "two:1", !asked)
+					d.Move(ctx, "two:1", asked)
 					if l := next(t, lists); l.Index != 7 || l.at > hup+4*time.Second {
 						t.Errorf("list %d at %v, SIGHUP came at %v", l.Index, l.at, hup)
 					}
@@ -164,10 +165,15 @@
 	}
 }
 
-// TestSilentService: the client of the project's own list service keeps to the same clock.
+// TestSilentService: the client of the project's own list service keeps to the same clock, and to that of a second
+// call that falls silent.
 func TestSilentService(t *testing.T) {
 	const hold = 5 * time.Second
-	for call, held := range []time.Duration{0, hold} {
+	for call, held := range []time.Duration{0, hold, hold} {
+		row := 1
+		if call == 2 {
+			call, row = 1, 2
+		}
 		for _, how := range silences {
 			t.Run(how.name, func(t *testing.T) {
 				inBubble(t, func(n int, w http.ResponseWriter, r *http.Request) {
@@ -177,26 +183,24 @@
 					case n == call:
 						time.Sleep(how.after)
 						how.serve(w, r)
-					case n == call+1:
+					case n == call+row:
 						tell(w, 100)
 					default:
 						silent(w, r)
 					}
 				}, func(ctx context.Context, s *standIn) {
-					lists := make(chan took, 100)
-					k, err := New(Config{Addresses: []string{"one:1"}, Hold: hold, Log: slog.New(slog.DiscardHandler),
-						Taken: func(l list.Answer) { lists <- took{l, s.now()} }})
-					if err != nil {
-						t.Fatal(err)
-					}
-					k.http.Transport.(*http.Transport).DialContext = s.dial
+					k, lists := s.service(hold)
 					defer k.Close()
 					go k.Follow(ctx)
 					for range call {
 						next(t, lists)
 					}
 					l := next(t, lists)
-					if limit := afterSilence(0, how.after, held); l.Index != 100 || l.at > limit {
+					limit := afterSilence(0, how.after, held)
+					if synctest.Wait(); row > 1 {
+						limit = afterSilence(s.calls[call+1].came, s.calls[call+1].came, 0)
+					}
+					if l.Index != 100 || l.at > limit {
 						t.Errorf("list %d after %v, counts as told after %v", l.Index, l.at, limit)
 					}
 				})
--- a/internal/node/accept/listener.go
+++ b/internal/node/accept/listener.go
@@ -4,108 +4,132 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"indigotack/internal/pause"
 )
 
-// outliveStep is the time between two looks at connections that are to end.
-const outliveStep = 50 * time.Millisecond
+const (
+	outliveStep = 50 * time.Millisecond // between two looks at connections that are to end
+	queueTime   = 50 * time.Millisecond // to accept a connection that waits already
+	evictStep   = 20 * time.Millisecond // for a client that is told to close to do so, before another is told
+)
 
 // Listener holds accepted connections to a number, so that clients leave
 // descriptors for the servers.
 type Listener struct {
 	net.Listener
-	slots chan struct{}
+	HeadTime time.Duration // for a later request's head to come, from its first byte on; 0: the server's matter
+	slots    chan struct{}
+	hurried  atomic.Bool // no client's close is waited for
+	shut     chan struct{}
+	once     sync.Once // for that
 
 	mu     sync.Mutex
 	idle   map[net.Conn]time.Time // since when
-	ending bool                   // none is to rest any more
+	ending bool                   // none is to stay idle any more
 }
 
 // Limit has ln accept most connections at a time.
 func Limit(ln net.Listener, most int) *Listener {
-	return &Listener{Listener: ln, slots: make(chan struct{}, most), idle: map[net.Conn]time.Time{}}
+	return &Listener{Listener: ln, slots: make(chan struct{}, most), shut: make(chan struct{}), idle: map[net.Conn]time.Time{}}
 }
 
 // Accept makes room by closing the connection that has been idle longest:
 // clients that keep connections without using them must not shut out others.
 // With none idle, those that come wait in the listener's queue.
 func (l *Listener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	default:
-		l.evict()
-		l.slots <- struct{}{}
+	if !l.takeSlot() {
+		return nil, net.ErrClosed
 	}
 	c, err := l.Listener.Accept()
+	for errors.Is(err, os.ErrDeadlineExceeded) && l.queued() {
+		c, err = l.Listener.Accept()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = net.ErrClosed // the server goes on after a timeout
+	}
 	if err != nil {
 		<-l.slots
 		return nil, err
 	}
-	lc := &Conn{Conn: c, free: sync.OnceFunc(func() { <-l.slots })}
+	lc := &Conn{Conn: c, listener: l, free: sync.OnceFunc(func() { <-l.slots })}
 	lc.began.Store(time.Now().UnixNano())
 	return lc, nil
 }
 
-// Outlive returns when ctx ends, or all connections have and the least time is over.
-func (l *Listener) Outlive(ctx context.Context, least time.Duration) {
-	for ok := pause.For(ctx, least); ok && len(l.slots) > 0; {
-		ok = pause.For(ctx, outliveStep)
+// takeSlot waits for a place, and is false where the listener has been closed.
+func (l *Listener) takeSlot() bool {
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	default:
+	}
+	again := time.NewTicker(evictStep)
+	defer again.Stop()
+	for {
+		l.evict()
+		select {
+		case l.slots <- struct{}{}:
+			return true
+		case <-l.shut:
+			return false
+		case <-again.C: // the client has not closed, or none was idle
+		}
 	}
 }
 
-// Conn is a client's connection.
-type Conn struct {
-	net.Conn
-	turn    atomic.Int32 // busy, resting or left
-	began   atomic.Int64 // when the request under way did, or the connection
-	free    func()
-	framing framing
-	served  bool   // something has come before
-	behind  []byte // what came with the end of a request
+// Close leaves what waits in the queue to other processes, if there are any.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.shut) })
+	return l.Listener.Close()
 }
 
-// Read holds back what follows a head of ambiguous length. It ends at the end
-// of a request: beside a handler the server reads one byte ahead, and an error
-// in what comes behind a request must not end the request. The server never
-// has two reads at a time.
-func (c *Conn) Read(p []byte) (n int, err error) {
-	if c.framing.err != nil {
-		return 0, c.framing.err
-	}
-	if len(c.behind) > 0 {
-		n = copy(p, c.behind)
-		c.behind = c.behind[n:]
-	} else if n, err = c.Conn.Read(p); err != nil && n == 0 {
-		return 0, err
+// Drain ends accepting, and all idle connections. A listener that is closed
+// resets what waits in its queue, so that is accepted first, as places get free.
+func (l *Listener) Drain() {
+	l.closeAllIdle()
+	if ln, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); !ok || ln.SetDeadline(time.Unix(1, 0)) != nil {
+		l.Close()
 	}
-	if !c.turn.CompareAndSwap(resting, busy) && c.turn.Load() == left {
-		return 0, net.ErrClosed
-	}
-	if c.framing.between() && c.served {
-		c.began.Store(time.Now().UnixNano())
-	}
-	c.served = true
-	passed := c.framing.pass(p[:n])
-	if passed < n && c.framing.err == nil {
-		c.behind = append(append([]byte(nil), p[passed:n]...), c.behind...)
+}
+
+// queued tells whether a connection waits at the end of accepting, and if so
+// gives Accept time to take it, unless another process does.
+func (l *Listener) queued() bool {
+	ln, ok := l.Listener.(interface {
+		syscall.Conn
+		SetDeadline(time.Time) error
+	})
+	if !ok {
+		return false
 	}
-	if passed == 0 && c.framing.err != nil {
-		return 0, c.framing.err
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return false
 	}
-	return passed, nil
+	queue := []unix.PollFd{{Events: unix.POLLIN}}
+	raw.Control(func(fd uintptr) {
+		queue[0].Fd = int32(fd)
+		unix.Poll(queue, 0)
+	})
+	return queue[0].Revents&unix.POLLIN != 0 && ln.SetDeadline(time.Now().Add(queueTime)) == nil
 }
 
-// Began is when the first byte of the request under way came, or the connection.
-func (c *Conn) Began() time.Time { return time.Unix(0, c.began.Load()) }
+// Hurry has connections close at once from now on.
+func (l *Listener) Hurry() { l.hurried.Store(true) }
 
-// Close gives the connection's place to another.
-func (c *Conn) Close() error {
-	err := c.Conn.Close()
-	c.free()
-	return err
+// Outlive returns when ctx ends, or all connections have and the least time is over.
+func (l *Listener) Outlive(ctx context.Context, least time.Duration) {
+	for ok := pause.For(ctx, least); ok && len(l.slots) > 0; {
+		ok = pause.For(ctx, outliveStep)
+	}
 }
--- a/internal/node/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,13 @@
 		{"no answer", "", decide.Reset},
 		{"half a head", "HTTP/1.1 200 OK\r\nContent-", decide.Reset},
 		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", decide.Reset},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi", decide.ServerError},
+		{"a length below nothing", "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhi", decide.ServerError},
+		{"a length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", decide.OK},
+		{"a line with no colon", "HTTP/1.1 200 OK\r\nContent-Length\r\n\r\nhi", decide.ServerError},
+		{"other protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + okAnswer, decide.ServerError},
+		{"a body where none may be", "HTTP/1.1 204 None\r\nContent-Length: 2\r\n\r\nhi", decide.ServerError},
+		{"the greatest head", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: " + strings.Repeat("x", maxHead) + "\r\n\r\nhi", decide.OK},
 		{"no HTTP", "hello there\r\n\r\n", decide.ServerError},
 		{"body too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxLarge+1, long), decide.ServerError},
 		{"half a long body", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxLarge, long), decide.Reset},
@@ -70,6 +78,7 @@
 	if got := try(t, p, enough); got.code != decide.OK {
 		t.Fatalf("outcome %d, want OK", got.code)
 	}
+	stood(p, strayTime)
 	idle := p.backends[1].idle
 	idle[0].Conn = shortConn{idle[0].Conn.(*net.TCPConn)}
 	if got := try(t, p, enough); got.code != decide.ConnectFailed {
@@ -93,6 +102,7 @@
 	if got := try(t, p, enough); got.code != decide.OK {
 		t.Fatalf("outcome %d, want OK", got.code)
 	}
+	stood(p, strayTime)
 	if got := try(t, p, enough); got.code != decide.Reset {
 		t.Errorf("outcome %d, want Reset", got.code)
 	}
@@ -123,7 +133,7 @@
 		} else {
 			go func() { <-got; cancel() }()
 		}
-		res := p.attempt(ctx, 1, get("/api/x"), nil)
+		res := p.attempt(ctx, 1, get("/api/x"), always, nil)
 		cancel()
 		if res.code != want {
 			t.Errorf("%s: outcome %d, want %d", name, res.code, want)
@@ -138,3 +148,52 @@
 		}
 	}
 }
+
+// heldConn keeps a writer where it states its time, until the reader has given it up.
+type heldConn struct {
+	*net.TCPConn
+	began, givenUp func()
+	up             chan struct{}
+}
+
+func (c heldConn) SetWriteDeadline(at time.Time) error {
+	if at.After(time.Now()) {
+		c.began()
+		<-c.up
+	}
+	err := c.TCPConn.SetWriteDeadline(at)
+	if at.Before(time.Now()) {
+		c.givenUp()
+	}
+	return err
+}
+
+// TestTurnedAwayAheadOfTheHead: a server may say that it is full as soon as it is connected. Nothing of the request goes to it
+// any more, so that another one can have it.
+func TestTurnedAwayAheadOfTheHead(t *testing.T) {
+	began, up := make(chan struct{}), make(chan struct{})
+	p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		<-began
+		io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		readRequest(r)
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	defer cancel()
+	c, err := p.get(ctx, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Conn = heldConn{c.Conn.(*net.TCPConn), sync.OnceFunc(func() { close(began) }), sync.OnceFunc(func() { close(up) }), up}
+	c.release()
+	stood(p, strayTime)
+	rest, client := io.Pipe()
+	go func() { client.Write(pattern(10)); client.Close() }()
+	o := get("/api/x")
+	o.method, o.body = "POST", pattern(maxBody+1)
+	o.rest = &upload{length: maxBody + 11, pipe: rest, wait: enough, ended: make(chan struct{}), whole: func(time.Duration) {}}
+	got := p.attempt(ctx, 1, o, always, nil)
+	if got.code != decide.Full || got.spent || p.forwards.Load() != 0 {
+		t.Errorf("outcome %d, spent %v, %d written whole; want one that never ran and is left whole", got.code, got.spent, p.forwards.Load())
+	}
+	rest.Close()
+}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -62,7 +62,11 @@
 		n.unheard = true
 		time.AfterFunc(n.first, func() { n.post(n.welcome) })
 	}
-	n.follow(n.cfg.known, decide.ListCached)
+	select {
+	case <-n.told: // by an address to which SIGHUP has moved the node meanwhile: what is known is older
+	default:
+		n.follow(n.cfg.known, decide.ListCached)
+	}
 	if pushed {
 		n.lists.Follow(ctx)
 	}
@@ -98,10 +102,14 @@
 	}
 }
 
-// moveLists goes on where a new configuration says.
+// moveLists goes on where a new configuration says, and in the way that it says, if that has turned: a module that
+// lists are pushed to does not ask for them when a watch fails.
 func (n *Node) moveLists(cfg Config) {
 	switch l := n.lists.(type) {
 	case *service:
+		if !n.cfg.Settings.AskForList {
+			l.Follow(n.ctx)
+		}
 		if slices.Equal(cfg.List, n.cfg.List) {
 			return
 		}
@@ -118,10 +126,11 @@
 			n.tenants.k.SetAddresses(cfg.List)
 		}
 	case *client.Platform:
-		if cfg.Discovery != n.cfg.Discovery {
-			n.log.Info("discovery moves", "to", cfg.Discovery)
+		asked := n.cfg.Settings.AskForList
+		if cfg.Discovery != n.cfg.Discovery || asked != l.Asked() {
+			n.log.Info("discovery moves", "to", cfg.Discovery, "asked", asked)
 			n.cfg.Discovery = cfg.Discovery
-			l.Move(n.ctx, cfg.Discovery, !n.cfg.Settings.AskForList)
+			l.Move(n.ctx, cfg.Discovery, asked)
 		}
 	}
 }
@@ -131,8 +140,8 @@
 func (n *Node) follow(l list.Answer, kind decide.ListKind) {
 	entries := slices.Clone(l.Endpoints)
 	// In one order whatever the list's, as the numbers of names that share a
-	// hash depend on it.
-	slices.SortFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
+	// hash depend on it. Of entries of one name the last counts.
+	slices.SortStableFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
 	u := decide.ListUpdate{Kind: kind, Version: l.Index}
 	missing := map[string]bool{}
 	if kind != decide.ListChanges {
@@ -147,6 +156,7 @@
 		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
 			n.listed[e.Name] = id
 			n.backends.set(id, e.Address, e.SinceMS)
+			n.backends.drain(id, state == decide.Draining)
 		}
 	}
 	n.handle(u)
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -25,11 +25,30 @@
 	return &outbound{method: http.MethodGet, url: &url.URL{Path: path}, host: "app.svc", header: http.Header{"X-Request-Id": {"q"}}}
 }
 
+func always() bool { return true }
+
+func (p *pool) isHeld(id decide.ServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held[id]
+}
+
+// stood has all idle connections be idle since so long ago.
+func stood(p *pool, since time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.backends {
+		for i, c := range b.idle { // in their order
+			c.idleAt = time.Now().Add(time.Duration(i) - time.Duration(len(b.idle)) - since)
+		}
+	}
+}
+
 func try(t *testing.T, p *pool, wait time.Duration) result {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	return p.attempt(ctx, 1, get("/api/x"), func(res result) error {
+	return p.attempt(ctx, 1, get("/api/x"), always, func(res result) error {
 		_, err := io.Copy(io.Discard, res.stream.rest)
 		return err
 	})
@@ -95,6 +114,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
+	stood(p, strayTime)
 	if got := try(t, p, enough); got.code != decide.OK {
 		t.Errorf("outcome %d, want OK on a new connection", got.code)
 	}
@@ -179,6 +199,7 @@
 	}
 	cs[1].release()
 	cs[0].release()
+	stood(p, strayTime)
 	if c, _ := p.get(ctx, 1); c != cs[0] {
 		t.Error("the one used last is not taken first")
 	} else {
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/node/accept"
 )
 
 const (
@@ -17,6 +18,7 @@
 type request struct {
 	id        decide.RequestID
 	class     string
+	settings  int // number of those that its class is of
 	out       *outbound
 	deadline  time.Time
 	answer    chan answer // takes the one final answer
@@ -24,9 +26,21 @@
 	attempts  []context.CancelFunc
 	running   int
 	guard     *time.Timer
-	tenant    string  // by its name in the catalogue, until the request is over; empty: tenants are not told apart
-	stream    *stream // the long answer that has begun; nil: none
-	leaveRoom func()  // gives back what its body has taken; may be nil
+	tenant    string          // by its name in the catalogue, until the request is over; empty: tenants are not told apart
+	stream    *stream         // the long answer that has begun; nil: none
+	leaveRoom func()          // gives back what its body has taken; may be nil
+	client    *accept.Conn    // nil: not known
+	gone      <-chan struct{} // closed when the server knows that the client has left
+}
+
+// abandoned tells whether a request's client has left, which the loop may not know yet.
+func (r *request) abandoned() bool {
+	select {
+	case <-r.gone:
+		return true
+	default:
+		return r.client != nil && r.client.Left()
+	}
 }
 
 // answer is a final answer to a client.
@@ -47,11 +61,14 @@
 		r.answer <- answer{status: http.StatusConflict}
 		return
 	}
-	if most := n.cfg.Settings.MaxOpen; most > 0 && len(n.requests) >= most {
+	now := n.front.rules.Load().number // those that the module has, as both change in one step
+	if most := n.cfg.Settings.MaxOpen; most > 0 && len(n.requests) >= most || r.settings < now-1 {
+		// The module does not know its class any more: another of that name may be repeated freely.
 		r.done = true
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
+	e.Former = r.settings < now
 	if !n.judge(r, &e) {
 		return
 	}
--- a/internal/node/term_test.go
+++ b/internal/node/term_test.go
@@ -15,33 +15,37 @@
 
 // tapped is the clients' socket of a node under test. It tells what the node has taken from it.
 type tapped struct {
-	net.Listener
+	*net.TCPListener
 	accepted, read atomic.Int64 // connections, and bytes on all of them
 	once           sync.Once
 	closed         chan struct{}
+	reads          atomic.Pointer[[]chan struct{}] // of connections from now on: each waits for its channel; nil: none waits
 }
 
 func (l *tapped) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	l.accepted.Add(1)
-	return tappedConn{c, l}, nil
+	if held := l.reads.Load(); held != nil {
+		return &lateConn{c.(*net.TCPConn), *held}, nil
+	}
+	return tappedConn{c.(*net.TCPConn), l}, nil
 }
 
 func (l *tapped) Close() error {
 	defer l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	return l.TCPListener.Close()
 }
 
 type tappedConn struct {
-	net.Conn
+	*net.TCPConn
 	tap *tapped
 }
 
 func (c tappedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.TCPConn.Read(p)
 	c.tap.read.Add(int64(n))
 	return n, err
 }
@@ -134,7 +138,9 @@
 						if rest, err := io.ReadAll(idle); err != nil || len(rest) > 0 {
 							t.Errorf("an idle connection ends with %q, %v", rest, err)
 						}
+						idle.Close()
 						if c.idle {
+							conn.Close()
 							n.wantEnd(t)
 							return
 						}
@@ -148,6 +154,8 @@
 					if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
 						t.Errorf("answer %s, told to close %v, %v", resp.Status, resp.Close, err)
 					}
+					conn.Close()
+					idle.Close()
 					n.linger()
 					n.wantEnd(t)
 				})
--- a/internal/node/validate.go
+++ b/internal/node/validate.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/node/accept"
 )
 
 const (
@@ -38,13 +39,13 @@
 	if f.node.cfg.Tenants.Known && len(r.Header.Values("X-Tenant")) > 1 {
 		return bad(http.StatusBadRequest, "want one X-Tenant")
 	}
-	former, err := f.rules.Load().effect(e.Class, func(effect decide.Effect) error { return fits(r, e.Class, effect) })
+	rules := f.rules.Load()
+	former, err := rules.effect(e.Class, func(effect decide.Effect) error { return fits(r, e.Class, effect) })
 	if err != nil {
 		var wrong formError
 		errors.As(err, &wrong)
 		return bad(wrong.status, "%w", err)
 	}
-	e.Former = former
 	patience, err := seconds(r.Header.Get("X-Deadline"))
 	if err != nil {
 		return bad(http.StatusBadRequest, "X-Deadline: %w", err)
@@ -76,14 +77,26 @@
 	patience = f.left(patience - answerMargin)
 	u := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
 	deadline := time.Now().Add(patience) // its last byte has come now, and its client waits from there
+	f.keepLatest(deadline)
 	var rest *upload
 	if long {
 		rest = startUpload(r, reader, len(body), patience)
 	}
-	return &request{id: e.ID, deadline: deadline, leaveRoom: back, class: e.Class, answer: make(chan answer, 1),
+	client, _ := r.Context().Value(connKey{}).(*accept.Conn)
+	return &request{id: e.ID, settings: rules.of(former), deadline: deadline, leaveRoom: back, class: e.Class, answer: make(chan answer, 1),
+		client: client, gone: r.Context().Done(),
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body, rest: rest}}, e, 0, nil
 }
 
+// keepLatest notes how long the front may have to stay, whatever its settings say by then.
+func (f *frontend) keepLatest(deadline time.Time) {
+	for at := int64(deadline.Sub(f.node.start)); ; {
+		if before := f.latest.Load(); at <= before || f.latest.CompareAndSwap(before, at) {
+			return
+		}
+	}
+}
+
 // formError is a request whose form its class does not have.
 type formError struct {
 	status int
