--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -37,31 +37,25 @@
 	} {
 		for _, c := range []struct {
 			when   string
-			idle   bool // it comes while the connection is idle, else upon the next request
-			rested bool // the connection has stood for as long as a second answer may take
-			number int  // of the connection that the next request comes on
+			idle   bool          // it comes while the connection is idle, else upon the next request on it
+			since  time.Duration // it has been idle when that is sent
+			number int           // of the connection on which that comes
 			want   decide.OutcomeCode
 		}{
-			{"while idle", true, true, 1, decide.OK},
-			{"late", false, false, 1, decide.OK},
-			{"as the next request leaves", false, true, 0, decide.ServerError},
+			{"while idle", true, strayTime, 1, decide.OK},
+			{"late", false, -enough, 1, decide.OK}, // at once, however slow this machine is
+			{"as the next request leaves", false, strayTime, 0, decide.ServerError},
 		} {
 			if name == "a second answer" && c.want != decide.OK {
 				continue // later than any comes
 			}
 			t.Run(name+" "+c.when, func(t *testing.T) {
-				speak, came := make(chan struct{}), make(chan int, 10)
+				first, second := make(chan net.Conn, 1), make(chan int, 1)
 				p := testPool(backendServer(t, func(number int, conn net.Conn, r *bufio.Reader) {
-					for i := 0; ; i++ {
-						if number == 0 && i == 1 && c.idle {
-							<-speak
-							io.WriteString(conn, unasked)
-						}
-						req := readRequest(r)
-						if req == nil {
-							return
-						}
-						if came <- number; number == 0 && i == 1 {
+					for req := readRequest(r); req != nil; req = readRequest(r) {
+						if req.URL.Path == "/first" {
+							first <- conn
+						} else if second <- number; number == 0 {
 							io.WriteString(conn, unasked)
 						}
 						io.WriteString(conn, named(req.URL.Path))
@@ -70,23 +64,17 @@
 				if got := ask(p, "/first"); string(got.body) != "/first" {
 					t.Fatalf("outcome %d, %q", got.code, got.body)
 				}
-				wait(t, came, "the first")
 				if c.idle {
-					close(speak)
+					io.WriteString(<-first, unasked)
 					awaitWord(t, p.backends[1].idle[0].Conn)
 				}
-				if stood(p, -enough); c.rested { // however slow this machine is
-					stood(p, strayTime)
-				}
+				stood(p, c.since)
 				got := ask(p, "/second")
 				if got.code != c.want || got.code == decide.OK && string(got.body) != "/second" {
 					t.Errorf("outcome %d with %q, want %d", got.code, got.body, c.want)
 				}
-				if number := wait(t, came, "the second"); number != c.number {
-					t.Errorf("the second comes on connection %d, want %d", number, c.number)
-				}
-				if open := p.open; got.code != decide.OK && open != 0 {
-					t.Errorf("%d connections open after an answer that can't be read", open)
+				if number := wait(t, second, "the second"); number != c.number || got.code != decide.OK && p.open != 0 {
+					t.Errorf("the second comes on connection %d, want %d; then %d are open", number, c.number, p.open)
 				}
 			})
 		}
