Count the calls of a test's discovery in one step

TestFollowSurvives failed once by the race detector: each call comes on a connection of its own now, so nothing orders the server's goroutines that counted them.

--- a/internal/list/client/platform_test.go
+++ b/internal/list/client/platform_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,11 +21,10 @@
 // the version last seen each time, and its news arrive.
 func TestFollowSurvives(t *testing.T) {
 	froms := make(chan string, 100)
-	calls := 0
+	var calls atomic.Int32 // each comes on a connection of its own
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		froms <- r.URL.Query().Get("from")
-		calls++
-		switch calls {
+		switch calls.Add(1) {
 		case 1:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case 2:
