Close clients' connections on which nothing has come before the process ends

Symptom: clients whose first request was still to come as a draining node gave up waiting were cut off by the end of the process: a request in that moment could be read and then go without a word, or be reset unread.

Cause: drain.go, serve called http.Server.Close on whatever was left at the end; a new connection was marked as one that is owed an answer, so no step closed it before.

Now a connection is new until its first byte has been read, and after the last deadline those still new are closed like idle ones, in one step under the connection's lock against the read, with finishSlack to close politely. A read that has got bytes by then drops them and ends as at the client's end: with net.ErrClosed, as before, net/http writes a 400 to a new connection.

TestReadCrossesTheClose holds a read that has got a request over the close: without the look at the state it is served, with net.ErrClosed a new connection gets a 400. The rows "new" of TestCloseIsNoReset do not end without CloseNew.

--- a/internal/node/accept/close_test.go
+++ b/internal/node/accept/close_test.go
@@ -18,6 +18,8 @@
 	*net.TCPListener
 	halved chan func() // takes what lets the half-close go on
 	closed chan bool
+	held   chan func() // if hold is set, it takes what lets a read go on that has got bytes
+	hold   atomic.Bool
 }
 
 type watchedConn struct {
@@ -30,10 +32,22 @@
 	return watchedConn{c, l}, err
 }
 
-func (c watchedConn) CloseWrite() error {
+func (c watchedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.by.hold.Load() {
+		hold(c.by.held)
+	}
+	return n, err
+}
+
+func hold(held chan<- func()) {
 	let := make(chan bool)
-	c.by.halved <- func() { close(let) }
+	held <- func() { close(let) }
 	<-let
+}
+
+func (c watchedConn) CloseWrite() error {
+	hold(c.by.halved)
 	return c.TCPConn.CloseWrite()
 }
 
@@ -48,20 +62,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &watched{ln.(*net.TCPListener), make(chan func(), 10), make(chan bool, 10)}
+	return &watched{TCPListener: ln.(*net.TCPListener), halved: make(chan func(), 10), closed: make(chan bool, 10), held: make(chan func(), 10)}
 }
 
-// serve runs a server that counts requests, and tells when a connection goes idle.
-func serve(t *testing.T, l *Listener, h http.HandlerFunc) (served *atomic.Int32, idle chan bool) {
+// serve runs a server that counts requests, and tells when a connection is new or goes idle.
+func serve(t *testing.T, l *Listener, h http.HandlerFunc) (served *atomic.Int32, states chan bool) {
 	t.Helper()
-	served, idle = new(atomic.Int32), make(chan bool, 10)
+	served, states = new(atomic.Int32), make(chan bool, 100)
 	srv := &http.Server{MaxHeaderBytes: MaxHead, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		served.Add(1)
 		h(w, r)
 	}), ConnState: func(c net.Conn, s http.ConnState) {
 		l.Note(c, s)
-		if s == http.StateIdle {
-			idle <- true
+		if s == http.StateNew || s == http.StateIdle {
+			states <- true
 		}
 	}}
 	go srv.Serve(l)
@@ -69,7 +83,7 @@
 		l.Hurry()
 		srv.Close()
 	})
-	return served, idle
+	return served, states
 }
 
 func dial(t *testing.T, l net.Listener) *net.TCPConn {
@@ -96,7 +110,7 @@
 // closings are what a client sends, and what comes when its connection is half-closed.
 var closings = []struct {
 	name, sent, crossing string
-	want                 int  // the last answer
+	want                 int  // the last answer; 0: none
 	ends                 bool // the server ends the connection by itself
 }{
 	{"asked to close", "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "", 200, true},
@@ -105,6 +119,8 @@
 	{"no request", "x\r\n\r\n" + strings.Repeat("x", 32<<10), "", 400, true},
 	{"idle", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", "", 200, false},
 	{"idle, crossed", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", 200, false},
+	{"new", "", "", 0, false},
+	{"new, crossed", "", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", 0, false},
 }
 
 // TestCloseIsNoReset: whatever of a client's bytes nobody has read, it gets its answer and an end. What comes behind is
@@ -113,19 +129,26 @@
 	for _, c := range closings {
 		for _, polite := range []bool{true, false} {
 			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
 				ln := listen(t)
 				l := Limit(ln, 2)
 				conn := dial(t, ln)
 				io.WriteString(conn, c.sent) // all of it is here before the server reads
-				served, idle := serve(t, l, func(http.ResponseWriter, *http.Request) {})
+				served, states := serve(t, l, func(http.ResponseWriter, *http.Request) {})
+				if c.want > 0 {
+					wait(t, states, "the connection")
+				}
 				read := bufio.NewReader(conn)
-				resp, err := http.ReadResponse(read, nil)
-				if err != nil || resp.StatusCode != c.want {
-					t.Fatalf("answer %v, %v", resp, err)
+				if c.want > 0 {
+					resp, err := http.ReadResponse(read, nil)
+					if err != nil || resp.StatusCode != c.want {
+						t.Fatalf("answer %v, %v", resp, err)
+					}
 				}
 				if !c.ends {
-					wait(t, idle, "the connection to go idle")
+					wait(t, states, "the connection to go idle, or to be new")
 					l.Drain()
+					l.CloseNew()
 				}
 				select {
 				case let := <-ln.halved:
@@ -133,6 +156,8 @@
 					let()
 				case <-ln.closed:
 					t.Fatalf("closed at once: %v", endOf(read))
+				case <-time.After(enough):
+					t.Fatal("it is not closed")
 				}
 				if err := endOf(read); err != nil {
 					t.Errorf("it ends with %v", err)
@@ -159,10 +184,40 @@
 	ln := listen(t)
 	l := Limit(ln, 1)
 	l.HeadTime = 50 * time.Millisecond
-	_, idle := serve(t, l, func(http.ResponseWriter, *http.Request) {})
+	_, states := serve(t, l, func(http.ResponseWriter, *http.Request) {})
 	conn := dial(t, ln)
 	io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-	wait(t, idle, "the connection to go idle")
+	wait(t, states, "the connection")
+	wait(t, states, "the connection to go idle")
 	io.WriteString(conn, "GE")
 	wait(t, ln.halved, "the half-close")()
 }
+
+// TestReadCrossesTheClose: bytes that a read has got as the connection is closed are not taken, and the client can tell.
+func TestReadCrossesTheClose(t *testing.T) {
+	for _, first := range []int{0, 1} { // requests before
+		ln := listen(t)
+		l := Limit(ln, 1)
+		served, states := serve(t, l, func(http.ResponseWriter, *http.Request) {})
+		conn := dial(t, ln)
+		read := bufio.NewReader(conn)
+		wait(t, states, "the connection")
+		for range first {
+			io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+			if _, err := http.ReadResponse(read, nil); err != nil {
+				t.Fatal(err)
+			}
+			wait(t, states, "the connection to go idle")
+		}
+		ln.hold.Store(true)
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		let := wait(t, ln.held, "the read")
+		l.Drain()
+		l.CloseNew()
+		let()
+		wait(t, ln.halved, "the half-close")()
+		if rest, err := io.ReadAll(read); len(rest) > 0 || err != nil || served.Load() != int32(first) {
+			t.Errorf("after %d requests it ends with %q, %v, and %d have been served", first, rest, err, served.Load())
+		}
+	}
+}
--- a/internal/node/accept/conn.go
+++ b/internal/node/accept/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+
 	"net"
 	"os"
 	"sync"
@@ -87,7 +89,7 @@
 		return 0, err
 	}
 	if c.state == closed {
-		return 0, net.ErrClosed
+		return 0, io.EOF // upon another error the server says 400
 	}
 	c.state = active
 	return n, nil
--- a/internal/node/accept/idle.go
+++ b/internal/node/accept/idle.go
@@ -8,14 +8,15 @@
 
 // state is a connection's, in net/http's terms. A client whose connection
 // ends between two requests sends the one that crosses this anew; one of whose
-// request a byte has been read is owed an answer. A new connection is active,
-// as its first request is not sent anew.
+// request a byte has been read is owed an answer. The first request of a new
+// connection is not sent anew, so that is closed last.
 type state int
 
 const (
-	active state = iota
-	idle         // nothing of a next request has been read
-	closed       // while it was idle: what is read later is not taken
+	fresh state = iota // nothing has been read
+	active
+	idle   // nothing of a next request has been read
+	closed // what is read later is not taken
 )
 
 // Note follows which connections are idle, for http.Server's ConnState. The server
@@ -24,11 +25,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.idle, c)
+	delete(l.fresh, c)
+	if s == http.StateNew {
+		l.fresh[c] = true
+	}
 	if s != http.StateIdle || !c.(*Conn).goIdle() {
 		return
 	}
 	if l.ending {
-		c.(*Conn).closeIdle()
+		c.(*Conn).closeAt(idle)
 		return
 	}
 	l.idle[c] = time.Now()
@@ -46,12 +51,12 @@
 	return true
 }
 
-// closeIdle closes a connection that is idle: the server's read ends, upon
-// which the server closes it.
-func (c *Conn) closeIdle() bool {
+// closeAt closes a connection that is in a state, in which nobody is owed an
+// answer: the server's read ends, upon which the server closes it.
+func (c *Conn) closeAt(s state) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != idle {
+	if c.state != s {
 		return false
 	}
 	c.state = closed
@@ -71,7 +76,7 @@
 			}
 		}
 		delete(l.idle, oldest)
-		if oldest.(*Conn).closeIdle() {
+		if oldest.(*Conn).closeAt(idle) {
 			return
 		}
 	}
@@ -83,7 +88,16 @@
 	defer l.mu.Unlock()
 	l.ending = true
 	for c := range l.idle {
-		c.(*Conn).closeIdle()
+		c.(*Conn).closeAt(idle)
 	}
 	clear(l.idle)
 }
+
+// CloseNew closes all connections on which nothing has come yet.
+func (l *Listener) CloseNew() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.fresh {
+		c.(*Conn).closeAt(fresh)
+	}
+}
--- a/internal/node/accept/listener.go
+++ b/internal/node/accept/listener.go
@@ -35,12 +35,13 @@
 
 	mu     sync.Mutex
 	idle   map[net.Conn]time.Time // since when
-	ending bool                   // none is to stay idle any more
+	fresh  map[net.Conn]bool
+	ending bool // none is to stay idle any more
 }
 
 // Limit has ln accept most connections at a time.
 func Limit(ln net.Listener, most int) *Listener {
-	return &Listener{Listener: ln, slots: make(chan struct{}, most), shut: make(chan struct{}), idle: map[net.Conn]time.Time{}}
+	return &Listener{Listener: ln, slots: make(chan struct{}, most), shut: make(chan struct{}), idle: map[net.Conn]time.Time{}, fresh: map[net.Conn]bool{}}
 }
 
 // Accept makes room by closing the connection that has been idle longest:
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -49,26 +49,30 @@
 		f.linger()
 		f.answerBy.Store(&last)
 	}
-	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest+finishSlack)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest)
 	defer cancel()
-	finish(end, served, limited)
+	finish(last, served, limited)
+	limited.CloseNew()
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishSlack)
+	defer cancel()
+	limited.Outlive(end, 0)
 	limited.Hurry()
 	srv.Close()
 	return nil
 }
 
-// finish ends what is idle and waits until the rest has been answered, or end is
+// finish ends what is idle and waits until the rest has been answered, or last is
 // over: then all requests are past their deadlines, and what is left are
 // connections on which none has come. http.Server's Shutdown does not do, as
 // it drops without an answer each request whose head is whole after its call.
-func finish(end context.Context, served <-chan struct{}, limited *accept.Listener) {
+func finish(last context.Context, served <-chan struct{}, limited *accept.Listener) {
 	limited.Drain()
 	select {
 	case <-served:
-	case <-end.Done():
+	case <-last.Done():
 		limited.Close()
 	}
-	limited.Outlive(end, 0)
+	limited.Outlive(last, 0)
 }
 
 // left is how much of the time of a request, whose last byte is here now, there
