Show how soon a pushed list is known after an outage that was silent

The watch is open when the agent falls silent, and no call of the outage is ever answered. The list is there once the watch is known to be silent (4.5 s), or within a grace and a wait of the return (1.4 s).

--- a/internal/list/client/silence_test.go
+++ b/internal/list/client/silence_test.go
@@ -165,6 +165,33 @@
 	}
 }
 
+// TestSilentOutage: a watch is open when the agent falls silent. What that has at its return is asked for soon after,
+// once the watch is known to be silent, though it never answers the calls of the outage.
+func TestSilentOutage(t *testing.T) {
+	for length := 100 * time.Millisecond; length < 12*time.Second; length += 370 * time.Millisecond {
+		var fell time.Time
+		inBubble(t, func(call int, w http.ResponseWriter, r *http.Request) {
+			switch from := r.URL.Query().Get("from"); {
+			case call == 0:
+				fell = time.Now()
+				tell(w, 42)
+			case call > 1 && from == "42" && time.Since(fell) >= length:
+				tell(w, 100)
+			default:
+				silent(w, r)
+			}
+		}, func(ctx context.Context, s *standIn) {
+			d, lists := s.platform(false)
+			d.Follow(ctx)
+			next(t, lists)
+			known := holdPushed + gracePushed
+			if l := next(t, lists); l.Index != 100 || l.at > max(known, length+gracePushed+3*backoffHigh/2) {
+				t.Errorf("after an outage of %v the list %d comes at %v", length, l.Index, l.at)
+			}
+		})
+	}
+}
+
 // TestSilentService: the client of the project's own list service keeps to the same clock, and to that of a second
 // call that falls silent.
 func TestSilentService(t *testing.T) {
