Leave the node to the old process if a new one is to end before it is ready

Symptom: a new process that got SIGTERM while it waited for the list told the old one at once that it was ready, was handed the node, and ended: nobody served.

Cause: upgrade_new.go, succeed: its waits end with ctx, and what followed took that for ready.

Now succeed tells that the process is to end, and Run ends without serving or saying ready; the old process sees the link end and serves on. TestSignalsAfterSIGTERM (whole processes; also a second SIGTERM, SIGINT and SIGHUP after it, with a request open) fails without this: the next request finds nobody.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,8 +119,11 @@
 		n.log.Warn("list entry skipped", "err", err)
 	}
 	n.post(func() { n.beginLists(inner) })
-	if old != nil {
-		n.succeed(ctx, old)
+	if old != nil && !n.succeed(ctx, old) {
+		ln.Close()
+		stop()
+		<-n.ended
+		return nil
 	}
 	if n.meeting != "" {
 		if n.hears() { // the old process has not handed its socket over
--- a/internal/node/upgrade_new.go
+++ b/internal/node/upgrade_new.go
@@ -85,8 +85,8 @@
 
 // succeed goes on where greet ended: it waits for the list, has the old process
 // let go, and stays linked with it until it ends. It returns when this process
-// is to serve.
-func (n *Node) succeed(ctx context.Context, l *link) {
+// is to serve, and false if that has been told to end before: the old one serves on.
+func (n *Node) succeed(ctx context.Context, l *link) bool {
 	n.join(l, false)
 	yours := make(chan struct{})
 	let := sync.OnceFunc(func() { close(yours) })
@@ -103,13 +103,17 @@
 	end := time.Now().Add(n.listTime)
 	n.await(ctx, n.listTime, n.told)
 	n.await(ctx, time.Until(end), n.tenants.isReady())
+	if ctx.Err() != nil {
+		return false
+	}
 	if err := l.say(message{Kind: kindReady}, -1); err != nil {
 		n.log.Warn("the old process is gone", "err", err)
-		return
+		return true
 	}
 	if !n.await(ctx, yoursTime, yours) {
 		n.log.Warn("the old process does not let go")
 	}
+	return true
 }
 
 // await waits for a channel to close, for some time at most.
