Show that a flood of bad peers and clients that leave gives everything back

140 peers of seven kinds that do not close get an error or a close each; then descriptors, goroutines and the counts of requests are where they were. No fault was found.

--- /dev/null
+++ b/internal/node/flood_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+)
+
+// TestFloodOfBadPeers: each gets an error or a close, though it does not close itself, and a burst of clients that leave
+// leaves nothing behind. Descriptors, goroutines and counts return to where they were.
+func TestFloodOfBadPeers(t *testing.T) {
+	server, got, _ := silentServer(t)
+	n := startNode(t, server)
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	open := func() int {
+		fds, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Skip(err)
+		}
+		return len(fds)
+	}
+	fds, goroutines := open(), runtime.NumGoroutine()
+	var peers []raw
+	for _, text := range []string{"", "G", "x\r\n\r\n", wholeGet[:40], "GET / HTTP/1.1\r\n" + strings.Repeat("X: y\r\n", 8<<10),
+		wholePost[:len(wholePost)-2], "x\r\n\r\n" + strings.Repeat("x", 300<<10)} {
+		for range 20 {
+			c := n.dial(t)
+			go io.WriteString(c, text)
+			peers = append(peers, c)
+		}
+	}
+	var leavers []raw
+	for range 4 {
+		c := n.opened(t)
+		io.WriteString(c, strings.Replace(wholeGet, "Id: q", "Id: "+c.LocalAddr().String(), 1))
+		wait(t, got, "the attempt")
+		leavers = append(leavers, c)
+	}
+	for _, c := range peers {
+		if _, err := io.ReadAll(c.read); os.IsTimeout(err) {
+			t.Error("a peer has neither an error nor a close")
+		}
+	}
+	for _, c := range append(peers, leavers...) {
+		c.Close()
+	}
+	until(t, "descriptors and goroutines to return", func() bool { return open() <= fds && runtime.NumGoroutine() <= goroutines })
+	n.do(func() {
+		if len(n.requests) > 0 || n.stats.outstanding.Load() != 0 {
+			t.Errorf("%d requests are open, %d count", len(n.requests), n.stats.outstanding.Load())
+		}
+	})
+}
