--- a/internal/node/settings_flight_test.go
+++ b/internal/node/settings_flight_test.go
@@ -13,18 +13,12 @@
 )
 
 // change gives the node other settings and returns when it has them.
-func (n *running) change(classes ...decide.Class) {
+func (n *running) change(t *testing.T, classes ...decide.Class) {
+	t.Helper()
 	cfg := n.cfg
 	cfg.Settings.Classes = classes
 	n.Reload(cfg)
-	n.settled()
-}
-
-// settled returns when the loop has done all that it had to by now.
-func (n *running) settled() {
-	done := make(chan struct{})
-	n.post(func() { close(done) })
-	<-done
+	n.on(t, func() {})
 }
 
 // TestSettingsChangeAmidARequest: new settings come when the head of a request has been read and its body has not. It
@@ -61,7 +55,7 @@
 			}
 			n := startNode(t, backendServer(t, breaks), backendServer(t, breaks))
 			for _, classes := range c.before {
-				n.change(classes...)
+				n.change(t, classes...)
 			}
 			conn := n.dial(t)
 			fmt.Fprintf(conn, "%s /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: a\r\nX-Deadline: 20\r\n"+
@@ -75,7 +69,7 @@
 			}
 			conn.read.ReadString('\n')
 			for _, classes := range c.changes {
-				n.change(classes...)
+				n.change(t, classes...)
 			}
 			fmt.Fprint(conn, "x")
 			if status := conn.status(t); status != c.status || int(served.Load()) != c.served {
@@ -99,7 +93,7 @@
 	answers := make(chan reply, 1)
 	go func() { answers <- do(t, n.request(t, "GET", "saldo", "q", "60", nil)) }()
 	wait(t, got, "the attempt")
-	n.change(decide.Class{Name: "saldo", Aim: time.Millisecond, Deadline: time.Millisecond, Effect: decide.Safe})
+	n.change(t, decide.Class{Name: "saldo", Aim: time.Millisecond, Deadline: time.Millisecond, Effect: decide.Safe})
 	n.stop()
 	n.linger()
 	wait(t, n.tap.closed, "the listener to be closed")
