--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -92,6 +92,11 @@
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
 			run := play(t, mode, c.text)
+			for range 3 { // a run in which the machine was late shows nothing of times
+				if run.Late != "" {
+					run = play(t, mode, c.text)
+				}
+			}
 			for _, v := range run.Verdicts {
 				switch {
 				case slices.Contains(c.breaks, v.Name):
