--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -19,7 +19,7 @@
 // tells it from the next request's; by then it shows as something unasked. The
 // next request waits for the rest of it, which takes no longer than a new
 // connection and costs the server nothing.
-const strayTime = 10 * time.Millisecond
+const strayTime = 5 * time.Millisecond
 
 // errCrowded says that this node has no room for a connection.
 var errCrowded = errors.New("too many connections")
