Measure what control costs by size, and make the capacity page from the records

The plan is fifteen times the nodes and 270 times the backends of today, and nothing said what control costs there. `indigolab scale` measures each role at five sizes or more: a node's decisions, whole nodes (hollow ones in a process, or real processes), a replica by watchers, entries and renewals, the view, the desk of tenants, a policy's text, and faults (a zone, a herd, a lost leader). Each keeps a record under docs/capacity; fits by relative error and the plan file give docs/CAPACITY.md with its walls, and a test holds them together.

A hollow node is internal/node itself without clients: no logic is copied.

--- a/cmd/indigolab/duties_test.go
+++ b/cmd/indigolab/duties_test.go
@@ -18,12 +18,12 @@
 	"indigotack/internal/list/server"
 )
 
-// TestMain lets this test's own binary be a worker, or a replica of the list service.
+// TestMain lets this test's own binary be a worker, hollow nodes, or a replica of the list service.
 func TestMain(m *testing.M) {
 	if os.Getenv("INDIGOLAB_AS_PROGRAM") != "1" {
 		os.Exit(m.Run())
 	}
-	if os.Args[1] == "duty-worker" {
+	if os.Args[1] == "duty-worker" || os.Args[1] == "scale" {
 		main()
 		return
 	}
--- /dev/null
+++ b/cmd/indigolab/scale.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"indigotack/internal/lab/scale"
+)
+
+// scaleFlags are what each measurement of sizes takes.
+type scaleFlags struct {
+	run  scale.Run
+	bin  string
+	rest time.Duration
+}
+
+func scaleCommand() *cobra.Command {
+	var f scaleFlags
+	c := &cobra.Command{
+		Use:   "scale",
+		Short: "measure what control costs by size, and make the tables of docs/CAPACITY.md",
+		Long: `Each command below measures one role at several sizes and keeps its figures under docs/capacity, which
+"indigolab scale page" turns into the tables of docs/CAPACITY.md, with the plan in docs/capacity/plan.toml.
+Processor time is that of the processes; times in force are by the wall clock, with the machine's load beside them.`,
+		Example: "  indigolab scale module\n  indigolab scale list --label after\n  indigolab scale page",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.PersistentFlags().StringVar(&f.run.Dir, "records", "docs/capacity", "the folder of the records")
+	c.PersistentFlags().StringVar(&f.run.Label, "label", scale.Before, "before or after: of the mechanism that the page compares")
+	c.PersistentFlags().StringVar(&f.run.Commit, "commit", "", "of the programs (default: the project's present one)")
+	c.PersistentFlags().StringVar(&f.run.Trial, "trial", "", "how the programs differ from the commit, where they are those of a trial")
+	c.PersistentFlags().IntVar(&f.run.Repeat, "repeat", 3, "how often each figure is taken")
+	c.PersistentFlags().DurationVar(&f.rest, "rest", 5*time.Second, "for which processes are left alone, and for which nodes get changes")
+	c.PersistentFlags().StringVar(&f.bin, "bin", "", "the folder with the programs (default: beside indigolab, or built from the project)")
+	c.AddCommand(scalePageCommand(&f), scaleModuleCommand(&f), scaleEntriesCommand(&f), scaleRenewalsCommand(&f), scaleNodesCommand(&f), scaleHollowCommand(),
+		scaleWatchersCommand(&f, "watchers", "one replica of the list service by how many hollow nodes' clients watch it", []int{30, 100, 300, 1000, 4300}, 200, (*scale.Lists).Watchers),
+		scaleWatchersCommand(&f, "cold", "watchers without a list that come to one replica all at once", []int{30, 100, 300, 1000, 4300}, 2000, (*scale.Lists).Cold),
+		scaleWatchersCommand(&f, "lost", "the leader of three replicas killed under watchers, and a change", []int{30, 100, 300, 1000, 4300}, 200, (*scale.Lists).Lost),
+		scaleCoreCommand(&f, "view", "members", "the view of the fleet by its members, in the simulator", []int{10, 30, 100, 300, 1000}, scale.View),
+		scaleCoreCommand(&f, "tenants", "tenants", "a node's desk by the tenants of its catalogue", []int{50, 200, 800, 3200, 12800, 50000}, scale.Tenants),
+		scaleCoreCommand(&f, "policy", "books", "a policy's text, its making and its table by the books that it names", []int{50, 200, 800, 1600, 3200}, scale.Policy),
+		scaleCoreCommand(&f, "constants", "", "what the programs refuse beyond", nil, func(ctx context.Context, run scale.Run, _ []int, say func(scale.Point)) error {
+			return scale.Constants(ctx, run, say)
+		}))
+	return c
+}
+
+// begin checks the flags and gives a folder for the run.
+func (f *scaleFlags) begin(ctx context.Context, what string) (dir string, done func(), err error) {
+	if f.run.Label != scale.Before && f.run.Label != scale.After || f.run.Repeat < 1 || f.rest < time.Second {
+		return "", nil, unplayed{errors.New("--label is before or after, --repeat 1 or more, --rest 1s or more")}
+	}
+	f.run.Command = "indigolab scale " + what
+	if f.run.Commit == "" {
+		raw, err := exec.CommandContext(ctx, "git", "rev-parse", "--short", "HEAD").Output()
+		if err != nil {
+			return "", nil, unplayed{fmt.Errorf("--commit is missing, and there is no repository here: %w", err)}
+		}
+		f.run.Commit = strings.TrimSpace(string(raw))
+	}
+	if dir, err = os.MkdirTemp("", "scale"); err != nil {
+		return "", nil, unplayed{err}
+	}
+	return dir, func() { os.RemoveAll(dir) }, nil
+}
+
+func scaleModuleCommand(f *scaleFlags) *cobra.Command {
+	var backends, nodes, placements []int
+	c := &cobra.Command{
+		Use:   "module",
+		Short: "a node's decisions alone: at rest, for a change, memory, by backends and by nodes",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			dir, done, err := f.begin(c.Context(), "module")
+			if err != nil {
+				return err
+			}
+			defer done()
+			var sizes []scale.Sizes
+			for _, n := range nodes {
+				for _, b := range backends {
+					sizes = append(sizes, scale.Sizes{Backends: b, Nodes: n, Placements: 1})
+				}
+			}
+			for _, p := range placements {
+				sizes = append(sizes, scale.Sizes{Backends: 2000, Nodes: 300, Placements: p})
+			}
+			return told(scale.Module(c.Context(), f.run, dir, sizes, saying(c)))
+		},
+	}
+	c.Flags().IntSliceVar(&backends, "backends", []int{200, 2000, 5000, 20000, 54000}, "how many there are")
+	c.Flags().IntSliceVar(&nodes, "nodes", []int{30, 100, 300, 1000, 4300}, "how many there are")
+	c.Flags().IntSliceVar(&placements, "placements", []int{4, 16, 64, 256}, "rules of placement, at 2,000 backends and 300 nodes")
+	return c
+}
+
+// saying prints points as they come.
+func saying(c *cobra.Command) func(scale.Point) {
+	return func(p scale.Point) { fmt.Fprintln(c.OutOrStdout(), p) }
+}
+
+func told(err error) error {
+	if err != nil {
+		return unplayed{err}
+	}
+	return nil
+}
+
+func scalePageCommand(f *scaleFlags) *cobra.Command {
+	var page string
+	var check bool
+	c := &cobra.Command{
+		Use:   "page",
+		Short: "make the tables of the capacity page from the records and the plan, or check them",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			raw, err := os.ReadFile(page)
+			if err != nil {
+				return unplayed{err}
+			}
+			text, err := scale.Page(string(raw), f.run.Dir)
+			switch {
+			case err != nil:
+				return unplayed{err}
+			case text == string(raw):
+				return nil
+			case check:
+				fmt.Fprintf(c.OutOrStdout(), "%s differs from its records: make it with indigolab scale page\n", page)
+				return failed
+			}
+			return told(os.WriteFile(page, []byte(text), 0o644))
+		},
+	}
+	c.Flags().StringVar(&page, "page", "docs/CAPACITY.md", "the page")
+	c.Flags().BoolVar(&check, "check", false, "change nothing: status 1 if the page differs from its records")
+	return c
+}
--- /dev/null
+++ b/cmd/indigolab/scale_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"indigotack/internal/lab/scale"
+)
+
+// lists measures against this test's own binary as the list service, and keeps records in a folder of the test.
+func lists(t *testing.T) scale.Lists {
+	return scale.Lists{Run: scale.Run{Dir: t.TempDir(), Label: scale.Before, Commit: "test", Repeat: 1}, Dir: t.TempDir(),
+		Program: []string{os.Args[0]}, Env: []string{"INDIGOLAB_AS_PROGRAM=1"}, Rest: time.Second, Say: func(p scale.Point) { t.Log(p) }}
+}
+
+// figureOf gives a figure at each point of the only record.
+func figureOf(t *testing.T, l scale.Lists, name string) (all []float64) {
+	t.Helper()
+	records, err := scale.Load(l.Run.Dir)
+	if err != nil || len(records) != 1 {
+		t.Fatal(len(records), err)
+	}
+	for _, p := range records[0].Points {
+		all = append(all, p.Figures[name].Median)
+	}
+	return all
+}
+
+// TestWatchersCounted: a change is a few hundred bytes to each watcher, whatever the list and however many watch.
+func TestWatchersCounted(t *testing.T) {
+	for _, entries := range []int{20, 400} {
+		l := lists(t)
+		if err := l.Watchers(t.Context(), []int{5, 25}, entries); err != nil {
+			t.Fatal(err)
+		}
+		for _, bytes := range figureOf(t, l, "watcher_change_bytes_in") {
+			if bytes < 150 || bytes > 1000 { // the head, one entry, and what looking itself reads
+				t.Errorf("a change of %d entries is %v bytes to a watcher", entries, bytes)
+			}
+		}
+		all := figureOf(t, l, "change_bytes")
+		if each := (all[1] - all[0]) / 20; each > 1000 {
+			t.Errorf("each further watcher costs the replica %v bytes a change of %d entries", each, entries)
+		}
+	}
+}
+
+// TestHollowNodesCounted: hollow nodes follow the list and each other as nodes do.
+func TestHollowNodesCounted(t *testing.T) {
+	const backends = 50
+	n := scale.Nodes{Lists: lists(t), Kind: "hollow", Start: []string{os.Args[0], "scale", "hollow"}, View: true, Told: 100}
+	if err := n.Measure(t.Context(), []scale.Sizes{{Nodes: 4, Backends: backends}}); err != nil {
+		t.Fatal(err)
+	}
+	for name, in := range map[string][2]float64{
+		"change_bytes_in":  {100, 1500},                          // a change reaches each
+		"change_bytes_out": {50 * backends, 200*backends + 1500}, // and is kept, with the whole list
+		"datagrams_per_s":  {1, 60},
+		"descriptors":      {1, 12},
+	} {
+		if got := figureOf(t, n.Lists, name)[0]; got < in[0] || got > in[1] {
+			t.Errorf("%s is %v, want %v to %v", name, got, in[0], in[1])
+		}
+	}
+}
--- a/internal/lab/proc/use.go
+++ b/internal/lab/proc/use.go
@@ -54,6 +54,23 @@
 	return u, nil
 }
 
+// Ran is the processor time of a process's threads that live, to the nanosecond.
+func Ran(pid int) (sum time.Duration, err error) {
+	dir := fmt.Sprintf("/proc/%d/task/", pid)
+	tasks, err := os.ReadDir(dir)
+	if err != nil {
+		return 0, err
+	}
+	for _, t := range tasks { // a thread may have ended since
+		if b, err := os.ReadFile(dir + t.Name() + "/schedstat"); err == nil {
+			if f := bytes.Fields(b); len(f) >= 1 {
+				sum += time.Duration(number(f[0]))
+			}
+		}
+	}
+	return sum, nil
+}
+
 func number(b []byte) int64 {
 	n, _ := strconv.ParseInt(string(b), 10, 64) // the kernel writes numbers
 	return n
--- a/internal/lab/quorum/measure.go
+++ b/internal/lab/quorum/measure.go
@@ -49,6 +49,11 @@
 	return do(c, k)
 }
 
+// Measure runs something against fresh replicas, set up as in service, and a client of them.
+func Measure(ctx context.Context, o Options, do func(*replicas.Set, *client.Client) error) error {
+	return measured(ctx, o, func(c *cluster, k *client.Client) error { return do(c.set, k) })
+}
+
 // Failovers kills the leader so many times, and gives the times from the kill to
 // the end of the first write that was begun after it.
 func Failovers(ctx context.Context, o Options, times int) (all []time.Duration, err error) {
--- a/internal/lab/quorum/size.go
+++ b/internal/lab/quorum/size.go
@@ -22,8 +22,8 @@
 // fillers write at once where a list is filled.
 const fillers = 64
 
-// fill registers so many entries.
-func fill(ctx context.Context, k *client.Client, n int) error {
+// Fill registers so many entries.
+func Fill(ctx context.Context, k *client.Client, n int) error {
 	var g errgroup.Group
 	g.SetLimit(fillers)
 	for i := range n {
@@ -51,7 +51,7 @@
 	o.Replicas, s.Entries = 1, entries
 	err = measured(ctx, o, func(c *cluster, k *client.Client) error {
 		began := time.Now()
-		if err := fill(ctx, k, entries); err != nil {
+		if err := Fill(ctx, k, entries); err != nil {
 			return err
 		}
 		s.Fill = time.Since(began)
@@ -174,7 +174,7 @@
 		}
 		began := time.Now()
 		filled := make(chan error, 1)
-		go func() { filled <- fill(ctx, k, servers) }()
+		go func() { filled <- Fill(ctx, k, servers) }()
 		var g errgroup.Group
 		for range clients {
 			one, err := client.New(client.Config{Addresses: addresses})
@@ -219,7 +219,7 @@
 func SideBySide(ctx context.Context, o Options, entries, clients int) (s Side, err error) {
 	o.Replicas = 1
 	err = measured(ctx, o, func(c *cluster, k *client.Client) error {
-		if err := fill(ctx, k, entries); err != nil {
+		if err := Fill(ctx, k, entries); err != nil {
 			return err
 		}
 		if s.Watch, s.WatchBytes, err = side(ctx, c, k, clients, true); err != nil {
--- /dev/null
+++ b/internal/lab/scale/constants.go
@@ -0,0 +1,31 @@
+package scale
+
+import (
+	"context"
+
+	"indigotack/internal/list"
+	"indigotack/internal/list/server"
+	"indigotack/internal/quota"
+	"indigotack/internal/tenant"
+)
+
+// Bounds that their packages keep to themselves.
+const (
+	platformList = 4 << 20 // maxPlatform of internal/list/client
+	viewMembers  = 4096    // Most of internal/fleet, where a configuration says nothing
+)
+
+// Constants records what the program of this commit refuses beyond.
+func Constants(_ context.Context, run Run, say func(Point)) error {
+	return run.record("constants", func() ([]Point, error) {
+		p := Point{Sizes: map[string]int{}, Figures: map[string]Spread{}}
+		for name, n := range map[string]float64{"entries": list.MaxEntries, "records": list.MaxRecords, "sessions": list.MaxSessions,
+			"held_calls": float64(server.Default().MaxWatchers), "tenants": tenant.MaxTenants, "enrolled": list.MaxSessions, // as many, by internal/tenant
+			"seats": quota.MostNodes, "members": viewMembers, "policy_bytes": list.MaxRecord, // as many, by internal/policy
+			"platform_list_bytes": platformList} {
+			p.Figures[name] = Spread{n, n, n}
+		}
+		say(p)
+		return []Point{p}, nil
+	})
+}
--- /dev/null
+++ b/internal/lab/scale/herd.go
@@ -0,0 +1,101 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"indigotack/internal/lab/quorum"
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list/client"
+)
+
+// Cold has watchers without a list come all at once.
+func (l *Lists) Cold(ctx context.Context, sizes []int, entries int) error {
+	return l.points(ctx, "cold", "watchers", sizes, l.Say, func(n int) (f map[string]float64, err error) {
+		err = l.fresh(ctx, entries, func(set *replicas.Set, k *client.Client) error {
+			now, err := k.Current(ctx)
+			if err != nil {
+				return err
+			}
+			begun, err := both(set.All[0].Proc().Pid)
+			if err != nil {
+				return err
+			}
+			start := time.Now()
+			c, err := gather(ctx, []string{set.All[0].Address()}, n, n, now.Index)
+			if err != nil {
+				return err
+			}
+			defer c.end()
+			took := c.since(start)
+			ended, err := both(set.All[0].Proc().Pid)
+			work := ended.minus(begun)
+			f = map[string]float64{"entries": float64(entries), "half_s": took[n/2], "most99_s": took[n*99/100], "last_s": took[n-1], "replica_cpu_s": seconds(work.service.CPU),
+				"replica_bytes_out": work.service.Written, "replica_bytes_held": ended.service.RSS, "watcher_cpu_s": seconds(work.own.CPU) / float64(n)}
+			return err
+		})
+		return f, err
+	})
+}
+
+// Lost kills the leader of three replicas under watchers of all three, and makes a change.
+func (l *Lists) Lost(ctx context.Context, sizes []int, entries int) error {
+	return l.points(ctx, "lost", "watchers", sizes, l.Say, func(n int) (f map[string]float64, err error) {
+		l.number++
+		o := quorum.Options{Seed: 1, Replicas: 3, Dir: filepath.Join(l.Dir, fmt.Sprint("list", l.number)), Command: l.Program, Env: l.Env}
+		err = quorum.Measure(ctx, o, func(set *replicas.Set, k *client.Client) error {
+			if err := quorum.Fill(ctx, k, entries); err != nil {
+				return err
+			}
+			now, err := k.Current(ctx)
+			if err != nil {
+				return err
+			}
+			var addresses []string
+			for _, r := range set.All {
+				addresses = append(addresses, r.Address())
+			}
+			c, err := gather(ctx, addresses, arriveTogether, n, now.Index)
+			if err != nil {
+				return err
+			}
+			defer c.end()
+			leader, err := leading(ctx, set, k)
+			if err != nil {
+				return err
+			}
+			killed := time.Now()
+			if err := leader.Kill(); err != nil {
+				return err
+			}
+			r, err := change(ctx, k, 0, entries)
+			if err != nil {
+				return err
+			}
+			acknowledged := time.Now()
+			if err := c.await(ctx, n, r.Version); err != nil {
+				return err
+			}
+			took := c.since(acknowledged)
+			f = map[string]float64{"entries": float64(entries), "written_s": seconds(acknowledged.Sub(killed)), "half_s": took[n/2], "most99_s": took[n*99/100], "last_s": took[n-1]}
+			return nil
+		})
+		return f, err
+	})
+}
+
+func leading(ctx context.Context, set *replicas.Set, k *client.Client) (*replicas.Replica, error) {
+	members, err := k.Members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for i, m := range members {
+		if m.Leads {
+			return set.All[i], nil
+		}
+	}
+	return nil, errors.New("nobody leads")
+}
--- /dev/null
+++ b/internal/lab/scale/page_test.go
@@ -0,0 +1,100 @@
+package scale
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	pageFile = "../../../docs/CAPACITY.md"
+	records  = "../../../docs/capacity"
+)
+
+func readPage(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile(pageFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+// TestPageAgrees: the page's tables are those that its records and its plan give.
+func TestPageAgrees(t *testing.T) {
+	text := readPage(t)
+	if got, err := Page(text, records); err != nil {
+		t.Fatal(err)
+	} else if got != text {
+		t.Error("docs/CAPACITY.md differs from its records: make it with indigolab scale page")
+	}
+}
+
+// copied gives the records' folder anew, each file changed by edit.
+func copied(t *testing.T, edit func(name, text string) string) string {
+	t.Helper()
+	dir := t.TempDir()
+	files, err := os.ReadDir(records)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		raw, err := os.ReadFile(filepath.Join(records, f.Name()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, f.Name()), []byte(edit(f.Name(), string(raw))), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+// TestPageTellsChanges: a figure, a plan or a page that was touched shows, and what can't be is an error.
+func TestPageTellsChanges(t *testing.T) {
+	text := readPage(t)
+	plan := func(from, to string) func(string, string) string {
+		return func(name, raw string) string {
+			if name == "plan.toml" {
+				return strings.Replace(raw, from, to, 1)
+			}
+			return raw
+		}
+	}
+	for name, edit := range map[string]func(string, string) string{
+		"a figure": func(name, raw string) string {
+			if strings.HasPrefix(name, "entries-") {
+				return strings.ReplaceAll(raw, `"median":`, `"median":7`)
+			}
+			return raw
+		},
+		"the plan": plan("nodes = 4300", "nodes = 4301"),
+	} {
+		if got, err := Page(text, copied(t, edit)); err != nil || got == text {
+			t.Errorf("%s was changed, and the page stays; %v", name, err)
+		}
+	}
+	for name, dir := range map[string]string{
+		"an unknown key of the plan": copied(t, plan("nodes = 4300", "nodes = 4300\nnoodles = 2")),
+		"a plan without nodes":       copied(t, plan("nodes = 4300", "")),
+		"an unknown key of a record": copied(t, func(name, raw string) string { return strings.Replace(raw, `"commit"`, `"comit"`, 1) }),
+		"a record of another name":   copied(t, func(name, raw string) string { return strings.Replace(raw, `"label":"before"`, `"label":"after"`, 1) }),
+	} {
+		if _, err := Page(text, dir); err == nil {
+			t.Errorf("%s is no error", name)
+		}
+	}
+	for name, page := range map[string]string{
+		"a table less":     strings.Replace(text, "<!-- scale: walls -->", "", 1),
+		"a table more":     text + "<!-- scale: other -->\n" + endMark,
+		"a table twice":    text + "<!-- scale: walls -->\n" + endMark,
+		"no end of one":    strings.ReplaceAll(text, endMark, ""),
+		"an empty page":    "",
+		"a figure by hand": strings.Replace(text, "<!-- scale: walls -->\n", "<!-- scale: walls -->\n| 1 |\n", 1),
+	} {
+		if got, err := Page(page, records); err == nil && got == page {
+			t.Errorf("%s is let pass", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/tables.go
@@ -0,0 +1,157 @@
+package scale
+
+import (
+	"fmt"
+	"strings"
+)
+
+// assumptions are those of the plan, each with its effect.
+func assumptions(s sheet) (string, error) {
+	p, a := s.plan.Plan, s.plan.Assumed
+	return table([]string{"assumed", "its effect"}, [][]string{
+		{fmt.Sprintf("the peak of changes is %s times the day's mean", number(a.Peak)), fmt.Sprintf("%s changes of the list a second; twice the peak is twice all that is by change", number(s.plan.listChanges()))},
+		{fmt.Sprintf("a restart is %s changes of the list, beside the changes of configuration", number(a.RestartChanges)), fmt.Sprintf("%s of the day's %s changes", number(a.RestartChanges*p.Restarts), number(p.Changes+a.RestartChanges*p.Restarts))},
+		{fmt.Sprintf("an entry's TTL is %s s, its agent renews it three times in it, one server a call", number(a.TTL)), fmt.Sprintf("%s renewals a second at the leader", number(s.plan.renewals()))},
+		{fmt.Sprintf("a node that starts without what was kept has %s s for a whole list, and as long for a whole catalogue", number(a.Start)), "twice the time is twice the f of those two walls; one that kept them reads changes"},
+		{fmt.Sprintf("watchers are spread evenly over %s replicas", number(a.Replicas)), fmt.Sprintf("%s nodes at each; with one lost, half as many again", number(p.Nodes/a.Replicas))},
+		{fmt.Sprintf("a control machine has %s cores, %s and %s a second", number(a.MachineCores), shown(a.MachineMemory, "bytes"), shown(a.MachineBytes, "bytes")), "the budget of replicas, conductors and holders"},
+		{"requests come evenly to all nodes", fmt.Sprintf("%s a second at a node at the peak", number(p.Requests/p.Nodes))},
+		{"every node has every service, route and tenant", "a node's part of them is all of them; services were not measured by themselves, rules of placement were"},
+		{fmt.Sprintf("all %d zones have the same part of nodes and backends, all in one list over both regions", p.Zones), fmt.Sprintf("a zone is %s nodes and %s backends", number(p.Nodes/float64(p.Zones)), number(p.Backends/float64(p.Zones)))},
+		{fmt.Sprintf("a rack has %s nodes and %s backends", number(a.RackNodes), number(a.RackBackends)), "the first row of the faults"},
+	}), nil
+}
+
+// costs are all lines: what they take, what they may, and what carries them.
+func costs(s sheet) (string, error) {
+	var rows [][]string
+	for _, l := range Lines() {
+		bound := "none stated"
+		b, a := l.cell(s.before, s.plan), l.cell(s.after, s.plan)
+		if b.bound > 0 {
+			bound = shown(b.bound, l.Unit)
+		}
+		if l.limit != "" {
+			bound += ", a constant"
+		}
+		if a.bound > 0 && b.bound > 0 && a.bound != b.bound {
+			bound += "; after: " + shown(a.bound, l.Unit)
+		}
+		rows = append(rows, []string{l.Role, l.What, bound, l.show(b), l.show(a), l.Mechanism, l.Next})
+	}
+	return table([]string{"role", "cost at the plan's size", "budget", "before", "after", "what carries it", "what gives first"}, rows), nil
+}
+
+// show is a cost with the share of its budget and what it rests on.
+func (l Line) show(c cell) string {
+	switch {
+	case c.notRun():
+		return notRun
+	case c.err != nil:
+		return "not known: " + c.err.Error()
+	}
+	text := shown(c.value, l.Unit)
+	if c.bound > 0 {
+		text += ", " + percent(c.value/c.bound)
+	}
+	if l.Command == "" {
+		return text + " (the plan's number)"
+	}
+	return text + " (" + basis(c.reach) + ")"
+}
+
+// wallsTable is the limits on the way, and the ends of that way.
+func wallsTable(s sheet) (string, error) {
+	var rows [][]string
+	text := fmt.Sprintf("f = 1 is the plan. Today's %s backends and %s nodes are f = %s and %s; the way begins at the lower.\n\n",
+		number(s.plan.Today.Backends), number(s.plan.Today.Nodes), number(s.plan.Today.Backends/s.plan.Plan.Backends), number(s.plan.Today.Nodes/s.plan.Plan.Nodes))
+	for _, m := range []measured{s.before, s.after} {
+		if len(m.of) == 0 {
+			rows = append(rows, []string{m.label, "", notRun, "", "", ""})
+			continue
+		}
+		all, untold := walls(m, s.plan)
+		for _, w := range all {
+			at, kind := number(w.f), "a budget"
+			if w.f == 0 {
+				at = "met at the beginning"
+			}
+			if w.limit != "" {
+				kind = "a constant"
+			}
+			rests := basis(w.reach)
+			if w.Command == "" {
+				rests = "the plan's number"
+			}
+			rows = append(rows, []string{m.label, at, w.Role + ": " + w.What, kind + ": " + shown(w.bound, w.Unit), shown(w.full, w.Unit), rests})
+		}
+		var names []string
+		for _, l := range untold {
+			names = append(names, l.Role+": "+l.What)
+		}
+		if len(names) > 0 {
+			rows = append(rows, []string{m.label, notRun, strings.Join(names, "; "), "", "", ""})
+		}
+	}
+	return text + table([]string{"program", "f", "limit", "what it is", "at f = 1", "rests, at that f, on"}, rows), nil
+}
+
+// slopes are all fits that the costs rest on.
+func slopes(s sheet) (string, error) {
+	var rows [][]string
+	for _, k := range []struct {
+		what, along string
+		others      map[string]int
+		figures     []string
+	}{
+		{"module", "backends", nodesOfPlan, []string{"rest_cores", "change_s", "whole_s", "memory_bytes"}},
+		{"module", "nodes", map[string]int{"backends": 54000, "placements": 1}, []string{"rest_cores", "change_s"}},
+		{"module", "placements", map[string]int{"backends": 2000, "nodes": 300}, []string{"rest_cores", "change_s", "memory_bytes"}},
+		{"real", "backends", nodeFew, []string{"rest_cores", "change_cpu_s", "memory_bytes"}},
+		{"hollow", "backends", nodeFew, []string{"rest_cores", "change_cpu_s", "change_bytes_out", "memory_bytes"}},
+		{"watchers", "watchers", nil, []string{"rest_cores", "change_cpu_s", "change_bytes", "memory_bytes", "most99_s", "last_worst_s", "watcher_change_bytes_in", "watcher_change_bytes_out"}},
+		{"entries", "entries", nil, []string{"change_cpu_s", "whole_bytes", "whole_cpu_s", "memory_bytes"}},
+		{"renewals", "renewals", nil, []string{"cores"}},
+		{"view", "members", nil, []string{"datagrams_per_s", "datagram_bytes_per_s", "all_joined_s", "one_dies_s", "heal_s"}},
+		{"tenants", "tenants", nil, []string{"catalogue_bytes", "change_s", "memory_bytes"}},
+		{"policy", "books", nil, []string{"text_bytes", "compile_s", "memory_bytes"}},
+	} {
+		for _, figure := range k.figures {
+			row := []string{"`scale " + commandOf(k.what) + "`", figure, k.along}
+			for _, m := range []measured{s.before, s.after} {
+				row = append(row, slopeCell(m, k.what, k.along, figure, k.others))
+			}
+			rows = append(rows, row)
+		}
+	}
+	return table([]string{"command", "figure", "by", "before", "after"}, rows), nil
+}
+
+func commandOf(what string) string {
+	if what == "hollow" || what == "real" {
+		return "nodes --kind " + what
+	}
+	return what
+}
+
+func slopeCell(m measured, what, along, figure string, others map[string]int) string {
+	r, has := m.of[what]
+	if !has {
+		return notRun
+	}
+	f, err := fitOf(r, along, figure, others)
+	if err != nil {
+		return "not known: " + err.Error()
+	}
+	spread := 0.0
+	for _, p := range r.Points {
+		if s, has := p.Figures[figure]; has && matches(p, others) {
+			spread = max(spread, (s.Most-s.Least)/s.Median)
+		}
+	}
+	text := fmt.Sprintf("%.3g", f.At)
+	if f.grow != nil {
+		text += fmt.Sprintf(" + %.3g × %s", f.Slope, f.Form)
+	}
+	return fmt.Sprintf("%s (%s); residual %s, %d sizes to %s, spread to %s", text, f.Form, percent(f.Residual), f.Sizes, number(f.Largest), percent(spread))
+}
--- /dev/null
+++ b/internal/lab/scale/tenants.go
@@ -0,0 +1,92 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"indigotack/internal/lab/fleet"
+	"indigotack/internal/policy"
+	"indigotack/internal/tenant"
+)
+
+// tenantForm is a tenant as the documentation's example has it.
+func tenantForm(i int) *tenant.Form {
+	name := fmt.Sprintf("tenant-%06d", i)
+	return &tenant.Form{Names: []string{name}, Classes: []string{drawn.Classes[0].Name, drawn.Classes[1].Name}, DrainMS: 5000,
+		Quotas: []tenant.Quota{{Limit: "book/" + name}}, Routes: []tenant.Route{{Zones: []string{zoneOf(i)}, Least: 2}}}
+}
+
+// Tenants measures a node's desk alone, by the tenants of the catalogue; the conductor takes no more than it states.
+func Tenants(ctx context.Context, run Run, sizes []int, say func(Point)) error {
+	return run.points(ctx, "tenants", "tenants", sizes, say, func(n int) (map[string]float64, error) {
+		empty, _ := heap()
+		image, bytes := &tenant.Image{Number: 1, Entries: map[string]*tenant.Entry{}}, 0
+		for i := range n {
+			f := tenantForm(i)
+			e := &tenant.Entry{Name: f.Names[0], Phase: tenant.Serve, Now: f, Since: 1}
+			raw, err := json.Marshal(e)
+			if err != nil {
+				return nil, err
+			}
+			image.Entries[e.Name], bytes = e, bytes+len(raw)
+		}
+		d := tenant.NewDesk(1, 0)
+		d.Handle(0, tenant.Tables{Table: tenant.Table{Version: 1, Has: func(string) bool { return true }}})
+		d.Handle(0, tenant.Opened{TTL: time.Minute})
+		d.Handle(1, tenant.Read{Began: 1, Enrolled: true, Image: image})
+		full, _ := heap()
+		number := uint64(1)
+		change, pieces, err := cost(ctx, 3, func(i int) { // the next catalogue differs in one tenant
+			number++
+			next := &tenant.Image{Number: number, Entries: image.Entries}
+			f := tenantForm(i % n)
+			next.Entries[f.Names[0]] = &tenant.Entry{Name: f.Names[0], Phase: tenant.Serve, Now: f, Since: number}
+			d.Handle(time.Duration(number), tenant.Read{Began: time.Duration(number), Enrolled: true, Image: next})
+		})
+		return map[string]float64{"memory_bytes": full - empty, "catalogue_bytes": float64(bytes), "change_s": change, "change_pieces": pieces}, err
+	})
+}
+
+// Policy measures a text of limits, a line or two for each book: its bytes, its making, its table.
+func Policy(ctx context.Context, run Run, sizes []int, say func(Point)) error {
+	return run.points(ctx, "policy", "books", sizes, say, func(n int) (map[string]float64, error) {
+		known, text := policy.Known{}, []byte("fleet {\n requests { rate = 1000000 }\n")
+		for i := range n {
+			name := fmt.Sprintf("tenant-%06d", i)
+			known.Books = append(known.Books, name)
+			text = fmt.Appendf(text, " book %q {\n  requests { rate = %d }\n }\n", name, 1+i%9)
+		}
+		text = append(text, "}\n"...)
+		empty, _ := heap()
+		began := fleet.OwnCPU()
+		table, err := policy.Compile("scale.hcl", text, known)
+		if err != nil {
+			return nil, err
+		}
+		took := seconds(fleet.OwnCPU() - began)
+		full, _ := heap()
+		runtime.KeepAlive(table)
+		return map[string]float64{"text_bytes": float64(len(text)), "compile_s": took, "memory_bytes": full - empty}, nil
+	})
+}
+
+// points measures at each size of one direction.
+func (run Run) points(ctx context.Context, what, along string, sizes []int, say func(Point), one func(n int) (map[string]float64, error)) error {
+	return run.record(what, func() (all []Point, err error) {
+		for _, n := range sizes {
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			p, err := repeated(run.Repeat, map[string]int{along: n}, func() (map[string]float64, error) { return one(n) })
+			if err != nil {
+				return nil, err
+			}
+			say(p)
+			all = append(all, p)
+		}
+		return all, nil
+	})
+}
--- /dev/null
+++ b/internal/lab/scale/view.go
@@ -0,0 +1,25 @@
+package scale
+
+import (
+	"context"
+	"time"
+
+	"indigotack/internal/lab/fleet"
+	"indigotack/internal/sim/views"
+)
+
+const viewCut = 30 * time.Second // of halves, before they heal
+
+// View measures the view of the fleet by its members, on the simulation's clock and network. Its processor time and
+// memory are those of the whole simulation, shared out: more than a node's.
+func View(ctx context.Context, run Run, sizes []int, say func(Point)) error {
+	return run.points(ctx, "view", "members", sizes, say, func(n int) (map[string]float64, error) {
+		began := fleet.OwnCPU()
+		g, err := views.Growth{Nodes: n, Seed: 1, Cut: viewCut}.Measure(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return map[string]float64{"datagrams_per_s": g.Sent, "datagram_bytes_per_s": g.Bytes, "all_joined_s": seconds(g.Joined), "one_joins_s": seconds(g.Join),
+			"one_dies_s": seconds(g.Death), "heal_s": seconds(g.Heal), "sim_cpu_s": seconds(fleet.OwnCPU()-began) / float64(n)}, nil
+	})
+}
--- /dev/null
+++ b/internal/lab/scale/watchers.go
@@ -0,0 +1,205 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"indigotack/internal/lab/quorum"
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+)
+
+const (
+	holdOfNode     = 5 * time.Second // of a watch, as a node has it
+	changes        = 20              // that a figure is taken over
+	settleTime     = time.Minute     // for all watchers to have a version: only a hang takes so long
+	arriveTogether = 200             // watchers that come at once
+)
+
+// Lists says against which programs the list service's part is measured.
+type Lists struct {
+	Run
+	Dir     string        // for what the programs keep
+	Program []string      // indigolist
+	Env     []string      // of it
+	Rest    time.Duration // for which nothing happens, and then changes come to nodes
+	Say     func(Point)
+	number  int
+}
+
+// fresh is one replica that is alone, on an empty folder.
+func (l *Lists) fresh(ctx context.Context, entries int, do func(set *replicas.Set, k *client.Client) error) error {
+	l.number++
+	o := quorum.Options{Seed: 1, Replicas: 1, Dir: filepath.Join(l.Dir, fmt.Sprint("list", l.number)), Command: l.Program, Env: l.Env}
+	return quorum.Measure(ctx, o, func(set *replicas.Set, k *client.Client) error {
+		if err := quorum.Fill(ctx, k, entries); err != nil {
+			return err
+		}
+		return do(set, k)
+	})
+}
+
+// change is one change of an entry that every watcher gets: it restarts.
+func change(ctx context.Context, k *client.Client, i, entries int) (list.Result, error) {
+	n := i % entries
+	return k.Register(ctx, list.Entry{Name: fmt.Sprintf("s-%08x", n), Address: fmt.Sprintf("10.1.%d.%d:5000", n>>8&255, n&255), Zone: zoneOf(n), Type: kindOf(n),
+		Group: n / 3, Status: list.Ready, Weight: 1, SinceMS: time.Now().UnixMilli()}, 0, nil)
+}
+
+// crowd is hollow watchers in one process: the client of a node without the rest of it.
+type crowd struct {
+	all    []*client.Client
+	have   []atomic.Uint64 // the version that each has
+	when   []atomic.Int64  // it came, in ns since begun
+	begun  time.Time
+	follow sync.WaitGroup
+	stop   context.CancelFunc
+}
+
+// gather starts watchers, some together, and waits until all have a version.
+func gather(ctx context.Context, addresses []string, together, n int, version uint64) (*crowd, error) {
+	following, stop := context.WithCancel(ctx)
+	c := &crowd{all: make([]*client.Client, n), have: make([]atomic.Uint64, n), when: make([]atomic.Int64, n), begun: time.Now(), stop: stop}
+	for i := range n {
+		k, err := client.New(client.Config{Addresses: addresses, Hold: holdOfNode, Taken: func(a list.Answer) {
+			c.when[i].Store(int64(time.Since(c.begun)))
+			c.have[i].Store(a.Index)
+		}})
+		if err != nil {
+			c.end()
+			return nil, err
+		}
+		c.all[i] = k
+		c.follow.Go(func() { k.Follow(following); k.Close() })
+		if i%together == together-1 || i == n-1 {
+			if err := c.await(ctx, i+1, version); err != nil {
+				c.end()
+				return nil, err
+			}
+		}
+	}
+	return c, nil
+}
+
+func (c *crowd) end() {
+	c.stop()
+	c.follow.Wait()
+}
+
+// await waits until the first so many have a version.
+func (c *crowd) await(ctx context.Context, first int, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for i := range first {
+		for c.have[i].Load() < version {
+			if !pause.For(ctx, time.Millisecond) {
+				return fmt.Errorf("watcher %d of %d stays at version %d, not %d: %w", i, len(c.all), c.have[i].Load(), version, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// since gives the times from a moment until each had its present version, in order.
+func (c *crowd) since(t time.Time) (all []float64) {
+	for i := range c.when {
+		all = append(all, seconds(time.Duration(c.when[i].Load())-t.Sub(c.begun)))
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Watchers measures a change and the rest between changes by how many watch one replica.
+func (l *Lists) Watchers(ctx context.Context, sizes []int, entries int) error {
+	return l.record("watchers", func() ([]Point, error) {
+		var all []Point
+		for _, n := range sizes {
+			p, err := repeated(l.Repeat, map[string]int{"watchers": n, "entries": entries}, func() (f map[string]float64, err error) {
+				err = l.fresh(ctx, entries, func(set *replicas.Set, k *client.Client) error {
+					f, err = l.watched(ctx, set, k, n, entries)
+					return err
+				})
+				return f, err
+			})
+			if err != nil {
+				return nil, err
+			}
+			l.Say(p)
+			all = append(all, p)
+		}
+		return all, nil
+	})
+}
+
+// watched measures one replica with so many watchers.
+func (l *Lists) watched(ctx context.Context, set *replicas.Set, k *client.Client, n, entries int) (map[string]float64, error) {
+	now, err := k.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	pid := set.All[0].Proc().Pid
+	empty, err := useOf(pid)
+	if err != nil {
+		return nil, err
+	}
+	c, err := gather(ctx, []string{set.All[0].Address()}, arriveTogether, n, now.Index)
+	if err != nil {
+		return nil, err
+	}
+	defer c.end()
+	var median, most99, last []float64
+	begun, err := both(pid)
+	if err != nil {
+		return nil, err
+	}
+	for i := range changes {
+		r, err := change(ctx, k, i, entries)
+		if err != nil {
+			return nil, err
+		}
+		acknowledged := time.Now()
+		if err := c.await(ctx, n, r.Version); err != nil {
+			return nil, err
+		}
+		took := c.since(acknowledged)
+		median, most99, last = append(median, took[n/2]), append(most99, took[n*99/100]), append(last, took[n-1])
+	}
+	told, err := both(pid)
+	if err != nil {
+		return nil, err
+	}
+	pause.For(ctx, l.Rest)
+	rested, err := both(pid)
+	if err != nil {
+		return nil, err
+	}
+	work, rest := told.minus(begun), rested.minus(told)
+	each, whole := float64(n), l.Rest.Seconds()
+	return map[string]float64{"change_cpu_s": seconds(work.service.CPU) / changes, "change_bytes": work.service.Written / changes,
+		"watcher_change_bytes_in": work.own.Read / changes / each, "watcher_change_bytes_out": work.own.Written / changes / each,
+		"watcher_change_cpu_s": seconds(work.own.CPU) / changes / each,
+		"rest_cores":           seconds(rest.service.CPU) / whole, "rest_bytes_out": rest.service.Written / whole, "rest_bytes_in": rest.service.Read / whole,
+		"watcher_rest_bytes_in": rest.own.Read / whole / each, "watcher_rest_bytes_out": rest.own.Written / whole / each,
+		"memory_bytes": rested.service.RSS - empty.RSS, "descriptors": rested.service.FDs,
+		"half_s": spreadOf(median).Median, "most99_s": spreadOf(most99).Median, "last_s": spreadOf(last).Median, "last_worst_s": slices.Max(last)}, nil
+}
+
+// pair is what a replica and this process, with its hollow parts, have used.
+type pair struct{ service, own use }
+
+func both(pid int) (p pair, err error) {
+	if p.service, err = useOf(pid); err != nil {
+		return p, err
+	}
+	p.own, err = ownUse()
+	return p, err
+}
+
+func (p pair) minus(q pair) pair { return pair{p.service.minus(q.service), p.own.minus(q.own)} }
