Move the wire form of notes out of the policy's files

Encoding and decoding a note, and keeping the last one of each node, decide nothing on requests: they go to decide/notes.go, and the place of a node on the ring to module.go.

Same code otherwise: go test -race ./decide passes.

--- a/decide/module.go
+++ b/decide/module.go
@@ -122,6 +122,11 @@
 	return float64(mix(m.rng)>>11) / (1 << 53)
 }
 
+// ringStart is the place on a ring of servers from which a node takes its own.
+func ringStart(node, servers int) int {
+	return int(float64(servers) * math.Mod(float64(node)*math.Phi, 1))
+}
+
 func mix(z uint64) uint64 {
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -3,30 +3,17 @@
 // What nodes tell each other of the servers that they share. The interface is in api.go.
 
 import (
-	"encoding/binary"
 	"math"
 	"time"
 )
 
 const (
-	noteLoad   = 1     // first byte of a note: the work that its sender has out at a server
-	noteBytes  = 6     // its length: kind, server, load; one more at an attempt's end, for its latency
-	noteFinest = 0.001 // s; the least latency that a note tells
-	noteSteps  = 16.0  // in which it tells a doubling of that
-	noteScale  = 8.0   // a note's load is in eighths of a mean request
 	notePoints = 0.005 // of the result, that telling of each request may cost
 	noteNodes  = 32.0  // nodes on a server beyond which each has better to do than to listen to all
 	noteCost   = 10e-6 // s; of processor time that one takes here and at its receiver, for the system calls
 	noteHolds  = 10.0  // mean latencies; a note holds so long, as the one that ends it may be lost
 )
 
-// note is what another node has said that it has out at a server, in mean requests.
-type note struct {
-	from int
-	load float64
-	at   Time
-}
-
 // share finds for each server the other nodes that work with it: the first of their rings, as in follow.
 func (m *Module) share(ring []*server) {
 	m.tells = false
@@ -60,11 +47,6 @@
 	m.tells = m.set.Prices.Message*each/256 <= notePoints
 }
 
-// ringStart is the place on a ring of servers from which a node takes its own.
-func ringStart(node, servers int) int {
-	return int(float64(servers) * math.Mod(float64(node)*math.Phi, 1))
-}
-
 // tell lets the nodes that share a server know what this one has out there. The note replaces the one before,
 // so nothing adds up if it is lost, late or comes twice. With it goes the latency that an answer shows for a
 // mean request: each node alone has few answers of a server and knows it late.
@@ -72,12 +54,7 @@
 	if !m.tells || s.State != Ready {
 		return
 	}
-	data := binary.BigEndian.AppendUint32([]byte{noteLoad}, uint32(s.ID))
-	data = append(data, byte(math.Min(255, math.Round(noteScale*s.load))))
-	if latency > 0 {
-		steps := noteSteps * math.Log2(latency/noteFinest)
-		data = append(data, byte(math.Min(255, math.Max(0, math.Round(steps)))))
-	}
+	data := encodeNote(s.ID, s.load, latency)
 	for _, node := range s.with {
 		m.do(SendMessage{To: node, Data: data})
 	}
@@ -98,25 +75,15 @@
 
 // hear takes a note. One that this node does not understand, or about a server it has not listed, is nothing.
 func (m *Module) hear(e MessageReceived) {
-	if e.From < 0 || e.From >= m.set.Nodes || e.From == m.set.Self ||
-		len(e.Data) < noteBytes || len(e.Data) > noteBytes+1 || e.Data[0] != noteLoad {
+	id, load, latency, ok := decodeNote(e.Data)
+	s := m.known[id]
+	if !ok || s == nil || e.From < 0 || e.From >= m.set.Nodes || e.From == m.set.Self {
 		return
 	}
-	s := m.known[ServerID(binary.BigEndian.Uint32(e.Data[1:]))]
-	if s == nil {
-		return
-	}
-	if len(e.Data) > noteBytes && m.mean > 0 {
-		m.weigh(s, noteFinest*math.Exp2(float64(e.Data[noteBytes])/noteSteps))
-	}
-	t := note{from: e.From, load: float64(e.Data[5]) / noteScale, at: m.now}
-	for i := range s.notes {
-		if s.notes[i].from == e.From {
-			s.notes[i] = t
-			return
-		}
+	if latency > 0 && m.mean > 0 {
+		m.weigh(s, latency)
 	}
-	s.notes = append(s.notes, t)
+	s.heardOf(note{from: e.From, load: load, at: m.now})
 }
 
 // loadOf is the work out at a server, in mean requests: this node's and what it has been told of others'.
