Keep the ring of servers up change by change

The round of checks and the count of ejected servers walked them all each 25 ms, and each trial walked them for suspects.

Suspects and silent servers are small sets in the same order. home is set over what is in reach. Which nodes share a server is found from the places of nodes on the ring when it is first asked for; whether notes are too dear is known from the sums, and counted out only where it hangs on nodes that are in two groups. Tests that read the list read its ring.

--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -54,6 +54,7 @@
 	a.ahead = s.n
 	s.n++
 	if s.unanswered++; s.unanswered == suspectAt {
+		m.silent.put(s)
 		s.muteSince = m.now // the earlier ones are overdue by then, and this one must be
 	}
 	m.hold(s, a.work, 0)
--- a/decide/choice.go
+++ b/decide/choice.go
@@ -29,14 +29,12 @@
 }
 
 // two draws two random servers in reach that may get a request, of normal ones or else of overloaded ones.
-func (m *Module) two(r *request, from []*server) (a, b *server, mode Mode) {
+func (m *Module) two(r *request, from ring) (a, b *server, mode Mode) {
 	var pools [2][]*server
 	g, seen := r.class.group, 0
 	m.pool(g)
-	for _, s := range from {
-		if seen >= int(g.reach) {
-			break
-		}
+	for i := 0; i < len(from.servers) && seen < int(g.reach); i++ {
+		s := from.at(i)
 		if s.suspect || !m.maySend(r, s) {
 			continue
 		}
@@ -63,7 +61,7 @@
 func (m *Module) pick(r *request) (*server, Mode) {
 	from := r.class.group.list
 	if m.looks {
-		from = r.asked
+		from = ring{servers: r.asked}
 	}
 	best, other, mode := m.two(r, from)
 	if mode != Blocking && m.delay(r, other) < m.delay(r, best) {
--- a/decide/handle.go
+++ b/decide/handle.go
@@ -23,7 +23,7 @@
 		m.arrive(e)
 	case SettingsChanged:
 		m.adopt(e.Settings)
-		m.relist()
+		m.relist(nil)
 	case Restored:
 		m.restore(e.Learned)
 	case HandedOver:
@@ -62,9 +62,12 @@
 
 func (m *Module) tick() {
 	m.survey()
-	for _, s := range m.list {
-		if s.unanswered >= suspectAt && m.mean > 0 &&
-			(m.now-s.muteSince).Seconds() > muteFactor*math.Max(m.mean, m.latencyOf(s)) {
+	m.suspects.keep(func(s *server) bool { return s.suspect })
+	m.silent.keep((*server).mute)
+	m.silent.turn(m.first)
+	for i := range m.silent.servers {
+		s := m.silent.at(i)
+		if m.mean > 0 && (m.now-s.muteSince).Seconds() > muteFactor*math.Max(m.mean, m.latencyOf(s)) {
 			m.accuse(s, "no answer") // to several sends, when the fleet's mean request is long done
 			s.away = true
 		}
--- a/decide/handover.go
+++ b/decide/handover.go
@@ -15,7 +15,8 @@
 		out.Classes = append(out.Classes, ClassLearned{Name: c.Name, Hint: c.hint, Hints: c.hints, Count: c.count,
 			Latency: c.latency, Ambient: c.ambient, Relative: c.relative})
 	}
-	for _, s := range m.list {
+	for i := range m.list.servers {
+		s := m.list.at(i)
 		out.Servers = append(out.Servers, ServerLearned{ID: s.ID, StartedAt: s.StartedAt, LatencyAt: s.latencyAt,
 			RateAt: s.rateAt, Since: s.since, TrialAt: s.trialAt, ColdSince: s.coldSince, At: now,
 			TrialWait: s.trialWait, Excess: s.excess, Rate: s.rate, Failing: s.failing, Load: s.load,
--- a/decide/handover_test.go
+++ b/decide/handover_test.go
@@ -25,7 +25,7 @@
 }
 
 func listOf(m *Module) (all []Server) {
-	for _, s := range m.list {
+	for _, s := range m.list.servers {
 		all = append(all, s.Server)
 	}
 	return all
--- a/decide/lists.go
+++ b/decide/lists.go
@@ -3,7 +3,6 @@
 // Which servers there are, and which of them this node works with. The interface is in api.go.
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -38,8 +37,10 @@
 	if e.Kind != ListCached && m.asking {
 		m.subscribed, m.asking, m.askWait = true, false, m.askLeast()
 	}
+	var changed []*server
 	if e.Kind != ListChanges {
-		for _, s := range m.list {
+		changed = append(changed, m.list.servers...)
+		for _, s := range changed {
 			s.State = Gone
 		}
 	}
@@ -55,38 +56,37 @@
 		if n.State != Ready {
 			m.do(CloseIdle{Server: s.ID}) // those in use follow as they end
 		}
+		changed = append(changed, s)
 	}
-	m.relist()
+	m.relist(changed)
 }
 
-// relist finds the servers that there are, those that each group works with, and who shares them.
-func (m *Module) relist() {
-	m.list = m.list[:0]
-	for id, s := range m.known {
-		if s.home = false; s.State != Gone {
-			m.list = append(m.list, s)
-			continue
-		}
-		delete(m.known, id) // its attempts still know it; ids change for months
+// relist takes servers that a list has changed, and finds those that groups work with and who shares them.
+func (m *Module) relist(changed []*server) {
+	m.enlist(changed)
+	m.work()
+	m.share()
+	m.survey()
+}
+
+// work finds the servers that each group works with: the first of its list, so many that each has its nodes.
+func (m *Module) work() {
+	for _, s := range m.homes {
+		s.home = false
 	}
-	slices.SortFunc(m.list, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
-	ring, start := m.list, ringStart(m.set.Self, len(m.list))
-	m.list = append(append([]*server{}, m.list[start:]...), m.list[:start]...)
-	m.sharers = 0
+	m.homes, m.sharers = m.homes[:0], 0
 	each := reachOwn // how many nodes work with a server: of many, each sees too little of it to know it in time
 	if m.looks {
 		each = reachLook
 	}
 	for _, g := range m.groups {
-		g.list = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return !g.open(s) })
-		size := float64(len(g.list))
+		size := float64(len(g.list.servers))
 		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, each*size/float64(m.set.Nodes))))
-		for _, s := range g.list[:int(g.reach)] {
-			s.home = true
+		for i := range int(g.reach) {
+			s := g.list.at(i)
+			s.home, m.homes = true, append(m.homes, s)
 		}
 		m.sharers += float64(m.set.Nodes) * g.reach / math.Max(1, size)
 	}
 	m.sharers = math.Max(1, m.sharers)
-	m.share(ring)
-	m.survey()
 }
--- a/decide/look_test.go
+++ b/decide/look_test.go
@@ -114,7 +114,7 @@
 		m.Handle(m.now, RequestArrived{ID: id, Class: "page", Patience: time.Second})
 		m.Handle(m.now+2*time.Second, TimerFired{})
 	}
-	if len(m.known) > 25 || len(m.list) > 25 || len(m.requests) > 2 || len(m.open) > 2 || len(m.looking) > 2 {
+	if len(m.known) > 25 || len(m.list.servers) > 25 || len(m.requests) > 2 || len(m.open) > 2 || len(m.looking) > 2 {
 		t.Errorf("%d servers known, %d requests, %d open, %d looking", len(m.known), len(m.requests), len(m.open), len(m.looking))
 	}
 }
@@ -125,7 +125,7 @@
 	m := lookingNode(lookSettings())
 	m.unit, m.answers = 0, 0
 	m.survey()
-	s := m.list[0]
+	s := m.list.servers[0]
 	if m.reported(s, report(1, 0)); m.modeOf(m.groups[0], s) != Normal {
 		t.Error("one request is no overload")
 	}
--- a/decide/module.go
+++ b/decide/module.go
@@ -84,8 +84,10 @@
 			return g
 		}
 	}
-	m.groups = append(m.groups, &group{zones: zones, kinds: kinds})
-	return m.groups[len(m.groups)-1]
+	g := &group{zones: zones, kinds: kinds}
+	g.list.update(m.list.servers, g.open)
+	m.groups = append(m.groups, g)
+	return g
 }
 
 func (m *Module) serverOf(id ServerID) *server {
@@ -98,8 +100,13 @@
 
 // Ejected is how many listed servers get nothing now, or nothing but trials.
 func (m *Module) Ejected() (n int) {
-	for _, s := range m.list {
-		if s.suspect || s.banned {
+	for _, s := range m.suspects.servers {
+		if s.suspect {
+			n++
+		}
+	}
+	for id := range m.banned {
+		if s := m.known[id]; s != nil && !s.suspect {
 			n++
 		}
 	}
@@ -122,11 +129,6 @@
 	return float64(mix(m.rng)>>11) / (1 << 53)
 }
 
-// ringStart is the place on a ring of servers from which a node takes its own.
-func ringStart(node, servers int) int {
-	return int(float64(servers) * math.Mod(float64(node)*math.Phi, 1))
-}
-
 func mix(z uint64) uint64 {
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -14,37 +14,32 @@
 	noteHolds  = 10.0  // mean latencies; a note holds so long, as the one that ends it may be lost
 )
 
-// share finds for each server the other nodes that work with it: the first of their rings, as in follow.
-func (m *Module) share(ring []*server) {
-	m.tells = false
-	for _, s := range ring {
-		s.with = s.with[:0]
-	}
-	if !m.set.MayMessage || m.looks || m.set.Nodes < 2 || len(ring) == 0 || m.sharers > noteNodes {
+// share finds whether nodes tell each other of the servers that they share: those that each works with.
+// Each is counted once for each node and each of its groups at most.
+func (m *Module) share() {
+	n, pairs, twice := float64(len(m.list.servers)), 0.0, 0.0
+	m.changes++
+	m.tells, m.shares = false, m.set.MayMessage && !m.looks && m.set.Nodes > 1 && n > 0 && m.sharers <= noteNodes
+	if !m.shares {
 		return
 	}
-	pairs := 0.0
+	if len(m.nodes) != m.set.Nodes {
+		m.nodes = nodesByStart(m.set.Nodes)
+	}
+	dear := func(pairs float64) bool {
+		each := (2*noteBytes + 1) * pairs / n // at its start and at its end
+		return m.set.Prices.Message*each/256 > notePoints
+	}
 	for _, g := range m.groups {
-		for node := range m.set.Nodes {
-			if node == m.set.Self {
-				continue
-			}
-			start, left := ringStart(node, len(ring)), int(g.reach)
-			for i := 0; i < len(ring) && left > 0; i++ {
-				s := ring[(start+i)%len(ring)]
-				if !g.open(s) {
-					continue
-				}
-				left--
-				if n := len(s.with); n == 0 || s.with[n-1] != node { // groups share servers
-					s.with = append(s.with, node)
-					pairs++
-				}
-			}
+		pairs, twice = pairs+float64(m.set.Nodes)*g.reach, twice+g.reach+n
+	}
+	if dear(pairs) && !dear(pairs-twice) { // it hangs on those that count twice, and this node's own
+		pairs = 0
+		for _, s := range m.list.servers {
+			pairs += float64(len(m.with(s)))
 		}
 	}
-	each := (2*noteBytes + 1) * pairs / float64(len(ring)) // at its start and at its end
-	m.tells = m.set.Prices.Message*each/256 <= notePoints
+	m.tells = !dear(pairs)
 }
 
 // tell lets the nodes that share a server know what this one has out there. The note replaces the one before,
@@ -55,7 +50,7 @@
 		return
 	}
 	data := encodeNote(s.ID, s.load, latency)
-	for _, node := range s.with {
+	for _, node := range m.with(s) {
 		m.do(SendMessage{To: node, Data: data})
 	}
 }
@@ -63,7 +58,7 @@
 // spare takes the notes on an attempt out of the processor time for decisions. Where that is used up, a node
 // says no more that one begins: the next end of one at that server tells it too. Ends are told on credit.
 func (m *Module) spare(s *server, end bool) bool {
-	rate, cost := m.set.CPUPerSecond.Seconds(), noteCost*float64(len(s.with))
+	rate, cost := m.set.CPUPerSecond.Seconds(), noteCost*float64(len(m.with(s)))
 	m.spared = math.Min(rate/10, m.spared+rate*(m.now-m.sparedAt).Seconds())
 	m.sparedAt = m.now
 	if rate > 0 && !end && m.spared < cost {
--- a/decide/peers_test.go
+++ b/decide/peers_test.go
@@ -155,7 +155,7 @@
 				}
 			}
 			slow := 0
-			for _, s := range b.list {
+			for _, s := range b.list.servers {
 				if b.latencyOf(s) > 1.5*b.mean {
 					slow++
 				}
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -162,7 +162,7 @@
 // With many suspects, trials must stay a small part of the traffic: each delays a request and costs a connection.
 func TestTrialsAreFew(t *testing.T) {
 	m := manyNodes(1, 360, 60)
-	for _, s := range m.list[:20] {
+	for _, s := range m.list.servers[:20] {
 		m.accuse(s, "test")
 	}
 	trials := 0
@@ -182,7 +182,7 @@
 func TestRoundingMovesOn(t *testing.T) {
 	m := manyNodes(0, 5, 15)
 	m.learned, m.mean, m.base, m.tight, m.fleetRate, m.peak = true, 0.1, 0.1, 1, 1.5, 1.5
-	for _, s := range m.list {
+	for _, s := range m.list.servers {
 		open := 0
 		for range 200 {
 			m.now += recompute
@@ -206,7 +206,7 @@
 	senders := 0
 	for self := range nodes {
 		m := manyNodes(self, nodes, 60)
-		for _, s := range m.list {
+		for _, s := range m.list.servers {
 			if s.ID != 1 {
 				m.accuse(s, "test")
 			}
--- a/decide/settings_test.go
+++ b/decide/settings_test.go
@@ -50,9 +50,9 @@
 		Class{Name: "b", Worth: 5, Aim: time.Second, Deadline: 2 * time.Second, Effect: Keyed, KeyScope: ScopeCell})
 	s.MaxAttempts = 5
 	m.Handle(m.now, SettingsChanged{Settings: s})
-	if m.mean != mean || m.classes["a"].count != count || len(m.list) != 4 || m.groups[0].top != 5 {
+	if m.mean != mean || m.classes["a"].count != count || len(m.list.servers) != 4 || m.groups[0].top != 5 {
 		t.Errorf("mean %v of %v, %v answers of %v, %d servers, top worth %v", m.mean, mean, m.classes["a"].count, count,
-			len(m.list), m.groups[0].top)
+			len(m.list.servers), m.groups[0].top)
 	}
 	after := sentTo(t, m, RequestArrived{ID: "after", Class: "a", Patience: time.Second})
 	former := sentTo(t, m, RequestArrived{ID: "former", Class: "a", Former: true, Patience: time.Second})
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,7 +24,8 @@
 	imposedUntil             Time
 	n, high                  float64 // own attempts in flight or, after a look, all that it holds; H
 	load                     float64 // the work of the own attempts in flight, in mean requests
-	with                     []int   // the other nodes that work with it
+	shared                   []int   // the other nodes that work with it, as with found them
+	sharedAt                 int     // by m.changes
 	notes                    []note  // what they have said
 	dither                   float64 // in [0,1), moves on each period: H is rounded by it
 	excess, rate             float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
@@ -45,10 +46,14 @@
 	quietUntil               Time // no log line about it until then
 }
 
+// mute tells whether a listed server has sends out and answers none.
+func (s *server) mute() bool { return s.State != Gone && s.unanswered >= suspectAt }
+
 // group holds the classes of one placement: thresholds and shedding are judged over the servers open to it.
 type group struct {
 	zones, kinds        []string  // that are open to it; nil: all
-	list, near          []*server // of the fleet, by place on the ring; in reach
+	list                ring      // of the fleet, from this node's place on
+	near                []*server // in reach
 	reach               float64   // how many servers are in reach
 	pooled              bool      // they are judged together, with the mode and fill below
 	mode                Mode
@@ -112,7 +117,13 @@
 	inherited          map[ServerID]ServerLearned // of servers that no list has named yet
 	leaving            bool                       // a new process serves
 	groups             []*group
-	list               []*server  // those not gone, by their place on the ring, from this node's on
+	list               ring       // those not gone, from this node's place on
+	first              uint64     // that place: the first of these servers'
+	suspects, silent   ring       // those not gone that are suspects; that answer nothing; some are so no longer
+	homes              []*server  // those with home set
+	changes            int        // of lists and settings so far
+	nodes              []int      // all of them by their starts, where nodes share
+	shares             bool       // it needs to know which other nodes work with a server
 	sharers            float64    // how many nodes a server is in reach of, on average
 	looking            []*request // that wait for answers to probes
 	running            float64    // requests that a server works on at once, by its reports
--- a/decide/suspicion.go
+++ b/decide/suspicion.go
@@ -61,6 +61,7 @@
 func (m *Module) accuse(s *server, why string) {
 	if !s.suspect {
 		s.suspect, s.away, s.trialWait, s.trialAt = true, false, trialFirst, m.now+m.jitter(trialFirst)
+		m.suspects.put(s)
 		m.note(s, fmt.Sprintf("suspect: %s; only trial requests", why))
 	}
 }
@@ -68,7 +69,9 @@
 // tryOut sends a request that may be repeated to a suspect whose turn it is, with time left to try again.
 func (m *Module) tryOut(r *request) bool {
 	wait := max(m.set.ConnectTimeout, time.Duration(muteFactor*m.mean*r.class.relative*float64(time.Second)))
-	for _, s := range m.list {
+	m.suspects.turn(m.first)
+	for i := range m.suspects.servers {
+		s := m.suspects.at(i)
 		if m.now >= s.trialAt && s.suspect && r.class.Effect != Unsafe && m.send(r, s, min(wait, r.class.Aim/3)) {
 			s.trialWait = min(2*s.trialWait, trialLast)
 			r.trial, s.trialAt, m.trials = true, m.now+m.jitter(s.trialWait), m.trials-1
--- a/decide/thresholds.go
+++ b/decide/thresholds.go
@@ -19,8 +19,9 @@
 	rate, count, reach := 0.0, 0.0, 0.0
 	for _, g := range m.groups {
 		reach, g.near = reach+g.reach, g.near[:0]
-		for _, s := range g.list {
-			if s.suspect || s.banned || s.State != Ready || len(g.near) >= int(g.reach) {
+		for i := 0; i < len(g.list.servers) && len(g.near) < int(g.reach); i++ {
+			s := g.list.at(i)
+			if s.suspect || s.banned || s.State != Ready {
 				continue
 			}
 			if g.near, s.high = append(g.near, s), m.high(s); !s.cold {
