Walk no servers at rest: expire idle connections where there are any

Every server had its idle connections looked for several times a second, and when room was short, whether it had ever been used or not. The pool now keeps the backends that have had idle connections lately; a server that nobody uses is not visited.

go test -race ./internal/node passes.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -133,7 +133,9 @@
 		return
 	}
 	c.idleAt = time.Now()
-	c.of.idle = append(c.of.idle, c)
+	if c.of.idle = append(c.of.idle, c); !c.of.used {
+		c.of.used, c.pool.used = true, append(c.pool.used, c.of)
+	}
 }
 
 // silent tells whether an idle connection is open with nothing to read.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -26,6 +26,7 @@
 	most     int
 	shared   bool // with another process of this node: half of them
 	backends map[decide.ServerID]*backend
+	used     []*backend               // those with idle connections, and some that had them lately
 	held     map[decide.ServerID]bool // nothing is written to them
 	room     room                     // for answers that are not small
 }
@@ -37,6 +38,7 @@
 	since   int64
 	closed  bool
 	drains  bool    // nothing new is to be written to it
+	used    bool    // it is among the pool's used ones
 	idle    []*conn // the one used last comes last
 }
 
@@ -154,7 +156,7 @@
 // evict closes the connection that has been idle longest.
 func (p *pool) evict() bool {
 	var oldest *backend
-	for _, b := range p.backends {
+	for _, b := range p.used {
 		if len(b.idle) > 0 && (oldest == nil || b.idle[0].idleAt.Before(oldest.idle[0].idleAt)) {
 			oldest = b
 		}
@@ -172,9 +174,11 @@
 func (p *pool) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, b := range p.backends {
+	p.used = slices.DeleteFunc(p.used, func(b *backend) bool {
 		p.dropOld(b, now)
-	}
+		b.used = len(b.idle) > 0
+		return !b.used
+	})
 }
 
 func (p *pool) dropOld(b *backend, now time.Time) {
--- /dev/null
+++ b/internal/node/size_test.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/list"
+)
+
+// BenchmarkFollow is what a list of some size costs a whole node: one change of it, what runs at rest, memory for a server.
+func BenchmarkFollow(b *testing.B) {
+	var kept []*Node // their timers hold them for a while, which must not spoil the memory of the next
+	defer func() { runtime.KeepAlive(kept) }()
+	for _, servers := range []int{200, 2000, 20000, 54000} {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		cfg := testConfig("127.0.0.1:1")
+		cfg.Settings.Nodes, cfg.Settings.Self, cfg.Settings.MayMessage = 300, 100, true
+		n := New(cfg, quiet)
+		kept = append(kept, n)
+		close(n.ended) // no loop runs: what timers post is dropped
+		entry := func(i int, status string) list.Entry {
+			return list.Entry{Name: fmt.Sprint("service-a-", i), Address: fmt.Sprintf("10.0.%d.%d:80", i/256, i%256), Zone: "zone-a", Type: "m2", Status: status}
+		}
+		whole := list.Answer{Index: 1, Snapshot: true}
+		for i := range servers {
+			whole.Endpoints = append(whole.Endpoints, entry(i, list.Ready))
+		}
+		n.follow(whole, decide.ListFull)
+		whole.Endpoints = nil
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.Run(fmt.Sprintf("change/servers=%d", servers), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				status := list.Gone
+				if i%2 > 0 {
+					status = list.Ready
+				}
+				n.follow(list.Answer{Index: uint64(i + 2), Endpoints: []list.Entry{entry(i/2*7919%servers, status)}}, decide.ListChanges)
+			}
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(servers), "B/server")
+		})
+		b.Run(fmt.Sprintf("rest/servers=%d", servers), func(b *testing.B) { // a round of checks, one of idle connections
+			for b.Loop() {
+				n.handle(decide.TimerFired{})
+				n.backends.expire(time.Now())
+			}
+		})
+	}
+}
