Take a connection that is late for silence, not for a server that is gone

The node now tells a connection that is not up in time (ConnectTimedOut) from one that is refused or broken (ConnectFailed). Neither ever ran. The first is judged as a send without an answer: three of them, and the time of several answers, make a suspect; so does a server out of reach.

--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -81,7 +81,7 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
+	a.ended, a.mayRun = true, !e.Code.neverSent()
 	r.out--
 	if !a.lost {
 		m.uncount(a, latencySeen(r, e))
--- a/decide/checker_test.go
+++ b/decide/checker_test.go
@@ -15,7 +15,7 @@
 }
 
 func neverRan(c decide.OutcomeCode) bool {
-	return c == decide.Full || c == decide.ConnectFailed || c == decide.Moot
+	return c == decide.Full || c == decide.ConnectFailed || c == decide.ConnectTimedOut || c == decide.Moot
 }
 
 func (w *world) checkSend(q *liveRequest, a decide.Send) {
--- a/decide/events.go
+++ b/decide/events.go
@@ -33,7 +33,7 @@
 	Full
 	// TimedOut: no answer in time; it may have run and may run still.
 	TimedOut
-	// ConnectFailed: never sent.
+	// ConnectFailed: never sent, as the server refused its connection or broke it.
 	ConnectFailed
 	// Reset: the connection broke; it may have run.
 	Reset
@@ -42,8 +42,16 @@
 	// Moot: not sent, as the request was over or the node had no room; it says
 	// nothing of the server.
 	Moot
+	// ConnectTimedOut: never sent, as its connection was not up in time. The server
+	// may be out of reach, or only slow to accept.
+	ConnectTimedOut
 )
 
+// neverSent tells whether an outcome proves that the request did not run.
+func (c OutcomeCode) neverSent() bool {
+	return c == Full || c == ConnectFailed || c == ConnectTimedOut || c == Moot
+}
+
 // Events.
 type (
 	// RequestArrived is a new request; the module owes it one final answer.
--- a/decide/happenings_test.go
+++ b/decide/happenings_test.go
@@ -16,7 +16,7 @@
 		limit = min(limit, a.Timeout)
 	}
 	codes := []decide.OutcomeCode{decide.OK, decide.OK, decide.OK, decide.OK, decide.OK, decide.ServerError,
-		decide.Full, decide.TimedOut, decide.ConnectFailed, decide.Reset, decide.Moot}
+		decide.Full, decide.TimedOut, decide.ConnectFailed, decide.ConnectTimedOut, decide.Reset, decide.Moot}
 	code, took := codes[w.r.Intn(len(codes))], time.Duration(1+w.r.Intn(400))*time.Millisecond
 	if uint32(a.Server)%5 == uint32(w.now.Seconds()/7)%5 && w.r.Intn(2) == 0 {
 		code = decide.TimedOut // some servers are silent for a while
--- a/decide/retries_test.go
+++ b/decide/retries_test.go
@@ -59,7 +59,8 @@
 		code  decide.OutcomeCode
 		again bool
 	}{{"cheap", decide.ServerError, true}, {"cheap", decide.ConnectFailed, true}, {"once", decide.ServerError, false},
-		{"once", decide.Reset, false}, {"once", decide.ConnectFailed, true}, {"once", decide.Full, true}} {
+		{"once", decide.Reset, false}, {"once", decide.ConnectFailed, true}, {"once", decide.ConnectTimedOut, true},
+		{"once", decide.Full, true}} {
 		r := newRig(t, rigSettings(), 3)
 		r.run(3*time.Second, 100, "cheap")
 		r.run(time.Second, 0, "cheap")
--- a/decide/suspicion.go
+++ b/decide/suspicion.go
@@ -45,12 +45,12 @@
 	}
 }
 
-// strike counts a failure. A few in a row are chance at a server that fails a part of its requests and serves
-// the others, which is worth more than a server less; but one that can't be connected to is gone.
+// strike counts a failure. A few in a row are chance at a server that fails a part of its requests, which is
+// worth more than one less; but one that refuses connections is gone. If they only come up late, it is mute.
 func (m *Module) strike(s *server, code OutcomeCode) {
 	s.failing += failGain * (1 - s.failing)
 	if s.strikes++; code == ConnectFailed {
-		s.strikes++ // the process is gone, or out of reach
+		s.strikes++ // the process is gone
 	}
 	if s.failing >= failPart || code == ConnectFailed && s.strikes >= suspectAt {
 		m.accuse(s, fmt.Sprintf("fails, the last time by kind %d", code))
--- a/decide/suspicion_test.go
+++ b/decide/suspicion_test.go
@@ -72,6 +72,32 @@
 	}
 }
 
+// Of servers to which a third of the connections come up late, two in a row now and then, none is left out: each that is,
+// is tried by few requests and taken as cold then. One to which none comes up is out of reach.
+func TestLateConnectionsAreNoProof(t *testing.T) {
+	r, sends := newRig(t, rigSettings(), 4), map[decide.ServerID]int{}
+	r.run(4*time.Second, 60, "dear")
+	r.reset()
+	r.accused = 0
+	good, cut := r.delay, decide.ServerID(0)
+	r.delay = func(id decide.ServerID) (time.Duration, decide.OutcomeCode) {
+		if sends[id]++; id == cut || sends[id]%6 < 2 {
+			return 100 * time.Millisecond, decide.ConnectTimedOut
+		}
+		return good(id)
+	}
+	r.run(10*time.Second, 60, "dear")
+	if r.accused > 0 || r.refused+r.failed > 30 {
+		t.Errorf("%d log lines, %d refused, %d failed of 600", r.accused, r.refused, r.failed)
+	}
+	cut = 1
+	r.reset()
+	r.run(2*time.Second, 60, "dear")
+	if r.sent[1] > 12 || r.accused != 1 {
+		t.Errorf("%d sends to one out of reach, %d log lines", r.sent[1], r.accused)
+	}
+}
+
 // A silent server is left out and its requests are answered elsewhere, also while the list is down; it then comes
 // back paced, as it may be cold.
 func TestSilentServerWhileListIsDown(t *testing.T) {
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -38,7 +39,7 @@
 		if calledOff(ctx) || ownLimit(err) {
 			return result{code: decide.Moot}
 		}
-		return result{code: decide.ConnectFailed}
+		return result{code: unconnected(err)}
 	}
 	if ctx.Err() != nil || p.barred(id, c) || !may() {
 		c.discard() // it has been idle for longer than a release would say
@@ -100,6 +101,16 @@
 	return decide.OK, true
 }
 
+// unconnected is the outcome of an attempt that has no connection. Only one that
+// was refused or broken tells that the server is gone.
+func unconnected(err error) decide.OutcomeCode {
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		return decide.ConnectTimedOut
+	}
+	return decide.ConnectFailed
+}
+
 // calledOff tells that an attempt was ended from here, before its time was over.
 func calledOff(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
 
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// TestLateConnectionNeverRan: one that is not up in time is no proof that the server is gone.
+func TestLateConnectionNeverRan(t *testing.T) {
+	p := newPool(decide.Settings{ConnectTimeout: time.Nanosecond}, 100)
+	p.set(1, serving(t), 0)
+	if got := try(t, p, enough); got.code != decide.ConnectTimedOut || p.open != 0 {
+		t.Errorf("outcome %d, want ConnectTimedOut; %d connections counted", got.code, p.open)
+	}
+}
+
 func TestStaleConnectionIsNotUsed(t *testing.T) {
 	closed := make(chan struct{})
 	p := testPool(backendServer(t, func(number int, conn net.Conn, r *bufio.Reader) {
