--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -54,6 +54,7 @@
 	a.ahead = s.n
 	s.n++
 	if s.unanswered++; s.unanswered == suspectAt {
+		m.silent.put(s)
 		s.muteSince = m.now // the earlier ones are overdue by then, and this one must be
 	}
 	m.hold(s, a.work, 0)
@@ -81,7 +82,7 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
+	a.ended, a.mayRun = true, !e.Code.neverSent()
 	r.out--
 	if !a.lost {
 		m.uncount(a, latencySeen(r, e))
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -3,66 +3,43 @@
 // What nodes tell each other of the servers that they share. The interface is in api.go.
 
 import (
-	"encoding/binary"
 	"math"
 	"time"
 )
 
 const (
-	noteLoad   = 1     // first byte of a note: the work that its sender has out at a server
-	noteBytes  = 6     // its length: kind, server, load; one more at an attempt's end, for its latency
-	noteFinest = 0.001 // s; the least latency that a note tells
-	noteSteps  = 16.0  // in which it tells a doubling of that
-	noteScale  = 8.0   // a note's load is in eighths of a mean request
 	notePoints = 0.005 // of the result, that telling of each request may cost
 	noteNodes  = 32.0  // nodes on a server beyond which each has better to do than to listen to all
 	noteCost   = 10e-6 // s; of processor time that one takes here and at its receiver, for the system calls
 	noteHolds  = 10.0  // mean latencies; a note holds so long, as the one that ends it may be lost
 )
 
-// note is what another node has said that it has out at a server, in mean requests.
-type note struct {
-	from int
-	load float64
-	at   Time
-}
-
-// share finds for each server the other nodes that work with it: the first of their rings, as in follow.
-func (m *Module) share(ring []*server) {
-	m.tells = false
-	for _, s := range ring {
-		s.with = s.with[:0]
-	}
-	if !m.set.MayMessage || m.looks || m.set.Nodes < 2 || len(ring) == 0 || m.sharers > noteNodes {
+// share finds whether nodes tell each other of the servers that they share: those that each works with.
+// Each is counted once for each node and each of its groups at most.
+func (m *Module) share() {
+	n, pairs, twice := float64(len(m.list.servers)), 0.0, 0.0
+	m.changes++
+	m.tells, m.shares = false, m.set.MayMessage && !m.looks && m.set.Nodes > 1 && n > 0 && m.sharers <= noteNodes
+	if !m.shares {
 		return
 	}
-	pairs := 0.0
+	if len(m.nodes) != m.set.Nodes {
+		m.nodes = nodesByStart(m.set.Nodes)
+	}
+	dear := func(pairs float64) bool {
+		each := (2*noteBytes + 1) * pairs / n // at its start and at its end
+		return m.set.Prices.Message*each/256 > notePoints
+	}
 	for _, g := range m.groups {
-		for node := range m.set.Nodes {
-			if node == m.set.Self {
-				continue
-			}
-			start, left := ringStart(node, len(ring)), int(g.reach)
-			for i := 0; i < len(ring) && left > 0; i++ {
-				s := ring[(start+i)%len(ring)]
-				if !g.open(s) {
-					continue
-				}
-				left--
-				if n := len(s.with); n == 0 || s.with[n-1] != node { // groups share servers
-					s.with = append(s.with, node)
-					pairs++
-				}
-			}
+		pairs, twice = pairs+float64(m.set.Nodes)*g.reach, twice+g.reach+n
+	}
+	if dear(pairs) && !dear(pairs-twice) { // it hangs on those that count twice, and this node's own
+		pairs = 0
+		for _, s := range m.list.servers {
+			pairs += float64(len(m.with(s)))
 		}
 	}
-	each := (2*noteBytes + 1) * pairs / float64(len(ring)) // at its start and at its end
-	m.tells = m.set.Prices.Message*each/256 <= notePoints
-}
-
-// ringStart is the place on a ring of servers from which a node takes its own.
-func ringStart(node, servers int) int {
-	return int(float64(servers) * math.Mod(float64(node)*math.Phi, 1))
+	m.tells = !dear(pairs)
 }
 
 // tell lets the nodes that share a server know what this one has out there. The note replaces the one before,
@@ -72,13 +49,8 @@
 	if !m.tells || s.State != Ready {
 		return
 	}
-	data := binary.BigEndian.AppendUint32([]byte{noteLoad}, uint32(s.ID))
-	data = append(data, byte(math.Min(255, math.Round(noteScale*s.load))))
-	if latency > 0 {
-		steps := noteSteps * math.Log2(latency/noteFinest)
-		data = append(data, byte(math.Min(255, math.Max(0, math.Round(steps)))))
-	}
-	for _, node := range s.with {
+	data := encodeNote(s.ID, s.load, latency)
+	for _, node := range m.with(s) {
 		m.do(SendMessage{To: node, Data: data})
 	}
 }
@@ -86,7 +58,7 @@
 // spare takes the notes on an attempt out of the processor time for decisions. Where that is used up, a node
 // says no more that one begins: the next end of one at that server tells it too. Ends are told on credit.
 func (m *Module) spare(s *server, end bool) bool {
-	rate, cost := m.set.CPUPerSecond.Seconds(), noteCost*float64(len(s.with))
+	rate, cost := m.set.CPUPerSecond.Seconds(), noteCost*float64(len(m.with(s)))
 	m.spared = math.Min(rate/10, m.spared+rate*(m.now-m.sparedAt).Seconds())
 	m.sparedAt = m.now
 	if rate > 0 && !end && m.spared < cost {
@@ -98,25 +70,15 @@
 
 // hear takes a note. One that this node does not understand, or about a server it has not listed, is nothing.
 func (m *Module) hear(e MessageReceived) {
-	if e.From < 0 || e.From >= m.set.Nodes || e.From == m.set.Self ||
-		len(e.Data) < noteBytes || len(e.Data) > noteBytes+1 || e.Data[0] != noteLoad {
-		return
-	}
-	s := m.known[ServerID(binary.BigEndian.Uint32(e.Data[1:]))]
-	if s == nil {
+	id, load, latency, ok := decodeNote(e.Data)
+	s := m.known[id]
+	if !ok || s == nil || e.From < 0 || e.From >= m.set.Nodes || e.From == m.set.Self {
 		return
 	}
-	if len(e.Data) > noteBytes && m.mean > 0 {
-		m.weigh(s, noteFinest*math.Exp2(float64(e.Data[noteBytes])/noteSteps))
-	}
-	t := note{from: e.From, load: float64(e.Data[5]) / noteScale, at: m.now}
-	for i := range s.notes {
-		if s.notes[i].from == e.From {
-			s.notes[i] = t
-			return
-		}
+	if latency > 0 && m.mean > 0 {
+		m.weigh(s, latency)
 	}
-	s.notes = append(s.notes, t)
+	s.heardOf(note{from: e.From, load: load, at: m.now})
 }
 
 // loadOf is the work out at a server, in mean requests: this node's and what it has been told of others'.
