--- a/internal/lab/scale/cost_lines.go
+++ b/internal/lab/scale/cost_lines.go
@@ -12,7 +12,7 @@
 	Next             string               // what gives first beyond it
 	limit            string               // the constant that bounds it
 	budget           func(p Plan) float64 // where no constant does; nil: nobody has stated one
-	cost             func(m measured, p Plan) (value, reach float64, err error)
+	cost             func(m measured, p Plan) (value float64, on grounds, err error)
 }
 
 // bound is what the cost has to stay within; 0 where nothing is stated.
@@ -37,39 +37,40 @@
 }
 
 // at gives a figure at a size, by the fit along one direction with the others as they were played.
-func (m measured) at(what, along, figure string, n float64, others map[string]int) (value, reach float64, err error) {
+func (m measured) at(what, along, figure string, n float64, others map[string]int) (value float64, on grounds, err error) {
 	r, has := m.of[what]
 	if !has {
-		return 0, 0, errNotRun
+		return 0, grounds{}, errNotRun
 	}
 	f, err := fitOf(r, along, figure, others)
 	if err != nil {
-		return 0, 0, err
+		return 0, grounds{}, err
 	}
-	return f.Cost(n), f.Reach(n), nil
+	return f.Cost(n), grounds{f.Reach(n), f.Residual}, nil
 }
 
-// terms adds up costs, each times how often it comes, and keeps the farthest reach.
+// terms adds up costs, each times how often it comes, and keeps the weakest grounds.
 type terms struct {
-	sum, reach float64
-	err        error
+	sum float64
+	on  grounds
+	err error
 }
 
-func (t *terms) add(times float64) func(value, reach float64, err error) {
-	return func(value, reach float64, err error) {
-		t.sum, t.reach = t.sum+times*value, max(t.reach, reach)
+func (t *terms) add(times float64) func(value float64, on grounds, err error) {
+	return func(value float64, on grounds, err error) {
+		t.sum, t.on = t.sum+times*value, grounds{max(t.on.reach, on.reach), max(t.on.residual, on.residual)}
 		if t.err == nil {
 			t.err = err
 		}
 	}
 }
 
-func (t *terms) total() (float64, float64, error) { return t.sum, t.reach, t.err }
+func (t *terms) total() (float64, grounds, error) { return t.sum, t.on, t.err }
 
 // constant is a limit of the program on a number of the plan.
 func constant(role, what, unit, limit string, number func(Plan) float64, mechanism, next string) Line {
 	return Line{Role: role, What: what, Unit: unit, Mechanism: mechanism, Next: next, limit: limit,
-		cost: func(_ measured, p Plan) (float64, float64, error) { return number(p), 0, nil }}
+		cost: func(_ measured, p Plan) (float64, grounds, error) { return number(p), grounds{}, nil }}
 }
 
 var (
@@ -78,7 +79,7 @@
 )
 
 // nodeCores is a node's processor at the peak: at rest, and its changes.
-func nodeCores(m measured, p Plan) (float64, float64, error) {
+func nodeCores(m measured, p Plan) (float64, grounds, error) {
 	t := &terms{}
 	t.add(1)(m.at("real", "backends", "rest_cores", p.Plan.Backends, nodeFew))
 	t.add(p.listChanges())(m.at("real", "backends", "change_cpu_s", p.Plan.Backends, nodeFew))
@@ -86,7 +87,7 @@
 }
 
 // nodeBytes is what a node sends and gets for control in a second, at the peak.
-func nodeBytes(m measured, p Plan) (float64, float64, error) {
+func nodeBytes(m measured, p Plan) (float64, grounds, error) {
 	t := &terms{}
 	for _, way := range []string{"in", "out"} {
 		t.add(p.listChanges())(m.at("watchers", "watchers", "watcher_change_bytes_"+way, p.Plan.Nodes/p.Assumed.Replicas, nil))
@@ -104,7 +105,7 @@
 		{Role: "node", What: "memory", Unit: "bytes", Command: "nodes --kind real",
 			Mechanism: "module, list client, pools", Next: "every backend is held three times: client, module, pool",
 			budget: func(p Plan) float64 { return p.Plan.NodeMemory },
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("real", "backends", "memory_bytes", p.Plan.Backends, nodeFew)
 			}},
 		{Role: "node", What: "bytes a second at the peak", Unit: "bytes/s", Command: "watchers, view",
@@ -113,46 +114,46 @@
 		{Role: "node", What: "whole list, at its bytes a second", Unit: "s", Command: "entries",
 			Mechanism: "one answer with every entry", Next: "a node that starts without a kept list",
 			budget: func(p Plan) float64 { return p.Assumed.Start },
-			cost: func(m measured, p Plan) (float64, float64, error) {
-				v, reach, err := m.at("entries", "entries", "whole_bytes", p.Plan.Backends, nil)
-				return v / p.Plan.NodeBytes, reach, err
+			cost: func(m measured, p Plan) (float64, grounds, error) {
+				v, on, err := m.at("entries", "entries", "whole_bytes", p.Plan.Backends, nil)
+				return v / p.Plan.NodeBytes, on, err
 			}},
 		{Role: "node", What: "a zone's backends gone, one change each", Unit: "s", Command: "module",
 			Mechanism: "the node's loop takes changes in turn; those of one answer together", Next: "each change sorts and walks all backends",
 			budget: func(p Plan) float64 { return p.Plan.InForce },
-			cost: func(m measured, p Plan) (float64, float64, error) {
-				v, reach, err := m.at("module", "backends", "change_s", p.Plan.Backends, nodesOfPlan)
-				return v * p.Plan.Backends / float64(p.Plan.Zones), reach, err
+			cost: func(m measured, p Plan) (float64, grounds, error) {
+				v, on, err := m.at("module", "backends", "change_s", p.Plan.Backends, nodesOfPlan)
+				return v * p.Plan.Backends / float64(p.Plan.Zones), on, err
 			}},
 		{Role: "node", What: "kept list written at the peak", Unit: "bytes/s", Command: "nodes --kind hollow",
 			Mechanism: "the whole list to disk, with fsync, at each change", Next: "no budget is stated for a node's disk",
-			cost: func(m measured, p Plan) (float64, float64, error) {
-				v, reach, err := m.at("hollow", "backends", "change_bytes_out", p.Plan.Backends, nodeFew)
-				return v * p.listChanges(), reach, err
+			cost: func(m measured, p Plan) (float64, grounds, error) {
+				v, on, err := m.at("hollow", "backends", "change_bytes_out", p.Plan.Backends, nodeFew)
+				return v * p.listChanges(), on, err
 			}},
 		{Role: "node", What: "descriptors for control", Unit: "descriptors", Command: "nodes --kind real", Mechanism: "listeners, the watch, the view's socket", Next: "clients and servers take the rest",
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("real", "backends", "descriptors", p.Plan.Backends, nodeFew)
 			}},
 		{Role: "node", What: "datagrams of the view a second, out", Unit: "datagrams/s", Command: "view", Mechanism: "a probe a period, news on probes", Next: "its rate is the same at all sizes",
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("view", "members", "datagrams_per_s", p.Plan.Nodes, nil)
 			}},
 		{Role: "node", What: "halves that were apart 30 s have one view", Unit: "s", Command: "view", Mechanism: "each learns of half of the fleet at a bounded pace", Next: "its time goes with the fleet",
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("view", "members", "heal_s", p.Plan.Nodes, nil)
 			}},
 		constant("node", "members of the view", "members", "members", func(p Plan) float64 { return p.Plan.Nodes }, "every node knows every node", "strangers beyond are refused"),
 		{Role: "node", What: "answer of the platform's discovery", Unit: "bytes", Command: "entries", Mechanism: "one answer with every entry",
 			Next: "the answer is refused, the node keeps the list of before", limit: "platform_list_bytes",
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("entries", "entries", "whole_bytes", p.Plan.Backends, nil)
 			}},
 	}
 }
 
 // listCores is a replica's processor at the peak, the leader's with the renewals.
-func listCores(m measured, p Plan) (float64, float64, error) {
+func listCores(m measured, p Plan) (float64, grounds, error) {
 	t := &terms{}
 	share := p.Plan.Nodes / p.Assumed.Replicas
 	t.add(1)(m.at("watchers", "watchers", "rest_cores", share, nil))
@@ -171,7 +172,7 @@
 		{Role: replica, What: "bytes out at the peak", Unit: "bytes/s", Command: "watchers",
 			Mechanism: "a third of the nodes watch each replica", Next: "each change goes to every node",
 			budget: func(p Plan) float64 { return p.Assumed.MachineBytes },
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				t := &terms{}
 				t.add(p.listChanges())(m.at("watchers", "watchers", "change_bytes", p.Plan.Nodes/p.Assumed.Replicas, nil))
 				t.add(1)(m.at("watchers", "watchers", "rest_bytes_out", p.Plan.Nodes/p.Assumed.Replicas, nil))
@@ -180,7 +181,7 @@
 		{Role: replica, What: "memory", Unit: "bytes", Command: "entries, watchers",
 			Mechanism: "entries, ring of changes, held calls", Next: "answers for watchers that stand at many versions",
 			budget: func(p Plan) float64 { return p.Assumed.MachineMemory },
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				t := &terms{}
 				t.add(1)(m.at("entries", "entries", "memory_bytes", p.Plan.Backends, nil))
 				t.add(1)(m.at("watchers", "watchers", "memory_bytes", p.Plan.Nodes/p.Assumed.Replicas, nil))
@@ -189,18 +190,18 @@
 		{Role: replica, What: "whole lists to all nodes at once", Unit: "s", Command: "entries",
 			Mechanism: "one encoded answer for all who need it, by three replicas", Next: "nothing paces those who come at once",
 			budget: func(p Plan) float64 { return p.Assumed.Start },
-			cost: func(m measured, p Plan) (float64, float64, error) {
-				v, reach, err := m.at("entries", "entries", "whole_bytes", p.Plan.Backends, nil)
-				return v * p.Plan.Nodes / p.Assumed.Replicas / p.Assumed.MachineBytes, reach, err
+			cost: func(m measured, p Plan) (float64, grounds, error) {
+				v, on, err := m.at("entries", "entries", "whole_bytes", p.Plan.Backends, nil)
+				return v * p.Plan.Nodes / p.Assumed.Replicas / p.Assumed.MachineBytes, on, err
 			}},
 		{Role: replica, What: "in force: the last of its watchers", Unit: "s", Command: "watchers",
 			Mechanism: "held watches", Next: "the node's own time for the change comes to it",
 			budget: func(p Plan) float64 { return p.Plan.InForce },
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("watchers", "watchers", "last_worst_s", p.Plan.Nodes/p.Assumed.Replicas, nil)
 			}},
 		{Role: replica, What: "descriptors", Unit: "descriptors", Command: "watchers", Mechanism: "one for each watcher and caller", Next: "the limit of the process, which its machine sets",
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("watchers", "watchers", "descriptors", p.Plan.Nodes/p.Assumed.Replicas, nil)
 			}},
 		constant(replica, "entries", "entries", "entries", func(p Plan) float64 { return p.Plan.Backends }, "the list", "registrations are refused"),
--- a/internal/lab/scale/faults.go
+++ b/internal/lab/scale/faults.go
@@ -20,7 +20,10 @@
 			loop = worked(t, "s")
 			t = &terms{}
 			t.add(n)(m.at("watchers", "watchers", "change_bytes", p.Nodes/a.Replicas, nil))
-			return loop + " of its loop, were each change taken alone", worked(t, "bytes")
+			if loop != notRun {
+				loop += " of its loop, were each change taken alone"
+			}
+			return loop, worked(t, "bytes")
 		}
 		rackLoop, rackOut := gone(a.RackBackends)
 		zoneLoop, zoneOut := gone(p.Backends / float64(p.Zones))
@@ -36,8 +39,8 @@
 			{"a zone back", m.played("zone", "backends", "backends, 10 hollow nodes", "back_changes back_settled_s back_node_cpu_s back_node_bytes_in back_node_bytes_kept back_replica_cpu_s back_replica_bytes_out"), "as gone", zoneOut},
 			{"regions apart for an hour, then together", notRun, notRun, notRun},
 			{"nodes and backends rolled in an hour, by the second", notRun, rollLoop, rollOut},
-			{"everything cold at once", m.played("cold", "watchers", "watchers of one replica", "entries half_s last_s watcher_cpu_s replica_cpu_s replica_bytes_out"), worked(start, "s") + " for the list at its bytes a second", worked(whole, "bytes")},
-			{"one of three replicas lost, the leader", m.played("lost", "watchers", "watchers of three replicas", "entries written_s most99_s last_s"), "a watch made anew", worked(lost, "cores") + " at each of the others, at the peak"},
+			{"everything cold at once", m.played("cold", "watchers", "watchers of one replica", "entries half_s last_s watcher_cpu_s replica_cpu_s replica_bytes_out"), "the list whole, at its bytes a second: " + worked(start, "s"), worked(whole, "bytes")},
+			{"one of three replicas lost, the leader", m.played("lost", "watchers", "watchers of three replicas", "entries written_s most99_s last_s"), "a watch made anew", "each of the others, at the peak: " + worked(lost, "cores")},
 			{"a conductor or a holder of shares lost in any of these", notRun, notRun, notRun},
 		} {
 			rows = append(rows, append([]string{r[0], m.label}, append(r[1:], notRun)...))
@@ -81,9 +84,9 @@
 
 // worked is a sum of slopes, and what it rests on.
 func worked(t *terms, unit string) string {
-	value, reach, err := t.total()
+	value, on, err := t.total()
 	if err != nil {
 		return notRun
 	}
-	return shown(value, unit) + " (" + basis(reach) + ")"
+	return shown(value, unit) + " (" + on.String() + ")"
 }
--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -84,15 +84,25 @@
 // Reach is by what factor a size is beyond the largest that was played.
 func (f Fit) Reach(n float64) float64 { return n / f.Largest }
 
-// basis names what a figure at a size rests on.
-func basis(reach float64) string {
-	switch {
-	case reach <= 1:
-		return "measured"
-	case reach <= 10:
-		return fmt.Sprintf("extrapolated %.1f times", reach)
+// grounds are what a figure at a size rests on.
+type grounds struct {
+	reach    float64 // the size over the largest that was played
+	residual float64 // of the fit
+}
+
+const poorly = 0.3 // residual from which a fit is said to be poor
+
+func (g grounds) String() string {
+	s := "measured"
+	if g.reach > 10 {
+		s = fmt.Sprintf("a guess, %.0f times beyond", g.reach)
+	} else if g.reach > 1 {
+		s = fmt.Sprintf("extrapolated %.1f times", g.reach)
+	}
+	if g.residual > poorly {
+		s += ", by a poor fit"
 	}
-	return fmt.Sprintf("a guess, %.0f times beyond", reach)
+	return s
 }
 
 // fitOf fits a figure of a record along one size, where the other sizes are as said.
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -44,13 +44,16 @@
 	}
 }
 
-func TestBasis(t *testing.T) {
+func TestGrounds(t *testing.T) {
 	f := Fit{Largest: 1000}
 	for n, want := range map[float64]string{500: "measured", 1000: "measured", 4300: "extrapolated 4.3 times", 20000: "a guess, 20 times beyond"} {
-		if got := basis(f.Reach(n)); got != want {
+		if got := (grounds{reach: f.Reach(n)}).String(); got != want {
 			t.Errorf("%v of 1,000 is %s", n, got)
 		}
 	}
+	if got := (grounds{2, 0.5}).String(); got != "extrapolated 2.0 times, by a poor fit" {
+		t.Error(got)
+	}
 }
 
 func TestNumbers(t *testing.T) {
--- a/internal/lab/scale/nodes.go
+++ b/internal/lab/scale/nodes.go
@@ -13,6 +13,7 @@
 	"indigotack/internal/lab/platform"
 	"indigotack/internal/lab/proc"
 	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list"
 	"indigotack/internal/list/client"
 	"indigotack/internal/pause"
 )
@@ -89,6 +90,11 @@
 		if r.nodes, err = n.begin(ctx, group, dir, r.controls); err != nil {
 			return err
 		}
+		if n.View {
+			if err := r.all(ctx, "fleet.alive", size.Nodes); err != nil {
+				return err
+			}
+		}
 		pause.For(ctx, time.Second) // what begins is over
 		return do(r)
 	})
@@ -117,6 +123,13 @@
 		pause.For(ctx, time.Until(start.Add(time.Duration(made+1)*changePace)))
 	}
 	pause.For(ctx, time.Until(start.Add(n.Rest)))
+	if _, err := r.k.Register(ctx, list.Entry{Name: "last", Address: "127.0.0.1:1", Status: list.Ready}, 0, nil); err != nil {
+		return nil, err
+	}
+	made++
+	if err := r.all(ctx, "discovered", r.Backends+1); err != nil { // else what is counted are not these changes
+		return nil, err
+	}
 	worked, err := usedBy(r.nodes)
 	if err != nil {
 		return nil, err
--- a/internal/lab/scale/other_lines.go
+++ b/internal/lab/scale/other_lines.go
@@ -5,29 +5,29 @@
 	return []Line{
 		{Role: desk, What: "memory", Unit: "bytes", Command: "tenants", Mechanism: "the whole catalogue, compiled", Next: "every node holds every tenant",
 			budget: func(p Plan) float64 { return p.Plan.NodeMemory },
-			cost: func(m measured, p Plan) (float64, float64, error) {
+			cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("tenants", "tenants", "memory_bytes", p.Plan.Tenants, nil)
 			}},
 		{Role: desk, What: "whole catalogue, at its bytes a second", Unit: "s", Command: "tenants", Mechanism: "pages by digest, one head", Next: "a node that starts reads all pages",
 			budget: func(p Plan) float64 { return p.Assumed.Start },
-			cost: func(m measured, p Plan) (float64, float64, error) {
-				v, reach, err := m.at("tenants", "tenants", "catalogue_bytes", p.Plan.Tenants, nil)
-				return v / p.Plan.NodeBytes, reach, err
+			cost: func(m measured, p Plan) (float64, grounds, error) {
+				v, on, err := m.at("tenants", "tenants", "catalogue_bytes", p.Plan.Tenants, nil)
+				return v / p.Plan.NodeBytes, on, err
 			}},
 		{Role: desk, What: "processor for changes of tenants at the peak", Unit: "cores", Command: "tenants", Mechanism: "the catalogue is compiled whole at each change",
 			Next: "17,000 changes a day, were all of them tenants'", budget: func(p Plan) float64 { return p.Plan.NodeCores },
-			cost: func(m measured, p Plan) (float64, float64, error) {
-				v, reach, err := m.at("tenants", "tenants", "change_s", p.Plan.Tenants, nil)
-				return v * p.Assumed.Peak * p.Plan.Changes / day, reach, err
+			cost: func(m measured, p Plan) (float64, grounds, error) {
+				v, on, err := m.at("tenants", "tenants", "change_s", p.Plan.Tenants, nil)
+				return v * p.Assumed.Peak * p.Plan.Changes / day, on, err
 			}},
 		constant("tenants' conductor", "tenants", "tenants", "tenants", func(p Plan) float64 { return p.Plan.Tenants }, "one machine, one book", "orders are refused"),
 		constant("tenants' conductor", "members enrolled", "nodes", "enrolled", func(p Plan) float64 { return p.Plan.Nodes }, "a barrier over all nodes", "nodes beyond are not enrolled"),
 		constant("holder of shares", "nodes with seats", "nodes", "seats", func(p Plan) float64 { return p.Plan.Nodes }, "a seat for each node and limit", "nodes beyond go by safe shares"),
 		{Role: "operator's command", What: "a policy's text", Unit: "bytes", Command: "policy", Mechanism: "one text, compiled at the operator's", Next: "a text is refused",
-			limit: "policy_bytes", cost: func(m measured, p Plan) (float64, float64, error) {
+			limit: "policy_bytes", cost: func(m measured, p Plan) (float64, grounds, error) {
 				return m.at("policy", "books", "text_bytes", p.Plan.Tenants, nil)
 			}},
 		{Role: "agent", What: "calls a second of one that keeps 20 servers", Unit: "calls/s", Mechanism: "a renewal for each server", Next: "the leader's renewals",
-			cost: func(_ measured, p Plan) (float64, float64, error) { return 20 * 3 / p.Assumed.TTL, 0, nil }},
+			cost: func(_ measured, p Plan) (float64, grounds, error) { return 20 * 3 / p.Assumed.TTL, grounds{}, nil }},
 	}
 }
--- a/internal/lab/scale/sides.go
+++ b/internal/lab/scale/sides.go
@@ -109,7 +109,7 @@
 		var trial []string
 		for _, p := range r.Points {
 			if p.Trial != "" {
-				trial = append(trial, fmt.Sprintf("%v with %s", p.Sizes, p.Trial))
+				trial = append(trial, Point{Sizes: p.Sizes}.String()+"with "+p.Trial)
 			}
 		}
 		rows = append(rows, []string{r.What, r.Label, r.Commit, "`" + r.Command + "`", fmt.Sprint(len(r.Points)), fmt.Sprintf("%s to %s on %d cores", number(r.Load[0]), number(r.Load[1]), r.Cores),
--- a/internal/lab/scale/tables.go
+++ b/internal/lab/scale/tables.go
@@ -57,7 +57,7 @@
 	if l.Command == "" {
 		return text + " (the plan's number)"
 	}
-	return text + " (" + basis(c.reach) + ")"
+	return text + " (" + c.on.String() + ")"
 }
 
 // wallsTable is the limits on the way, and the ends of that way.
@@ -79,7 +79,7 @@
 			if w.limit != "" {
 				kind = "a constant"
 			}
-			rests := basis(w.reach)
+			rests := w.on.String()
 			if w.Command == "" {
 				rests = "the plan's number"
 			}
--- a/internal/lab/scale/walls.go
+++ b/internal/lab/scale/walls.go
@@ -12,7 +12,7 @@
 	f     float64 // at which it is met, all numbers of the plan scaled together; 0: at today's size already
 	full  float64 // the cost at f = 1
 	bound float64
-	reach float64 // of the measurement, at f
+	on    grounds // of the cost, at f
 }
 
 // walls finds the limits that are met between today's size and the plan, the nearest first, and those that can't be told.
@@ -36,44 +36,44 @@
 	if w.bound, err = l.bound(m, p); err != nil || w.bound == 0 {
 		return w, false, err
 	}
-	at := func(f float64) (cost, reach float64) {
-		cost, reach, e := l.cost(m, p.times(f))
+	at := func(f float64) (cost float64, on grounds) {
+		cost, on, e := l.cost(m, p.times(f))
 		err = cmp.Or(err, e)
-		return cost, reach
+		return cost, on
 	}
 	if w.full, _ = at(1); w.full <= w.bound || err != nil {
 		return w, false, err
 	}
 	low, high := p.lowest(), 1.0
-	if cost, reach := at(low); cost > w.bound {
-		w.reach = reach
+	if cost, on := at(low); cost > w.bound {
+		w.on = on
 		return w, true, err
 	}
 	for high-low > 1e-4*low {
-		if mid := (low + high) / 2; first(at(mid)) > w.bound {
+		mid := (low + high) / 2
+		if cost, _ := at(mid); cost > w.bound {
 			high = mid
 		} else {
 			low = mid
 		}
 	}
 	w.f = low
-	_, w.reach = at(low)
+	_, w.on = at(low)
 	return w, true, err
 }
 
-func first(a, _ float64) float64 { return a }
-
 // cell is a cost of the page at one label.
 type cell struct {
-	value, bound, reach float64
-	err                 error
+	value, bound float64
+	on           grounds
+	err          error
 }
 
 func (l Line) cell(m measured, p Plan) (c cell) {
 	if c.bound, c.err = l.bound(m, p); c.err != nil {
 		return c
 	}
-	c.value, c.reach, c.err = l.cost(m, p)
+	c.value, c.on, c.err = l.cost(m, p)
 	return c
 }
 
--- a/internal/lab/scale/walls_test.go
+++ b/internal/lab/scale/walls_test.go
@@ -14,7 +14,7 @@
 	}
 	backends := func(p Plan) float64 { return p.Plan.Backends }
 	line := func(bound float64, grow func(n float64) float64) Line {
-		return Line{budget: func(Plan) float64 { return bound }, cost: func(_ measured, p Plan) (float64, float64, error) { return grow(backends(p)), 0, nil }}
+		return Line{budget: func(Plan) float64 { return bound }, cost: func(_ measured, p Plan) (float64, grounds, error) { return grow(backends(p)), grounds{}, nil }}
 	}
 	for _, f := range forms[1:] {
 		l := line(f.of(13500), f.of)
--- a/internal/lab/scale/zone.go
+++ b/internal/lab/scale/zone.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	written := time.Now()
-	if err := r.know(ctx, left); err != nil {
+	if err := r.all(ctx, "discovered", left); err != nil {
 		return nil, err
 	}
 	settled := time.Now()
@@ -96,19 +96,21 @@
 		"replica_cpu_s": seconds(served.CPU), "replica_bytes_out": served.Written}, err
 }
 
-// know waits until every node says that it knows of so many servers.
-func (r rig) know(ctx context.Context, servers int) error {
-	for _, at := range r.controls {
+// all waits until a figure of every node is so much.
+func (r rig) all(ctx context.Context, figure string, want int) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for i, at := range r.controls {
 		for {
 			f, err := statsOf(ctx, at)
 			if err != nil {
 				return err
 			}
-			if f["discovered"] == float64(servers) {
+			if f[figure] == float64(want) {
 				break
 			}
 			if !pause.For(ctx, lookEvery) {
-				return fmt.Errorf("a node knows of %v servers, not %d: %w", f["discovered"], servers, ctx.Err())
+				return fmt.Errorf("node %d of %d has %s %v, not %d: %w", i, len(r.controls), figure, f[figure], want, ctx.Err())
 			}
 		}
 	}
