--- a/cmd/indigolab/scale_nodes.go
+++ b/cmd/indigolab/scale_nodes.go
@@ -25,6 +25,9 @@
 			if zone {
 				command += " --zone"
 			}
+			if n.Parts {
+				command += " --parts"
+			}
 			dir, done, err := f.begin(c.Context(), command)
 			if err != nil {
 				return err
@@ -65,6 +68,7 @@
 	c.Flags().IntSliceVar(&nodes, "nodes", []int{10}, "how many run")
 	c.Flags().IntSliceVar(&backends, "backends", []int{200, 1000, 2000, 5000, 10000, 20000}, "how many there are")
 	c.Flags().BoolVar(&zone, "zone", false, "a seventh of the backends is gone at once, and back at once")
+	c.Flags().BoolVar(&n.Parts, "parts", false, "they follow their parts of the list alone (list_part)")
 	c.Flags().BoolVar(&n.View, "view", true, "they keep the view of the fleet")
 	c.Flags().IntVar(&n.Told, "told", 4300, "how many nodes they are told that there are, at least")
 	return c
--- a/internal/lab/platform/config.go
+++ b/internal/lab/platform/config.go
@@ -23,6 +23,7 @@
 	Discovery  string
 	List       []string // the list service, which the node then follows by itself
 	ListFile   string
+	ListPart   bool     // it follows its part of that list alone
 	ByServer   bool     // its figures tell servers apart
 	PeerListen string   // empty: nodes have no messages
 	Peers      []string // by number, its own included
@@ -58,6 +59,9 @@
 	if len(n.List) > 0 {
 		delete(c, "discovery")
 		c["list"], c["list_file"] = n.List, n.ListFile
+		if n.ListPart {
+			c["list_part"] = true
+		}
 	}
 	if n.ByServer {
 		c["backend_stats"] = true
--- a/internal/lab/scale/nodes.go
+++ b/internal/lab/scale/nodes.go
@@ -31,6 +31,7 @@
 	Kind  string   // hollow or real
 	Start []string // of a hollow process, its folder and number of nodes are added; of a real one
 	View  bool     // they keep the view of the fleet
+	Parts bool     // they follow their parts of the list, where their program knows parts
 	Told  int      // how many nodes they are told that there are; 0: as many as there are
 }
 
@@ -127,8 +128,10 @@
 		return nil, err
 	}
 	made++
-	if err := r.all(ctx, "discovered", r.Backends+1); err != nil { // else what is counted are not these changes
-		return nil, err
+	if !n.Parts { // of which some have the last
+		if err := r.all(ctx, "discovered", r.Backends+1); err != nil { // else what is counted are not these changes
+			return nil, err
+		}
 	}
 	worked, err := usedBy(r.nodes)
 	if err != nil {
@@ -178,7 +181,7 @@
 	}
 	for i := range nodes {
 		c := platform.Node{Name: fmt.Sprint("n", i), Number: i, Nodes: max(n.Told, nodes), Zone: zoneOf(i), Listen: reserve(), Control: reserve(),
-			List: []string{service}, ListFile: filepath.Join(dir, fmt.Sprint("list", i)), PeerListen: peers[i], Seed: uint64(i + 1)}
+			List: []string{service}, ListFile: filepath.Join(dir, fmt.Sprint("list", i)), ListPart: n.Parts, PeerListen: peers[i], Seed: uint64(i + 1)}
 		if n.View {
 			c.Peers, c.Fleet = peers, "scale"
 		}
