--- a/internal/lab/scale/asked.go
+++ b/internal/lab/scale/asked.go
@@ -49,12 +49,15 @@
 	return all, nil
 }
 
-// freeUDP finds an address for messages.
-func freeUDP() (string, error) {
-	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		return "", fmt.Errorf("an address for messages: %w", err)
+// freeUDP finds so many addresses for messages, each another.
+func freeUDP(n int) (all []string, err error) {
+	for range n {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return nil, fmt.Errorf("an address for messages: %w", err)
+		}
+		defer c.Close() // once all are had: one that is free again may come twice
+		all = append(all, c.LocalAddr().String())
 	}
-	defer c.Close()
-	return c.LocalAddr().String(), nil
+	return all, nil
 }
--- a/internal/lab/scale/nodes.go
+++ b/internal/lab/scale/nodes.go
@@ -169,13 +169,10 @@
 		frees = append(frees, done)
 		return address
 	}
-	peers := make([]string, nodes)
-	for i := range peers {
-		peers[i] = "127.0.0.1:0"
-		if n.View {
-			if peers[i], err = freeUDP(); err != nil {
-				return nil, free, err
-			}
+	peers := slicesOf(nodes, "127.0.0.1:0")
+	if n.View {
+		if peers, err = freeUDP(nodes); err != nil {
+			return nil, free, err
 		}
 	}
 	for i := range nodes {
