--- a/internal/lab/scale/constants.go
+++ b/internal/lab/scale/constants.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"indigotack/internal/list"
 	"indigotack/internal/list/server"
@@ -18,11 +19,21 @@
 // Constants records what the program of this commit refuses beyond.
 func Constants(_ context.Context, run Run, say func(Point)) error {
 	return run.record("constants", func() ([]Point, error) {
+		whole := list.Answer{Endpoints: []list.Entry{entryOf(1)}}
+		one, err := json.Marshal(whole)
+		if err != nil {
+			return nil, err
+		}
+		whole.Endpoints = append(whole.Endpoints, entryOf(2))
+		two, err := json.Marshal(whole)
+		if err != nil {
+			return nil, err
+		}
 		p := Point{Sizes: map[string]int{}, Figures: map[string]Spread{}}
 		for name, n := range map[string]float64{"entries": list.MaxEntries, "records": list.MaxRecords, "sessions": list.MaxSessions,
 			"held_calls": float64(server.Default().MaxWatchers), "tenants": tenant.MaxTenants, "enrolled": list.MaxSessions, // as many, by internal/tenant
 			"seats": quota.MostNodes, "members": viewMembers, "policy_bytes": list.MaxRecord, // as many, by internal/policy
-			"platform_list_bytes": platformList} {
+			"platform_list_bytes": platformList, "entry_bytes": float64(len(two) - len(one))} {
 			p.Figures[name] = Spread{n, n, n}
 		}
 		say(p)
--- a/internal/lab/scale/cost_lines.go
+++ b/internal/lab/scale/cost_lines.go
@@ -159,10 +159,14 @@
 				return m.at("view", "members", "heal_s", p.Plan.Nodes, nil)
 			}},
 		constant("node", "members of the view", "members", "members", func(p Plan) float64 { return p.Plan.Nodes }, "every node knows every node", "strangers beyond are refused"),
-		{Role: "node", What: "answer of the platform's discovery", Unit: "bytes", Command: "entries", Mechanism: "one answer with every entry",
+		{Role: "node", What: "answer of the platform's discovery", Unit: "bytes", Command: "constants", Mechanism: "one answer with every entry, parts or not",
 			Next: "the answer is refused, the node keeps the list of before", limit: "platform_list_bytes",
 			cost: func(m measured, p Plan) (float64, grounds, error) {
-				return m.at("entries", "entries", "whole_bytes", p.Plan.Backends, nil)
+				r, has := m.of["constants"]
+				if !has {
+					return 0, grounds{}, errNotRun
+				}
+				return r.Points[0].Figures["entry_bytes"].Median * p.Plan.Backends, grounds{}, nil
 			}},
 	}
 }
--- a/internal/lab/scale/sides.go
+++ b/internal/lab/scale/sides.go
@@ -57,7 +57,7 @@
 	for _, m := range []measured{s.before, s.after} {
 		r, has := m.of["watchers"]
 		if !has {
-			rows = append(rows, []string{m.label, notRun, "", "", "", "", ""})
+			rows = append(rows, []string{m.label, notRun, "", "", "", "", "", ""})
 			continue
 		}
 		for _, p := range r.Points {
@@ -65,11 +65,11 @@
 				f := p.Figures[name]
 				return fmt.Sprintf("%s (%s to %s)", shown(f.Median, "s"), shown(f.Least, "s"), shown(f.Most, "s"))
 			}
-			rows = append(rows, []string{m.label, number(float64(p.Sizes["watchers"])), t("half_s"), t("most99_s"), t("last_s"), t("last_worst_s"),
+			rows = append(rows, []string{m.label, number(float64(p.Sizes["watchers"])), number(float64(p.Sizes["entries"])), t("half_s"), t("most99_s"), t("last_s"), t("last_worst_s"),
 				fmt.Sprintf("%s to %s", number(r.Load[0]), number(r.Load[1]))})
 		}
 	}
-	return table([]string{"program", "watchers of one replica", "half of them", "99%", "the last", "the last, worst of 20 changes", "load on 8 cores"}, rows), nil
+	return table([]string{"program", "watchers of one replica", "entries", "half of those concerned", "99%", "the last", "the last, worst of 20 changes", "load on 8 cores"}, rows), nil
 }
 
 // honest sets hollow nodes beside real ones, at the same sizes and changes.
--- a/internal/lab/scale/watchers.go
+++ b/internal/lab/scale/watchers.go
@@ -48,9 +48,13 @@
 
 // change is one change of an entry that every watcher gets: it restarts.
 func change(ctx context.Context, k *client.Client, i, entries int) (list.Result, error) {
-	n := i % entries
-	return k.Register(ctx, list.Entry{Name: fmt.Sprintf("s-%08x", n), Address: fmt.Sprintf("10.1.%d.%d:5000", n>>8&255, n&255), Zone: zoneOf(n), Type: kindOf(n),
-		Group: n / 3, Status: list.Ready, Weight: 1, SinceMS: time.Now().UnixMilli()}, 0, nil)
+	return k.Register(ctx, entryOf(i%entries), 0, nil)
+}
+
+// entryOf is a server of a drawn list that has just started.
+func entryOf(n int) list.Entry {
+	return list.Entry{Name: fmt.Sprintf("s-%08x", n), Address: fmt.Sprintf("10.1.%d.%d:5000", n>>8&255, n&255), Zone: zoneOf(n), Type: kindOf(n),
+		Group: n / 3, Status: list.Ready, Weight: 1, SinceMS: time.Now().UnixMilli()}
 }
 
 // crowd is hollow watchers in one process: the client of a node without the rest of it.
