Let a list say that it is a part of all servers

A node that is to know only the servers near its own point on the ring needs to tell that list from a whole one: the size of a group, its reach, and how many nodes share a server hang on the servers that there are. A ListUpdate has Total and From now. Of a part, the ring starts at From, a group is taken to be as large a part of all as of those known, and other nodes' places are their points in hash space; before the first server of the part, as dense as the part. What is beyond reach is the reserve: survey and two go on along the ring as they did. Total is 0 in a whole list, which is as it was.

Nothing sets Total yet. go test -race ./decide passes.

--- a/decide/events.go
+++ b/decide/events.go
@@ -81,11 +81,14 @@
 	// HandedOver says that a new process of this node serves, while this one
 	// ends what it has.
 	HandedOver struct{}
-	// ListUpdate is news of the servers.
+	// ListUpdate is news of the servers: of all, or of the part of them that lies on the ring from a point on, which
+	// is this node's own.
 	ListUpdate struct {
 		Kind    ListKind
 		Version uint64
 		Entries []Server
+		Total   int    // servers of the whole list that are not gone; 0: this is no part
+		From    uint64 // where the part begins, on the scale of a server's place
 	}
 	// AttemptEnded tells how one attempt went. Each Send gets one.
 	AttemptEnded struct {
--- a/decide/handle.go
+++ b/decide/handle.go
@@ -23,7 +23,7 @@
 		m.arrive(e)
 	case SettingsChanged:
 		m.adopt(e.Settings)
-		m.relist(nil)
+		m.relist(nil, m.part)
 	case Restored:
 		m.restore(e.Learned)
 	case HandedOver:
--- a/decide/lists.go
+++ b/decide/lists.go
@@ -58,17 +58,23 @@
 		}
 		changed = append(changed, s)
 	}
-	m.relist(changed)
+	m.relist(changed, part{max(0, e.Total), e.From})
 }
 
 // relist takes servers that a list has changed, and finds those that groups work with and who shares them.
-func (m *Module) relist(changed []*server) {
-	m.enlist(changed)
+func (m *Module) relist(changed []*server, p part) {
+	m.enlist(changed, p)
 	m.work()
 	m.share()
 	m.survey()
 }
 
+// sizeOf is how many servers are open to a group: of those that a part lacks, as many as of those it has.
+func (m *Module) sizeOf(g *group) float64 {
+	size := float64(len(g.list.servers))
+	return math.Max(size, float64(m.total)*size/math.Max(1, float64(len(m.list.servers))))
+}
+
 // work finds the servers that each group works with: the first of its list, so many that each has its nodes.
 func (m *Module) work() {
 	for _, s := range m.homes {
@@ -80,8 +86,9 @@
 		each = reachLook
 	}
 	for _, g := range m.groups {
-		size := float64(len(g.list.servers))
-		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, each*size/float64(m.set.Nodes))))
+		size := m.sizeOf(g)
+		reach := math.Ceil(math.Max(reachLeast, each*size/float64(m.set.Nodes)))
+		g.reach = math.Min(float64(len(g.list.servers)), reach)
 		for i := range int(g.reach) {
 			s := g.list.at(i)
 			s.home, m.homes = true, append(m.homes, s)
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -17,7 +17,7 @@
 // share finds whether nodes tell each other of the servers that they share: those that each works with.
 // Each is counted once for each node and each of its groups at most.
 func (m *Module) share() {
-	n, pairs, twice := float64(len(m.list.servers)), 0.0, 0.0
+	n, pairs, twice := float64(max(len(m.list.servers), m.total)), 0.0, 0.0
 	m.changes++
 	m.tells, m.shares = false, m.set.MayMessage && !m.looks && m.set.Nodes > 1 && n > 0 && m.sharers <= noteNodes
 	if !m.shares {
@@ -33,7 +33,7 @@
 	for _, g := range m.groups {
 		pairs, twice = pairs+float64(m.set.Nodes)*g.reach, twice+g.reach+n
 	}
-	if dear(pairs) && !dear(pairs-twice) { // it hangs on those that count twice, and this node's own
+	if m.total == 0 && dear(pairs) && !dear(pairs-twice) { // it hangs on those counted twice, and own ones
 		pairs = 0
 		for _, s := range m.list.servers {
 			pairs += float64(len(m.with(s)))
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -76,9 +76,12 @@
 }
 
 // ringStart is the place on a ring of servers from which a node takes its own.
-func ringStart(node, servers int) int {
-	return int(float64(servers) * math.Mod(float64(node)*math.Phi, 1))
-}
+func ringStart(node, servers int) int { return int(float64(servers) * startPart(node)) }
+
+// startPoint is the same on the scale of a server's place, for nodes that know a part of the servers.
+func startPoint(node int) uint64 { return uint64(startPart(node) * (1 << 64)) }
+
+func startPart(node int) float64 { return math.Mod(float64(node)*math.Phi, 1) }
 
 // nodesByStart gives the numbers of nodes by their places, of which those on a ring of any size follow.
 func nodesByStart(nodes int) []int {
@@ -86,14 +89,18 @@
 	for node := range all {
 		all[node] = node
 	}
-	slices.SortFunc(all, func(a, b int) int {
-		return cmp.Compare(math.Mod(float64(a)*math.Phi, 1), math.Mod(float64(b)*math.Phi, 1))
-	})
+	slices.SortFunc(all, func(a, b int) int { return cmp.Compare(startPart(a), startPart(b)) })
 	return all
 }
 
+// part is what a list says of itself where it is a part of all servers.
+type part struct {
+	total int    // servers of the whole list; 0: this is all of it
+	from  uint64 // where it begins
+}
+
 // enlist takes servers that may have changed into the rings where each belongs, or out of them.
-func (m *Module) enlist(changed []*server) {
+func (m *Module) enlist(changed []*server, p part) {
 	slices.SortFunc(changed, byPlace)
 	changed = slices.Compact(changed)
 	for _, s := range changed {
@@ -108,7 +115,10 @@
 	for _, g := range m.groups {
 		g.list.update(changed, func(s *server) bool { return s.State != Gone && g.open(s) })
 	}
-	if n := len(m.list.servers); n > 0 {
+	m.part = p
+	if n := len(m.list.servers); m.total > 0 {
+		m.first = m.from
+	} else if n > 0 {
 		m.first = m.list.servers[ringStart(m.set.Self, n)].order
 	}
 	m.list.turn(m.first)
@@ -133,15 +143,7 @@
 		if !in {
 			continue
 		}
-		nodes := m.nodes
-		if size, reach := len(g.list.servers), int(g.reach); reach < size { // else all nodes work with all
-			before, _ := m.list.find(g.list.servers[(i-reach+size)%size].order) // from its place on s is too far
-			from, to := m.startsUpTo(before), m.startsUpTo(at)
-			if nodes = m.nodes[min(from, to):to]; before > at {
-				nodes = append(slices.Clone(m.nodes[from:]), m.nodes[:to]...)
-			}
-		}
-		for _, node := range slices.Sorted(slices.Values(nodes)) {
+		for _, node := range slices.Sorted(slices.Values(m.startsFor(g, i, at))) {
 			if n := len(s.shared); node != m.set.Self && (n == 0 || s.shared[n-1] != node) { // groups share servers
 				s.shared = append(s.shared, node)
 			}
@@ -150,7 +152,41 @@
 	return s.shared
 }
 
-// startsUpTo counts the nodes that start at a place of the list or before it.
-func (m *Module) startsUpTo(at int) int {
-	return sort.Search(len(m.nodes), func(i int) bool { return ringStart(m.nodes[i], len(m.list.servers)) > at })
+// startsFor gives the nodes that have the i-th server of a group in reach, which is the at-th of all: those that start
+// at it, or at one before it of so many as are in reach. Of a part that begins too near to it, those are taken to lie
+// as dense as the servers of the part.
+func (m *Module) startsFor(g *group, i, at int) []int {
+	size, reach := len(g.list.servers), int(g.reach)
+	if g.reach >= m.sizeOf(g) {
+		return m.nodes
+	}
+	if m.total == 0 {
+		before, _ := m.list.find(g.list.servers[(i-reach+size)%size].order)
+		return m.startsAmong(uint64(before), uint64(at))
+	}
+	here, steps := g.list.servers[i].order, (i-g.list.start+size)%size
+	if steps >= reach {
+		return m.startsAmong(g.list.at(steps-reach).order, here)
+	}
+	before := uint64(float64(reach-steps) / m.sizeOf(g) * (1 << 64))
+	if here-m.from > math.MaxUint64-before {
+		return m.nodes // all around
+	}
+	return m.startsAmong(m.from-before, here)
+}
+
+// startsAmong gives the nodes that start after one place and up to another: places in the list or, of a part, points.
+func (m *Module) startsAmong(after, upTo uint64) []int {
+	count := func(place uint64) int {
+		return sort.Search(len(m.nodes), func(i int) bool {
+			if m.total > 0 {
+				return startPoint(m.nodes[i]) > place
+			}
+			return uint64(ringStart(m.nodes[i], len(m.list.servers))) > place
+		})
+	}
+	if after > upTo {
+		return append(slices.Clone(m.nodes[count(after):]), m.nodes[:count(upTo)]...)
+	}
+	return m.nodes[count(after):count(upTo)]
 }
--- a/decide/ring_test.go
+++ b/decide/ring_test.go
@@ -195,6 +195,14 @@
 				m.Handle(now, Maintenance{Server: ServerID(1 + r.Intn(servers)), On: r.Intn(2) == 0})
 			case k == 6 && len(m.known) > 0:
 				m.Handle(now+time.Second, TimerFired{})
+			case k == 7: // for a while its list is a part, or claims to be; what it did then leaves no trace
+				m.Handle(now, ListUpdate{Kind: ListChanges, Total: r.Intn(2000) - 5, From: r.Uint64()})
+				for _, s := range m.list.servers {
+					if n := len(m.with(s)); n > m.set.Nodes*len(m.groups) || m.sharers < 1 {
+						t.Fatalf("seed %d, step %d: shared with %d, sharers %v", seed, step, n, m.sharers)
+					}
+				}
+				m.Handle(now, ListUpdate{Kind: ListChanges})
 			default: // also one that has left may be accused and counted, by attempts that still know it
 				for _, s := range plain.seen {
 					switch what = "attempts"; {
--- a/decide/state.go
+++ b/decide/state.go
@@ -118,7 +118,8 @@
 	leaving            bool                       // a new process serves
 	groups             []*group
 	list               ring       // those not gone, from this node's place on
-	first              uint64     // that place: the first of these servers'
+	first              uint64     // that place
+	part                          // of the list that this node knows
 	suspects, silent   ring       // those not gone that are suspects; that answer nothing; some are so no longer
 	homes              []*server  // those with home set
 	changes            int        // of lists and settings so far
