--- a/decide/lists.go
+++ b/decide/lists.go
@@ -3,18 +3,14 @@
 // Which servers there are, and which of them this node works with. The interface is in api.go.
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"time"
 )
 
 const (
-	reachLeast = 5.0                    // servers that a node works with, at least: some may fail together
-	reachLook  = 30.0                   // nodes that work with a server they ask: it takes few connections
-	reachOwn   = 6.0                    // the same where each learns of it by own answers alone
-	askFirst   = 200 * time.Millisecond // s; wait before a list is asked for again, at least; doubles
-	askTurn    = 50 * time.Millisecond  // s; the same for each node: all may ask at once, of one discovery
+	reachLeast = 5.0  // servers that a node works with, at least: some may fail together
+	reachLook  = 30.0 // nodes that work with a server they ask: it takes few connections
+	reachOwn   = 6.0  // the same where each learns of it by own answers alone
 )
 
 // open is the rule of placement, shared by the classes of a group.
@@ -23,23 +19,21 @@
 		(g.kinds == nil || slices.Contains(g.kinds, s.Kind))
 }
 
-// askLeast is the shortest wait between calls to discovery, which serves all nodes in turn: nodes that start
-// together and call together fill its queue with calls that fail in it and so are made again.
-func (m *Module) askLeast() time.Duration {
-	return max(askFirst, min(time.Duration(m.set.Nodes)*askTurn, m.set.AskWithin/2))
-}
-
 func (m *Module) follow(e ListUpdate) {
 	if e.Kind == ListFailed {
-		m.subscribed, m.asking, m.askAt = false, false, m.now+m.jitter(m.askWait)
-		m.askWait = min(2*m.askWait, max(m.askLeast(), m.set.AskWithin))
+		if m.subscribed, m.asking = false, false; m.askLost == 0 {
+			m.askLost = m.now
+		}
+		m.askAt = m.now + m.jitter(m.askWait())
 		return
 	}
 	if e.Kind != ListCached && m.asking {
-		m.subscribed, m.asking, m.askWait = true, false, m.askLeast()
+		m.subscribed, m.asking, m.askLost = true, false, 0
 	}
+	var changed []*server
 	if e.Kind != ListChanges {
-		for _, s := range m.list {
+		changed = append(changed, m.list.servers...)
+		for _, s := range changed {
 			s.State = Gone
 		}
 	}
@@ -55,38 +49,37 @@
 		if n.State != Ready {
 			m.do(CloseIdle{Server: s.ID}) // those in use follow as they end
 		}
+		changed = append(changed, s)
 	}
-	m.relist()
+	m.relist(changed)
 }
 
-// relist finds the servers that there are, those that each group works with, and who shares them.
-func (m *Module) relist() {
-	m.list = m.list[:0]
-	for id, s := range m.known {
-		if s.home = false; s.State != Gone {
-			m.list = append(m.list, s)
-			continue
-		}
-		delete(m.known, id) // its attempts still know it; ids change for months
+// relist takes servers that a list has changed, and finds those that groups work with and who shares them.
+func (m *Module) relist(changed []*server) {
+	m.enlist(changed)
+	m.work()
+	m.share()
+	m.survey()
+}
+
+// work finds the servers that each group works with: the first of its list, so many that each has its nodes.
+func (m *Module) work() {
+	for _, s := range m.homes {
+		s.home = false
 	}
-	slices.SortFunc(m.list, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
-	ring, start := m.list, ringStart(m.set.Self, len(m.list))
-	m.list = append(append([]*server{}, m.list[start:]...), m.list[:start]...)
-	m.sharers = 0
+	m.homes, m.sharers = m.homes[:0], 0
 	each := reachOwn // how many nodes work with a server: of many, each sees too little of it to know it in time
 	if m.looks {
 		each = reachLook
 	}
 	for _, g := range m.groups {
-		g.list = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return !g.open(s) })
-		size := float64(len(g.list))
+		size := float64(len(g.list.servers))
 		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, each*size/float64(m.set.Nodes))))
-		for _, s := range g.list[:int(g.reach)] {
-			s.home = true
+		for i := range int(g.reach) {
+			s := g.list.at(i)
+			s.home, m.homes = true, append(m.homes, s)
 		}
 		m.sharers += float64(m.set.Nodes) * g.reach / math.Max(1, size)
 	}
 	m.sharers = math.Max(1, m.sharers)
-	m.share(ring)
-	m.survey()
 }
