Play cold servers that are cut off in their ramp, under the sum of all nodes

Need: trials of suspects pass the token bucket by, though they take its tokens. Nodes that all lose a cold server at once and try it again could add up.

--- a/decide/cold_fleet_test.go
+++ b/decide/cold_fleet_test.go
@@ -23,6 +23,7 @@
 	late           time.Duration // the last node is told of the start so much later
 	restarts       bool          // each node restarts once in the ramp, with nothing learned
 	suspects       time.Duration // from so long after the start on six in ten of the others refuse connections; 0: never
+	cut            time.Duration // from so long after the start on connections to server 1 fail for 2 s; 0: never
 	heavy          bool          // some requests are four times as heavy as others
 	factor         float64       // Settings.OverloadFactor
 	window         time.Duration // Settings.OverloadTime
@@ -191,7 +192,9 @@
 	rate, refused := f.rate, f.suspects > 0 && id%5 > 1 && f.now > f.start+f.suspects
 	if id == 1 {
 		rate *= f.can(f.now)
-		if refused = f.now < f.start && f.now > f.start-f.down; f.now >= f.start && f.now >= f.told[i] {
+		at := f.now - f.start
+		refused = at < 0 && at > -f.down || f.cut > 0 && at > f.cut && at < f.cut+2*time.Second
+		if !refused && at >= 0 && f.now >= f.told[i] {
 			f.sent = append(f.sent, coldSend{f.now, work})
 		}
 	}
--- a/decide/cold_sum_test.go
+++ b/decide/cold_sum_test.go
@@ -23,6 +23,8 @@
 		{"told late, burst", coldDay{load: 0.7, down: 2 * s, late: 6 * s, burst: 6 * s}, 0.15},
 		{"nodes restart, burst", coldDay{load: 0.7, down: 2 * s, restarts: true, burst: 8 * s}, 0.15},
 		{"suspects, burst", coldDay{load: 0.7, down: 2 * s, suspects: 1, burst: 3 * s}, 0.1},
+		{"cut off in its ramp", coldDay{load: 0.7, cut: 3 * s}, 0.15},
+		{"cut off, busy", coldDay{load: 1.1, cut: 3 * s}, 0.25},
 		{"suspects after a quiet time", coldDay{load: 0.25, down: s, suspects: 4 * s, burst: 4 * s}, 0.08},
 		{"heavy requests, burst", coldDay{load: 0.7, down: 2 * s, heavy: true, burst: 3 * s}, 0.15},
 	} {
