Never block in accept on a socket that processes share

os/exec sets a socket that it passes on to block, for all processes that have it, until the next one sets it back. An old process that called accept meanwhile stayed in it until a client came, and so did its Close: the new one waited its full second for 'yours', did not get the socket for other nodes, and the next client got an answer of the old process.

The mode is set before each accept. TestAcceptingEndsOnASharedSocket waits 30 s in vain without it.

--- a/internal/node/accept/inherited.go
+++ b/internal/node/accept/inherited.go
@@ -22,5 +22,20 @@
 		return nil, fmt.Errorf("descriptor %d can't be used", fd)
 	}
 	defer f.Close()
-	return net.FileListener(f)
+	ln, err := net.FileListener(f)
+	if tcp, ok := ln.(*net.TCPListener); ok {
+		return shared{tcp}, nil
+	}
+	return ln, err
+}
+
+// shared is a socket whose mode belongs to all processes that have it. Whoever passes it on to the next one may set
+// it to block meanwhile, as os/exec does: an accept that finds nobody would then hold up even Close until a client comes.
+type shared struct{ *net.TCPListener }
+
+func (l shared) Accept() (net.Conn, error) {
+	if raw, err := l.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
+	}
+	return l.TCPListener.Accept()
 }
--- /dev/null
+++ b/internal/node/accept/inherited_test.go
@@ -0,0 +1,50 @@
+package accept
+
+import (
+	"errors"
+	"net"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestAcceptingEndsOnASharedSocket also if another process has set it to block.
+func TestAcceptingEndsOnASharedSocket(t *testing.T) {
+	f, err := listen(t).TCPListener.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	fd, err := syscall.Dup(int(f.Fd())) // Inherited closes it
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := Inherited(strconv.Itoa(fd))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, ended := Limit(ln, 2), make(chan error, 1)
+	if err := syscall.SetNonblock(int(f.Fd()), false); err != nil {
+		t.Fatal(err)
+	}
+	dial(t, ln)
+	if _, err := l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	syscall.SetNonblock(int(f.Fd()), false)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	for stacks := ""; !strings.Contains(stacks, "poll.(*FD).Accept"); time.Sleep(time.Millisecond) {
+		b := make([]byte, 1<<20)
+		stacks = string(b[:runtime.Stack(b, true)])
+	}
+	go l.Close()
+	if err := wait(t, ended, "the end of accepting"); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("it ends with %v", err)
+	}
+}
