Let silent clients give way, and shut those for whom there is no place

Clients that connected and sent nothing kept their places for 2.5 s, as only idle ones gave way; all others waited in the accept queue without a bound.

A silent client gives way after 100 ms, unless something of it waits in the socket. Where no place was free for 600 ms and nobody gives way, those that come are shut unread; /health/ready and /healthcheck say 503 then. Where the system has no descriptor left (EMFILE, ENFILE) an idle client gives up its own, and accepting goes on in 20 ms instead of up to 1 s.

--- a/internal/node/accept/conn.go
+++ b/internal/node/accept/conn.go
@@ -29,6 +29,7 @@
 
 	mu       sync.Mutex // of what follows
 	state    state
+	mute     bool  // it gave way ahead of its first byte
 	ended    error // how the client's side has; nil: it has not
 	framing  framing
 	inFlight bool   // the server has a whole request, and has not ended it
@@ -138,7 +139,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.state = closed
-	ended := c.ended != nil
+	ended := c.ended != nil || c.mute
 	c.mu.Unlock()
 	if !ended && !c.listener.hurried.Load() {
 		c.linger()
--- a/internal/node/accept/idle.go
+++ b/internal/node/accept/idle.go
@@ -27,7 +27,7 @@
 	delete(l.idle, c)
 	delete(l.fresh, c)
 	if s == http.StateNew {
-		l.fresh[c] = true
+		l.fresh[c] = time.Now()
 	}
 	if s != http.StateIdle || !c.(*Conn).goIdle() {
 		return
@@ -37,6 +37,7 @@
 		return
 	}
 	l.idle[c] = time.Now()
+	l.full.Store(false) // this one gives way
 }
 
 // goIdle marks a connection as idle, unless something of a next request is here.
@@ -56,6 +57,24 @@
 func (c *Conn) closeAt(s state) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.end(s)
+}
+
+// giveWay is closeAt for one that makes room. One that has sent nothing, neither,
+// as far as the system knows, just now, has no answer on its way: its place is
+// free at once.
+func (c *Conn) giveWay(s state) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s == fresh && readable(c.Conn) || !c.end(s) {
+		return false
+	}
+	c.mute = s == fresh
+	return true
+}
+
+// end is closeAt for whoever holds the lock.
+func (c *Conn) end(s state) bool {
 	if c.state != s {
 		return false
 	}
@@ -64,22 +83,37 @@
 	return true
 }
 
-// evict closes the connection that has been idle longest.
-func (l *Listener) evict() {
+// evict closes the connection that has been idle longest or, with none idle, the
+// one that has sent nothing for longest since it is new. It is false if there is none.
+func (l *Listener) evict() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.idle) > 0 {
+	now := time.Now()
+	if closeOldest(l.idle, idle, now) {
+		l.fullAt = now // its client has lingerTime
+		return true
+	}
+	return closeOldest(l.fresh, fresh, now.Add(-freshLeast))
+}
+
+// closeOldest closes the connection that has been in a state for longest, since a time or before.
+func closeOldest(of map[net.Conn]time.Time, s state, latest time.Time) bool {
+	for len(of) > 0 {
 		var oldest net.Conn
-		for c, since := range l.idle {
-			if oldest == nil || since.Before(l.idle[oldest]) {
+		for c, since := range of {
+			if oldest == nil || since.Before(of[oldest]) {
 				oldest = c
 			}
 		}
-		delete(l.idle, oldest)
-		if oldest.(*Conn).closeAt(idle) {
-			return
+		if of[oldest].After(latest) {
+			return false
+		}
+		delete(of, oldest)
+		if oldest.(*Conn).giveWay(s) {
+			return true
 		}
 	}
+	return false
 }
 
 // closeAllIdle closes all connections that are idle, now or later, and no other.
--- a/internal/node/accept/listener.go
+++ b/internal/node/accept/listener.go
@@ -21,6 +21,9 @@
 	outliveStep = 50 * time.Millisecond // between two looks at connections that are to end
 	queueTime   = 50 * time.Millisecond // to accept a connection that waits already
 	evictStep   = 20 * time.Millisecond // for a client that is told to close to do so, before another is told
+	// freshLeast is for a new client's first byte to come, before it may give way: a
+	// round trip, or two. Clients connect when they have something to send.
+	freshLeast = 100 * time.Millisecond
 )
 
 // Listener holds accepted connections to a number, so that clients leave
@@ -28,66 +31,116 @@
 type Listener struct {
 	net.Listener
 	HeadTime time.Duration // for a later request's head to come, from its first byte on; 0: the server's matter
+	FullTime time.Duration // with all places taken and none idle, after which those who can't be taken are shut; 0: they wait
 	slots    chan struct{}
+	full     atomic.Bool // clients who come now are shut
 	hurried  atomic.Bool // no client's close is waited for
 	shut     chan struct{}
 	once     sync.Once // for that
 
+	fullAt time.Time // Accept's: since when it has found places taken and none idle; zero: the last one was there at once
+
 	mu     sync.Mutex
 	idle   map[net.Conn]time.Time // since when
-	fresh  map[net.Conn]bool
-	ending bool // none is to stay idle any more
+	fresh  map[net.Conn]time.Time // the same
+	ending bool                   // none is to stay idle any more
 }
 
 // Limit has ln accept most connections at a time.
 func Limit(ln net.Listener, most int) *Listener {
-	return &Listener{Listener: ln, slots: make(chan struct{}, most), shut: make(chan struct{}), idle: map[net.Conn]time.Time{}, fresh: map[net.Conn]bool{}}
+	return &Listener{Listener: ln, slots: make(chan struct{}, most), shut: make(chan struct{}), idle: map[net.Conn]time.Time{}, fresh: map[net.Conn]time.Time{}}
 }
 
-// Accept makes room by closing the connection that has been idle longest:
-// clients that keep connections without using them must not shut out others.
-// With none idle, those that come wait in the listener's queue.
+// Accept makes room by closing a connection that is not in use: clients that
+// keep connections without using them must not shut out others. With all in
+// use, those that come wait in the listener's queue, and are shut unread once
+// that has lasted for FullTime: each then knows, and nobody waits behind a
+// queue that gets ever longer.
 func (l *Listener) Accept() (net.Conn, error) {
-	if !l.takeSlot() {
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	for errors.Is(err, os.ErrDeadlineExceeded) && l.queued() {
-		c, err = l.Listener.Accept()
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		err = net.ErrClosed // the server goes on after a timeout
+	for {
+		placed := l.takeSlot()
+		c, err := l.next()
+		if err == nil && !placed {
+			if placed = l.takeSlot(); !placed {
+				c.Close()
+				continue
+			}
+		}
+		if err != nil {
+			if placed {
+				l.leaveSlot()
+			}
+			return nil, err
+		}
+		lc := &Conn{Conn: c, listener: l, free: sync.OnceFunc(l.leaveSlot)}
+		lc.began.Store(time.Now().UnixNano())
+		return lc, nil
 	}
-	if err != nil {
-		<-l.slots
-		return nil, err
+}
+
+// next takes the next connection off the queue. Where the system has no
+// descriptor left, a client that is not in use gives up its own; the server
+// would wait for up to a second.
+func (l *Listener) next() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && l.queued():
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, net.ErrClosed // the server goes on after a timeout
+		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
+			l.evict()
+			time.Sleep(evictStep)
+		default:
+			return c, err
+		}
 	}
-	lc := &Conn{Conn: c, listener: l, free: sync.OnceFunc(func() { <-l.slots })}
-	lc.began.Store(time.Now().UnixNano())
-	return lc, nil
 }
 
-// takeSlot waits for a place, and is false where the listener has been closed.
+// takeSlot waits for a place. It is false where the listener has been closed, or
+// has had none for FullTime and now has nobody who gives way.
 func (l *Listener) takeSlot() bool {
 	select {
 	case l.slots <- struct{}{}:
+		l.fullAt = time.Time{}
 		return true
 	default:
 	}
+	if l.fullAt.IsZero() {
+		l.fullAt = time.Now()
+	}
 	again := time.NewTicker(evictStep)
 	defer again.Stop()
 	for {
-		l.evict()
+		full := !l.evict() && l.FullTime > 0 && time.Since(l.fullAt) >= l.FullTime
+		l.full.Store(full) // ahead of the last look for a place
+		select {
+		case l.slots <- struct{}{}:
+			l.full.Store(false)
+			return true
+		default:
+		}
+		if full {
+			return false
+		}
 		select {
 		case l.slots <- struct{}{}:
 			return true
 		case <-l.shut:
 			return false
-		case <-again.C: // the client has not closed, or none was idle
+		case <-again.C: // the client has not closed, or none gave way
 		}
 	}
 }
 
+func (l *Listener) leaveSlot() {
+	<-l.slots
+	l.full.Store(false)
+}
+
+// Full tells whether clients who come now are shut, as far as is known.
+func (l *Listener) Full() bool { return l.full.Load() }
+
 // Close leaves what waits in the queue to other processes, if there are any.
 func (l *Listener) Close() error {
 	l.once.Do(func() { close(l.shut) })
@@ -106,23 +159,26 @@
 // queued tells whether a connection waits at the end of accepting, and if so
 // gives Accept time to take it, unless another process does.
 func (l *Listener) queued() bool {
-	ln, ok := l.Listener.(interface {
-		syscall.Conn
-		SetDeadline(time.Time) error
-	})
+	ln, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && readable(l.Listener) && ln.SetDeadline(time.Now().Add(queueTime)) == nil
+}
+
+// readable tells whether something waits in a socket: a connection, bytes or an end.
+func readable(socket any) bool {
+	s, ok := socket.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := ln.SyscallConn()
+	raw, err := s.SyscallConn()
 	if err != nil {
 		return false
 	}
-	queue := []unix.PollFd{{Events: unix.POLLIN}}
+	waits := []unix.PollFd{{Events: unix.POLLIN}}
 	raw.Control(func(fd uintptr) {
-		queue[0].Fd = int32(fd)
-		unix.Poll(queue, 0)
+		waits[0].Fd = int32(fd)
+		unix.Poll(waits, 0)
 	})
-	return queue[0].Revents&unix.POLLIN != 0 && ln.SetDeadline(time.Now().Add(queueTime)) == nil
+	return waits[0].Revents&unix.POLLIN != 0
 }
 
 // Hurry has connections close at once from now on.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -58,7 +58,7 @@
 func (n *Node) controlMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthcheck", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.front.serving() {
+		if !n.front.welcomes() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -12,6 +12,7 @@
 const (
 	lingerTime  = 600 * time.Millisecond // after SIGTERM new connections still come for a while
 	finishSlack = 100 * time.Millisecond // what is open then may take the longest deadline and this
+	fullTime    = 600 * time.Millisecond // without a place for clients, after which they are shut: one that was idle has let go of its own by then
 	killMost    = 3 * time.Second        // SIGKILL may come so long after lingerTime and finishSlack, or a longest deadline that is shorter
 )
 
@@ -21,7 +22,7 @@
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := f.server()
 	limited := accept.Limit(ln, f.most)
-	limited.HeadTime = headTime
+	limited.HeadTime, limited.FullTime = headTime, fullTime
 	srv.ConnState = limited.Note
 	f.clients.Store(limited)
 	if f.handed.Load() { // before there was anything to close
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -65,7 +65,7 @@
 	switch r.URL.Path {
 	case "/health/ready":
 		f.askToClose(w, r)
-		if !f.serving() && !f.handed.Load() { // the new process has this address too
+		if !f.welcomes() && !f.handed.Load() { // the new process has this address too
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -115,9 +115,15 @@
 	}
 }
 
-// serving tells whether new clients are welcome.
+// serving tells whether the node takes new clients.
 func (f *frontend) serving() bool { return f.ready.Load() && f.open.Load() && !f.draining.Load() }
 
+// welcomes tells whether it takes them now: it does not while all places are in use.
+func (f *frontend) welcomes() bool {
+	limited := f.clients.Load()
+	return f.serving() && limited != nil && !limited.Full()
+}
+
 // carried is how a request ended, whether its client has an answer to read, and
 // whether that stopped short.
 type carried struct {
