Hold clients and servers to the descriptors that the system gives

limits.sockets alone bounded clients' and servers' connections. Where the system gives the process fewer, idle clients took the last one: then discovery, servers, operators and the files of a new configuration found none. TestDescriptorsFull had 129 of 128 open.

The node counts with the lower of the two, says so, and does not start below 64. TestDescriptorsFull, with 128 descriptors and as many resting clients while discovery is silent: requests, a new connection to a server, operators' calls, discovery at its return, SIGHUP and the next process all get theirs, and all is given back.

--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,6 +21,11 @@
 // TestMain runs the program itself where a test has started it anew.
 func TestMain(m *testing.M) {
 	if os.Getenv("INDIGOTACK_AS_PROGRAM") == "1" {
+		if n, err := strconv.ParseUint(os.Getenv("INDIGOTACK_DESCRIPTORS"), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		if os.Getenv("INDIGOTACK_HELD") == "1" { // at its last line
 			fmt.Fprintln(os.Stderr, "the program has run")
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -17,7 +17,6 @@
 const (
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
-	leastSockets    = 64 // below this no node can serve
 )
 
 // Config is what a node is told at its start.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,8 +19,6 @@
 
 const (
 	answerMargin = 10 * time.Millisecond // an answer leaves so long before its client stops waiting
-	clientPart   = 0.5                   // of the other descriptors
-	spareSockets = 48                    // descriptors for discovery, operators, listeners and runtime
 	shortWait    = 50 * time.Millisecond // between two looks at something that ends soon, or after an error that may come again at once
 )
 
@@ -77,8 +75,12 @@
 	if n.unfit == nil {
 		n.tenants, n.unfit = newTenants(cfg)
 	}
-	clients := int(clientPart * float64(cfg.Sockets-spareSockets))
-	n.backends = newPool(cfg.Settings, cfg.Sockets-spareSockets-clients)
+	sockets, err := mostSockets(cfg.Sockets, log)
+	if n.unfit == nil {
+		n.unfit = err
+	}
+	clients := int(clientPart * float64(sockets-spareSockets))
+	n.backends = newPool(cfg.Settings, sockets-spareSockets-clients)
 	n.backends.forwards = &n.stats.forwards
 	n.front = newFrontend(n, clients)
 	n.own = newOwn(cfg, clients)
