Bound the time from a process's start until it is ready

A process whose address the former one still had ended with an error at once.

A node that is not ready then says what it lacks.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -14,11 +15,15 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"indigotack/internal/node"
 	"indigotack/internal/node/accept"
+	"indigotack/internal/pause"
 )
 
+const bindStep = 50 * time.Millisecond // between two tries to have the clients' address
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "indigotack:", err)
@@ -51,7 +56,7 @@
 	limitMemory(false)
 	inherited := os.Getenv("GW_ACCEPT_FD")
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
-	ln, err := listen(inherited, cfg.Listen, log)
+	ln, err := listen(ctx, inherited, cfg.Listen, log)
 	if err != nil {
 		return err
 	}
@@ -77,8 +82,9 @@
 func gcPercent(memoryMB int) int { return min(300, max(100, memoryMB*5)) }
 
 // listen gives the clients' socket: the one that the platform holds, or a new
-// one where there is none that can be used.
-func listen(inherited, address string, log *slog.Logger) (net.Listener, error) {
+// one where there is none that can be used. The process before this one may
+// still have the address, until it ends.
+func listen(ctx context.Context, inherited, address string, log *slog.Logger) (net.Listener, error) {
 	if inherited != "" {
 		ln, err := accept.Inherited(inherited)
 		if err == nil {
@@ -86,7 +92,14 @@
 		}
 		log.Error("GW_ACCEPT_FD can't be used", "err", err)
 	}
-	return net.Listen("tcp", address)
+	ln, err := net.Listen("tcp", address)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		log.Warn("another process has the clients' address, trying again", "err", err)
+	}
+	for until := time.Now().Add(node.BindMost); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(until) && pause.For(ctx, bindStep); {
+		ln, err = net.Listen("tcp", address)
+	}
+	return ln, err
 }
 
 // reload follows the file until ctx ends. One that can't be used changes
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -147,6 +147,24 @@
 	next.Close()
 }
 
+// TestAddressStillHeld by the process before: the next one waits for it, and is ready once that has ended.
+func TestAddressStillHeld(t *testing.T) {
+	former, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer former.Close()
+	p := newPlatform(t)
+	p.address = former.Addr().String()
+	c := p.start(t, "GW_ACCEPT_FD=")
+	c.waitSaid(t, "another process has the clients' address")
+	former.Close()
+	c.waitReady(t)
+	p.wantServed(t, "on the address")
+	c.Process.Signal(syscall.SIGTERM)
+	c.waitEnd(t)
+}
+
 // TestGCPercent: the heap may grow to a part of the memory that the settings state, never to much of it.
 func TestGCPercent(t *testing.T) {
 	for mb, want := range map[int]int{16: 100, 32: 160, 48: 240, 64: 300, 192: 300} {
--- a/internal/node/govern.go
+++ b/internal/node/govern.go
@@ -189,12 +189,6 @@
 	}
 }
 
-// settleReady lets clients in once there are servers and, where a policy is followed, it has been heard of: before that
-// the node would admit what no limit bounds. Where tenants are known, it has the catalogue, too, and is on the book.
-func (n *Node) settleReady() {
-	n.front.ready.Store(len(n.listed) > 0 && !n.unheard && (n.governed == nil || n.governed.told) && (n.tenants == nil || n.tenants.now.Ready()))
-}
-
 func one(on bool) int {
 	if on {
 		return 1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,7 @@
 		n.log.Warn("list entry skipped", "err", err)
 	}
 	n.post(func() { n.beginLists(inner) })
+	time.AfterFunc(readyMost, func() { n.post(n.sayWhatLacks) })
 	if old != nil && !n.succeed(ctx, old) {
 		ln.Close()
 		stop()
--- /dev/null
+++ b/internal/node/start_test.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// oneDiscovery answers the calls of all in turn, each in some time, from a moment on.
+type oneDiscovery struct {
+	address string
+	turn    sync.Mutex
+	each    time.Duration
+	silent  bool
+}
+
+// newDiscovery makes one that refuses connections for a time.
+func newDiscovery(t *testing.T, each, down time.Duration, silent bool) *oneDiscovery {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &oneDiscovery{address: ln.Addr().String(), each: each, silent: silent}
+	srv := &http.Server{Handler: d}
+	t.Cleanup(func() { srv.Close() })
+	if down == 0 {
+		go srv.Serve(ln)
+		return d
+	}
+	ln.Close()
+	back := time.AfterFunc(down, func() {
+		if ln, err := net.Listen("tcp", d.address); err == nil { // else discovery stays down
+			srv.Serve(ln)
+		}
+	})
+	t.Cleanup(func() { back.Stop() })
+	return d
+}
+
+func (d *oneDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if from := r.URL.Query().Get("from"); d.silent || from != "" && from != "0" && r.URL.Query().Get("hold_ms") != "1" {
+		<-r.Context().Done()
+		return
+	}
+	d.turn.Lock()
+	defer d.turn.Unlock()
+	time.Sleep(d.each)
+	io.WriteString(w, listOf(9, entryJSON("s", "127.0.0.1:1", "ready")))
+}
+
+// TestThirtyStartsTogether: whatever discovery does, and with clients that fill all places, nine in ten nodes are ready
+// within 10 s of their start.
+func TestThirtyStartsTogether(t *testing.T) {
+	const starts, within = 30, 10 * time.Second
+	if readyMost >= within {
+		t.Errorf("the waits add up to %v", readyMost)
+	}
+	for _, c := range []struct {
+		name       string
+		each, down time.Duration
+		silent     bool
+		crowd      int  // silent clients of each node, in its queue at the start
+		unknown    bool // no list of before
+	}{
+		{name: "up", each: 20 * time.Millisecond},
+		{name: "slow", each: 500 * time.Millisecond}, // the last call is answered after 15 s
+		{name: "silent", silent: true},
+		{name: "back a moment ago", each: 20 * time.Millisecond, down: time.Second},
+		{name: "descriptors full", silent: true, crowd: 40},
+		{name: "nothing known", each: 20 * time.Millisecond, unknown: true},
+		{name: "nothing known, back a moment ago", each: 20 * time.Millisecond, down: time.Second, unknown: true},
+	} {
+		for _, asked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, asked for %v", c.name, asked), func(t *testing.T) {
+				t.Parallel()
+				d := newDiscovery(t, c.each, c.down, c.silent)
+				cfg := testConfig(d.address)
+				cfg.Sockets, cfg.Settings.Nodes, cfg.Settings.AskForList, cfg.Settings.AskWithin = 64, starts, asked, within
+				if !c.unknown {
+					if err := json.Unmarshal([]byte(listOf(7, entryJSON("s", "127.0.0.1:1", "ready"))), &cfg.known); err != nil {
+						t.Fatal(err)
+					}
+				}
+				took := make(chan time.Duration, starts)
+				for i := range starts {
+					go func(cfg Config) {
+						cfg.Seed = int64(i)
+						took <- startTime(t, cfg, c.crowd)
+					}(cfg)
+				}
+				late := 0
+				for range starts {
+					if d := wait(t, took, "a node to be ready"); d > within {
+						late++
+					}
+				}
+				if late > starts/10 {
+					t.Errorf("%d of %d nodes take over %v to be ready", late, starts, within)
+				}
+			})
+		}
+	}
+}
+
+// startTime starts a node, and ends it when it is ready.
+func startTime(t *testing.T, cfg Config, crowd int) time.Duration {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Error(err)
+		return enough
+	}
+	n, ended := New(cfg, quiet), make(chan error, 1)
+	n.front.linger = func() {}
+	ctx, stop := context.WithCancel(context.Background())
+	defer func() { stop(); <-ended }() // after the crowd has gone
+	for range crowd {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		defer c.Close()
+	}
+	began := time.Now()
+	go func() { ended <- n.Run(ctx, ln) }()
+	probe := &http.Client{Timeout: enough, Transport: &http.Transport{DisableKeepAlives: true}}
+	for time.Since(began) < enough {
+		resp, err := probe.Get("http://" + ln.Addr().String() + "/health/ready")
+		if err == nil {
+			resp.Body.Close()
+		}
+		if err == nil && resp.StatusCode == http.StatusOK {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
