Take the list that has begun to come when discovery moves

SIGHUP with a new discovery ended the call to the former one at once.

An answer that has begun to come, read or not, is read to its end, for 500 ms at most; a call on which nothing has come ends at once, as before. Where lists are asked for that passes during the spread of the first calls.

--- a/internal/list/client/call.go
+++ b/internal/list/client/call.go
@@ -26,6 +26,10 @@
 // newer than the version known, and passes the answer on. After a failure no
 // connection of before is used again: what silenced one may have silenced all.
 func (d *Platform) call(ctx context.Context, hold time.Duration) error {
+	if d.own.leaves.Load() {
+		d.own.stop()
+		return ctx.Err()
+	}
 	query := ""
 	if !d.whole {
 		query = fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds())
@@ -67,7 +71,12 @@
 	if d.sends.Load() > 1 {
 		return nil, errResent
 	}
-	return d.dial(ctx, network, address)
+	c, err := d.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	d.conn.Store(&c)
+	return arrival{c, d}, nil
 }
 
 // get makes one request. net/http would send it again by itself where a
@@ -77,6 +86,8 @@
 	ctx, cancel := context.WithTimeout(ctx, hold+d.grace)
 	defer cancel()
 	d.sends.Store(0)
+	d.begun.Store(false)
+	defer d.begun.Store(false)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: func(string) {
 		if d.sends.Add(1) > 1 {
 			d.client.CloseIdleConnections()
--- a/internal/list/client/platform.go
+++ b/internal/list/client/platform.go
@@ -32,9 +32,19 @@
 	listed func(list.Answer)
 	failed func()
 
-	asked bool               // lists come only when they are asked for
-	stop  context.CancelFunc // of the task under way, which owns url, hold, grace, index, whole and told
-	done  chan struct{}      // closed when it has ended
+	asked bool  // lists come only when they are asked for
+	last  *task // begun last
+	own   *task // under way, which owns url, hold, grace, index, whole and told, and this
+
+	begun atomic.Bool              // something of the answer to the call under way has come
+	conn  atomic.Pointer[net.Conn] // made last
+}
+
+// task is what follows the list, until another one takes its place.
+type task struct {
+	stop   context.CancelFunc
+	done   chan struct{} // closed when it has ended
+	leaves atomic.Bool   // it makes no further call
 }
 
 func platformURL(address string) string { return "http://" + address + "/registry/instances" }
@@ -43,7 +53,7 @@
 // come only when they are asked for, asked is true. Both functions are called
 // from one task at a time.
 func NewPlatform(address string, asked bool, index uint64, log *slog.Logger, listed func(list.Answer), failed func()) *Platform {
-	d := &Platform{url: platformURL(address), asked: asked, sleep: pause.For, log: log, index: index, listed: listed, failed: failed,
+	d := &Platform{url: platformURL(address), asked: asked, sleep: pause.For, log: log, index: index, listed: listed, failed: failed, own: &task{},
 		dial: (&net.Dialer{Timeout: graceAsked}).DialContext}
 	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: d.connect}}
 	d.pace(asked)
@@ -121,21 +131,28 @@
 // begin starts a task and ends an earlier one first, as lists reach the module
 // in order only from one at a time. It does not block, and is not safe for
 // concurrent use.
-func (d *Platform) begin(ctx context.Context, task func(context.Context)) {
-	ctx, stop := context.WithCancel(ctx)
-	earlier, done := d.done, make(chan struct{})
-	if d.stop != nil {
-		d.stop()
+func (d *Platform) begin(ctx context.Context, run func(context.Context)) {
+	if d.last != nil {
+		d.last.stop()
 	}
-	d.stop, d.done = stop, done
+	d.beginAfter(ctx, func(*task) {}, run)
+}
+
+// beginAfter has an earlier task end by itself, or by what end does.
+func (d *Platform) beginAfter(ctx context.Context, end func(earlier *task), run func(context.Context)) {
+	ctx, stop := context.WithCancel(ctx)
+	earlier, t := d.last, &task{stop: stop, done: make(chan struct{})}
+	d.last = t
 	go func() {
-		defer close(done)
+		defer close(t.done)
 		defer stop()
 		defer d.client.CloseIdleConnections()
 		if earlier != nil {
-			<-earlier
+			end(earlier)
+			<-earlier.done
 		}
-		task(ctx)
+		d.own = t
+		run(ctx)
 	}()
 }
 
@@ -189,17 +206,3 @@
 		d.failed()
 	}
 }
-
-// Move goes on at another address, or in the other way. Versions seen before
-// mean nothing there, so it begins with the whole list.
-func (d *Platform) Move(ctx context.Context, address string, asked bool) {
-	d.asked = asked
-	d.begin(ctx, func(ctx context.Context) {
-		d.url, d.index, d.whole = platformURL(address), 0, true
-		if d.pace(asked); !asked {
-			d.follow(ctx)
-		} else if d.sleep(ctx, drawn(spreadMove)) {
-			d.end(ctx, d.ask(ctx))
-		}
-	})
-}
--- a/internal/list/client/silence.go
+++ b/internal/list/client/silence.go
@@ -29,4 +29,5 @@
 
 	spreadSilent = 250 * time.Millisecond // over which nodes ask again whose calls to the shared service fell silent or broke together
 	spreadMove   = 600 * time.Millisecond // and whose discovery moved: two calls fit into what is left of the 4 s
+	leaveTime    = 500 * time.Millisecond // for the rest of an answer that has begun to come by then: it passes during spreadMove, or ahead of the three calls
 )
--- a/internal/node/accept/listener.go
+++ b/internal/node/accept/listener.go
@@ -12,9 +12,8 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"indigotack/internal/pause"
+	"indigotack/internal/sock"
 )
 
 const (
@@ -160,25 +159,7 @@
 // gives Accept time to take it, unless another process does.
 func (l *Listener) queued() bool {
 	ln, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	return ok && readable(l.Listener) && ln.SetDeadline(time.Now().Add(queueTime)) == nil
-}
-
-// readable tells whether something waits in a socket: a connection, bytes or an end.
-func readable(socket any) bool {
-	s, ok := socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := []unix.PollFd{{Events: unix.POLLIN}}
-	raw.Control(func(fd uintptr) {
-		waits[0].Fd = int32(fd)
-		unix.Poll(waits, 0)
-	})
-	return waits[0].Revents&unix.POLLIN != 0
+	return ok && sock.Readable(l.Listener) && ln.SetDeadline(time.Now().Add(queueTime)) == nil
 }
 
 // Hurry has connections close at once from now on.
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -149,3 +149,43 @@
 		t.Errorf("the new server got %q", id)
 	}
 }
+
+// TestReloadAmidADrain: discovery has written that a server drains when the node moves to another one, which is silent.
+// That is told, whether all of it has come or the rest comes a moment later.
+func TestReloadAmidADrain(t *testing.T) {
+	for i := range 20 {
+		watch := make(chan net.Conn, 1)
+		say := func(status string) string {
+			list := listOf(9, entryJSON("s", "127.0.0.1:1", status))
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+		}
+		disc := backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			io.WriteString(c, say("ready"))
+			readRequest(r)
+			watch <- c
+			io.Copy(io.Discard, r)
+		})
+		n := startNodeWith(t, func(n *Node) { n.cfg.Discovery = disc })
+		c, next := wait(t, watch, "the watch"), newAgent(t)
+		cfg := n.cfg
+		cfg.Discovery = next.address
+		answer, cut := say("draining"), 0
+		if i%2 == 0 {
+			cut = 20
+		}
+		io.WriteString(c, answer[:len(answer)-cut])
+		n.Reload(cfg)
+		if cut > 0 {
+			n.do(func() {}) // it moves
+			io.WriteString(c, answer[len(answer)-cut:])
+		}
+		wait(t, next.calls, "the call to the new address")
+		told := make(chan bool, 1)
+		n.post(func() { told <- n.backends.backends[n.listed["s"]].drains })
+		if !wait(t, told, "the list") {
+			t.Errorf("round %d, %d bytes to come: the server does not drain", i, cut)
+		}
+		n.stopNow(t)
+	}
+}
