--- a/decide/module.go
+++ b/decide/module.go
@@ -91,8 +91,10 @@
 			return g
 		}
 	}
-	m.groups = append(m.groups, &group{zones: zones, kinds: kinds})
-	return m.groups[len(m.groups)-1]
+	g := &group{zones: zones, kinds: kinds}
+	g.list.update(m.list.servers, g.open)
+	m.groups = append(m.groups, g)
+	return g
 }
 
 func (m *Module) serverOf(id ServerID) *server {
@@ -105,8 +107,13 @@
 
 // Ejected is how many listed servers get nothing now, or nothing but trials.
 func (m *Module) Ejected() (n int) {
-	for _, s := range m.list {
-		if s.suspect || s.banned {
+	for _, s := range m.suspects.servers {
+		if s.suspect {
+			n++
+		}
+	}
+	for id := range m.banned {
+		if s := m.known[id]; s != nil && !s.suspect {
 			n++
 		}
 	}
