--- a/internal/list/client/platform.go
+++ b/internal/list/client/platform.go
@@ -28,13 +28,14 @@
 	log    *slog.Logger
 	index  uint64
 	whole  bool // the whole list is still to come: index means nothing
+	anew   bool // the call before failed
 	told   int  // answers so far
 	listed func(list.Answer)
 	failed func()
 
 	asked bool  // lists come only when they are asked for
 	last  *task // begun last
-	own   *task // under way, which owns url, hold, grace, index, whole and told, and this
+	own   *task // under way, which owns url, hold, grace, index, whole, anew and told, and this
 
 	begun atomic.Bool              // something of the answer to the call under way has come
 	conn  atomic.Pointer[net.Conn] // made last
@@ -181,7 +182,7 @@
 			return ctx.Err()
 		}
 		began, before := time.Now(), d.told
-		if d.whole || broke > 0 {
+		if d.whole || d.anew {
 			err = d.run(ctx)
 		} else {
 			err = d.watch(ctx)
