Hear of a client that leaves behind any number of bytes, and amid an upload

Cause: a connection was watched for its client's end only as far as 16 KiB could be kept behind the request in flight; past that, and amid a long body that no attempt took, the end stood behind bytes that nobody read. The look right before the first byte to a server peeked at one byte and took any as a sign of life. So an attempt could begin at any time after the client had gone: up to a connection's time-out or a budget's turn later.

Change: both ask the system whether the other side has ended (poll, POLLRDHUP), behind whatever there is to be read. With 16 KiB kept the server's read waits for that alone and reads no more, so memory stays bounded; the half-close at the end still goes ahead of the close, as bytes are unread. The client of a long upload is looked at each 50 ms while its body comes. The last byte of an upload is kept from the server where the client has left: the attempt never ran whole.

Measured: TestNothingBeginsForAClientThatLeft (first, further and second attempts, long ones; close, half-close, reset; 0, 20 and 40,000 bytes behind), TestClientThatLeavesIsHeard, TestLeftBeforeItIsRead, TestHalfClosedClient with 40,000 bytes behind and TestLastByteOfALongRequest pass with -race.

--- a/internal/node/accept/conn.go
+++ b/internal/node/accept/conn.go
@@ -30,6 +30,7 @@
 	mu       sync.Mutex // of what follows
 	state    state
 	ended    error // how the client's side has; nil: it has not
+	unread   bool  // there are bytes ahead of that
 	framing  framing
 	inFlight bool   // the server has a whole request, and has not ended it
 	served   bool   // something has come before
@@ -49,10 +50,12 @@
 			return 0, c.framing.err
 		case c.ended != nil:
 			return 0, c.ended // whatever is kept: a client that has left is owed no more
-		case len(c.behind) > 0 && (!watches || len(c.behind) >= MaxHead):
+		case len(c.behind) > 0 && !watches:
 			n, err := c.pass(p[:copy(p, c.behind)])
 			c.behind = c.behind[n:]
 			return n, err
+		case len(c.behind) >= MaxHead:
+			return 0, c.awaitEnd()
 		}
 		n, err := c.receive(buf)
 		if err != nil {
@@ -71,9 +74,8 @@
 
 // watches tells whether a read is the server's beside a handler, by which it
 // hears that the client leaves. It asks for one byte, and hears nothing more once
-// it has one: so it gets none while there is room to keep what comes. Where the
-// request ends is not known of one in chunks, but there the server reads
-// one byte at no other time.
+// it has one: so it gets none. Where the request ends is not known of one in
+// chunks, but there the server reads one byte at no other time.
 func (c *Conn) watches(p []byte) bool { return c.inFlight || c.framing.chunked && len(p) == 1 }
 
 // receive takes what the client has sent, unless the connection has been closed.
@@ -138,7 +140,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.state = closed
-	ended := c.ended != nil
+	ended := c.ended != nil && !c.unread
 	c.mu.Unlock()
 	if !ended && !c.listener.hurried.Load() {
 		c.linger()
--- a/internal/node/accept/left.go
+++ b/internal/node/accept/left.go
@@ -2,25 +2,57 @@
 
 import (
 	"errors"
+	"io"
+	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
-// Left tells whether the client has ended its connection, or its sending, as far as the system knows. The server's own
-// read, which waits for that, may come later than an attempt. What is behind the request hides the end.
+// Left tells whether the client has ended its connection, or its sending, as far as the system knows, also behind bytes
+// that nobody has read. The server's own read, which waits for that, may come later than an attempt.
 func (c *Conn) Left() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.socket()
 	if err != nil {
 		return true // closed
 	}
 	left := false
-	err = raw.Control(func(fd uintptr) { // not Read, which would wait for the server's
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		left = n <= 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-	})
+	err = raw.Control(func(fd uintptr) { left = ended(int(fd)) }) // not Read, which would wait for the server's
 	return left || err != nil
 }
+
+// awaitEnd waits until the client has, and reads nothing meanwhile: there is no room to keep more. An error other than
+// io.EOF says that the wait was called off.
+func (c *Conn) awaitEnd() error {
+	raw, err := c.socket()
+	if err != nil {
+		return err
+	}
+	c.mu.Unlock()
+	err = raw.Read(func(fd uintptr) bool { return ended(int(fd)) }) // asked whenever something has come
+	c.mu.Lock()
+	if err != nil {
+		return err
+	}
+	c.ended, c.unread = io.EOF, true
+	return io.EOF
+}
+
+func (c *Conn) socket() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return sc.SyscallConn()
+}
+
+// ended tells whether nothing more comes on a socket but what is there to be read.
+func ended(fd int) bool {
+	var b [1]byte
+	if n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); n <= 0 {
+		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	}
+	state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	_, err := unix.Poll(state, 0)
+	return err == nil && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
--- a/internal/node/behind_test.go
+++ b/internal/node/behind_test.go
@@ -13,25 +13,27 @@
 	nextGet     = "GET /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: next\r\nX-Class: saldo\r\nX-Deadline: 60\r\n\r\n"
 )
 
+// leavings are the ways in which a client goes.
+var leavings = map[string]func(raw){
+	"closed":      func(c raw) { c.Close() },
+	"reset":       func(c raw) { c.SetLinger(0); c.Close() },
+	"half-closed": func(c raw) { c.CloseWrite() },
+}
+
 // TestClientThatLeavesIsHeard, whatever it has sent behind its request, which is then not sent on and counts no more.
 func TestClientThatLeavesIsHeard(t *testing.T) {
 	server, got, gone := silentServer(t)
 	n := startNode(t, server)
-	leave := map[string]func(raw){
-		"closed":      func(c raw) { c.Close() },
-		"reset":       func(c raw) { c.SetLinger(0); c.Close() },
-		"half-closed": func(c raw) { c.CloseWrite() },
-	}
 	for request, sent := range map[string]string{"get": wholeGet, "post": wholePost, "chunked": chunkedPost} {
-		for _, behind := range []string{"", "x", "\r\n", nextGet[:20], nextGet, nextGet + nextGet[:20]} {
-			for how, leave := range leave {
+		for _, behind := range []string{"", "x", "\r\n", nextGet[:20], nextGet, nextGet + nextGet[:20], strings.Repeat("x", 40000)} {
+			for how, leave := range leavings {
 				t.Run(fmt.Sprintf("%s, %d bytes behind, %s", request, len(behind), how), func(t *testing.T) {
 					c := n.opened(t)
 					io.WriteString(c, sent)
 					wait(t, got, "the attempt")
 					before := n.tap.read.Load()
 					io.WriteString(c, behind)
-					until(t, "the node to read", func() bool { return n.tap.read.Load() >= before+int64(len(behind)) })
+					until(t, "the node to read", func() bool { return n.tap.read.Load() >= before+min(int64(len(behind)), 16<<10) })
 					leave(c)
 					if id := wait(t, gone, "the attempt's end"); id != "q" {
 						t.Errorf("%q has been sent on", id)
--- a/internal/node/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -190,7 +190,8 @@
 	go func() { client.Write(pattern(10)); client.Close() }()
 	o := get("/api/x")
 	o.method, o.body = "POST", pattern(maxBody+1)
-	o.rest = &upload{length: maxBody + 11, pipe: rest, wait: enough, ended: make(chan struct{}), whole: func(time.Duration) {}}
+	o.rest = &upload{length: maxBody + 11, pipe: rest, wait: enough, ended: make(chan struct{}), whole: func(time.Duration) {},
+		gone: func() bool { return false }}
 	got := p.attempt(ctx, 1, o, always, nil)
 	if got.code != decide.Full || got.spent || p.forwards.Load() != 0 {
 		t.Errorf("outcome %d, spent %v, %d written whole; want one that never ran and is left whole", got.code, got.spent, p.forwards.Load())
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -87,6 +87,7 @@
 	outstanding := &f.node.stats.outstanding
 	if up := req.out.rest; up != nil {
 		http.NewResponseController(w).EnableFullDuplex() // an answer may come ahead of the body's end
+		up.gone = req.abandoned
 		up.whole = func(wait time.Duration) { f.node.post(func() { f.node.whole(req, f.left(wait)) }) }
 		defer up.close()
 	} else {
@@ -128,8 +129,12 @@
 // carry has the loop end a request, passes the answer on and tells how it went.
 func (f *frontend) carry(w http.ResponseWriter, r *http.Request, req *request, event decide.RequestArrived) carried {
 	var broken <-chan struct{} // closed when an upload has ended, which may be well or not
+	var looks <-chan time.Time // at its client: the server hears nothing ahead of a body's end
 	if req.out.rest != nil {
 		broken = req.out.rest.ended
+		often := time.NewTicker(goneTime / 2)
+		defer often.Stop()
+		looks = often.C
 	}
 	f.node.post(func() { f.node.open(req, event) })
 	for {
@@ -150,11 +155,13 @@
 		case a := <-req.answer:
 			f.askToClose(w, r)
 			return f.passOn(w, req, a)
+		case <-looks:
+			if !req.abandoned() {
+				continue
+			}
+			f.abandon(w, req)
 		case <-r.Context().Done():
-			f.node.post(func() { f.node.abandon(req) })
-			// A client that only ended its sending can still read. Without a word
-			// from here the server would tell it 200, which no backend said.
-			write(w, answer{status: http.StatusBadGateway})
+			f.abandon(w, req)
 		case <-f.node.ended:
 			http.Error(w, "the node has ended", http.StatusBadGateway)
 		}
@@ -162,6 +169,13 @@
 	}
 }
 
+// abandon ends a request whose client has left, or has only ended its sending and can still read. Without a word from
+// here the server would tell it 200, which no backend said.
+func (f *frontend) abandon(w http.ResponseWriter, req *request) {
+	f.node.post(func() { f.node.abandon(req) })
+	write(w, answer{status: http.StatusBadGateway})
+}
+
 // passOn gives a client its answer.
 func (f *frontend) passOn(w http.ResponseWriter, req *request, a answer) carried {
 	if up := req.out.rest; up != nil {
--- /dev/null
+++ b/internal/node/left_test.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"indigotack/decide"
+)
+
+// waiting are requests whose next attempt waits for its connection when the client leaves.
+var waiting = []struct {
+	name  string
+	dials int32                           // the number of the connection that comes up late
+	next  func(n *running, answer func()) // has that attempt begin, once there is another; nil: it is the first
+	sent  string
+}{
+	{"first", 1, nil, wholeGet},
+	{"first of one with a body", 1, nil, wholePost},
+	{"first of one in chunks", 1, nil, chunkedPost},
+	{"further, as the first has failed", 2, func(_ *running, answer func()) { answer() }, wholeGet},
+	{"further, beside the first", 2, func(n *running, _ func()) {
+		n.do(func() { n.act(decide.Send{ID: "q", Server: n.listed["s-0"], Before: math.MaxInt64}) })
+	}, wholeGet},
+	{"first of a long one, amid it", 1, nil, fmt.Sprintf(postHead+"Content-Length: 1000000\r\n\r\n", "q") + strings.Repeat("x", 70000)},
+	{"first of a long one in chunks, amid it", 1, nil, fmt.Sprintf(postHead+"Transfer-Encoding: chunked\r\n\r\nf4240\r\n", "q") + strings.Repeat("x", 70000)},
+	{"first of a long one", 1, nil, fmt.Sprintf(postHead+"Content-Length: 70000\r\n\r\n", "q") + strings.Repeat("x", 70000)},
+}
+
+// TestNothingBeginsForAClientThatLeft, by whatever way and with whatever behind its request, also where nothing may be called off.
+// The node knows of it by itself, before the connection is there.
+func TestNothingBeginsForAClientThatLeft(t *testing.T) {
+	for _, w := range waiting {
+		for how, leave := range leavings {
+			for _, behind := range []int{0, 20, 40000} {
+				t.Run(fmt.Sprintf("%s, %s, %d bytes behind", w.name, how, behind), func(t *testing.T) {
+					t.Parallel()
+					began, let := make(chan bool, 10), make(chan struct{})
+					script := func(_ int, c net.Conn, r *bufio.Reader) {
+						if _, err := r.Peek(1); err != nil {
+							return
+						}
+						began <- true
+						readRequest(r)
+						<-let
+						io.WriteString(c, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
+					}
+					var dial lateDial
+					n := startNodeWith(t, func(n *Node) {
+						dial = holdDials(n, w.dials)
+						n.cfg.Settings.MayCancel, n.cfg.Settings.MayOverlap = false, true
+						n.module = decide.New(n.cfg.Settings, 1)
+					}, backendServer(t, script), backendServer(t, script))
+					c := n.dial(t)
+					io.WriteString(c, w.sent)
+					answered := false
+					answer := func() { answered = true; close(let) }
+					if w.next != nil {
+						wait(t, began, "the first attempt")
+						w.next(n, answer)
+					}
+					wait(t, dial.began, "the connection to begin")
+					io.WriteString(c, strings.Repeat("x", behind))
+					leave(c)
+					n.gone(t, "q")
+					close(dial.release)
+					if !answered {
+						answer()
+					}
+					n.empty(t)
+					if len(began) > 0 {
+						t.Error("an attempt has begun")
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestLastByteOfALongRequest is kept from the server where the client has left, so that it does not begin.
+func TestLastByteOfALongRequest(t *testing.T) {
+	for _, length := range []int64{maxBody + 5, -1} {
+		whole := make(chan error, 1)
+		p := testPool(backendServer(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+			req, err := http.ReadRequest(r)
+			if err == nil {
+				_, err = io.Copy(io.Discard, req.Body)
+			}
+			whole <- err
+		}))
+		read, write := io.Pipe()
+		go func() {
+			io.WriteString(write, "xxxxx")
+			write.Close()
+		}()
+		o := get("/api/x")
+		o.method, o.body = http.MethodPost, make([]byte, maxBody)
+		o.rest = &upload{length: length, pipe: read, wait: enough, ended: make(chan struct{}), gone: func() bool { return true }}
+		ctx, cancel := context.WithTimeout(context.Background(), enough)
+		defer cancel()
+		if res := p.attempt(ctx, 1, o, always, nil); res.code != decide.Cancelled || !res.spent {
+			t.Errorf("length %d: outcome %d, spent %v", length, res.code, res.spent)
+		}
+		if err := wait(t, whole, "the server"); err == nil {
+			t.Errorf("length %d: a whole request came", length)
+		}
+	}
+}
--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -67,7 +67,7 @@
 
 // request is the same for a long request, which goes out as it comes until ctx ends.
 func (o *outbound) request(ctx context.Context, wait time.Duration) *http.Request {
-	body := io.MultiReader(bytes.NewReader(o.body), taking{ctx, o.rest})
+	body := io.MultiReader(bytes.NewReader(o.body), &taking{ctx, o.rest, o.rest.length - int64(len(o.body))})
 	if o.rest.length >= 0 {
 		// Writing reads on past a stated length. The answer may be here by then, and the upload closed.
 		body = io.LimitReader(body, o.rest.length)
--- a/internal/node/outbound_test.go
+++ b/internal/node/outbound_test.go
@@ -45,8 +45,8 @@
 		io.WriteString(write, "cdef")
 		read.Close() // as the answer's coming does
 	}()
-	o := outbound{method: "POST", url: &url.URL{Path: "/api"}, host: "app.svc", body: []byte("ab"), rest: &upload{length: 6, pipe: read},
-		header: http.Header{}}
+	o := outbound{method: "POST", url: &url.URL{Path: "/api"}, host: "app.svc", body: []byte("ab"), header: http.Header{},
+		rest: &upload{length: 6, pipe: read, gone: func() bool { return false }}}
 	var sent strings.Builder
 	if err := o.request(context.Background(), time.Second).Write(&sent); err != nil || !strings.HasSuffix(sent.String(), "\r\n\r\nabcdef") {
 		t.Errorf("%q, %v", sent.String(), err)
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -12,6 +12,8 @@
 const (
 	guardDelay = 4 * time.Millisecond // after which the node itself ends what the module has not ended
 	uploadMost = time.Hour            // for a long request to come, at half of the slowest rate and with long waits
+	// goneTime is the most after which nothing begins for a client that has left.
+	goneTime = 100 * time.Millisecond
 )
 
 // request is a client's request until it is answered and its attempts have ended.
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -177,12 +177,18 @@
 func TestHalfClosedClient(t *testing.T) {
 	server, got, gone := silentServer(t)
 	n := startNode(t, server)
-	c := n.dial(t)
-	c.ask(t, "saldo", "q", "60")
-	wait(t, got, "the attempt")
-	c.CloseWrite()
-	wait(t, gone, "the attempt's end")
-	if s := c.status(t); s < 500 {
-		t.Errorf("answer %d, want a failure", s)
+	for _, behind := range []int{0, 40000} { // what nobody has read may not have the close reset the connection
+		c := n.dial(t)
+		c.ask(t, "saldo", fmt.Sprint(behind), "60")
+		wait(t, got, "the attempt")
+		io.WriteString(c, strings.Repeat("x", behind))
+		c.CloseWrite()
+		wait(t, gone, "the attempt's end")
+		if s := c.status(t); s < 500 {
+			t.Errorf("%d bytes behind: answer %d, want a failure", behind, s)
+		}
+		if _, err := io.ReadAll(c.read); err != nil {
+			t.Errorf("%d bytes behind: it ends with %v", behind, err)
+		}
 	}
 }
--- a/internal/node/unsent_test.go
+++ b/internal/node/unsent_test.go
@@ -183,21 +183,24 @@
 // TestLeftBeforeItIsRead: the end of its connection is here when a request is read, but the server's own read, which would
 // tell, comes later than the attempt.
 func TestLeftBeforeItIsRead(t *testing.T) {
-	n := startNode(t, serving(t))
-	first, second := make(chan struct{}), make(chan struct{})
-	n.tap.reads.Store(&[]chan struct{}{first, second})
-	c := n.dial(t)
-	c.ask(t, "saldo", "q", "60")
-	c.CloseWrite()
-	until(t, "the node's system to have it", func() bool { return tcpState(t, c.TCPConn) == finWait2 })
-	close(first)
-	if s := c.status(t); s != http.StatusServiceUnavailable {
-		t.Errorf("answer %d, want a refusal", s)
-	}
-	close(second)
-	n.empty(t)
-	if sent := n.stats.forwards.Load(); sent != 0 {
-		t.Errorf("it is sent %d times", sent)
+	for _, behind := range []int{0, 20, 40000} { // the server reads 4 KiB at once
+		n := startNode(t, serving(t))
+		first, second := make(chan struct{}), make(chan struct{})
+		n.tap.reads.Store(&[]chan struct{}{first, second})
+		c := n.dial(t)
+		c.ask(t, "saldo", "q", "60")
+		io.WriteString(c, strings.Repeat("x", behind))
+		c.CloseWrite()
+		until(t, "the node's system to have it", func() bool { return tcpState(t, c.TCPConn) == finWait2 })
+		close(first)
+		if s := c.status(t); s != http.StatusServiceUnavailable {
+			t.Errorf("%d bytes behind: answer %d, want a refusal", behind, s)
+		}
+		close(second)
+		n.empty(t)
+		if sent := n.stats.forwards.Load(); sent != 0 {
+			t.Errorf("%d bytes behind: it is sent %d times", behind, sent)
+		}
 	}
 }
 
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -77,6 +77,8 @@
 	reader  *bodyReader
 	wholeAt atomic.Int64  // when its last byte went out; 0: not yet
 	taken   atomic.Bool   // some of it has been, so that no other attempt can have it
+	gone    func() bool   // tells whether the client has left
+	quit    atomic.Bool   // it had when its last byte was to go out
 	ended   chan struct{} // closed when nothing more is read from the client
 	err     error         // how reading from the client failed, once ended is closed
 	whole   func(wait time.Duration)
@@ -106,18 +108,26 @@
 type taking struct {
 	ctx context.Context
 	*upload
+	more int64 // bytes until its end; negative: not stated
 }
 
 // Read takes some of it. Whoever ends ctx before it asks whether some has been
-// taken hears of it, or no more will be.
-func (t taking) Read(p []byte) (int, error) {
+// taken hears of it, or no more will be. A server begins at the last byte, so
+// none gets that of a client that has left.
+func (t *taking) Read(p []byte) (int, error) {
 	if t.ctx.Err() == nil {
 		t.taken.Store(true)
 	}
 	if err := t.ctx.Err(); err != nil {
 		return 0, err
 	}
-	return t.pipe.Read(p)
+	n, err := t.pipe.Read(p)
+	t.more -= int64(n)
+	if (t.more == 0 || err == io.EOF) && t.gone() {
+		t.quit.Store(true)
+		return 0, errClientGone
+	}
+	return n, err
 }
 
 // close ends the reading from the client, if that goes on.
@@ -142,9 +152,9 @@
 func (u *upload) failed() bool {
 	select {
 	case <-u.ended:
-		return u.err != nil
+		return u.err != nil || u.quit.Load()
 	default:
-		return false
+		return u.quit.Load()
 	}
 }
 
@@ -227,7 +237,7 @@
 // startUpload goes on with a body whose start has been read.
 func startUpload(r *http.Request, body *bodyReader, start int, wait time.Duration) *upload {
 	read, write := io.Pipe()
-	u := &upload{length: r.ContentLength, pipe: read, reader: body, wait: wait, ended: make(chan struct{}), whole: func(time.Duration) {}}
+	u := &upload{length: r.ContentLength, pipe: read, reader: body, wait: wait, ended: make(chan struct{}), whole: func(time.Duration) {}, gone: func() bool { return false }}
 	go u.pump(maxLarge-int64(start), write)
 	return u
 }
