Ask in the drawn lists test only now and then who shares servers

A server that leaves before anybody has asked who shares it still has to know the nodes that it had last: the test asked after each change, and a build without that passed. It asks after a third of them now, and that build fails. BenchmarkRequest has 200 servers in place of 100, for the table of costs.

--- a/decide/bench_test.go
+++ b/decide/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkRequest is a request that arrives, is sent and is answered, at a steady 1,000 a second, with its part of the
 // round of checks that the module asks for each 25 ms.
 func BenchmarkRequest(b *testing.B) {
-	for _, servers := range []int{10, 100, 1000} {
+	for _, servers := range []int{10, 200, 1000} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) { benchmarkRequest(b, servers) })
 	}
 }
--- a/decide/ring_test.go
+++ b/decide/ring_test.go
@@ -96,7 +96,7 @@
 	return out
 }
 
-func (p *plainLists) check(m *Module) error {
+func (p *plainLists) check(m *Module, asks bool) error {
 	every := func(*server) bool { return true }
 	if got := walked(m.list, every); !slices.Equal(got, p.list) {
 		return fmt.Errorf("%d servers, not %d, or in another order", len(got), len(p.list))
@@ -111,8 +111,14 @@
 		return fmt.Errorf("sharers %v, not %v; it tells: %v, not %v", m.sharers, p.sharers, m.tells, p.tells)
 	}
 	for s, want := range p.with {
-		if got := m.with(s); !slices.Equal(got, want) || s.home != p.home[s] {
-			return fmt.Errorf("server %d is shared with %v, not %v; home %v, not %v", s.ID, got, want, s.home, p.home[s])
+		if s.home != p.home[s] {
+			return fmt.Errorf("server %d: home %v, not %v", s.ID, s.home, p.home[s])
+		}
+		if !asks { // so that a server may leave before anybody has asked who shares it
+			continue
+		}
+		if got := m.with(s); !slices.Equal(got, want) {
+			return fmt.Errorf("server %d is shared with %v, not %v", s.ID, got, want)
 		}
 	}
 	ejected := 0
@@ -218,7 +224,7 @@
 			}
 			m.survey() // which the round of checks does before it accuses
 			plain.find(m)
-			if err := plain.check(m); err != nil {
+			if err := plain.check(m, r.Intn(3) == 0); err != nil {
 				t.Fatalf("seed %d, step %d, after %q: %v", seed, step, what, err)
 			}
 		}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -67,6 +67,7 @@
 	default:
 		n.follow(n.cfg.known, decide.ListCached)
 	}
+	n.cfg.known.Endpoints = nil // what is known is kept in a shorter form from here on
 	if pushed {
 		n.lists.Follow(ctx)
 	}
