--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,6 +21,11 @@
 // TestMain runs the program itself where a test has started it anew.
 func TestMain(m *testing.M) {
 	if os.Getenv("INDIGOTACK_AS_PROGRAM") == "1" {
+		if n, err := strconv.ParseUint(os.Getenv("INDIGOTACK_DESCRIPTORS"), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		if os.Getenv("INDIGOTACK_HELD") == "1" { // at its last line
 			fmt.Fprintln(os.Stderr, "the program has run")
@@ -141,6 +147,24 @@
 	next.Close()
 }
 
+// TestAddressStillHeld by the process before: the next one waits for it, and is ready once that has ended.
+func TestAddressStillHeld(t *testing.T) {
+	former, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer former.Close()
+	p := newPlatform(t)
+	p.address = former.Addr().String()
+	c := p.start(t, "GW_ACCEPT_FD=")
+	c.waitSaid(t, "another process has the clients' address")
+	former.Close()
+	c.waitReady(t)
+	p.wantServed(t, "on the address")
+	c.Process.Signal(syscall.SIGTERM)
+	c.waitEnd(t)
+}
+
 // TestGCPercent: the heap may grow to a part of the memory that the settings state, never to much of it.
 func TestGCPercent(t *testing.T) {
 	for mb, want := range map[int]int{16: 100, 32: 160, 48: 240, 64: 300, 192: 300} {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -65,7 +65,7 @@
 	switch r.URL.Path {
 	case "/health/ready":
 		f.askToClose(w, r)
-		if !f.serving() && !f.handed.Load() { // the new process has this address too
+		if !f.welcomes() && !f.handed.Load() { // the new process has this address too
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -87,6 +87,7 @@
 	outstanding := &f.node.stats.outstanding
 	if up := req.out.rest; up != nil {
 		http.NewResponseController(w).EnableFullDuplex() // an answer may come ahead of the body's end
+		up.gone = req.abandoned
 		up.whole = func(wait time.Duration) { f.node.post(func() { f.node.whole(req, f.left(wait)) }) }
 		defer up.close()
 	} else {
@@ -115,9 +116,15 @@
 	}
 }
 
-// serving tells whether new clients are welcome.
+// serving tells whether the node takes new clients.
 func (f *frontend) serving() bool { return f.ready.Load() && f.open.Load() && !f.draining.Load() }
 
+// welcomes tells whether it takes them now: it does not while all places are in use.
+func (f *frontend) welcomes() bool {
+	limited := f.clients.Load()
+	return f.serving() && limited != nil && !limited.Full()
+}
+
 // carried is how a request ended, whether its client has an answer to read, and
 // whether that stopped short.
 type carried struct {
@@ -128,8 +135,12 @@
 // carry has the loop end a request, passes the answer on and tells how it went.
 func (f *frontend) carry(w http.ResponseWriter, r *http.Request, req *request, event decide.RequestArrived) carried {
 	var broken <-chan struct{} // closed when an upload has ended, which may be well or not
+	var looks <-chan time.Time // at its client: the server hears nothing ahead of a body's end
 	if req.out.rest != nil {
 		broken = req.out.rest.ended
+		often := time.NewTicker(goneTime / 2)
+		defer often.Stop()
+		looks = often.C
 	}
 	f.node.post(func() { f.node.open(req, event) })
 	for {
@@ -150,11 +161,13 @@
 		case a := <-req.answer:
 			f.askToClose(w, r)
 			return f.passOn(w, req, a)
+		case <-looks:
+			if !req.abandoned() {
+				continue
+			}
+			f.abandon(w, req)
 		case <-r.Context().Done():
-			f.node.post(func() { f.node.abandon(req) })
-			// A client that only ended its sending can still read. Without a word
-			// from here the server would tell it 200, which no backend said.
-			write(w, answer{status: http.StatusBadGateway})
+			f.abandon(w, req)
 		case <-f.node.ended:
 			http.Error(w, "the node has ended", http.StatusBadGateway)
 		}
@@ -162,6 +175,13 @@
 	}
 }
 
+// abandon ends a request whose client has left, or has only ended its sending and can still read. Without a word from
+// here the server would tell it 200, which no backend said.
+func (f *frontend) abandon(w http.ResponseWriter, req *request) {
+	f.node.post(func() { f.node.abandon(req) })
+	write(w, answer{status: http.StatusBadGateway})
+}
+
 // passOn gives a client its answer.
 func (f *frontend) passOn(w http.ResponseWriter, req *request, a answer) carried {
 	if up := req.out.rest; up != nil {
