Give each node of the start test an agent of its own where lists are pushed

Cause: TestThirtyStartsTogether failed under load, 21 to 28 of 30 late with nothing known and lists pushed: its stand-in served pushed lists in turn, though each node has an agent of its own that answers at once, and 420 nodes started together. A call that was given up kept its turn.

Change: the stand-in serves in turn where lists are asked for only, and the cases run one after another. The bound and the cases stay. And the end of serving waits until Accept has returned when it closes the socket, so that what is accepted in that moment is closed with the rest (finish in drain.go).

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -81,6 +81,7 @@
 	case <-served:
 	case <-last.Done():
 		limited.Close()
+		<-served // what it accepts in that moment is known from here on
 	}
 	limited.Outlive(last, 0)
 }
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -12,21 +12,23 @@
 	"time"
 )
 
-// oneDiscovery answers the calls of all in turn, each in some time, from a moment on.
+// oneDiscovery answers calls from a moment on, each in some time: all in turn where it is asked, as one serves all nodes,
+// and each by itself where it pushes, as each node has an agent of its own.
 type oneDiscovery struct {
 	address string
 	turn    sync.Mutex
 	each    time.Duration
 	silent  bool
+	asked   bool
 }
 
 // newDiscovery makes one that refuses connections for a time.
-func newDiscovery(t *testing.T, each, down time.Duration, silent bool) *oneDiscovery {
+func newDiscovery(t *testing.T, each, down time.Duration, silent, asked bool) *oneDiscovery {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &oneDiscovery{address: ln.Addr().String(), each: each, silent: silent}
+	d := &oneDiscovery{address: ln.Addr().String(), each: each, silent: silent, asked: asked}
 	srv := &http.Server{Handler: d}
 	t.Cleanup(func() { srv.Close() })
 	if down == 0 {
@@ -48,8 +50,10 @@
 		<-r.Context().Done()
 		return
 	}
-	d.turn.Lock()
-	defer d.turn.Unlock()
+	if d.asked {
+		d.turn.Lock()
+		defer d.turn.Unlock()
+	}
 	time.Sleep(d.each)
 	io.WriteString(w, listOf(9, entryJSON("s", "127.0.0.1:1", "ready")))
 }
@@ -78,8 +82,7 @@
 	} {
 		for _, asked := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, asked for %v", c.name, asked), func(t *testing.T) {
-				t.Parallel()
-				d := newDiscovery(t, c.each, c.down, c.silent)
+				d := newDiscovery(t, c.each, c.down, c.silent, asked)
 				cfg := testConfig(d.address)
 				cfg.Sockets, cfg.Settings.Nodes, cfg.Settings.AskForList, cfg.Settings.AskWithin = 64, starts, asked, within
 				if !c.unknown {
