Say which part of the server list a node works with

Every node knows and holds all of the list, though it works with some 75 of 54,000 servers at the size to design for.

A part is an arc of a ring on which the servers lie by decide's own hash. Which one a node needs is a pure function of its number, the number of nodes and the length of the list: around its place, with four times the servers that it works with, 256 at least. Widths are powers of two and begin at their quarters, so that nodes near each other have the same part, and wider parts hold narrower ones.

The state answers for a part as it does for the list, by an index of names over the ring; versions are the list's. The last few of something are now 'recent', as the ring is another thing.

--- a/internal/list/entries.go
+++ b/internal/list/entries.go
@@ -1,11 +1,8 @@
 package list
 
-// What becomes of the list's entries, and what a reader is told of it.
+// What becomes of the list's entries.
 
-import (
-	"fmt"
-	"sort"
-)
+import "fmt"
 
 // meets tells whether an entry has the version that the command asks for; absent, it has 0.
 func (s *State) meets(c Command, name string) (Result, bool) {
@@ -28,6 +25,9 @@
 		s.items[c.Entry.Name] = i
 		return Result{Entry: i.Version}
 	}
+	if !there {
+		s.arcs.add(c.Entry.Name)
+	}
 	s.change(*c.Entry)
 	s.items[c.Entry.Name] = Item{Entry: *c.Entry, Version: s.version, TTL: c.TTL}
 	return Result{Entry: s.version}
@@ -71,6 +71,7 @@
 
 func (s *State) leave(e Entry) {
 	delete(s.items, e.Name)
+	s.arcs.remove(e.Name)
 	e.Status = Gone
 	s.change(e)
 }
@@ -90,27 +91,3 @@
 	}
 	return s.trimmed
 }
-
-// Since is the answer to whoever has the list of version from: the changes after
-// it in their order, or the whole list where from is 0 or too old. A version
-// ahead of the state's own is answered with nothing new; whether that may be is
-// for the caller to judge.
-func (s *State) Since(from uint64) Answer {
-	a := Answer{Index: s.version, Epoch: s.epoch, Endpoints: []Entry{}}
-	if from >= s.version && from > 0 {
-		a.Index = from
-		return a
-	}
-	if from < max(s.trimmed, 1) {
-		a.Snapshot = true
-		for _, i := range s.Items() {
-			a.Endpoints = append(a.Endpoints, i.Entry)
-		}
-		return a
-	}
-	first := sort.Search(s.changes.len(), func(k int) bool { return s.changes.at(k).Version > from })
-	for k := first; k < s.changes.len(); k++ {
-		a.Endpoints = append(a.Endpoints, s.changes.at(k).Entry)
-	}
-	return a
-}
--- a/internal/list/entry.go
+++ b/internal/list/entry.go
@@ -64,8 +64,10 @@
 	Index     uint64  `json:"index"`
 	Epoch     string  `json:"epoch,omitempty"`
 	Snapshot  bool    `json:"snapshot"`
-	Endpoints []Entry `json:"endpoints"`
-	Odd       []error `json:"-"` // what is wrong with entries that were read and passed over
+	Part      string  `json:"part,omitempty"`  // that it is of, for a reader that has named one
+	Total     int     `json:"total,omitempty"` // entries in all of the list, for the same
+	Endpoints []Entry `json:"endpoints"`       // the last, as the service puts it behind the rest
+	Odd       []error `json:"-"`               // what is wrong with entries that were read and passed over
 }
 
 // UnmarshalJSON reads an answer. An entry that can't be used must not cost a
--- a/internal/list/image.go
+++ b/internal/list/image.go
@@ -49,6 +49,7 @@
 			return nil, fmt.Errorf("a snapshot of version %d with %s twice, or at version %d", in.Version, i.Entry.Name, i.Version)
 		}
 		s.items[i.Entry.Name] = i
+		s.arcs.add(i.Entry.Name)
 	}
 	s.trimmed = in.Version - uint64(len(in.Changes))
 	if in.Trimmed != nil {
@@ -96,7 +97,7 @@
 	}
 	from.epoch = c.Epoch
 	from.version = max(from.version, s.version) + restoreJump
-	from.changes, from.trimmed, from.recorded = ring[Change]{most: keepChanges}, from.version, from.version
+	from.changes, from.trimmed, from.recorded = recent[Change]{most: keepChanges}, from.version, from.version
 	from.members, from.duties = s.members, s.duties // the copy says nothing of the replicas and the holders of today
 	*s = *from
 	return Result{}
--- a/internal/list/state.go
+++ b/internal/list/state.go
@@ -37,8 +37,9 @@
 	epoch   string
 	version uint64
 	items   map[string]Item
-	changes ring[Change]
-	writes  ring[written]
+	arcs    arcs // their names, by place
+	changes recent[Change]
+	writes  recent[written]
 	known   map[string]Result // of writes
 	members map[string]Address
 	duties  duties
@@ -51,7 +52,7 @@
 
 // NewState makes an empty list without an epoch.
 func NewState() *State {
-	return &State{items: map[string]Item{}, known: map[string]Result{}, members: map[string]Address{}, duties: newDuties(), records: map[string]Record{}, changes: ring[Change]{most: keepChanges}, writes: ring[written]{most: keepWrites}}
+	return &State{items: map[string]Item{}, known: map[string]Result{}, members: map[string]Address{}, duties: newDuties(), records: map[string]Record{}, changes: recent[Change]{most: keepChanges}, writes: recent[written]{most: keepWrites}}
 }
 
 // Version is that of the list.
