Serve, watch and pace parts of the server list

A change of the list woke every watcher, by a walk over all that wait, and told each all of it, though most nodes work with none of it.

GET /registry/instances takes part=FROM-WIDTH or part=all. The answer says which part it is and how many servers there are in all; without the parameter it is byte for byte what it was. Versions, epochs and gaplessness are the list's. The watchers of a part go on from just ahead of its change, however far behind the rest of the list they are: they share one encoded answer, and a quiet part never falls out of the changes that are kept.

--- a/internal/list/part.go
+++ b/internal/list/part.go
@@ -79,6 +79,18 @@
 // Holds tells whether a server at that point belongs to it.
 func (p Part) Holds(point uint64) bool { return p.All() || uint16(point>>48)-p.From < p.Width }
 
+// EachPart calls do with every part that holds a point, all of the list too: four of each width.
+func EachPart(point uint64, do func(Part)) {
+	do(Part{})
+	at := uint16(point >> 48)
+	for arc := uint16(leastArc); arc <= mostArc; arc *= 2 {
+		step := arc / 4
+		for k := range uint16(4) {
+			do(Part{at/step*step - k*step, arc})
+		}
+	}
+}
+
 // Covers tells whether all that belongs to q belongs to it.
 func (p Part) Covers(q Part) bool {
 	return p.All() || !q.All() && int(q.From-p.From)+int(q.Width) <= int(p.Width)
--- a/internal/list/server/duties.go
+++ b/internal/list/server/duties.go
@@ -115,5 +115,6 @@
 		s.refuseCutOff(w)
 		return false
 	}
-	return s.await(w, r, s.dutyHub, q.from, q.hold, news)
+	_, ok := s.await(w, r, s.dutyHub, query{from: q.from}, q.hold, news)
+	return ok
 }
--- a/internal/list/server/hub.go
+++ b/internal/list/server/hub.go
@@ -1,51 +1,110 @@
 package server
 
 import (
-	"encoding/json"
 	"sync"
 	"time"
+
+	"indigotack/internal/list"
 )
 
 const (
 	wakeBatch = 128                    // watchers that are woken at once
 	wakePause = 200 * time.Microsecond // between two batches, so that a change does not make all of them run at once
-	cacheMost = 64                     // answers kept for one version; watchers stand at few versions
 )
 
 // hub holds watchers until there is something newer than what they have, and
-// makes each answer once for all who need the same.
+// makes each answer once for all who need the same. It finds those whom a change
+// concerns by the parts that hold it, never by a walk over all.
 type hub struct {
 	machine *machine
 	mu      sync.Mutex
-	waiting map[*watcher]bool
-	version uint64 // of all
-	newest  uint64 // of the last change that watchers are told of
+	parts   map[list.Part]*watched
+	pruneAt int // parts known at which those that nobody watches are forgotten
+	ahead   map[*watcher]bool
+	due     []*group // to be woken
+	held    int      // watchers, of all groups and ahead
+	kept    int      // bytes of answers
+	version uint64   // of all
+	newest  uint64   // of the last change that watchers are told of
 	epoch   string
-	answers map[uint64][]byte // for this version and epoch
+	total   int // entries of the list
 	news    chan struct{}
 }
 
-type watcher struct {
-	from  uint64
-	ahead bool // it has seen more than this replica had: it waits for that
-	wake  chan struct{}
+// watched is a part of which there are watchers, or answers.
+type watched struct {
+	waiting *group
+	answers map[uint64]body // for this state of the part, by the version that they go on from
+}
+
+// group is the watchers of a part since its last change.
+type group struct {
+	all   map[*watcher]bool
+	due   bool   // a change concerns them, or all were told to look
+	after uint64 // that change is the first of their part past this version; 0: what has changed is not known
 }
 
 func newHub(m *machine) *hub {
-	return &hub{machine: m, waiting: map[*watcher]bool{}, answers: map[uint64][]byte{}, news: make(chan struct{}, 1)}
+	return &hub{machine: m, parts: map[list.Part]*watched{}, ahead: map[*watcher]bool{}, news: make(chan struct{}, 1)}
 }
 
 // publish says that there is a version, and the newest that watchers are to be
-// told of. It does not wait.
+// told of, whatever they watch. It does not wait.
 func (h *hub) publish(version, newest uint64, epoch string) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if version == h.version && epoch == h.epoch {
+		return
+	}
+	if newest != h.newest || epoch != h.epoch {
+		h.moveAll()
+	}
+	h.version, h.newest, h.epoch = version, newest, epoch
+	h.signal()
+}
+
+// publishList is publish for the list, of which it tells those whom its changes concern.
+func (h *hub) publishList(s *list.State) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	version, newest, epoch := s.Version(), s.ListVersion(), s.Epoch()
+	h.total = s.Len()
 	if version == h.version && epoch == h.epoch {
-		h.mu.Unlock()
 		return
 	}
+	if newest != h.newest || epoch != h.epoch {
+		if moves, ok := s.Moves(h.newest); ok && epoch == h.epoch {
+			for _, m := range moves {
+				list.EachPart(m.Point, func(p list.Part) { h.move(p, m.Version-1) })
+			}
+		} else {
+			h.moveAll()
+		}
+	}
 	h.version, h.newest, h.epoch = version, newest, epoch
-	clear(h.answers)
-	h.mu.Unlock()
+	h.signal()
+}
+
+// move notes the first change of a part past a version.
+func (h *hub) move(p list.Part, after uint64) {
+	w := h.parts[p]
+	if w == nil {
+		return
+	}
+	h.forget(w)
+	if w.waiting != nil {
+		w.waiting.due, w.waiting.after = true, after
+		h.due, w.waiting = append(h.due, w.waiting), nil
+	}
+}
+
+func (h *hub) moveAll() {
+	for p := range h.parts {
+		h.move(p, 0)
+	}
+}
+
+func (h *hub) signal() {
 	select {
 	case h.news <- struct{}{}:
 	default:
@@ -75,71 +134,42 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := 0
-	for w := range h.waiting {
-		if w.from >= h.newest && !(w.ahead && w.from <= h.version) {
-			continue
+	for ; len(h.due) > 0; h.due = h.due[1:] {
+		for w := range h.due[0].all {
+			if n++; n > wakeBatch {
+				return true
+			}
+			h.drop(w, h.due[0].all)
 		}
-		delete(h.waiting, w)
-		close(w.wake)
-		if n++; n == wakeBatch {
-			return true
+	}
+	h.due = nil
+	for w := range h.ahead {
+		if w.from <= h.version {
+			h.drop(w, h.ahead)
 		}
 	}
 	return false
 }
 
-// wait registers a watcher that has version from; it is nil where there is
-// something newer already, and full where there are too many.
-func (h *hub) wait(from uint64, most int) (w *watcher, full bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.newest > from {
-		return nil, false
-	}
-	if len(h.waiting) >= most {
-		return nil, true
-	}
-	w = &watcher{from, from > h.version, make(chan struct{})}
-	h.waiting[w] = true
-	return w, false
+func (h *hub) drop(w *watcher, of map[*watcher]bool) {
+	delete(of, w)
+	h.held--
+	close(w.wake)
 }
 
-func (h *hub) leave(w *watcher) {
+func (h *hub) partsKnown() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.waiting, w)
+	return len(h.parts)
 }
 
-func (h *hub) watchers() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.waiting)
-}
-
-// answer is the encoded answer to whoever has version from, and the version that it brings.
-func (h *hub) answer(from uint64) (raw []byte, err error) {
-	h.mu.Lock()
-	raw = h.answers[from]
-	h.mu.Unlock()
-	if raw != nil {
-		return raw, nil
-	}
-	h.machine.mu.RLock()
-	a := h.machine.state.Since(from)
-	h.machine.mu.RUnlock()
-	if raw, err = json.Marshal(a); err != nil {
-		return nil, err
+// old tells whether there is something to tell whoever has version from of a part.
+func (h *hub) old(p list.Part, from uint64) bool {
+	if !p.All() {
+		h.machine.mu.RLock()
+		defer h.machine.mu.RUnlock()
+		return h.machine.state.Newer(p, from)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if a.Index == h.version && a.Epoch == h.epoch && len(h.answers) < cacheMost {
-		h.answers[from] = raw
-	}
-	return raw, nil
-}
-
-// old tells whether there is something to tell whoever has version from.
-func (h *hub) old(from uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return from < h.newest
--- /dev/null
+++ b/internal/list/server/parts_test.go
@@ -0,0 +1,270 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"indigotack/internal/list"
+)
+
+// reader is what a watcher of a part has been told.
+type reader struct {
+	query
+	has map[string]list.Entry
+	w   *watcher
+}
+
+// look takes the answer to what the reader has.
+func (r *reader) look(t rapid.TB, h *hub) (snapshot bool) {
+	if _, epoch := h.has(); r.epoch != epoch {
+		r.from = 0
+	}
+	head, entries, err := h.answer(r.query)
+	var a list.Answer
+	if err == nil {
+		err = json.Unmarshal(append(append(slices.Clone(head), entries...), '}'), &a)
+	}
+	if err != nil || a.Part != r.part.String() || a.Total != h.machine.state.Len() || a.Index != h.machine.state.Version() {
+		t.Fatalf("part %v since %d: %+v, %v", r.part, r.from, a, err)
+	}
+	if a.Snapshot {
+		clear(r.has)
+	}
+	for _, e := range a.Endpoints {
+		if r.has[e.Name] = e; e.Status == list.Gone {
+			delete(r.has, e.Name)
+		}
+	}
+	r.from, r.epoch = a.Index, a.Epoch
+	want := map[string]list.Entry{}
+	for _, i := range h.machine.state.Items() {
+		if r.part.Holds(list.Point(i.Entry.Name)) {
+			want[i.Entry.Name] = i.Entry
+		}
+	}
+	if !maps.Equal(want, r.has) {
+		t.Fatalf("part %v at %d has %v, want %v", r.part, r.from, r.has, want)
+	}
+	return a.Snapshot
+}
+
+func (r *reader) woken() bool {
+	select {
+	case <-r.w.wake:
+		return true
+	default:
+		return false
+	}
+}
+
+// watch has the reader wait, or look until it may.
+func (r *reader) watch(t rapid.TB, h *hub) {
+	for r.w = nil; r.w == nil; r.w, _ = h.wait(r.part, r.from, 1000) {
+		r.look(t, h)
+	}
+}
+
+func entry(name string, weight int) *list.Entry {
+	return &list.Entry{Name: name, Address: "a:1", Status: list.Ready, Weight: float64(weight)}
+}
+
+// TestWakesThoseConcerned: a change wakes the watchers of the parts that hold its server, and no others. All have at
+// each time what their part has, over restores, snapshots of other replicas and ends of holds, with whatever is kept encoded.
+func TestWakesThoseConcerned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{state: list.NewState()}
+		h := newHub(m)
+		m.state.Apply(list.Command{Do: list.DoBegin, Epoch: "e"})
+		h.publishList(m.state)
+		var readers []*reader
+		for i := range 12 {
+			r := &reader{has: map[string]list.Entry{}, query: query{parted: true}}
+			if i > 1 {
+				arc := 1 << rapid.IntRange(10, 14).Draw(t, "arc")
+				r.part = list.Part{From: uint16(rapid.IntRange(0, 1<<18/arc-1).Draw(t, "from") * arc / 4), Width: uint16(arc)}
+			}
+			r.watch(t, h)
+			readers = append(readers, r)
+		}
+		for n := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name, concerned := fmt.Sprint("s", rapid.IntRange(0, 30).Draw(t, "name")), func(list.Part) bool { return true }
+			before := m.state.Version()
+			switch what := rapid.IntRange(0, 12).Draw(t, "what"); what {
+			case 0, 1, 2:
+				do := []string{list.DoRemove, list.DoDrain, list.DoPut}[what]
+				m.state.Apply(list.Command{Do: do, Name: name, Value: json.RawMessage(fmt.Sprint(n))})
+				concerned = func(p list.Part) bool {
+					return do != list.DoPut && m.state.Version() > before && p.Holds(list.Point(name))
+				}
+			case 3:
+				raw, err := m.state.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				m.state.Apply(list.Command{Do: list.DoRestore, Over: m.state.Epoch(), Epoch: fmt.Sprint("e", n), Image: raw})
+			case 4: // a hold ends
+				r := readers[rapid.IntRange(0, len(readers)-1).Draw(t, "reader")]
+				if r.from = h.leave(r.w); r.look(t, h) {
+					t.Fatalf("part %v gets a whole list at the end of its hold", r.part)
+				}
+				r.watch(t, h)
+				continue
+			default:
+				r := m.state.Apply(list.Command{Do: list.DoRegister, Entry: entry(name, n)})
+				concerned = func(p list.Part) bool { return r.Version > before && p.Holds(list.Point(name)) }
+			}
+			h.publishList(m.state)
+			for h.wakeSome() {
+			}
+			for _, r := range readers {
+				if r.woken() != concerned(r.part) {
+					t.Fatalf("part %v is woken: %v, by %s", r.part, r.woken(), name)
+				}
+				if r.woken() {
+					r.from = h.leave(r.w)
+					r.look(t, h)
+					r.watch(t, h)
+				}
+			}
+		}
+		if h.held != len(readers) {
+			t.Fatalf("%d are held, want %d", h.held, len(readers))
+		}
+	})
+}
+
+// TestQuietPart: however much happens elsewhere, and however long ago its last change is, a watcher is told what is
+// new in its part, by changes, once for all who watch it.
+func TestQuietPart(t *testing.T) {
+	m := &machine{state: list.NewState()}
+	h := newHub(m)
+	m.state.Apply(list.Command{Do: list.DoBegin, Epoch: "e"})
+	part := list.Part{From: uint16(list.Point("quiet")>>48) / 16 * 16, Width: 64}
+	var readers []*reader
+	for i := range 20 {
+		h.publishList(m.state)
+		r := &reader{has: map[string]list.Entry{}, query: query{parted: true, part: part}}
+		r.watch(t, h)
+		readers = append(readers, r)
+		m.state.Apply(list.Command{Do: list.DoRegister, Entry: entry("before", i+1)})
+	}
+	for i := range 25000 {
+		if name := fmt.Sprint("s", i%100); !part.Holds(list.Point(name)) {
+			m.state.Apply(list.Command{Do: list.DoRegister, Entry: entry(name, i+1)})
+			h.publishList(m.state)
+		}
+	}
+	last := readers[0]
+	if last.from = h.leave(last.w); last.look(t, h) {
+		t.Error("the end of a hold brings a whole part")
+	}
+	m.state.Apply(list.Command{Do: list.DoRegister, Entry: entry("quiet", 1)})
+	h.publishList(m.state)
+	for h.wakeSome() {
+	}
+	for _, r := range readers[1:] {
+		if !r.woken() {
+			t.Fatal("a watcher is not woken")
+		}
+		if r.from = h.leave(r.w); r.look(t, h) {
+			t.Error("a change brings a whole part")
+		}
+	}
+	if n := len(h.parts[part].answers); n != 1 {
+		t.Errorf("%d answers were made for one change", n)
+	}
+	for i := range 5000 { // parts come and go
+		h.part(list.Part{From: uint16(i) * 4, Width: 16})
+	}
+	if len(h.parts) > 200 {
+		t.Errorf("%d parts are remembered that nobody watches", len(h.parts))
+	}
+}
+
+// TestPartsOverHTTP: a reader that names a part hears which it is and how many there are in all; one that names none
+// gets what it always got, byte for byte; odd parts are refused.
+func TestPartsOverHTTP(t *testing.T) {
+	url, stop := serve(t, t.TempDir(), nil)
+	defer stop()
+	var first list.Entry
+	for i := range 40 {
+		name := fmt.Sprint("s", i)
+		if status, body := put(t, url, name, ""); status != 200 {
+			t.Fatal(status, body)
+		}
+	}
+	_, whole := call(t, "GET", url+"/registry/instances", "")
+	var a list.Answer
+	if err := json.Unmarshal([]byte(whole), &a); err != nil {
+		t.Fatal(err)
+	}
+	first = a.Endpoints[0]
+	if again, err := json.Marshal(a); err != nil || string(again) != whole || strings.Contains(whole, "part") || strings.Contains(whole, "total") {
+		t.Errorf("a reader that names no part gets %s", whole)
+	}
+	all := read(t, url, "?part=all")
+	if all.Part != "all" || all.Total != 40 || !reflect.DeepEqual(all.Endpoints, a.Endpoints) || all.Index != a.Index {
+		t.Errorf("all, by that name, is %+v", all)
+	}
+	part := list.Part{From: uint16(list.Point(first.Name)>>48) / 1024 * 1024, Width: 4096}
+	some := read(t, url, "?current=1&part="+part.String())
+	want := slices.DeleteFunc(slices.Clone(a.Endpoints), func(e list.Entry) bool { return !part.Holds(list.Point(e.Name)) })
+	if some.Part != part.String() || some.Total != 40 || !some.Snapshot || !reflect.DeepEqual(some.Endpoints, want) {
+		t.Errorf("part %v is %+v, want %v", part, some, want)
+	}
+	call(t, "DELETE", url+"/registry/instances/"+first.Name, "")
+	if changes := read(t, url, fmt.Sprintf("?part=%v&from=%d&epoch=%s", part, some.Index, some.Epoch)); changes.Snapshot || len(changes.Endpoints) != 1 ||
+		changes.Endpoints[0].Status != list.Gone || changes.Total != 39 {
+		t.Errorf("the part's changes are %+v", changes)
+	}
+	for _, odd := range []string{"", "0", "0-5", "1-1024", "70000-4", "all,all"} {
+		if status, body := call(t, "GET", url+"/registry/instances?part="+odd, ""); status != 400 || !strings.Contains(body, "part:") {
+			t.Errorf("part %q: %d %s", odd, status, body)
+		}
+	}
+}
+
+// TestWholePartsArePaced: those that come while all places are taken are told when to come again; changes, and the
+// list of those that name no part, are not held up.
+func TestWholePartsArePaced(t *testing.T) {
+	m := &machine{state: list.NewState()}
+	s := &Server{c: Default(), machine: m, hub: newHub(m), contact: newContact(), whole: make(chan struct{}, 1), ctx: context.Background()}
+	m.state.Apply(list.Command{Do: list.DoBegin, Epoch: "e"})
+	m.state.Apply(list.Command{Do: list.DoRegister, Entry: entry("s", 1)})
+	s.hub.publishList(m.state)
+	s.contact.caught.Store(true)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel() // in place of the wait for one's turn
+	ask := func(query string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		s.instances(w, httptest.NewRequestWithContext(gone, http.MethodGet, "/registry/instances"+query, nil))
+		return w
+	}
+	for taken, want := range map[bool]int{false: 200, true: 429} {
+		if taken {
+			s.whole <- struct{}{}
+		}
+		w := ask("?part=0-4096")
+		if w.Code != want || (w.Header().Get("Retry-After") != "") != taken {
+			t.Errorf("taken %v: %d %s", taken, w.Code, w.Body)
+		}
+		for _, query := range []string{"", "?part=0-4096&from=1&epoch=e"} {
+			if w := ask(query); w.Code != 200 {
+				t.Errorf("%s: %d %s", query, w.Code, w.Body)
+			}
+		}
+		if taken {
+			<-s.whole
+		}
+	}
+}
--- a/internal/list/server/reads.go
+++ b/internal/list/server/reads.go
@@ -22,6 +22,8 @@
 	hold    time.Duration
 	epoch   string // that the reader knows, or empty
 	current bool   // as of now, not as this replica has it
+	part    list.Part
+	parted  bool // the reader has named a part
 }
 
 func parseQuery(r *http.Request) (q query, err error) {
@@ -38,6 +40,11 @@
 		}
 		q.hold = min(maxHold, time.Duration(ms)*time.Millisecond)
 	}
+	if q.parted = v.Has("part"); q.parted {
+		if q.part, err = list.ParsePart(v.Get("part")); err != nil {
+			return q, err
+		}
+	}
 	q.epoch, q.current = v.Get("epoch"), v.Get("current") == "1"
 	return q, nil
 }
@@ -60,10 +67,13 @@
 	if q.epoch != "" && q.epoch != epoch {
 		q.from = 0 // another list: all of it
 	}
-	if q.from > 0 && !s.hub.old(q.from) && !s.hold(w, r, q) {
-		return
+	if q.from > 0 && !s.hub.old(q.part, q.from) {
+		var ok bool
+		if q.from, ok = s.hold(w, r, q); !ok {
+			return
+		}
 	}
-	s.answer(w, q)
+	s.answer(w, r, q)
 }
 
 // asOfNow has the leader answer, or waits until this replica, as the leader, has
@@ -96,52 +106,54 @@
 	writeJSON(w, http.StatusOK, a)
 }
 
-// hold waits until there is something newer than what the reader has. It is
-// false where the call has been answered, or has no caller any more.
-func (s *Server) hold(w http.ResponseWriter, r *http.Request, q query) bool {
+// hold waits until there is something newer than what the reader has, and gives
+// the version to answer from. It is false where the call has been answered, or
+// has no caller any more.
+func (s *Server) hold(w http.ResponseWriter, r *http.Request, q query) (from uint64, ok bool) {
 	wait := q.hold
 	if version, _ := s.hub.has(); q.from > version {
 		wait = max(wait, behind)
 	}
 	if wait == 0 {
-		return true
+		return q.from, true
 	}
 	var news <-chan struct{} // of this replica's contact, for readers that have others to ask
 	if q.epoch != "" {
 		var lost bool
 		if lost, news = s.contact.state(); lost {
 			s.refuseCutOff(w)
-			return false
+			return 0, false
 		}
 	}
-	return s.await(w, r, s.hub, q.from, wait, news)
+	return s.await(w, r, s.hub, q, wait, news)
 }
 
-// await holds a call until its hub has something newer than version from, its time
-// is over, or news comes of this replica's contact, which refuses it. It is false
+// await holds a call until its hub has something newer than its version, its time
+// is over, or news comes of this replica's contact, which refuses it. It gives the
+// version up to which nothing that the call asks for has changed, and is false
 // where the call has been answered, or has no caller any more.
-func (s *Server) await(w http.ResponseWriter, r *http.Request, h *hub, from uint64, wait time.Duration, news <-chan struct{}) bool {
-	watcher, full := h.wait(from, s.c.MaxWatchers)
+func (s *Server) await(w http.ResponseWriter, r *http.Request, h *hub, q query, wait time.Duration, news <-chan struct{}) (from uint64, ok bool) {
+	watcher, full := h.wait(q.part, q.from, s.c.MaxWatchers)
 	if full {
 		refuse(w, http.StatusTooManyRequests, "watchers", "too many calls are held here", time.Second)
-		return false
+		return 0, false
 	}
 	if watcher == nil {
-		return true
+		return q.from, true
 	}
-	defer h.leave(watcher)
+	ok = true
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
 	select {
 	case <-watcher.wake:
 	case <-news:
 		s.refuseCutOff(w)
-		return false
+		ok = false
 	case <-ctx.Done():
-		return r.Context().Err() == nil
+		ok = r.Context().Err() == nil
 	case <-s.ctx.Done():
 	}
-	return true
+	return h.leave(watcher), ok
 }
 
 // refuseCutOff tells a reader that there may be news which this replica can't have.
@@ -149,25 +161,3 @@
 func (s *Server) refuseCutOff(w http.ResponseWriter) {
 	refuse(w, http.StatusServiceUnavailable, "cut-off", "this replica is, or was just now, without a leader; ask another", 0)
 }
-
-// answer writes what is newer than the reader's version. A reader that has seen
-// more than this replica is never given less: with an epoch it is told to ask
-// elsewhere; without one it hears that nothing is newer.
-func (s *Server) answer(w http.ResponseWriter, q query) {
-	version, epoch := s.hub.has()
-	if q.epoch != "" && q.epoch != epoch {
-		q.from = 0
-	}
-	if q.from > version && q.epoch != "" {
-		refuse(w, http.StatusServiceUnavailable, "behind", fmt.Sprintf("this replica has version %d", version), 0)
-		return
-	}
-	raw, err := s.hub.answer(q.from)
-	if err != nil {
-		refuse(w, http.StatusInternalServerError, "encoding", err.Error(), 0)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
-	w.Write(raw) // a reader that has left needs nothing
-}
--- a/internal/list/server/records.go
+++ b/internal/list/server/records.go
@@ -88,7 +88,7 @@
 			s.refuseCutOff(w)
 			return
 		}
-		if !s.await(w, r, s.docHub, a.Index, wait, contact) {
+		if _, ok := s.await(w, r, s.docHub, query{from: a.Index}, wait, contact); !ok {
 			return
 		}
 	}
--- a/internal/list/server/routes.go
+++ b/internal/list/server/routes.go
@@ -66,6 +66,7 @@
 	})
 	gauge("version", "version of the list", func() float64 { v, _ := s.hub.has(); return float64(v) })
 	gauge("watchers", "calls that are held", func() float64 { return float64(s.hub.watchers()) })
+	gauge("parts", "parts of the list that are watched or kept encoded", func() float64 { return float64(s.hub.partsKnown()) })
 	gauge("leads", "1 if this replica leads", func() float64 {
 		if s.replica.leads() {
 			return 1
--- a/internal/list/server/server.go
+++ b/internal/list/server/server.go
@@ -33,6 +33,7 @@
 	stop     context.CancelFunc
 	ctx      context.Context // of everything that a call may wait for
 	broken   chan error      // why this replica has to end
+	whole    chan struct{}   // one for each whole part that is made and sent
 	tasks    sync.WaitGroup
 }
 
@@ -86,6 +87,7 @@
 }
 
 func (s *Server) open() error {
+	s.whole = make(chan struct{}, wholeMost)
 	s.machine = &machine{state: list.NewState(), broken: func(err error) { s.broken <- err }}
 	s.hub, s.dutyHub, s.docHub = newHub(s.machine), newHub(s.machine), newHub(s.machine)
 	apply := func(c list.Command) (list.Result, error) { return s.replica.apply(c) }
@@ -95,7 +97,7 @@
 		s.expiry.applied(c, s.machine.state)
 		s.sessions.applied(c)
 		state := s.machine.state
-		s.hub.publish(state.Version(), state.ListVersion(), state.Epoch())
+		s.hub.publishList(state)
 		s.dutyHub.publish(state.DutiesVersion(), state.DutiesVersion(), state.Epoch())
 		s.docHub.publish(state.RecordsVersion(), state.RecordsVersion(), state.Epoch())
 	}
--- /dev/null
+++ b/internal/list/server/watcher.go
@@ -0,0 +1,72 @@
+package server
+
+import "indigotack/internal/list"
+
+// watcher is one call that is held.
+type watcher struct {
+	from  uint64
+	group *group // nil: it has seen more than this replica had, and waits for that
+	wake  chan struct{}
+}
+
+// wait registers a watcher that has version from of a part; it is nil where there
+// is something newer already, and full where there are too many.
+func (h *hub) wait(p list.Part, from uint64, most int) (w *watcher, full bool) {
+	if !p.All() {
+		h.machine.mu.RLock() // nothing is published meanwhile
+		defer h.machine.mu.RUnlock()
+		if h.machine.state.Newer(p, from) {
+			return nil, false
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p.All() && h.newest > from {
+		return nil, false
+	}
+	if h.held >= most {
+		return nil, true
+	}
+	w = &watcher{from: from, wake: make(chan struct{})}
+	h.held++
+	if from > h.version {
+		h.ahead[w] = true
+		return w, false
+	}
+	at := h.part(p)
+	if at.waiting == nil {
+		at.waiting = &group{all: map[*watcher]bool{}}
+	}
+	w.group = at.waiting
+	w.group.all[w] = true
+	return w, false
+}
+
+// leave ends a watcher's wait, and tells the version up to which nothing of its
+// part has changed since the one that it had. However long it has been held, it
+// need not go through what the other parts have had meanwhile.
+func (h *hub) leave(w *watcher) (after uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	in := h.ahead
+	if w.group != nil {
+		in = w.group.all
+	}
+	if in[w] {
+		delete(in, w)
+		h.held--
+	}
+	switch {
+	case w.group == nil:
+		return w.from
+	case w.group.due:
+		return max(w.from, w.group.after)
+	}
+	return max(w.from, h.version)
+}
+
+func (h *hub) watchers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.held
+}
--- a/internal/list/since.go
+++ b/internal/list/since.go
@@ -93,7 +93,7 @@
 
 // Moves gives the changes after a version; it is false where they are not all kept.
 func (s *State) Moves(after uint64) (all []Moved, ok bool) {
-	if after < max(s.trimmed, 1) {
+	if after < s.trimmed {
 		return nil, false
 	}
 	for k := s.after(after); k < s.changes.len(); k++ {
