Let the list client follow a part of the list

The client knew only the whole list. With Config.Part it follows the part that this function names from what it has and the length of the whole: it asks for part=... by name, and goes to another part by reading that whole while the one it has stands. A move waits a drawn time of up to a hold, as one change tells many to move; a move that is refused or fails is put off, and the part it has is watched again. A part that comes and is too narrow is not taken: the wider one is read at once, so a client that knows nothing begins narrow and takes the right one.

What leaves the part is in no whole part any more, as an entry that has gone from the list. Epochs are judged by what both parts hold. A service that says nothing of parts gave the whole list, and of its changes the part's are taken. The kept file of a part has its version in a place of its own, so that a program of before takes it for a list of no version and asks for all of it.

Nothing but a version is no longer written to the kept file.

--- a/internal/list/client/belief.go
+++ b/internal/list/client/belief.go
@@ -16,6 +16,8 @@
 	Epoch   string       `json:"epoch"`
 	Version uint64       `json:"version"`
 	Entries []list.Entry `json:"entries"` // by name
+	Part    list.Part    `json:"-"`       // of the list that it is
+	Total   int          `json:"-"`       // entries in all of the list, where Part is one that was asked for; 0: not told
 }
 
 // Two kinds of list of another epoch are held back. One that lacks more than
@@ -38,6 +40,7 @@
 	Stale                  // it is older than what is known: whoever gave it lags, or is cut off
 	Kept                   // it is held back for now
 	Gap                    // it does not fit what is known: ask for the whole list
+	Narrow                 // it is a part with too few servers: a wider one is read in place of it
 )
 
 // Belief decides what to believe. It is pure; times are of one monotonic clock.
@@ -46,6 +49,8 @@
 	hold    time.Duration // how long a list that lost most is held back
 	epoch   string
 	version uint64
+	part    list.Part // that entries are of
+	total   int
 	entries map[string]list.Entry
 	next    *candidate
 	whole   bool // what came did not fit
@@ -59,7 +64,7 @@
 
 // NewBelief begins with a view of before, which may be empty.
 func NewBelief(hold time.Duration, before View) *Belief {
-	b := &Belief{hold: hold, epoch: before.Epoch, version: before.Version, entries: map[string]list.Entry{}}
+	b := &Belief{hold: hold, epoch: before.Epoch, version: before.Version, part: before.Part, total: before.Total, entries: map[string]list.Entry{}}
 	for _, e := range before.Entries {
 		b.entries[e.Name] = e
 	}
@@ -77,17 +82,25 @@
 
 // View is the list as it is believed.
 func (b *Belief) View() View {
-	return View{b.epoch, b.version, slices.SortedFunc(maps.Values(b.entries), func(x, y list.Entry) int { return cmp.Compare(x.Name, y.Name) })}
+	return View{b.epoch, b.version, slices.SortedFunc(maps.Values(b.entries), func(x, y list.Entry) int { return cmp.Compare(x.Name, y.Name) }), b.part, b.total}
 }
 
-// Take judges the answer to a call that named version from.
+// Take judges the answer to a call that named version from. One of another part
+// than the entries known has to be whole, and then takes their place.
 func (b *Belief) Take(now time.Duration, from uint64, a list.Answer) Verdict {
 	switch {
 	case a.Epoch != b.epoch && (b.epoch != "" || len(b.entries) > 0):
 		return b.other(now, a)
 	case a.Index < b.version:
 		return Stale
+	case partOf(a) != b.part && a.Snapshot:
+		b.accept(a)
+		return Taken
+	case partOf(a) != b.part:
+		b.whole = true
+		return Gap
 	case a.Index == b.version && a.Epoch == b.epoch:
+		b.count(a)
 		b.next, b.whole = nil, false // also when the list that is known is back
 		return Nothing
 	case !a.Snapshot && from != b.version:
@@ -119,13 +132,13 @@
 
 // lost tells whether a list lacks most of what was known, though it was not leaving.
 func (b *Belief) lost(a list.Answer) bool {
-	there := map[string]bool{}
+	there, part := map[string]bool{}, partOf(a)
 	for _, e := range a.Endpoints {
 		there[e.Name] = true
 	}
 	known, gone := 0, 0
 	for name, e := range b.entries {
-		if e.Status == list.Draining {
+		if e.Status == list.Draining || !part.Holds(list.Point(name)) {
 			continue
 		}
 		known++
@@ -146,6 +159,14 @@
 			delete(b.entries, e.Name)
 		}
 	}
-	b.epoch, b.version = a.Epoch, a.Index
+	b.epoch, b.version, b.part = a.Epoch, a.Index, partOf(a)
 	b.next, b.whole = nil, false
+	b.count(a)
+}
+
+// count takes the length of all of the list. Where an answer of a part says nothing of it, the one known stands.
+func (b *Belief) count(a list.Answer) {
+	if a.Part == "" || a.Total > 0 {
+		b.total = a.Total
+	}
 }
--- a/internal/list/client/client.go
+++ b/internal/list/client/client.go
@@ -25,6 +25,11 @@
 	HoldBack  time.Duration // of a list of another epoch that lost most entries; 0: DefaultHoldBack
 	Log       *slog.Logger  // nil: none
 
+	// Part, if there is one, says which part of the list to follow for whoever has
+	// part now with these entries, of total in all; entries are nil where none are
+	// known yet. It is called after answers, and must not call the client.
+	Part func(now list.Part, total int, entries []list.Entry) list.Part
+
 	// Taken, if there is one, gets every answer that changed the view, in order, from
 	// the goroutine that follows. It must not call the client.
 	Taken func(list.Answer)
@@ -44,7 +49,7 @@
 	dialTime  = time.Second
 	firstWait = 250 * time.Millisecond // for a thousand clients that lost one replica, four tries a millisecond
 	mostWait  = 5 * time.Second
-	maxAnswer = 64 << 20 // bytes of a list
+	maxAnswer = 128 << 20 // bytes of a list; one of the longest entries takes two thirds
 )
 
 // Client follows the list service and writes to it. It is safe for concurrent use.
@@ -55,6 +60,7 @@
 
 	mu      sync.Mutex
 	belief  *Belief
+	move    move
 	start   time.Time
 	at      int // the address that answered last
 	changed chan struct{}
@@ -86,6 +92,11 @@
 		}
 	}
 	k.belief = NewBelief(c.HoldBack, before)
+	if k.move.to = before.Part; c.Part == nil {
+		k.move.to = list.Part{}
+	} else if before.Version == 0 {
+		k.move.to = c.Part(list.Part{}, list.MaxEntries, nil)
+	}
 	return k, nil
 }
 
--- /dev/null
+++ b/internal/list/client/part_test.go
@@ -0,0 +1,266 @@
+package client
+
+import (
+	"fmt"
+	"maps"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"indigotack/internal/list"
+)
+
+// replica answers as the service does, or as one of before that knows no parts.
+type replica struct {
+	*list.State
+	old bool
+}
+
+func (r replica) answer(q asking) (a list.Answer, err error) {
+	if q.epoch != "" && q.epoch != r.Epoch() {
+		q.from = 0
+	}
+	if q.from > r.Version() {
+		return a, &Refused{Status: 503, Refusal: list.Refusal{Code: "behind"}}
+	}
+	if a = r.Since(q.from); !r.old {
+		a = r.PartSince(q.part, q.from)
+		a.Part, a.Total = q.part.String(), r.Len()
+	}
+	return a, nil
+}
+
+// call makes one call as watch does; meanwhile happens between the question and the answer.
+func (k *Client) callTo(r replica, meanwhile func()) (Verdict, asking, error) {
+	q := k.ask(time.Second)
+	meanwhile()
+	a, err := r.answer(q)
+	if err == nil {
+		err = q.fit(&a)
+	}
+	if err == nil {
+		err = wholeList(a, q.from == 0)
+	}
+	switch {
+	case err != nil && k.failed(q, err):
+		return Nothing, q, nil
+	case err != nil:
+		return Nothing, q, err
+	case k.widens(q, a):
+		return Narrow, q, nil
+	}
+	return k.take(q.from, a), q, nil
+}
+
+func arcOf(t *rapid.T, name string) list.Part {
+	arc := 1 << rapid.IntRange(11, 15).Draw(t, name)
+	if arc > 1<<14 {
+		return list.Part{}
+	}
+	return list.Part{From: uint16(rapid.IntRange(0, 1<<18/arc-1).Draw(t, name+" from") * arc / 4), Width: uint16(arc)}
+}
+
+func inPart(p list.Part, all []list.Entry) []list.Entry {
+	return slices.DeleteFunc(slices.Clone(all), func(e list.Entry) bool { return !p.Holds(list.Point(e.Name)) })
+}
+
+// TestFollowedPart: whatever changes while a call is out (the part to follow, the list, its epoch, the replica, the
+// program that answers), what is believed is always that part of a list that was, never goes back, and reaches the
+// present one of the part that is wanted.
+func TestFollowedPart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := list.NewState()
+		s.Apply(list.Command{Do: list.DoBegin, Epoch: "e0"})
+		were := map[string][]list.Entry{}
+		note := func() { were[fmt.Sprint(s.Epoch(), s.Version())] = s.Since(0).Endpoints }
+		note()
+		replicas := []replica{{s, false}}
+		want := arcOf(t, "part")
+		k, err := New(Config{Addresses: []string{"a:1"}, HoldBack: time.Second, Part: func(list.Part, int, []list.Entry) list.Part { return want }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		happen := func(n int) {
+			switch name := fmt.Sprint("s", rapid.IntRange(0, 20).Draw(t, "name")); rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2, 3:
+				s.Apply(list.Command{Do: list.DoRegister, Entry: &list.Entry{Name: name, Address: "a:1", Status: list.Ready, Weight: float64(n)}})
+			case 4:
+				s.Apply(list.Command{Do: list.DoRemove, Name: name})
+			case 5, 6:
+				want = arcOf(t, "part")
+			case 7:
+				replicas = append(replicas, replica{copied(t, s), rapid.Bool().Draw(t, "old program")})
+			case 8:
+				raw, err := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "copy")].Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.Apply(list.Command{Do: list.DoRestore, Over: s.Epoch(), Epoch: fmt.Sprint("e", n+1), Image: raw})
+			}
+			note()
+		}
+		call := func(r replica, meanwhile func()) {
+			before, _ := k.View()
+			verdict, q, err := k.callTo(r, meanwhile)
+			v, _ := k.View()
+			if v.Epoch == before.Epoch && v.Version < before.Version {
+				t.Fatalf("from version %d back to %d", before.Version, v.Version)
+			}
+			if all, ok := were[fmt.Sprint(v.Epoch, v.Version)]; v.Epoch != "" && (!ok || !reflect.DeepEqual(append([]list.Entry{}, v.Entries...), inPart(v.Part, all))) {
+				t.Fatalf("asked for %v, it believes part %v at %s %d is %v, the list was %v (%d, %v)", q, v.Part, v.Epoch, v.Version, v.Entries, all, verdict, err)
+			}
+		}
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			k.start = k.start.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "calls") {
+				meanwhile := func() {}
+				if rapid.Bool().Draw(t, "amid") {
+					meanwhile = func() { happen(n) }
+				}
+				call(replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "at")], meanwhile)
+			} else {
+				happen(n)
+			}
+		}
+		s.Apply(list.Command{Do: list.DoRegister, Entry: &list.Entry{Name: "last", Address: "a:1", Status: list.Ready}})
+		note()
+		for range 8 {
+			call(replica{s, false}, func() {})
+			k.start = k.start.Add(-DefaultHold) // past what is held back or put off
+		}
+		if v, _ := k.View(); v.Version != s.Version() || v.Epoch != s.Epoch() || v.Part != want || v.Total != s.Len() {
+			t.Fatalf("it stays at %v at %s %d, wanted are %v at %s %d", v.Part, v.Epoch, v.Version, want, s.Epoch(), s.Version())
+		}
+	})
+}
+
+// fleetState is a list of so many servers, and a node's client of it.
+func fleetState(t *testing.T, servers int) *list.State {
+	s := list.NewState()
+	s.Apply(list.Command{Do: list.DoBegin, Epoch: "e"})
+	grow(s, 0, servers)
+	return s
+}
+
+func grow(s *list.State, from, to int) {
+	for i := from; i < to; i++ {
+		s.Apply(list.Command{Do: list.DoRegister, Entry: &list.Entry{Name: fmt.Sprint("s-", i), Address: "a:1", Status: list.Ready}})
+	}
+}
+
+func partClient(t *testing.T, self int, nodes *int, file string, taken func(list.Answer)) *Client {
+	t.Helper()
+	k, err := New(Config{Addresses: []string{"a:1"}, File: file, Taken: taken, Part: func(p list.Part, total int, entries []list.Entry) list.Part {
+		return p.Next(self, *nodes, total, entries, []list.Group{{}})
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// TestFirstPart: a client that knows nothing takes no list before it has a part that is wide enough. One that has a
+// part reads a wider one while that stands, and goes on watching it where the service makes it wait.
+func TestFirstPart(t *testing.T) {
+	for _, servers := range []int{1, 4, 75, 2000, 18000} {
+		nodes, took := 4300, 0
+		s := replica{fleetState(t, servers), false}
+		k := partClient(t, 7, &nodes, "", func(list.Answer) { took++ })
+		bytes := 0
+		for calls := 1; took == 0; calls++ {
+			if _, q, err := k.callTo(s, func() {}); err != nil || calls > 10 {
+				t.Fatalf("%d servers: call %d is %+v: %v", servers, calls, q, err)
+			} else {
+				bytes += len(s.PartSince(q.part, 0).Endpoints)
+			}
+		}
+		v, _ := k.View()
+		if want := list.PartOf(7, nodes, servers); !v.Part.Covers(want) || len(v.Entries) < min(servers, 100) || took != 1 {
+			t.Errorf("%d servers: it takes %v with %d of them, wanted are %v", servers, v.Part, len(v.Entries), want)
+		}
+		if bytes > 4*max(len(v.Entries), 1) {
+			t.Errorf("%d servers: %d were read for %d", servers, bytes, len(v.Entries))
+		}
+		if servers < 18000 {
+			continue
+		}
+		nodes = 1000 // this node now believes in a smaller fleet than others: each has more to do
+		if _, q, _ := k.callTo(s, func() {}); q.from == 0 {
+			t.Errorf("it moves with no answer: %+v", q)
+		}
+		k.start = k.start.Add(-DefaultHold)
+		q := k.ask(time.Second)
+		if q.from != 0 || !q.part.Covers(list.PartOf(7, 1000, servers)) || q.part == v.Part {
+			t.Errorf("it asks for %+v", q)
+		}
+		if !k.failed(q, refusal(429, []byte(`{"code":"paced"}`))) || k.ask(time.Second).part != v.Part {
+			t.Error("a paced client gives up watching what it has")
+		}
+		grow(s.State, servers, servers+1000)
+		if verdict, _, err := k.callTo(s, func() {}); verdict != Taken || err != nil {
+			t.Errorf("the part that stands gets no changes: %v, %v", verdict, err)
+		}
+		grow(s.State, servers+1000, servers+2000)
+		verdict, _, err := k.callTo(replica{s.State, true}, func() {})
+		if now, _ := k.View(); verdict != Taken || err != nil || now.Part != v.Part || !slices.Equal(now.Entries, inPart(v.Part, s.Since(0).Endpoints)) {
+			t.Errorf("of a replica of before it takes no changes, or not its part's: %v, %v", verdict, err)
+		}
+	}
+}
+
+// TestReturnWithKeptPart: a node that comes back after an hour serves on the part that it kept, of whatever width, and
+// is brought up by one whole part. A program that knows no parts takes such a file for a list of no version.
+func TestReturnWithKeptPart(t *testing.T) {
+	file, nodes := filepath.Join(t.TempDir(), "list"), 4300
+	s := fleetState(t, 19000)
+	k := partClient(t, 9, &nodes, file, nil)
+	for _, err := k.View(); len(k.belief.entries) == 0; {
+		if _, _, e := k.callTo(replica{s, false}, func() {}); e != nil {
+			t.Fatal(e, err)
+		}
+	}
+	had, _ := k.View()
+	for i := range 11000 { // more than the service can tell by changes
+		s.Apply(list.Command{Do: list.DoRegister, Entry: &list.Entry{Name: fmt.Sprint("s-", i), Address: "b:1", Status: list.Ready}})
+	}
+	nodes = 2000
+	k = partClient(t, 9, &nodes, file, nil)
+	if v, _ := k.View(); !reflect.DeepEqual(v, had) || v.Part.All() {
+		t.Fatalf("it begins with %d of part %v, kept were %d of %v", len(v.Entries), v.Part, len(had.Entries), had.Part)
+	}
+	calls := 0
+	for ; calls < 10 && !(k.belief.version == s.Version() && k.belief.part == k.move.to); calls++ {
+		if _, _, err := k.callTo(replica{s, false}, func() {}); err != nil {
+			t.Fatal(err)
+		}
+		k.start = k.start.Add(-DefaultHold)
+	}
+	v, _ := k.View()
+	if !slices.Equal(v.Entries, inPart(v.Part, s.Since(0).Endpoints)) || !v.Part.Covers(list.PartOf(9, 2000, 19000)) || calls > 3 {
+		t.Errorf("after %d calls it has %d of part %v", calls, len(v.Entries), v.Part)
+	}
+	if err := save(file, had); err != nil {
+		t.Fatal(err)
+	}
+	off, err := New(Config{Addresses: []string{"a:1"}, File: file})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if q := off.ask(time.Second); q.from != 0 || !q.part.All() {
+		t.Errorf("with the key taken away it asks for %+v", q)
+	}
+	if verdict, _, err := off.callTo(replica{s, true}, func() {}); verdict != Taken || err != nil || len(off.belief.entries) != 19000 {
+		t.Errorf("with the key taken away it has %d: %v", len(off.belief.entries), err)
+	}
+	old := NewBelief(time.Second, View{Entries: had.Entries}) // what the file says to such a program
+	if from, _ := old.Ask(); from != 0 {
+		t.Errorf("a program of before goes on from %d", from)
+	}
+	if verdict := old.Take(0, 0, s.Since(0)); verdict != Taken || len(slices.Collect(maps.Keys(old.entries))) != 19000 {
+		t.Errorf("a program of before has %d entries: %v", len(old.entries), verdict)
+	}
+}
--- a/internal/list/client/watch.go
+++ b/internal/list/client/watch.go
@@ -23,7 +23,7 @@
 		switch {
 		case ctx.Err() != nil:
 			return
-		case err == nil && (verdict == Taken || verdict == Nothing && k.watching()):
+		case err == nil && (verdict == Taken || verdict == Narrow || verdict == Nothing && k.watching()):
 			wait, hold = backoff{firstWait}, k.c.Hold
 			continue
 		case err != nil:
@@ -76,38 +76,53 @@
 
 // watch makes one call and takes its answer.
 func (k *Client) watch(ctx context.Context, hold time.Duration) (Verdict, error) {
-	k.mu.Lock()
-	from, epoch := k.belief.Ask()
-	k.mu.Unlock()
-	q := url.Values{"hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)}}
-	if from > 0 {
-		q.Set("from", strconv.FormatUint(from, 10))
-		q.Set("epoch", epoch)
+	q := k.ask(hold)
+	a, err := k.read(ctx, q)
+	if err != nil {
+		if k.failed(q, err) {
+			return Nothing, nil
+		}
+		return Nothing, err
 	}
-	most := hold + grace
-	if from == 0 {
+	for _, err := range a.Odd {
+		k.log.Warn("an entry of the list is passed over", "err", err)
+	}
+	if k.widens(q, a) {
+		return Narrow, nil
+	}
+	return k.take(q.from, a), nil
+}
+
+func (k *Client) read(ctx context.Context, asked asking) (a list.Answer, err error) {
+	q := url.Values{"hold_ms": {strconv.FormatInt(asked.hold.Milliseconds(), 10)}}
+	if k.c.Part != nil {
+		q.Set("part", asked.part.String())
+	}
+	most := asked.hold + grace
+	if asked.from > 0 {
+		q.Set("from", strconv.FormatUint(asked.from, 10))
+		q.Set("epoch", asked.epoch)
+	} else {
 		most = min(k.c.Hold+grace, wholeTime)
 	}
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	status, body, err := k.call(ctx, http.MethodGet, k.address(), "/registry/instances?"+q.Encode(), nil)
 	if err != nil {
-		return Nothing, err
+		return a, err
 	}
 	if status != http.StatusOK {
-		return Nothing, refusal(status, body)
+		return a, refusal(status, body)
 	}
-	var a list.Answer
 	if err := json.Unmarshal(body, &a); err != nil {
-		return Nothing, fmt.Errorf("an answer that can't be read: %w", err)
-	}
-	if err := wholeList(a, from == 0); err != nil {
-		return Nothing, err
+		return a, fmt.Errorf("an answer that can't be read: %w", err)
 	}
-	for _, err := range a.Odd {
-		k.log.Warn("an entry of the list is passed over", "err", err)
+	if k.c.Part != nil {
+		if err := asked.fit(&a); err != nil {
+			return a, err
+		}
 	}
-	return k.take(from, a), nil
+	return a, wholeList(a, asked.from == 0)
 }
 
 func (k *Client) take(from uint64, a list.Answer) Verdict {
@@ -116,9 +131,14 @@
 	if verdict != Stale {
 		k.told = time.Now()
 	}
+	if verdict == Taken || verdict == Nothing {
+		k.settle(a)
+	}
+	news := verdict == Taken && (a.Snapshot || len(a.Endpoints) > 0) // else but the version
+	a.Total = k.belief.total
 	var v View
 	if verdict == Taken {
-		if k.c.File != "" {
+		if news && k.c.File != "" {
 			v = k.belief.View()
 		}
 		close(k.changed)
@@ -128,7 +148,7 @@
 	if verdict == Taken && k.c.Taken != nil {
 		k.c.Taken(a)
 	}
-	if verdict == Taken && k.c.File != "" {
+	if news && k.c.File != "" {
 		if err := save(k.c.File, v); err != nil {
 			k.log.Warn("the list is not kept for the next start", "err", err)
 		}
--- a/internal/list/part.go
+++ b/internal/list/part.go
@@ -158,10 +158,11 @@
 }
 
 // Next is the part to follow for a node that has p, and these entries of it. It grows at once, and where a group
-// is short of servers up to partMost; it shrinks only to under a quarter, so that nothing goes to and fro.
+// is short of servers up to partMost; it shrinks only to under a quarter, so that nothing goes to and fro. Entries
+// are nil where none are known yet.
 func (p Part) Next(self, nodes, total int, entries []Entry, groups []Group) Part {
 	next := PartOf(self, nodes, total)
-	for p.Covers(next) && !next.All() && !next.enough(entries, groups) {
+	for entries != nil && p.Covers(next) && !next.All() && !next.enough(entries, groups) {
 		wider := partAt(self, 2*next.arc())
 		if wider.arc()*total > partMost*ring {
 			break
