Let a node follow the part of the list that it works with

With list_part, off unless set and valid with list only, a node follows its part: computed from its number, the number of nodes, the length of the list and the placements of its classes, and anew at each answer and each new configuration. The module is told that its list is a part, and where its own place is.

--- a/cmd/indigotack/usage.go
+++ b/cmd/indigotack/usage.go
@@ -25,6 +25,7 @@
   discovery       host:port that tells the list of servers, as indigolist does     needed, or list
   list            [host:port, ...] of the list service's replicas, in its place
   list_file       where that list is kept for the next start
+  list_part       true: of that list, only the part that the node works with is followed
   seed            a number in base 16, for the node's draws                        needed
   settings        classes, attempts, times, limits of the rules                    needed, may be {}
     .classes      name, effect (retryable, dedup, fragile), aim_ns, give_up_ns
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,6 +27,7 @@
 	Discovery    string   // where the list of servers comes from, unless List says so
 	List         []string // addresses of the project's own list service; it goes before Discovery
 	ListFile     string   // where the list is kept for the next start; empty: nowhere
+	ListPart     bool     // of the list service's list, the part that the node works with is followed
 	Control      string   // where operators call; empty: nowhere
 	Fences       string   // folder for the fences seen there; empty: they are forgotten with the process
 	BackendStats bool     // the figures for operators tell servers apart
@@ -67,6 +68,7 @@
 	Discovery    string   `json:"discovery"`
 	List         []string `json:"list"`
 	ListFile     string   `json:"list_file"`
+	ListPart     bool     `json:"list_part"`
 	Control      string   `json:"control"`
 	Fences       string   `json:"fence_folder"`
 	BackendStats bool     `json:"backend_stats"`
@@ -119,9 +121,12 @@
 	if err != nil {
 		wrong("seed: %w", err)
 	}
-	c = Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, Control: in.Control,
+	c = Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, List: in.List, ListFile: in.ListFile, ListPart: in.ListPart, Control: in.Control,
 		Fences: in.Fences, BackendStats: in.BackendStats, Seed: int64(seed), MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
 		Settings: settings, known: in.Known}
+	if in.ListPart && (len(in.List) == 0 || settings.Self < 0 || settings.Self >= settings.Nodes) {
+		wrong("list_part: only the list service knows parts, of a node with a number: want list, and a slot_no under balancers (%d of %d)", settings.Self, settings.Nodes)
+	}
 	var all []error
 	c.Fleet, all = in.Fleet.config(in.Name, in.PeerListen, settings)
 	problems = append(problems, all...)
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -45,14 +45,19 @@
 	if len(n.cfg.List) == 0 {
 		return client.NewPlatform(n.cfg.Discovery, n.cfg.Settings.AskForList, n.cfg.known.Index, n.log, listed, failed), nil
 	}
-	k, err := client.New(client.Config{Addresses: n.cfg.List, File: n.cfg.ListFile, Hold: listHold, Log: n.log, Taken: listed})
-	if err != nil {
+	s := &service{listed: listed}
+	c := client.Config{Addresses: n.cfg.List, File: n.cfg.ListFile, Hold: listHold, Log: n.log, Taken: listed}
+	if s.part.now.Store(scopeOf(n.cfg.Settings)); n.cfg.ListPart {
+		c.Part = s.part.next
+	}
+	var err error
+	if s.k, err = client.New(c); err != nil {
 		return nil, err
 	}
-	if v, _ := k.View(); v.Version > 0 { // kept by the process before
-		n.cfg.known = list.Answer{Index: v.Version, Epoch: v.Epoch, Snapshot: true, Endpoints: v.Entries}
+	if v, _ := s.k.View(); v.Version > 0 { // kept by the process before
+		n.cfg.known = snapshot(v)
 	}
-	return &service{k: k, listed: listed}, nil
+	return s, nil
 }
 
 // beginLists takes the list of before, and follows where lists are pushed.
@@ -82,6 +87,7 @@
 // so a module that asks is told what is there.
 type service struct {
 	k        *client.Client
+	part     scoped
 	listed   func(list.Answer)
 	watching bool
 }
@@ -95,7 +101,7 @@
 
 func (s *service) Ask(ctx context.Context, fetch, watch bool) {
 	if v, _ := s.k.View(); fetch && v.Version > 0 {
-		s.listed(list.Answer{Index: v.Version, Epoch: v.Epoch, Snapshot: true, Endpoints: v.Entries})
+		s.listed(snapshot(v))
 	}
 	if fetch || watch {
 		s.Follow(ctx)
@@ -107,6 +113,7 @@
 func (n *Node) moveLists(cfg Config) {
 	switch l := n.lists.(type) {
 	case *service:
+		l.part.now.Store(scopeOf(n.cfg.Settings))
 		if !n.cfg.Settings.AskForList {
 			l.Follow(n.ctx)
 		}
@@ -143,6 +150,7 @@
 	// hash depend on it. Of entries of one name the last counts.
 	slices.SortStableFunc(entries, func(a, b list.Entry) int { return strings.Compare(a.Name, b.Name) })
 	u := decide.ListUpdate{Kind: kind, Version: l.Index}
+	placePart(&u, l, n.cfg.Settings.Self)
 	missing := map[string]bool{}
 	if kind != decide.ListChanges {
 		for name := range n.listed {
--- /dev/null
+++ b/internal/node/part.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"indigotack/decide"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+)
+
+// scope is what of the settings says which part of the list this node works with.
+type scope struct {
+	self, nodes int
+	groups      []list.Group
+}
+
+func scopeOf(s decide.Settings) *scope {
+	to := &scope{self: s.Self, nodes: s.Nodes}
+	for _, c := range s.Classes {
+		g := list.Group{Zones: c.OnlyZones, Types: c.OnlyKinds}
+		if !slices.ContainsFunc(to.groups, func(o list.Group) bool { return same(o.Zones, g.Zones) && same(o.Types, g.Types) }) {
+			to.groups = append(to.groups, g)
+		}
+	}
+	return to
+}
+
+// same tells placements apart: nil is all, and empty none.
+func same(a, b []string) bool { return slices.Equal(a, b) && (a == nil) == (b == nil) }
+
+// scoped is the node's choice of a part, which the client of the list service asks
+// for from a goroutine of its own.
+type scoped struct{ now atomic.Pointer[scope] }
+
+func (s *scoped) next(has list.Part, total int, entries []list.Entry) list.Part {
+	by := s.now.Load()
+	return has.Next(by.self, by.nodes, total, entries, by.groups)
+}
+
+// snapshot is what a client believes, in the form of an answer.
+func snapshot(v client.View) list.Answer {
+	return list.Answer{Index: v.Version, Epoch: v.Epoch, Snapshot: true, Part: v.Part.String(), Total: v.Total, Endpoints: v.Entries}
+}
+
+// placePart says of a list which part of the whole it is; of the whole list it says nothing.
+func placePart(u *decide.ListUpdate, l list.Answer, self int) {
+	if p, err := list.ParsePart(l.Part); err == nil && !p.All() {
+		u.Total, u.From = l.Total, list.Place(self)
+	}
+}
