Take 65,536 servers in the list

The list refused the 20,001st; the size to design for has 54,000.

BenchmarkChange is what a change costs a replica between log and sockets at 54,000 servers, whole lists beside parts.

--- a/internal/list/entry.go
+++ b/internal/list/entry.go
@@ -18,9 +18,9 @@
 
 // Bounds on what the list takes.
 const (
-	MaxText    = 256   // bytes of a name, an address, a zone or a type
-	MaxEntries = 20000 // a hundred times the largest fleet of today
-	MaxMembers = 9     // replicas; raft gains nothing from more than five that vote, and replacing needs some at a time
+	MaxText    = 256     // bytes of a name, an address, a zone or a type
+	MaxEntries = 1 << 16 // a fifth more than the size to design for, docs/list-design.md
+	MaxMembers = 9       // replicas; raft gains nothing from more than five that vote, and replacing needs some at a time
 )
 
 // Entry is one server, in discovery's form.
--- /dev/null
+++ b/internal/list/server/parts_bench_test.go
@@ -0,0 +1,69 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+
+	"indigotack/internal/list"
+)
+
+// BenchmarkChange is what a change of one of 54,000 servers costs a replica between the log and the sockets: finding
+// those whom it concerns, waking them, and making their answers.
+func BenchmarkChange(b *testing.B) {
+	const servers = 54000
+	m := &machine{state: list.NewState()}
+	m.state.Apply(list.Command{Do: list.DoBegin, Epoch: "e"})
+	for i := range servers {
+		e := entry(fmt.Sprintf("s-%08x", i), 1)
+		e.Zone, e.Type, e.Address = "a", "m2", "10.1.2.3:5000"
+		m.state.Apply(list.Command{Do: list.DoRegister, Entry: e})
+	}
+	weight := 1 // another at each change
+	for _, watchers := range []int{300, 1000, 4300} {
+		for _, parted := range []bool{false, true} {
+			b.Run(fmt.Sprint(watchers, "/", map[bool]string{false: "whole", true: "parts"}[parted]), func(b *testing.B) {
+				h := newHub(m)
+				h.publishList(m.state)
+				all := map[*watcher]query{}
+				for i := range watchers {
+					q := query{parted: parted, from: m.state.Version(), epoch: "e"}
+					if parted {
+						q.part = list.PartOf(i, 4300, servers)
+					}
+					w, _ := h.wait(q.part, q.from, watchers)
+					all[w] = q
+				}
+				bytes, woken := 0, 0
+				b.ResetTimer()
+				for range b.N {
+					weight++
+					m.state.Apply(list.Command{Do: list.DoRegister, Entry: entry(fmt.Sprintf("s-%08x", weight*7919%servers), weight)})
+					h.publishList(m.state)
+					var due []*watcher
+					for _, g := range h.due {
+						for w := range g.all {
+							due = append(due, w)
+						}
+					}
+					for h.wakeSome() {
+					}
+					for _, w := range due {
+						q := all[w]
+						q.from = h.leave(w)
+						head, entries, err := h.answer(q)
+						if err != nil {
+							b.Fatal(err)
+						}
+						bytes, woken = bytes+len(head)+len(entries)+1, woken+1
+						delete(all, w)
+						q.from = m.state.Version()
+						again, _ := h.wait(q.part, q.from, watchers)
+						all[again] = q
+					}
+				}
+				b.ReportMetric(float64(bytes)/float64(b.N), "bytes/change")
+				b.ReportMetric(float64(woken)/float64(b.N), "woken/change")
+			})
+		}
+	}
+}
