--- a/internal/lab/quorum/library.go
+++ b/internal/lab/quorum/library.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
 )
 
-// follower is the project's own client of the list, which follows it over all faults.
+// follower is the project's own client of the list, which follows it, or a part of it, over all faults.
 type follower struct {
 	client *client.Client
 	wrong  []string
@@ -18,9 +19,21 @@
 // followHold is short, so that a run has many watches.
 const followHold = 500 * time.Millisecond
 
-func newFollower(c *cluster) (*follower, error) {
-	k, err := client.New(client.Config{Addresses: c.doors, Hold: followHold})
-	return &follower{client: k}, err
+// newFollowers makes one of all of the list, and one of a quarter that goes on around the ring.
+func newFollowers(c *cluster) (all []*follower, err error) {
+	answers := 0
+	around := func(list.Part, int, []list.Entry) list.Part {
+		answers++
+		return list.Part{From: uint16(answers/8%16) << 12, Width: 1 << 14}
+	}
+	for _, part := range []func(list.Part, int, []list.Entry) list.Part{nil, around} {
+		k, err := client.New(client.Config{Addresses: c.doors, Hold: followHold, Part: part})
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, &follower{client: k})
+	}
+	return all, nil
 }
 
 // run follows until ctx ends, and looks at each view on the way.
@@ -44,17 +57,12 @@
 
 // reach waits until the client has the list of the end.
 func (f *follower) reach(last list.Answer) (wrong []string) {
-	want := map[string]list.Entry{}
-	for _, e := range last.Endpoints {
-		want[e.Name] = e
-	}
 	for until := time.Now().Add(readyTime); ; time.Sleep(5 * time.Millisecond) {
 		v, _ := f.client.View()
 		if v.Version == last.Index {
-			for _, e := range v.Entries {
-				if want[e.Name] != e || len(v.Entries) != len(want) {
-					return append(wrong, fmt.Sprintf("the client holds %v at %d, the list is %v", v.Entries, v.Version, last.Endpoints))
-				}
+			want := slices.DeleteFunc(slices.Clone(last.Endpoints), func(e list.Entry) bool { return !v.Part.Holds(list.Point(e.Name)) })
+			if !slices.Equal(v.Entries, want) {
+				return append(wrong, fmt.Sprintf("the client holds %v of part %v at %d, the list is %v", v.Entries, v.Part, v.Version, last.Endpoints))
 			}
 			return nil
 		}
--- a/internal/lab/quorum/play.go
+++ b/internal/lab/quorum/play.go
@@ -128,7 +128,7 @@
 	if err := c.set.Begin(ctx); err != nil {
 		return Outcome{}, err
 	}
-	own, err := newFollower(c)
+	own, err := newFollowers(c)
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -152,7 +152,9 @@
 		watching = append(watching, v)
 		watch.Go(func() { v.run(watched, final.Load) })
 	}
-	watch.Go(func() { own.run(watched) })
+	for _, f := range own {
+		watch.Go(func() { f.run(watched) })
+	}
 	err = c.carryOut(working, c.log.Now(), faults)
 	work.Wait()
 	if err == nil {
@@ -163,8 +165,10 @@
 		last, err = c.final(ctx)
 	}
 	var left []string
-	if err == nil {
-		left = own.reach(last)
+	for _, f := range own {
+		if err == nil {
+			left = append(left, f.reach(last)...)
+		}
 	}
 	final.Store(last.Index) // 0 after an error, which ends the watchers
 	done()
@@ -173,7 +177,10 @@
 		return Outcome{}, err
 	}
 	o := c.judge(faults, workers, watching, last)
-	o.Broken = append(append(o.Broken, left...), own.wrong...)
+	o.Broken = append(o.Broken, left...)
+	for _, f := range own {
+		o.Broken = append(o.Broken, f.wrong...)
+	}
 	return o, nil
 }
 
