--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -40,7 +40,7 @@
 	r.attempts = append(r.attempts,
 		attempt{server: s, sent: m.now, mayRun: true, lost: r.coming, work: work})
 	r.out++
-	s.tokens--
+	s.tokens -= work
 	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now), Before: before})
 	if !r.coming { // else it counts from its last byte on
 		m.count(r, &r.attempts[len(r.attempts)-1])
@@ -82,7 +82,7 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
+	a.ended, a.mayRun = true, !e.Code.neverSent()
 	r.out--
 	if !a.lost {
 		m.uncount(a, latencySeen(r, e))
