--- a/cmd/indigolab/scale.go
+++ b/cmd/indigolab/scale.go
@@ -19,6 +19,8 @@
 	run  scale.Run
 	bin  string
 	rest time.Duration
+
+	parts bool
 }
 
 func scaleCommand() *cobra.Command {
@@ -39,6 +41,7 @@
 	c.PersistentFlags().StringVar(&f.run.Trial, "trial", "", "how the programs differ from the commit, where they are those of a trial")
 	c.PersistentFlags().IntVar(&f.run.Repeat, "repeat", 3, "how often each figure is taken")
 	c.PersistentFlags().DurationVar(&f.rest, "rest", 5*time.Second, "for which processes are left alone, and for which nodes get changes")
+	c.PersistentFlags().BoolVar(&f.parts, "parts", false, "nodes and watchers follow their parts of the list alone")
 	c.PersistentFlags().StringVar(&f.bin, "bin", "", "the folder with the programs (default: beside indigolab, or built from the project)")
 	c.AddCommand(scalePageCommand(&f), scaleModuleCommand(&f), scaleEntriesCommand(&f), scaleRenewalsCommand(&f), scaleNodesCommand(&f), scaleHollowCommand(),
 		scaleWatchersCommand(&f, "watchers", "one replica of the list service by how many hollow nodes' clients watch it", []int{30, 100, 300, 1000, 4300}, 200, (*scale.Lists).Watchers),
@@ -59,6 +62,9 @@
 		return "", nil, unplayed{errors.New("--label is before or after, --repeat 1 or more, --rest 1s or more")}
 	}
 	f.run.Command = "indigolab scale " + what
+	if f.parts {
+		f.run.Command += " --parts"
+	}
 	if f.run.Commit == "" {
 		raw, err := exec.CommandContext(ctx, "git", "rev-parse", "--short", "HEAD").Output()
 		if err != nil {
--- a/cmd/indigolab/scale_list.go
+++ b/cmd/indigolab/scale_list.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	defer built()
-	return told(do(c.Context(), &scale.Lists{Run: f.run, Dir: dir, Program: []string{program}, Rest: f.rest, Say: saying(c)}))
+	return told(do(c.Context(), &scale.Lists{Run: f.run, Dir: dir, Program: []string{program}, Parts: f.parts, Rest: f.rest, Say: saying(c)}))
 }
 
 // scaleWatchersCommand measures one replica, or three, by watchers.
--- a/cmd/indigolab/scale_test.go
+++ b/cmd/indigolab/scale_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// TestPartsCounted: who follows a part hears of that part's changes alone. Of fewer entries a part is all of the list.
+func TestPartsCounted(t *testing.T) {
+	bytes := map[bool]float64{}
+	for _, parts := range []bool{false, true} {
+		l := lists(t)
+		l.Parts = parts
+		if err := l.Watchers(t.Context(), []int{10}, 3000); err != nil {
+			t.Fatal(err)
+		}
+		bytes[parts] = figureOf(t, l, "watcher_change_bytes_in")[0]
+	}
+	if bytes[true] > 0.6*bytes[false] {
+		t.Errorf("a change is %v bytes to a watcher of a part, %v to one of all", bytes[true], bytes[false])
+	}
+}
+
 // TestHollowNodesCounted: hollow nodes follow the list and each other as nodes do.
 func TestHollowNodesCounted(t *testing.T) {
 	const backends = 50
