--- a/internal/lab/scale/sides.go
+++ b/internal/lab/scale/sides.go
@@ -92,7 +92,9 @@
 					a, b := h.Figures[f[0]].Median, r.Figures[f[0]].Median
 					says := "within 15%"
 					if b < 0.85*a || b > 1.15*a {
-						says = fmt.Sprintf("factor %s", number(b/a))
+						if says = fmt.Sprintf("factor %s, %s more", number(b/a), shown(b-a, f[1])); b < a {
+							says = fmt.Sprintf("factor %s", number(b/a))
+						}
 					}
 					rows = append(rows, []string{m.label, number(float64(h.Sizes["nodes"])), "`" + f[0] + "`", shown(a, f[1]), shown(b, f[1]), says})
 				}
