Note that an answer comes before it is read, and read a node's settings on its loop

Cause: TestReloadAmidADrain failed now and then at a load of 30: between a read that took bytes from the socket and the note of it, the client looked as if nothing had come, and a list that had begun to come was dropped as discovery moved. And tests copied the settings of a running node, which its loop changes, under the race detector.

Change: sock.Await waits for bytes without taking them, so that they are noted ahead of the read; tests ask the loop.

--- a/internal/list/client/move.go
+++ b/internal/list/client/move.go
@@ -54,9 +54,8 @@
 }
 
 func (c arrival) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.of.begun.Store(true)
+	if sock.Await(c.Conn) {
+		c.of.begun.Store(true) // ahead of the read: by arriving's look something is either to be read or noted
 	}
-	return n, err
+	return c.Conn.Read(p)
 }
--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -122,7 +122,7 @@
 	defer discovery.Close()
 	n := startNodeWith(t, func(n *Node) { n.cfg.Discovery = discovery.Listener.Addr().String() })
 	defer n.stopNow(t)
-	cfg := n.cfg
+	cfg := n.config()
 	for _, want := range []string{"from=9&hold_ms=3500", "from=9&hold_ms=20000", "from=9&hold_ms=3500"} {
 		got := "none"
 		for got != "" { // what the former way still asks for
--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -173,7 +173,7 @@
 	answered := make(chan reply, 1)
 	go func() { answered <- do(t, n.request(t, "GET", "saldo", "x", "30", nil)) }()
 	wait(t, arrived, "the request")
-	cfg := n.cfg
+	cfg := n.config()
 	cfg.Settings.Self = other
 	n.Reload(cfg)
 	s.change(func() { s.state.Apply(list.Command{Do: list.DoPut, Name: "k", Value: json.RawMessage("1")}) })
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -47,7 +47,7 @@
 	}))
 	defer next.Close()
 	defer n.stopNow(t)
-	cfg := n.cfg
+	cfg := n.config()
 	cfg.Discovery = next.Listener.Addr().String()
 	n.Reload(cfg)
 	n.Reload(cfg) // once more changes nothing
@@ -103,7 +103,7 @@
 	})
 	defer n.stopNow(t)
 	wait(t, watched, "the watch that the module asks for")
-	cfg := n.cfg
+	cfg := n.config()
 	cfg.Settings.AskForList = false
 	n.Reload(cfg)
 	wait(t, whole, "the node's own call")
@@ -168,7 +168,7 @@
 		})
 		n := startNodeWith(t, func(n *Node) { n.cfg.Discovery = disc })
 		c, next := wait(t, watch, "the watch"), newAgent(t)
-		cfg := n.cfg
+		cfg := n.config()
 		cfg.Discovery = next.address
 		answer, cut := say("draining"), 0
 		if i%2 == 0 {
--- a/internal/node/running_test.go
+++ b/internal/node/running_test.go
@@ -94,6 +94,12 @@
 	}
 }
 
+// config is the loop's, which changes it.
+func (n *running) config() (cfg Config) {
+	n.do(func() { cfg = n.cfg })
+	return cfg
+}
+
 func (n *running) request(t *testing.T, method, class, id, deadline string, body io.Reader) *http.Request {
 	t.Helper()
 	req, err := http.NewRequest(method, "http://"+n.address+"/api/key?a=1", body)
--- a/internal/node/settings_flight_test.go
+++ b/internal/node/settings_flight_test.go
@@ -15,7 +15,7 @@
 // change gives the node other settings and returns when it has them.
 func (n *running) change(t *testing.T, classes ...decide.Class) {
 	t.Helper()
-	cfg := n.cfg
+	cfg := n.config()
 	cfg.Settings.Classes = classes
 	n.Reload(cfg)
 	n.on(t, func() {})
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -25,3 +25,23 @@
 	})
 	return waits[0].Revents&unix.POLLIN != 0
 }
+
+// Await waits until bytes are to be read from a socket, and is false where none come: it has ended, or is no socket.
+func Await(socket any) bool {
+	s, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		var e error
+		n, _, e = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return e != syscall.EAGAIN && e != syscall.EINTR
+	})
+	return err == nil && n > 0
+}
