--- a/internal/lab/quorum/measure.go
+++ b/internal/lab/quorum/measure.go
@@ -62,7 +62,7 @@
 			if _, err := write(ctx, k, i); err != nil {
 				return err
 			}
-			leader, err := leading(ctx, c, k)
+			leader, err := Leading(ctx, c.set, k)
 			if err != nil {
 				return err
 			}
@@ -94,7 +94,8 @@
 	return k.Register(ctx, list.Entry{Name: "s", Address: "127.0.0.1:1", Status: list.Ready, SinceMS: int64(2*max(n, -n) + n&1)}, 0, nil)
 }
 
-func leading(ctx context.Context, c *cluster, k *client.Client) (*replicas.Replica, error) {
+// Leading waits until somebody leads, and gives it.
+func Leading(ctx context.Context, set *replicas.Set, k *client.Client) (*replicas.Replica, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
 	for ctx.Err() == nil {
@@ -104,7 +105,7 @@
 		}
 		for i, m := range members {
 			if m.Leads {
-				return c.set.All[i], nil
+				return set.All[i], nil
 			}
 		}
 		pause.For(ctx, 5*time.Millisecond)
--- a/internal/lab/scale/herd.go
+++ b/internal/lab/scale/herd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"path/filepath"
 	"time"
@@ -63,7 +62,7 @@
 				return err
 			}
 			defer c.end()
-			leader, err := leading(ctx, set, k)
+			leader, err := quorum.Leading(ctx, set, k)
 			if err != nil {
 				return err
 			}
@@ -86,16 +85,3 @@
 		return f, err
 	})
 }
-
-func leading(ctx context.Context, set *replicas.Set, k *client.Client) (*replicas.Replica, error) {
-	members, err := k.Members(ctx)
-	if err != nil {
-		return nil, err
-	}
-	for i, m := range members {
-		if m.Leads {
-			return set.All[i], nil
-		}
-	}
-	return nil, errors.New("nobody leads")
-}
