Count a change's shared servers by their groups' reach where that is exact

Cause: whether notes are too dear hangs on how many nodes work with each server.

Change: with one placement the sum is the reach of all other nodes, exactly, and nothing is counted; only with several, within the width of what can stand twice, it still is.

Measured: TestChangeCountsNoPairs fails without it; the drawn walk over lists agrees as before.

--- a/decide/peers.go
+++ b/decide/peers.go
@@ -17,7 +17,7 @@
 // share finds whether nodes tell each other of the servers that they share: those that each works with.
 // Each is counted once for each node and each of its groups at most.
 func (m *Module) share() {
-	n, pairs, twice := float64(max(len(m.list.servers), m.total)), 0.0, 0.0
+	n, pairs := float64(max(len(m.list.servers), m.total)), 0.0
 	m.changes++
 	m.tells, m.shares = false, m.set.MayMessage && !m.looks && m.set.Nodes > 1 && n > 0 && m.sharers <= noteNodes
 	if !m.shares {
@@ -30,10 +30,15 @@
 		each := (2*noteBytes + 1) * pairs / n // at its start and at its end
 		return m.set.Prices.Message*each/256 > notePoints
 	}
+	others := float64(m.set.Nodes)
+	if m.set.Self >= 0 && m.set.Self < m.set.Nodes {
+		others--
+	}
 	for _, g := range m.groups {
-		pairs, twice = pairs+float64(m.set.Nodes)*g.reach, twice+g.reach+n
+		pairs += others * g.reach
 	}
-	if m.total == 0 && dear(pairs) && !dear(pairs-twice) { // it hangs on those counted twice, and own ones
+	twice := n * float64(len(m.groups)-1) // the last of one group may be the first of the next
+	if m.total == 0 && dear(pairs) && !dear(pairs-twice) {
 		pairs = 0
 		for _, s := range m.list.servers {
 			pairs += float64(len(m.with(s)))
--- a/decide/ring_test.go
+++ b/decide/ring_test.go
@@ -230,3 +230,20 @@
 		}
 	}
 }
+
+// A change asks of no other server who works with it, also where notes are nearly too dear to be sent.
+func TestChangeCountsNoPairs(t *testing.T) {
+	m := manyNodes(0, 430, 200)
+	m.set.MayMessage = true
+	pairs := float64(m.set.Nodes) * m.groups[0].reach
+	m.set.Prices.Message = notePoints * 256 * 200 / ((2*noteBytes + 1) * (pairs - 100))
+	m.Handle(m.now, ListUpdate{Kind: ListChanges, Entries: []Server{{ID: 7, Zone: "z", State: Draining}}})
+	for _, s := range m.list.servers {
+		if m.shares && s.sharedAt == m.changes {
+			t.Fatalf("server %d has been looked at", s.ID)
+		}
+	}
+	if !m.shares {
+		t.Error("the node shares no servers")
+	}
+}
