Hold a server for cold whose ban ended while it was outside a node's part

A ban that ends starts the server cold, as it was restarted meanwhile; a node that knows a part did so only where the server was in it, and took one that came in later, or that left and came back within its ramp, for warm.

The module keeps when the last bans ended, for as long as a ramp lasts, and starts what comes into the part from there; a later start that a list names still holds instead.

--- a/decide/module.go
+++ b/decide/module.go
@@ -19,7 +19,8 @@
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
 	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, running: 1, tight: math.Inf(1),
-		known: map[ServerID]*server{}, banned: map[ServerID]bool{}, requests: map[RequestID]*request{}}
+		known: map[ServerID]*server{}, banned: map[ServerID]bool{}, lifted: map[ServerID]Time{},
+		requests: map[RequestID]*request{}}
 	m.adopt(s)
 	m.sharers = float64(m.set.Nodes)
 	return m
@@ -99,8 +100,12 @@
 
 func (m *Module) serverOf(id ServerID) *server {
 	if m.known[id] == nil {
-		m.known[id] = &server{since: m.now, quietUntil: m.now, dither: m.random(), order: mix(uint64(id)),
-			banned: m.banned[id]}
+		s := &server{since: m.now, quietUntil: m.now, dither: m.random(), order: mix(uint64(id)), banned: m.banned[id]}
+		if at, was := m.lifted[id]; was { // it may have been out of this node's part when its ban ended, or since
+			s.StartedAt = at
+			m.startCold(s, at)
+		}
+		m.known[id] = s
 	}
 	return m.known[id]
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -114,6 +114,7 @@
 	tenants            map[string]*tenant
 	known              map[ServerID]*server
 	banned             map[ServerID]bool          // by hand, listed or not
+	lifted             map[ServerID]Time          // when the last bans ended, listed or not
 	inherited          map[ServerID]ServerLearned // of servers that no list has named yet
 	leaving            bool                       // a new process serves
 	groups             []*group
--- a/decide/suspicion.go
+++ b/decide/suspicion.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -92,6 +93,10 @@
 			m.startCold(s, m.now)
 		}
 	}
+	if m.banned[e.Server] && !e.On {
+		maps.DeleteFunc(m.lifted, func(_ ServerID, at Time) bool { return m.now-at > m.set.ColdTime })
+		m.lifted[e.Server] = m.now
+	}
 	if delete(m.banned, e.Server); e.On {
 		m.banned[e.Server] = true
 	}
