Play a cold server's sum where parts move and nodes believe in two sizes of the fleet

The sum of all nodes under N + 2 x root of N + 2 was played with whole lists alone.

The rig ends with the ramp, as the sum is counted up to there, and no longer counts answers that nothing read.

--- a/decide/cold_fleet_test.go
+++ b/decide/cold_fleet_test.go
@@ -27,21 +27,25 @@
 	heavy          bool          // some requests are four times as heavy as others
 	factor         float64       // Settings.OverloadFactor
 	window         time.Duration // Settings.OverloadTime
+	ramp           time.Duration // Settings.ColdTime
+	parts          int           // nodes know so many times what they work with; 0: all
+	moves          bool          // a third of the nodes change their numbers in the ramp, and so their parts
+	sizes          bool          // every other node takes the fleet for half as large
 }
 
 const (
-	coldTime  = 20 * time.Second // until a server is warm
 	coldFrom  = 0.16
 	burstFor  = 4 * time.Second
 	burstMore = 1.5
 )
 
-// coldEvent is due at a life of a node: 0: at any; without an event, the node restarts.
+// coldEvent is due at a life of a node: 0: at any; without an event, what it does is done.
 type coldEvent struct {
 	at   time.Duration
 	node int
 	life int
 	e    decide.Event
+	do   func(node int)
 }
 
 type coldQueue []coldEvent
@@ -60,39 +64,46 @@
 
 type coldFleet struct {
 	coldDay
-	set             decide.Settings
-	r               *rand.Rand
-	now, start      time.Duration
-	queue           coldQueue
-	nodes           []*decide.Module
-	life            []int
-	told            []time.Duration // when each node was told of the start
-	free            []time.Duration // by server: when its queue is empty
-	legs            map[decide.RequestID]int
-	over            map[decide.RequestID]bool
-	work            map[decide.RequestID]float64
-	sent            []coldSend // by nodes that had been told of the start
-	next, ok, asked int
+	set           decide.Settings
+	r             *rand.Rand
+	now, start    time.Duration
+	queue         coldQueue
+	nodes         []*decide.Module
+	life, number  []int
+	order         []decide.ServerID // of the servers in lists
+	told          []time.Duration   // when each node was told of the start
+	free          []time.Duration   // by server: when its queue is empty
+	legs          map[decide.RequestID]int
+	over          map[decide.RequestID]bool
+	work          map[decide.RequestID]float64
+	sent          []coldSend // by nodes that had been told of the start
+	next          int
+	entered, left int // nodes that came to work with server 1 by a move, or ceased to
 }
 
 func playCold(d coldDay, seed int64) *coldFleet {
 	f := &coldFleet{coldDay: d, r: rand.New(rand.NewSource(seed)), now: time.Hour, start: time.Hour + 8*time.Second,
-		nodes: make([]*decide.Module, d.nodes), life: make([]int, d.nodes), told: make([]time.Duration, d.nodes),
+		nodes: make([]*decide.Module, d.nodes), life: make([]int, d.nodes), number: make([]int, d.nodes), told: make([]time.Duration, d.nodes),
 		free: make([]time.Duration, d.servers+1), legs: map[decide.RequestID]int{}, over: map[decide.RequestID]bool{},
 		work: map[decide.RequestID]float64{}}
 	f.set = decide.Settings{Nodes: d.nodes, MaxAttempts: 3, MayCancel: true, MinTick: 5 * time.Millisecond,
-		ConnectTimeout: 100 * time.Millisecond, ColdFrom: coldFrom, ColdTime: coldTime, OverloadFactor: d.factor,
+		ConnectTimeout: 100 * time.Millisecond, ColdFrom: coldFrom, ColdTime: d.ramp, OverloadFactor: d.factor,
 		OverloadTime: d.window, HoldOffs: true, MaxHoldOff: time.Second, Classes: []decide.Class{
 			{Name: "a", Worth: 3, Aim: time.Second, Deadline: 3 * time.Second, Effect: decide.Safe},
 			{Name: "b", Worth: 1, Aim: 2 * time.Second, Deadline: 4 * time.Second, Effect: decide.Safe}}}
+	f.sort()
 	for i := range f.nodes {
+		f.number[i] = i
 		f.told[i] = f.start + time.Duration(f.r.Float64()*float64(d.late))
 		f.begin(i)
-		changes := []decide.Server{{ID: 1, Zone: "z", StartedAt: f.start}}
-		heap.Push(&f.queue, coldEvent{f.told[i], i, 0, decide.ListUpdate{Kind: decide.ListChanges, Entries: changes}})
+		heap.Push(&f.queue, coldEvent{f.told[i], i, 0, nil, f.tell})
 		if d.restarts {
-			at := f.start + time.Duration(f.r.Float64()*float64(coldTime))
-			heap.Push(&f.queue, coldEvent{at, i, 0, nil})
+			at := f.start + time.Duration(f.r.Float64()*float64(f.ramp))
+			heap.Push(&f.queue, coldEvent{at, i, 0, nil, f.begin})
+		}
+		if d.moves && i%3 == 0 {
+			at := f.start + time.Duration(f.r.Float64()*float64(f.ramp))
+			heap.Push(&f.queue, coldEvent{at, i, 0, nil, f.move})
 		}
 	}
 	f.play()
@@ -101,24 +112,13 @@
 
 // begin starts a node, with the list as it has been told.
 func (f *coldFleet) begin(i int) {
-	f.set.Self = i
-	f.nodes[i], f.life[i] = decide.New(f.set, f.r.Int63()), f.life[i]+1
-	var list []decide.Server
-	for id := 1; id <= f.servers; id++ {
-		s := decide.Server{ID: decide.ServerID(id), Zone: "z"}
-		if id == 1 && f.now >= f.start {
-			s.StartedAt, f.told[i] = f.start, min(f.told[i], f.now)
-		}
-		if id > 1 || f.down > 0 || s.StartedAt > 0 {
-			list = append(list, s)
-		}
-	}
-	f.feed(i, decide.ListUpdate{Kind: decide.ListFull, Entries: list})
+	f.nodes[i], f.life[i] = decide.New(f.settings(i), f.r.Int63()), f.life[i]+1
+	f.feed(i, f.list(i))
 }
 
-// play gives nodes their arrivals, a third of them several times as many as the others, and all that falls due.
+// play goes on until server 1 is warm. It gives nodes their arrivals, a third of them several times as many as the others, and all that falls due.
 func (f *coldFleet) play() {
-	for end := f.start + coldTime + 5*time.Second; f.now < end; {
+	for end := f.start + f.ramp; f.now < end; {
 		rate := f.rate * f.load * float64(f.servers)
 		if at := f.now - f.start; f.burst > 0 && at >= f.burst && at < f.burst+burstFor {
 			rate *= burstMore
@@ -130,13 +130,10 @@
 			f.now = p.at
 			switch e, ended := p.e.(decide.AttemptEnded); {
 			case p.e == nil:
-				f.begin(p.node)
+				p.do(p.node)
 			case p.life > 0 && p.life != f.life[p.node]:
 			case ended:
 				e.Over = f.over[e.ID] || e.Code == decide.OK
-				if e.Code == decide.OK && !f.over[e.ID] {
-					f.ok++
-				}
 				f.over[e.ID] = e.Over
 				f.feed(p.node, e)
 			default:
@@ -156,14 +153,13 @@
 		if i%3 > 0 && f.r.Intn(3) > 0 {
 			i -= i % 3
 		}
-		f.asked++
 		f.feed(i, decide.RequestArrived{ID: id, Class: class, Patience: 2 * time.Second})
 	}
 }
 
 // can is the part of its capacity that server 1 has.
 func (f *coldFleet) can(at time.Duration) float64 {
-	return coldFrom + (1-coldFrom)*math.Min(1, math.Max(0, float64(at-f.start)/float64(coldTime)))
+	return coldFrom + (1-coldFrom)*math.Min(1, math.Max(0, float64(at-f.start)/float64(f.ramp)))
 }
 
 func (f *coldFleet) feed(i int, e decide.Event) {
@@ -173,16 +169,16 @@
 			took, code := f.serve(i, int(a.Server), f.work[a.ID], a.Timeout)
 			end := decide.AttemptEnded{ID: a.ID, Attempt: f.legs[a.ID], Server: a.Server, Code: code, Elapsed: took}
 			f.legs[a.ID]++
-			heap.Push(&f.queue, coldEvent{f.now + took, i, f.life[i], end})
+			heap.Push(&f.queue, coldEvent{f.now + took, i, f.life[i], end, nil})
 		case decide.CancelAttempt:
 			end := decide.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Code: decide.Cancelled}
-			heap.Push(&f.queue, coldEvent{f.now + time.Millisecond, i, f.life[i], end})
+			heap.Push(&f.queue, coldEvent{f.now + time.Millisecond, i, f.life[i], end, nil})
 		case decide.Refuse:
 			f.over[a.ID] = true
 		case decide.Fail:
 			f.over[a.ID] = true
 		case decide.SetTimer:
-			heap.Push(&f.queue, coldEvent{f.now + a.After, i, f.life[i], decide.TimerFired{Token: a.Token}})
+			heap.Push(&f.queue, coldEvent{f.now + a.After, i, f.life[i], decide.TimerFired{Token: a.Token}, nil})
 		}
 	}
 }
@@ -216,9 +212,12 @@
 // N is the least that the settings allow it in the window: what it can do at the window's start, times the factor, times
 // the length. Worst is the greatest part of that bound that a window has, used the part of the sum of N's in the ramp.
 func (f *coldFleet) windows() (windows, over int, worst, used float64) {
-	warm := slices.IndexFunc(f.sent, func(s coldSend) bool { return s.at >= f.start+coldTime })
+	warm := slices.IndexFunc(f.sent, func(s coldSend) bool { return s.at >= f.start+f.ramp })
+	if warm < 0 {
+		warm = len(f.sent)
+	}
 	all, k, sum := 0.0, 0, 0.0
-	for _, s := range f.sent[:max(0, warm)] {
+	for _, s := range f.sent[:warm] {
 		for ; k < warm && f.sent[k].at < s.at+f.window; k++ {
 			sum += f.sent[k].work
 		}
@@ -229,5 +228,5 @@
 		}
 		worst, sum, all = math.Max(worst, sum/bound), sum-s.work, all+s.work
 	}
-	return windows, over, worst, all / (f.rate * (1 + coldFrom) / 2 * f.factor * coldTime.Seconds())
+	return windows, over, worst, all / (f.rate * (1 + coldFrom) / 2 * f.factor * f.ramp.Seconds())
 }
--- a/decide/cold_sum_test.go
+++ b/decide/cold_sum_test.go
@@ -38,7 +38,7 @@
 					}
 					d := c.day
 					d.nodes, d.servers, d.flat, d.rate, d.base = n, max(8, n/6), flat, 16, 30*time.Millisecond
-					d.factor, d.window = 3, 1500*time.Millisecond
+					d.factor, d.window, d.ramp = 3, 1500*time.Millisecond, 20*s
 					name := fmt.Sprintf("%d nodes, flat %v", n, flat)
 					windows, over, worst, used := playCold(d, int64(n)).windows()
 					t.Logf("%s: %.0f%% of its budget used, at most %.2f of the bound", name, 100*used, worst)
@@ -61,7 +61,7 @@
 		for _, n := range []int{3, 10, 30} {
 			for _, heavy := range []bool{true, false} {
 				windows, over, worst, _ := playCold(coldDay{nodes: n, servers: 8, load: 1.1, rate: 4, base: 30 * time.Millisecond,
-					flat: true, down: time.Second, burst: 1, heavy: heavy, factor: 1.5, window: 750 * time.Millisecond}, seed).windows()
+					flat: true, down: time.Second, burst: 1, heavy: heavy, factor: 1.5, window: 750 * time.Millisecond, ramp: 20 * time.Second}, seed).windows()
 				if over > 0 {
 					t.Errorf("%d nodes: %d of %d windows over, the worst %.2f of the bound", n, over, windows, worst)
 				}
