--- /dev/null
+++ b/internal/sim/parts/replica.go
@@ -0,0 +1,112 @@
+package parts
+
+import (
+	"slices"
+	"time"
+
+	"indigotack/internal/list"
+	"indigotack/internal/sim"
+)
+
+const (
+	applyEvery = 20 * time.Millisecond
+	applyAfter = 30 * time.Millisecond // of what was logged
+)
+
+// query is a call for a part.
+type query struct {
+	number uint64
+	part   list.Part
+	from   uint64
+	epoch  string
+	hold   time.Duration
+	moves  bool // it reads a part in place of the one that stands
+}
+
+// reply is what a call brings; without an answer it is refused, as the replica is behind.
+type reply struct {
+	number uint64
+	answer *list.Answer
+}
+
+// disk is what a replica has after a restart.
+type disk struct {
+	state *list.State
+	done  int // entries of the log
+	lags  int // faults by which it applies nothing that is younger than mostLag
+}
+
+// replica is a process of the list service.
+type replica struct {
+	fleet *Fleet
+	*disk
+	held []held
+}
+
+// held is a watch that is open.
+type held struct {
+	query
+	by    string
+	until time.Duration
+}
+
+func (r *replica) Handle(_ time.Duration, e sim.Event) (out []sim.Effect) {
+	r.catchUp()
+	now := r.fleet.World.Now()
+	switch e := e.(type) {
+	case sim.Started, sim.Tick:
+		out = append(out, sim.Wake{After: applyEvery})
+	case sim.Message:
+		q := r.fleet.mail[string(e.Data)].(query)
+		r.held = append(r.held, held{q, e.From, now + q.hold})
+	}
+	r.held = slices.DeleteFunc(r.held, func(h held) bool {
+		a := r.serve(h.query, now >= h.until)
+		if a != nil {
+			out = append(out, sim.Send{To: h.by, Data: r.fleet.post(*a)})
+		}
+		return a != nil
+	})
+	return out
+}
+
+// post gives a message that stands for what it carries.
+func (f *Fleet) post(what any) []byte {
+	key := time.Duration(len(f.mail)).String()
+	f.mail[key] = what
+	return []byte(key)
+}
+
+func (r *replica) catchUp() {
+	upTo := r.fleet.World.Now() - applyAfter
+	if r.lags > 0 {
+		upTo = r.fleet.World.Now() - mostLag
+	}
+	for ; r.done < len(r.fleet.log) && r.fleet.log[r.done].at <= max(upTo, 0); r.done++ { // all have what there was at first
+		c := r.fleet.log[r.done]
+		if c.lost {
+			r.state = list.NewState()
+		}
+		r.state.Apply(c.Command)
+	}
+}
+
+// serve answers a call, or holds it: then it gives nothing.
+func (r *replica) serve(q query, over bool) *reply {
+	from := q.from
+	if q.epoch != r.state.Epoch() {
+		from = 0
+	}
+	if from > r.state.Version() {
+		return &reply{number: q.number}
+	}
+	if from > 0 && !over && !r.state.Newer(q.part, from) {
+		return nil
+	}
+	a := r.state.PartSince(q.part, from)
+	a.Part, a.Total = q.part.String(), r.state.Len()
+	if r.fleet.Alter != nil {
+		r.fleet.Alter(q, &a)
+	}
+	return &reply{q.number, &a}
+}
--- /dev/null
+++ b/internal/sim/parts/standins_test.go
@@ -0,0 +1,122 @@
+package parts
+
+import (
+	"slices"
+	"sync"
+	"testing"
+
+	"indigotack/internal/list"
+	"indigotack/internal/sim"
+)
+
+// altering gives a stand-in whose answers are altered.
+func altering(alter func(q query, a *list.Answer)) func(*Fleet) {
+	return func(f *Fleet) { f.Alter = alter }
+}
+
+// choosing gives a stand-in whose nodes choose other parts than list.Part.Next says.
+func choosing(choose func(has, right list.Part, self int) list.Part) func(*Fleet) {
+	return func(f *Fleet) {
+		f.Next = func(has list.Part, self, nodes, total int, entries []list.Entry, g []list.Group) list.Part {
+			return choose(has, has.Next(self, nodes, total, entries, g), self)
+		}
+	}
+}
+
+// arc is the part of a width at a node's place.
+func arc(self int, width uint16) list.Part {
+	return list.Part{From: uint16(list.Place(self)>>48) / (width / 4) * (width / 4), Width: width}
+}
+
+// standins are broken services and nodes, and the check which must find each.
+var standins = []struct {
+	name     string
+	replicas int
+	kinds    []sim.Kind // those that bring it out soonest
+	bend     func(*Fleet)
+	found    string
+}{
+	{"who leaves is not told", 1, []sim.Kind{removes}, altering(func(_ query, a *list.Answer) {
+		a.Endpoints = slices.DeleteFunc(a.Endpoints, func(e list.Entry) bool { return e.Status == list.Gone })
+	}), "exact"},
+	{"who is gone is told as draining", 1, []sim.Kind{removes}, altering(func(_ query, a *list.Answer) {
+		for i := range a.Endpoints {
+			if a.Endpoints[i].Status == list.Gone {
+				a.Endpoints[i].Status = list.Draining
+			}
+		}
+	}), "exact"},
+	{"one server is missing from a part that is read in place of another", 1, []sim.Kind{resizes}, altering(func(q query, a *list.Answer) {
+		if q.moves {
+			a.Endpoints = a.Endpoints[1:]
+		}
+	}), "exact"},
+	{"what left the part stays as draining", 1, []sim.Kind{resizes}, altering(func(q query, a *list.Answer) {
+		for i := 0; q.moves && !q.part.All(); i++ {
+			if e := server("s", i); !q.part.Holds(list.Point(e.Name)) {
+				e.Status = list.Draining
+				a.Endpoints = append(a.Endpoints, e)
+				return
+			}
+		}
+	}), "exact"},
+	{"a watch goes on ahead of what it brings", 1, []sim.Kind{registers}, altering(func(_ query, a *list.Answer) {
+		if !a.Snapshot && len(a.Endpoints) > 1 {
+			a.Endpoints = a.Endpoints[:len(a.Endpoints)-1]
+		}
+	}), "exact"},
+	{"begins anew at another replica after each watch", 3, []sim.Kind{registers, lagging}, func(f *Fleet) { f.Forgets = true }, "forward"},
+	{"a quiet watch ends at the version that it began with", 1, []sim.Kind{drains}, altering(func(q query, a *list.Answer) {
+		if !a.Snapshot && len(a.Endpoints) == 0 {
+			a.Index = q.from
+		}
+	}), "newest"},
+	{"all follow the part of one", 1, []sim.Kind{registers}, choosing(func(_, right list.Part, _ int) list.Part {
+		if right.All() {
+			return right
+		}
+		return arc(0, right.Width)
+	}), "held"},
+	{"parts end at half of their width", 1, []sim.Kind{registers}, choosing(func(_, right list.Part, _ int) list.Part {
+		return list.Part{From: right.From, Width: right.Width / 2}
+	}), "held"},
+}
+
+// Each check finds what it is there for, within a few schedules.
+func TestStandins(t *testing.T) {
+	const most = 20
+	var mu sync.Mutex
+	found := map[string]bool{}
+	t.Run("all", func(t *testing.T) {
+		for _, s := range standins {
+			t.Run(s.name, func(t *testing.T) {
+				t.Parallel()
+				p := play(s.replicas, s.bend)
+				p.Kinds = nil
+				for _, k := range s.kinds {
+					p.Kinds = append(p.Kinds, noted(k))
+				}
+				for seed := uint64(1); seed <= most; seed++ {
+					_, broken := p.Run(seed, p.Faults(seed))
+					if broken == nil {
+						continue
+					}
+					if broken.Check != s.found {
+						t.Fatalf("seed %d: found by the wrong check: %v", seed, broken)
+					}
+					t.Logf("seed %d: %v", seed, broken)
+					mu.Lock()
+					found[broken.Check] = true
+					mu.Unlock()
+					return
+				}
+				t.Fatalf("not found in %d schedules", most)
+			})
+		}
+	})
+	for _, c := range play(1, nil).Build(sim.New(1)) {
+		if !found[c.Name] {
+			t.Errorf("no stand-in is found by the check %q", c.Name)
+		}
+	}
+}
