--- /dev/null
+++ b/internal/lab/quorum/failover.go
@@ -0,0 +1,64 @@
+package quorum
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+)
+
+// Failovers kills the leader so many times, and gives the times from the kill to
+// the end of the first write that was begun after it.
+func Failovers(ctx context.Context, o Options, times int) (all []time.Duration, err error) {
+	err = measured(ctx, o, func(c *cluster, k *client.Client) error {
+		for i := range times {
+			if _, err := write(ctx, k, i); err != nil {
+				return err
+			}
+			leader, err := Leading(ctx, c.set, k)
+			if err != nil {
+				return err
+			}
+			before := time.Now()
+			if err := leader.Kill(); err != nil {
+				return err
+			}
+			if _, err := write(ctx, k, -i-1); err != nil {
+				return err
+			}
+			all = append(all, time.Since(before))
+			if err := c.set.Start(leader); err != nil {
+				return err
+			}
+			if err := c.set.Ready(ctx); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	slices.Sort(all)
+	return all, err
+}
+
+// Leading waits until somebody leads, and gives it.
+func Leading(ctx context.Context, set *replicas.Set, k *client.Client) (*replicas.Replica, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		members, err := k.Members(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for i, m := range members {
+			if m.Leads {
+				return set.All[i], nil
+			}
+		}
+		pause.For(ctx, 5*time.Millisecond)
+	}
+	return nil, fmt.Errorf("nobody leads: %w", ctx.Err())
+}
--- a/internal/lab/quorum/measure.go
+++ b/internal/lab/quorum/measure.go
@@ -54,39 +54,6 @@
 	return measured(ctx, o, func(c *cluster, k *client.Client) error { return do(c.set, k) })
 }
 
-// Failovers kills the leader so many times, and gives the times from the kill to
-// the end of the first write that was begun after it.
-func Failovers(ctx context.Context, o Options, times int) (all []time.Duration, err error) {
-	err = measured(ctx, o, func(c *cluster, k *client.Client) error {
-		for i := range times {
-			if _, err := write(ctx, k, i); err != nil {
-				return err
-			}
-			leader, err := Leading(ctx, c.set, k)
-			if err != nil {
-				return err
-			}
-			before := time.Now()
-			if err := leader.Kill(); err != nil {
-				return err
-			}
-			if _, err := write(ctx, k, -i-1); err != nil {
-				return err
-			}
-			all = append(all, time.Since(before))
-			if err := c.set.Start(leader); err != nil {
-				return err
-			}
-			if err := c.set.Ready(ctx); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	slices.Sort(all)
-	return all, err
-}
-
 // write makes one change that no other call makes.
 func write(ctx context.Context, k *client.Client, n int) (list.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
@@ -94,25 +61,6 @@
 	return k.Register(ctx, list.Entry{Name: "s", Address: "127.0.0.1:1", Status: list.Ready, SinceMS: int64(2*max(n, -n) + n&1)}, 0, nil)
 }
 
-// Leading waits until somebody leads, and gives it.
-func Leading(ctx context.Context, set *replicas.Set, k *client.Client) (*replicas.Replica, error) {
-	ctx, cancel := context.WithTimeout(ctx, readyTime)
-	defer cancel()
-	for ctx.Err() == nil {
-		members, err := k.Members(ctx)
-		if err != nil {
-			return nil, err
-		}
-		for i, m := range members {
-			if m.Leads {
-				return set.All[i], nil
-			}
-		}
-		pause.For(ctx, 5*time.Millisecond)
-	}
-	return nil, fmt.Errorf("nobody leads: %w", ctx.Err())
-}
-
 // Fan is what a change costs with so many watchers at one replica.
 type Fan struct {
 	Watchers int
--- a/internal/lab/scale/entries.go
+++ b/internal/lab/scale/entries.go
@@ -25,23 +25,12 @@
 
 // Entries measures one replica by the entries of its list.
 func (l *Lists) Entries(ctx context.Context, sizes []int) error {
-	return l.record("entries", func() ([]Point, error) {
-		var all []Point
-		for _, n := range sizes {
-			p, err := repeated(l.Repeat, map[string]int{"entries": n, "watchers": few}, func() (f map[string]float64, err error) {
-				err = l.fresh(ctx, n, func(set *replicas.Set, k *client.Client) error {
-					f, err = l.sized(ctx, set, k, n)
-					return err
-				})
-				return f, err
-			})
-			if err != nil {
-				return nil, err
-			}
-			l.Say(p)
-			all = append(all, p)
-		}
-		return all, nil
+	return l.points(ctx, "entries", "entries", sizes, map[string]int{"watchers": few}, l.Say, func(n int) (f map[string]float64, err error) {
+		err = l.fresh(ctx, n, func(set *replicas.Set, k *client.Client) error {
+			f, err = l.sized(ctx, set, k, n)
+			return err
+		})
+		return f, err
 	})
 }
 
@@ -94,23 +83,12 @@
 
 // Renewals measures the leader by how many renewals a second come, one server a call as agents make them.
 func (l *Lists) Renewals(ctx context.Context, rates []int) error {
-	return l.record("renewals", func() ([]Point, error) {
-		var all []Point
-		for _, n := range rates {
-			p, err := repeated(l.Repeat, map[string]int{"renewals": n}, func() (f map[string]float64, err error) {
-				err = l.fresh(ctx, 0, func(set *replicas.Set, k *client.Client) error {
-					f, err = renewed(ctx, set, k, n)
-					return err
-				})
-				return f, err
-			})
-			if err != nil {
-				return nil, err
-			}
-			l.Say(p)
-			all = append(all, p)
-		}
-		return all, nil
+	return l.points(ctx, "renewals", "renewals", rates, nil, l.Say, func(n int) (f map[string]float64, err error) {
+		err = l.fresh(ctx, 0, func(set *replicas.Set, k *client.Client) error {
+			f, err = renewed(ctx, set, k, n)
+			return err
+		})
+		return f, err
 	})
 }
 
--- a/internal/lab/scale/herd.go
+++ b/internal/lab/scale/herd.go
@@ -13,7 +13,7 @@
 
 // Cold has watchers without a list come all at once.
 func (l *Lists) Cold(ctx context.Context, sizes []int, entries int) error {
-	return l.points(ctx, "cold", "watchers", sizes, l.Say, func(n int) (f map[string]float64, err error) {
+	return l.points(ctx, "cold", "watchers", sizes, nil, l.Say, func(n int) (f map[string]float64, err error) {
 		err = l.fresh(ctx, entries, func(set *replicas.Set, k *client.Client) error {
 			now, err := k.Current(ctx)
 			if err != nil {
@@ -42,7 +42,7 @@
 
 // Lost kills the leader of three replicas under watchers of all three, and makes a change.
 func (l *Lists) Lost(ctx context.Context, sizes []int, entries int) error {
-	return l.points(ctx, "lost", "watchers", sizes, l.Say, func(n int) (f map[string]float64, err error) {
+	return l.points(ctx, "lost", "watchers", sizes, nil, l.Say, func(n int) (f map[string]float64, err error) {
 		l.number++
 		o := quorum.Options{Seed: 1, Replicas: 3, Dir: filepath.Join(l.Dir, fmt.Sprint("list", l.number)), Command: l.Program, Env: l.Env}
 		err = quorum.Measure(ctx, o, func(set *replicas.Set, k *client.Client) error {
--- a/internal/lab/scale/tenants.go
+++ b/internal/lab/scale/tenants.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"runtime"
 	"time"
 
@@ -21,7 +22,7 @@
 
 // Tenants measures a node's desk alone, by the tenants of the catalogue; the conductor takes no more than it states.
 func Tenants(ctx context.Context, run Run, sizes []int, say func(Point)) error {
-	return run.points(ctx, "tenants", "tenants", sizes, say, func(n int) (map[string]float64, error) {
+	return run.points(ctx, "tenants", "tenants", sizes, nil, say, func(n int) (map[string]float64, error) {
 		empty, _ := heap()
 		image, bytes := &tenant.Image{Number: 1, Entries: map[string]*tenant.Entry{}}, 0
 		for i := range n {
@@ -52,7 +53,7 @@
 
 // Policy measures a text of limits, a line or two for each book: its bytes, its making, its table.
 func Policy(ctx context.Context, run Run, sizes []int, say func(Point)) error {
-	return run.points(ctx, "policy", "books", sizes, say, func(n int) (map[string]float64, error) {
+	return run.points(ctx, "policy", "books", sizes, nil, say, func(n int) (map[string]float64, error) {
 		known, text := policy.Known{}, []byte("fleet {\n requests { rate = 1000000 }\n")
 		for i := range n {
 			name := fmt.Sprintf("tenant-%06d", i)
@@ -73,14 +74,16 @@
 	})
 }
 
-// points measures at each size of one direction.
-func (run Run) points(ctx context.Context, what, along string, sizes []int, say func(Point), one func(n int) (map[string]float64, error)) error {
+// points measures at each size of one direction; the others stay as fixed says, nil: nothing of them.
+func (run Run) points(ctx context.Context, what, along string, sizes []int, fixed map[string]int, say func(Point), one func(n int) (map[string]float64, error)) error {
 	return run.record(what, func() (all []Point, err error) {
 		for _, n := range sizes {
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
 			}
-			p, err := repeated(run.Repeat, map[string]int{along: n}, func() (map[string]float64, error) { return one(n) })
+			at := map[string]int{along: n}
+			maps.Copy(at, fixed)
+			p, err := repeated(run.Repeat, at, func() (map[string]float64, error) { return one(n) })
 			if err != nil {
 				return nil, err
 			}
--- a/internal/lab/scale/view.go
+++ b/internal/lab/scale/view.go
@@ -13,7 +13,7 @@
 // View measures the view of the fleet by its members, on the simulation's clock and network. Its processor time and
 // memory are those of the whole simulation, shared out: more than a node's.
 func View(ctx context.Context, run Run, sizes []int, say func(Point)) error {
-	return run.points(ctx, "view", "members", sizes, say, func(n int) (map[string]float64, error) {
+	return run.points(ctx, "view", "members", sizes, nil, say, func(n int) (map[string]float64, error) {
 		began := fleet.OwnCPU()
 		g, err := views.Growth{Nodes: n, Seed: 1, Cut: viewCut}.Measure(ctx)
 		if err != nil {
--- a/internal/lab/scale/watchers.go
+++ b/internal/lab/scale/watchers.go
@@ -150,23 +150,12 @@
 
 // Watchers measures a change and the rest between changes by how many watch one replica.
 func (l *Lists) Watchers(ctx context.Context, sizes []int, entries int) error {
-	return l.record("watchers", func() ([]Point, error) {
-		var all []Point
-		for _, n := range sizes {
-			p, err := repeated(l.Repeat, map[string]int{"watchers": n, "entries": entries}, func() (f map[string]float64, err error) {
-				err = l.fresh(ctx, entries, func(set *replicas.Set, k *client.Client) error {
-					f, err = l.watched(ctx, set, k, n, entries)
-					return err
-				})
-				return f, err
-			})
-			if err != nil {
-				return nil, err
-			}
-			l.Say(p)
-			all = append(all, p)
-		}
-		return all, nil
+	return l.points(ctx, "watchers", "watchers", sizes, map[string]int{"entries": entries}, l.Say, func(n int) (f map[string]float64, err error) {
+		err = l.fresh(ctx, entries, func(set *replicas.Set, k *client.Client) error {
+			f, err = l.watched(ctx, set, k, n, entries)
+			return err
+		})
+		return f, err
 	})
 }
 
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -10,12 +10,8 @@
 // Readable tells whether something waits in a socket: a connection, bytes or an end. It does not wait, and is false
 // for what is no socket.
 func Readable(socket any) bool {
-	s, ok := socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
+	raw := rawOf(socket)
+	if raw == nil {
 		return false
 	}
 	waits := []unix.PollFd{{Events: unix.POLLIN}}
@@ -28,16 +24,12 @@
 
 // Await waits until bytes are to be read from a socket, and is false where none come: it has ended, or is no socket.
 func Await(socket any) bool {
-	s, ok := socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
+	raw := rawOf(socket)
+	if raw == nil {
 		return false
 	}
 	n := 0
-	err = raw.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		var e error
 		n, _, e = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -45,3 +37,13 @@
 	})
 	return err == nil && n > 0
 }
+
+// rawOf is nil for what is no socket, or is closed.
+func rawOf(socket any) syscall.RawConn {
+	if s, ok := socket.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			return raw
+		}
+	}
+	return nil
+}
