--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "indigotack/internal/seeded"
 )
 
 // Admit says what a plain reading of the table says, and takes all or nothing.
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -9,6 +9,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "indigotack/internal/seeded"
+
 	"indigotack/internal/list"
 )
 
--- a/internal/fleet/merge_test.go
+++ b/internal/fleet/merge_test.go
@@ -5,6 +5,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "indigotack/internal/seeded"
+
 	"indigotack/internal/fleet/wire"
 )
 
--- a/internal/keeper/core_test.go
+++ b/internal/keeper/core_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "indigotack/internal/seeded"
+
 	"indigotack/internal/list"
 )
 
--- a/internal/lab/box/box_test.go
+++ b/internal/lab/box/box_test.go
@@ -6,6 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "indigotack/internal/seeded"
+
 	"indigotack/internal/lab/world"
 )
 
--- a/internal/lab/disco/disco_test.go
+++ b/internal/lab/disco/disco_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "indigotack/internal/seeded"
 )
 
 // TestWatcherHasWhatTheAgentHas: whoever applies the answers in turn, whole lists
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -13,6 +13,8 @@
 
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
+
+	_ "indigotack/internal/seeded"
 )
 
 const enough = 30 * time.Second // only a hang takes so long
--- a/internal/list/client/client_test.go
+++ b/internal/list/client/client_test.go
@@ -16,6 +16,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "indigotack/internal/seeded"
+
 	"indigotack/internal/list"
 )
 
--- a/internal/list/duties_test.go
+++ b/internal/list/duties_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "indigotack/internal/seeded"
 )
 
 // drawDuty draws a command on few sessions and duties, so that they meet.
--- a/internal/policy/drawn_test.go
+++ b/internal/policy/drawn_test.go
@@ -11,6 +11,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "indigotack/internal/seeded"
+
 	"indigotack/decide"
 )
 
--- a/internal/release/machine_test.go
+++ b/internal/release/machine_test.go
@@ -14,6 +14,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "indigotack/internal/seeded"
+
 	"indigotack/internal/list"
 )
 
--- a/internal/timeline/cell.go
+++ b/internal/timeline/cell.go
@@ -90,13 +90,21 @@
 	return lines
 }
 
+// counted says how many more there are, in one piece: "+12" where there is no room for "+12 more".
+func counted(n, width int) string {
+	if more := fmt.Sprintf("+%d more", n); len(more) <= width {
+		return more
+	}
+	return fmt.Sprintf("+%d", n)
+}
+
 // cell gives the lines of a cell, the further ones counted.
 func cell(events []Event, width int) (lines []string) {
 	all := texts(events)
 	for i, text := range all {
 		next := wrap(text, width)
 		if left := len(all) - i; len(lines)+len(next) > mostLines && len(lines) > 0 {
-			return append(lines, wrap(fmt.Sprintf("+%d more", left), width)...)
+			return append(lines, counted(left, width))
 		}
 		lines = append(lines, next...)
 	}
