Play halves of the fleet apart for an hour, with deaths and joins on both sides

Growth takes moves in each half during the cut, and tells the most that a node sends in a second of the heal; indigolab scale apart records both by the members, on the simulator's clock.

--- a/cmd/indigolab/scale_list.go
+++ b/cmd/indigolab/scale_list.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -92,3 +93,11 @@
 	}
 	return c
 }
+
+// scaleApartCommand measures the view after regions that were apart.
+func scaleApartCommand(f *scaleFlags) *cobra.Command {
+	cut := time.Hour
+	c := scaleCoreCommand(f, "apart", "members", "the view of the fleet once its halves were apart, with changes on both sides, in the simulator", []int{30, 100, 300}, scale.Apart(&cut))
+	c.Flags().DurationVar(&cut, "cut", cut, "for which they are apart, on the simulator's clock")
+	return c
+}
--- a/internal/sim/views/growth.go
+++ b/internal/sim/views/growth.go
@@ -17,6 +17,7 @@
 	Losses []float64     // at which false deaths are counted
 	Hours  float64       // node hours of counting, at each loss
 	Cut    time.Duration // of halves, before the heal
+	Moves  int           // deaths and joins in each half, evenly over the cut
 }
 
 // Grown is what it came to. Times are until all running nodes know, by the changes that they tell; 0: not within mostWait.
@@ -27,6 +28,7 @@
 	Join        time.Duration // of one more
 	Death       time.Duration
 	Heal        time.Duration
+	Peak        int       // bytes that one node sent in the worst second of the heal
 	False       []float64 // deaths of running nodes in anybody's view, a node and hour, by loss
 }
 
@@ -71,11 +73,18 @@
 		return out, err
 	}
 	half := m.w.Net.Break(func(from, to string) bool { return m.side(from) != m.side(to) }, sim.Cut)
-	m.run(g.Cut)
+	for i := range g.Moves {
+		m.run(g.Cut / time.Duration(g.Moves+1))
+		m.move(i)
+	}
+	m.run(g.Cut / time.Duration(g.Moves+1))
 	m.w.Net.Mend(half)
-	if out.Heal, err = m.until("the halves are one", m.whole); err != nil {
+	peak := m.peak()
+	if out.Heal, err = m.until("the halves are one", func() bool { out.Peak = peak(); return m.whole() }); err != nil {
 		return out, err
 	}
+	m.run(time.Second) // a heal may be shorter than the second that is counted
+	out.Peak = peak()
 	for _, loss := range g.Losses {
 		m.run(5 * time.Second)
 		out.False = append(out.False, m.falseDeaths(loss))
@@ -83,6 +92,15 @@
 	return out, ctx.Err()
 }
 
+// move ends a node of each half, one that nobody begins with, and starts another in it.
+func (m *grower) move(i int) {
+	for side := range 2 {
+		at := m.Nodes - 1 - 2*i - side // neighbours are of different halves
+		m.w.End(Names(m.Nodes)[at]).Kill()
+		m.f.Start(fmt.Sprint("late", 2*i+side))
+	}
+}
+
 // run plays on, in steps, unless the measurement is ended.
 func (m *grower) run(d time.Duration) {
 	for end := m.w.Now() + d; m.w.Now() < end && m.ctx.Err() == nil; {
@@ -97,7 +115,7 @@
 	w := sim.New(g.Seed)
 	m := &grower{Growth: g, ctx: ctx, w: w, f: NewFleet(w), alive: map[string]int{}, dead: map[string]int{}}
 	m.f.Quiet = true
-	m.f.Seeds = Names(1)
+	m.f.Seeds = Names(1 + min(g.Moves, 1)) // one in each half
 	if g.Rival {
 		m.f.Seeds = append(Names(g.Nodes), newcomer)
 		m.f.Core = func(cfg fleet.Config, now time.Duration) Core { return newRival(cfg, now) }
@@ -161,6 +179,23 @@
 	return float64(s1-s0) / per, float64(b1-b0) / per
 }
 
+// peak gives, call by call, the most bytes that one node has sent in a second so far.
+func (m *grower) peak() func() int {
+	most, at, before := 0, m.w.Now(), map[string]int{}
+	for _, e := range m.f.Nodes {
+		before[e.Name] = e.Bytes
+	}
+	return func() int {
+		if m.w.Now() >= at+time.Second {
+			for _, e := range m.f.Nodes {
+				most, before[e.Name] = max(most, e.Bytes-before[e.Name]), e.Bytes
+			}
+			at += time.Second
+		}
+		return most
+	}
+}
+
 func (m *grower) falseDeaths(loss float64) float64 {
 	wrong := m.w.Net.Break(func(string, string) bool { return true }, func(l *sim.Link) { l.Loss = loss })
 	defer m.w.Net.Mend(wrong)
--- a/internal/sim/views/views_test.go
+++ b/internal/sim/views/views_test.go
@@ -49,3 +49,11 @@
 	}
 	return out
 }
+
+// Halves that were apart, with deaths and joins in each, are one soon after, and no node sends more for it than its pace allows.
+func TestGrowthApart(t *testing.T) {
+	calm, moved := grown(t, Growth{Nodes: 20}), grown(t, Growth{Nodes: 20, Moves: 3})
+	if moved.Heal == 0 || moved.Heal > calm.Heal+5*second || moved.Peak == 0 || moved.Peak > 30_000 {
+		t.Errorf("calm %+v, moved %+v", calm, moved)
+	}
+}
