Play a rack gone at once and a roll by the second, with the worst second of each

Nodes that follow parts are settled once the list that they keep is exactly what their part has; a second process of hollow nodes is killed with the rack, or restarts one by one. A counted test plays all three with few nodes.

--- a/cmd/indigolab/scale_nodes.go
+++ b/cmd/indigolab/scale_nodes.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -13,8 +16,9 @@
 
 func scaleNodesCommand(f *scaleFlags) *cobra.Command {
 	var kind string
-	var zone bool
-	var nodes, backends []int
+	var zone, rack, roll bool
+	var nodes, backends, restarts []int
+	var last time.Duration
 	n := &scale.Nodes{}
 	c := &cobra.Command{
 		Use:   "nodes",
@@ -22,8 +26,13 @@
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			command := "nodes --kind " + kind
-			if zone {
-				command += " --zone"
+			for flag, set := range map[string]bool{" --zone": zone, " --rack": rack, " --roll": roll} {
+				if set {
+					command += flag
+				}
+			}
+			if (rack || roll) && kind != "hollow" {
+				return unplayed{errors.New("--rack and --roll are of hollow nodes")}
 			}
 			dir, done, err := f.begin(c.Context(), command)
 			if err != nil {
@@ -55,17 +64,31 @@
 					sizes = append(sizes, scale.Sizes{Nodes: m, Backends: b})
 				}
 			}
-			if zone {
-				return told(n.Zone(c.Context(), sizes))
+			plan, err := scale.LoadPlan(filepath.Join(f.run.Dir, "plan.toml"))
+			switch {
+			case zone:
+				err = n.Zone(c.Context(), sizes)
+			case rack && err == nil:
+				err = n.Rack(c.Context(), plan, sizes)
+			case roll && err == nil:
+				err = n.Roll(c.Context(), plan, sizes, restarts, last)
+			case !rack && !roll:
+				err = n.Measure(c.Context(), sizes)
 			}
-			return told(n.Measure(c.Context(), sizes))
+			return told(err)
 		},
 	}
 	c.Flags().StringVar(&kind, "kind", "hollow", "hollow or real")
 	c.Flags().IntSliceVar(&nodes, "nodes", []int{10}, "how many run")
 	c.Flags().IntSliceVar(&backends, "backends", []int{200, 1000, 2000, 5000, 10000, 20000}, "how many there are")
 	c.Flags().BoolVar(&zone, "zone", false, "a seventh of the backends is gone at once, and back at once")
+	c.Flags().BoolVar(&rack, "rack", false, "the plan's rack is gone at once: nodes are killed, backends expire")
+	c.Flags().BoolVar(&roll, "roll", false, "nodes and backends are replaced by the second")
+	c.MarkFlagsMutuallyExclusive("zone", "rack", "roll")
+	c.Flags().IntSliceVar(&restarts, "restarts", []int{625, 12500, 58300}, "an hour, of nodes and backends in the plan's proportion, with --roll")
+	c.Flags().DurationVar(&last, "last", time.Minute, "of a roll")
 	c.Flags().BoolVar(&n.View, "view", true, "they keep the view of the fleet")
+	c.Flags().IntVar(&n.Watchers, "watchers", 0, "further hollow clients at the replica")
 	c.Flags().IntVar(&n.Told, "told", 4300, "how many nodes they are told that there are, at least")
 	return c
 }
@@ -73,18 +96,20 @@
 // scaleHollowCommand is a process of hollow nodes; the measurement starts it.
 func scaleHollowCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:    "hollow FOLDER NODES",
+		Use:    "hollow FOLDER FIRST NODES EVERY",
 		Short:  "a process of hollow nodes, as the measurement starts it",
-		Args:   cobra.ExactArgs(2),
+		Args:   cobra.ExactArgs(4),
 		Hidden: true,
 		RunE: func(c *cobra.Command, args []string) error {
-			n, err := strconv.Atoi(args[1])
-			if err != nil {
+			first, err1 := strconv.Atoi(args[1])
+			nodes, err2 := strconv.Atoi(args[2])
+			every, err3 := time.ParseDuration(args[3])
+			if err := errors.Join(err1, err2, err3); err != nil {
 				return unplayed{err}
 			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM)
 			defer stop()
-			return scale.Hollow(ctx, args[0], n)
+			return scale.Hollow(ctx, args[0], first, nodes, every)
 		},
 	}
 }
--- a/cmd/indigolab/scale_test.go
+++ b/cmd/indigolab/scale_test.go
@@ -80,3 +80,36 @@
 		}
 	}
 }
+
+// TestFaultsCounted: a node pays for a zone, a rack and a roll by the changes of its part, and ends up knowing exactly what is left.
+func TestFaultsCounted(t *testing.T) {
+	const backends, nodes = 120, 3
+	plan := scale.Plan{Plan: scale.Demand{Nodes: 100, Backends: 500}, Assumed: scale.Assumed{RackNodes: 2, RackBackends: 20, TTL: 1}}
+	for name, fault := range map[string]struct {
+		play    func(*scale.Nodes) error
+		changes float64
+	}{
+		"zone": {func(n *scale.Nodes) error {
+			return n.Zone(t.Context(), []scale.Sizes{{Nodes: nodes, Backends: backends}})
+		}, backends / 7},
+		"rack": {func(n *scale.Nodes) error {
+			return n.Rack(t.Context(), plan, []scale.Sizes{{Nodes: nodes, Backends: backends}})
+		}, backends + 20},
+		"roll": {func(n *scale.Nodes) error {
+			return n.Roll(t.Context(), plan, []scale.Sizes{{Nodes: nodes, Backends: backends}}, []int{36000}, time.Second)
+		}, 2 * 10},
+	} {
+		n := scale.Nodes{Lists: lists(t), Kind: "hollow", Start: []string{os.Args[0], "scale", "hollow"}, View: true, Told: 100}
+		n.Parts = true
+		if err := fault.play(&n); err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		for figure, per := range map[string][2]float64{"node_bytes_in": {20, 1500}, "replica_peak_bytes": {20, 40000}} { // with the pages of its log
+			got := figureOf(t, n.Lists, figure)[0]
+			if got < per[0]*fault.changes/10 || got > per[1]*fault.changes {
+				t.Errorf("%s: %s is %v for %v changes", name, figure, got, fault.changes)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/rack.go
@@ -0,0 +1,116 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"indigotack/internal/list"
+	"indigotack/internal/pause"
+)
+
+// Rack plays a rack gone at once: its nodes are killed, and nobody renews its backends.
+func (n *Nodes) Rack(ctx context.Context, p Plan, sizes []Sizes) error {
+	return n.played(ctx, "rack", sizes, beside{nodes: int(p.Assumed.RackNodes)}, func(r rig) (map[string]float64, error) {
+		return r.rack(ctx, int(p.Assumed.RackBackends), time.Duration(p.Assumed.TTL*float64(time.Second)))
+	})
+}
+
+// rack leases the whole list, as what may expire is a share of it, the rack's backends for a shorter time.
+func (r rig) rack(ctx context.Context, lost int, ttl time.Duration) (map[string]float64, error) {
+	lease := func(ttl time.Duration) func(context.Context, int) error {
+		return func(ctx context.Context, i int) error {
+			_, err := r.k.Register(ctx, entryOf(i), ttl, nil)
+			return err
+		}
+	}
+	if err := together(ctx, lost, r.Backends, lease(list.MaxTTL)); err != nil {
+		return nil, err
+	}
+	if err := together(ctx, 0, lost, lease(ttl)); err != nil {
+		return nil, err
+	}
+	renewed := time.Now()
+	var known, settled time.Duration
+	f, err := r.spent(ctx, func() error {
+		for _, p := range r.beside {
+			if err := p.Kill(); err != nil {
+				return err
+			}
+		}
+		killed := time.Now()
+		g, ctx := errgroup.WithContext(ctx)
+		if r.View {
+			g.Go(func() error {
+				err := r.all(ctx, r.controls, "fleet.alive", r.Nodes)
+				known = time.Since(killed)
+				return err
+			})
+		}
+		g.Go(func() error {
+			pause.For(ctx, time.Until(renewed.Add(ttl))) // sooner none expires
+			err := r.know(ctx, namesOf(lost, r.Backends))
+			settled = time.Since(renewed.Add(ttl))
+			return err
+		})
+		return g.Wait()
+	})
+	if err != nil {
+		return nil, err
+	}
+	f["lost_backends"], f["ttl_s"], f["settled_s"] = float64(lost), seconds(ttl), seconds(settled)
+	if r.View {
+		f["view_s"] = seconds(known)
+	}
+	return f, nil
+}
+
+// Roll plays nodes and backends replaced at so many an hour, by the second, in their numbers' proportion.
+func (n *Nodes) Roll(ctx context.Context, p Plan, sizes []Sizes, restarts []int, last time.Duration) error {
+	for _, perHour := range restarts {
+		share := float64(perHour) / (p.Plan.Nodes + p.Plan.Backends) / time.Hour.Seconds() // of the fleet, a second
+		b := beside{nodes: int(p.Assumed.RackNodes), every: every(share * p.Plan.Nodes), restarts: perHour}
+		err := n.played(ctx, "roll", sizes, b, func(r rig) (map[string]float64, error) { return r.roll(ctx, every(share*p.Plan.Backends), last) })
+		if err != nil {
+			return fmt.Errorf("%d restarts an hour: %w", perHour, err)
+		}
+	}
+	return nil
+}
+
+func every(perSecond float64) time.Duration { return time.Duration(float64(time.Second) / perSecond) }
+
+// roll replaces backends one by one, each by one of another name, and waits until every node knows those that are left.
+func (r rig) roll(ctx context.Context, pace, last time.Duration) (map[string]float64, error) {
+	var done int
+	var written, settled time.Duration
+	f, err := r.spent(ctx, func() error {
+		start := time.Now()
+		for ; time.Duration(done)*pace < last; done++ {
+			if !pause.For(ctx, time.Until(start.Add(time.Duration(done)*pace))) {
+				return ctx.Err()
+			}
+			if _, err := r.k.Remove(ctx, entryName(done), nil); err != nil {
+				return err
+			}
+			if _, err := r.k.Register(ctx, entryOf(r.Backends+done), 0, nil); err != nil {
+				return err
+			}
+		}
+		pause.For(ctx, time.Until(start.Add(last)))
+		written = time.Since(start)
+		err := r.know(ctx, namesOf(done, r.Backends+done))
+		settled = time.Since(start) - written
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	over := f["took_s"] + 1 // that spent goes on for
+	return map[string]float64{"replaced": float64(done), "replaced_per_s": float64(done) / seconds(written), "settled_s": seconds(settled),
+		"node_cores": f["node_cpu_s"] / over, "node_bytes_in": f["node_bytes_in"] / over, "node_bytes_kept": f["node_bytes_kept"] / over, "node_peak_cores": f["node_peak_cores"],
+		"node_peak_bytes": f["node_peak_bytes"], "node_memory_bytes": f["node_memory_bytes"], "replica_cores": f["replica_cpu_s"] / over, "replica_bytes_out": f["replica_bytes_out"] / over,
+		"replica_peak_cores": f["replica_peak_cores"], "replica_peak_bytes": f["replica_peak_bytes"], "replica_memory_bytes": f["replica_memory_bytes"]}, nil
+}
--- /dev/null
+++ b/internal/lab/scale/rig.go
@@ -0,0 +1,176 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/platform"
+	"indigotack/internal/lab/proc"
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+)
+
+// rig is nodes that follow one replica.
+type rig struct {
+	Sizes
+	k        *client.Client
+	service  *proc.Proc
+	nodes    []*proc.Proc
+	controls []string // of the nodes, where operators call
+	beside   []*proc.Proc
+	files    []string // of the nodes' kept lists
+	parts    bool
+	View     bool // the nodes keep one
+}
+
+// beside is further hollow nodes, in a process that is not measured.
+type beside struct {
+	nodes    int
+	every    time.Duration // in which one of them restarts; 0: none does
+	restarts int           // of nodes and backends an hour that the play is of; 0: it is of none
+}
+
+// with starts a replica with so many backends, and nodes, and does something once they are ready.
+func (n *Nodes) with(ctx context.Context, size Sizes, b beside, do func(rig) error) error {
+	return n.fresh(ctx, size.Backends, func(set *replicas.Set, k *client.Client) error {
+		dir, err := os.MkdirTemp(n.Dir, "nodes")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		r := rig{Sizes: size, k: k, service: set.All[0].Proc(), parts: n.Parts, View: n.View}
+		var free func()
+		controls, free, err := n.configure(dir, size.Nodes+b.nodes, set.All[0].Address())
+		defer free()
+		if err != nil {
+			return err
+		}
+		log, err := history.New("")
+		if err != nil {
+			return err
+		}
+		group := proc.NewGroup(log)
+		defer group.Close(endTime)
+		r.controls = controls[:size.Nodes]
+		if r.nodes, err = n.begin(ctx, group, dir, 0, r.controls, 0); err != nil {
+			return err
+		}
+		if b.nodes > 0 {
+			if r.beside, err = n.begin(ctx, group, dir, size.Nodes, controls[size.Nodes:], b.every); err != nil {
+				return err
+			}
+		}
+		for i := range r.controls {
+			r.files = append(r.files, listFile(dir, i))
+		}
+		if n.View && b.every == 0 {
+			if err := r.all(ctx, r.controls, "fleet.alive", len(controls)); err != nil {
+				return err
+			}
+		}
+		if n.Watchers > 0 {
+			now, err := k.Current(ctx)
+			if err != nil {
+				return err
+			}
+			c, err := n.gather(ctx, []string{set.All[0].Address()}, arriveTogether, n.Watchers, now.Index)
+			if err != nil {
+				return err
+			}
+			defer c.end()
+		}
+		pause.For(ctx, time.Second) // what begins is over
+		return do(r)
+	})
+}
+
+// configure writes the nodes' files, with addresses of their own, and gives where operators call.
+func (n *Nodes) configure(dir string, nodes int, service string) (controls []string, free func(), err error) {
+	var frees []func()
+	free = func() {
+		for _, f := range frees {
+			f()
+		}
+	}
+	reserve := func() string {
+		address, done, e := link.Reserve()
+		if e != nil {
+			err = e
+			return ""
+		}
+		frees = append(frees, done)
+		return address
+	}
+	peers := slicesOf(nodes, "127.0.0.1:0")
+	if n.View {
+		if peers, err = freeUDP(nodes); err != nil {
+			return nil, free, err
+		}
+	}
+	for i := range nodes {
+		c := platform.Node{Name: fmt.Sprint("n", i), Number: i, Nodes: max(n.Told, nodes), Zone: zoneOf(i), Listen: reserve(), Control: reserve(),
+			List: []string{service}, ListFile: listFile(dir, i), ListPart: n.Parts, PeerListen: peers[i], Seed: uint64(i + 1)}
+		if n.View {
+			c.Peers, c.Fleet = peers, "scale"
+		}
+		if err == nil {
+			err = c.Write(configOf(dir, i), drawn, 1)
+		}
+		if err != nil {
+			return nil, free, err
+		}
+		controls = append(controls, c.Control)
+	}
+	return controls, free, nil
+}
+
+func listFile(dir string, i int) string { return filepath.Join(dir, fmt.Sprint("list", i)) }
+
+// begin starts the processes of nodes from the first on and waits until each node is ready. Hollow ones restart one by
+// one, if every is not 0.
+func (n *Nodes) begin(ctx context.Context, group *proc.Group, dir string, first int, controls []string, every time.Duration) (all []*proc.Proc, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	start := func(name string, env string, command ...string) error {
+		p, err := group.Start(proc.Spec{Name: name, Command: command, Dir: filepath.Join(dir, name), Env: append([]string{"HOME=" + dir, "TMPDIR=" + dir, env}, n.Env...)})
+		all = append(all, p)
+		return err
+	}
+	if n.Kind == "hollow" {
+		command := append(slices.Clone(n.Start), dir, strconv.Itoa(first), strconv.Itoa(len(controls)), every.String())
+		if err := start(fmt.Sprint("hollow", first), "PATH="+os.Getenv("PATH"), command...); err != nil {
+			return nil, err
+		}
+	}
+	for i, control := range controls {
+		if n.Kind != "hollow" {
+			if err := start(fmt.Sprint("n", first+i), "GW_CONFIG="+configOf(dir, first+i), n.Start...); err != nil {
+				return nil, err
+			}
+		}
+		if err := all[len(all)-1].WaitReady(ctx, "http://"+control+"/healthcheck"); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// usedBy sums what processes have used.
+func usedBy(all []*proc.Proc) (sum use, err error) {
+	for _, p := range all {
+		u, err := useOf(p.Pid)
+		if err != nil {
+			return sum, err
+		}
+		sum = use{sum.CPU + u.CPU, sum.Read + u.Read, sum.Written + u.Written, sum.Calls + u.Calls, sum.RSS + u.RSS, sum.FDs + u.FDs}
+	}
+	return sum, nil
+}
