--- a/internal/lab/scale/rack.go
+++ b/internal/lab/scale/rack.go
@@ -13,23 +13,14 @@
 
 // Rack plays a rack gone at once: its nodes are killed, and nobody renews its backends.
 func (n *Nodes) Rack(ctx context.Context, p Plan, sizes []Sizes) error {
-	return n.played(ctx, "rack", sizes, beside{nodes: int(p.Assumed.RackNodes)}, func(r rig) (map[string]float64, error) {
+	return n.played(ctx, "rack", sizes, beside{nodes: int(p.Assumed.RackNodes), lease: list.MaxTTL}, func(r rig) (map[string]float64, error) {
 		return r.rack(ctx, int(p.Assumed.RackBackends), time.Duration(p.Assumed.TTL*float64(time.Second)))
 	})
 }
 
-// rack leases the whole list, as what may expire is a share of it, the rack's backends for a shorter time.
+// rack leaves the rack's backends without renewals. All entries are leased, as what may expire at once is a share of those.
 func (r rig) rack(ctx context.Context, lost int, ttl time.Duration) (map[string]float64, error) {
-	lease := func(ttl time.Duration) func(context.Context, int) error {
-		return func(ctx context.Context, i int) error {
-			_, err := r.k.Register(ctx, entryOf(i), ttl, nil)
-			return err
-		}
-	}
-	if err := together(ctx, lost, r.Backends, lease(list.MaxTTL)); err != nil {
-		return nil, err
-	}
-	if err := together(ctx, 0, lost, lease(ttl)); err != nil {
+	if err := together(ctx, 0, lost, registering(r.k, ttl)); err != nil {
 		return nil, err
 	}
 	renewed := time.Now()
--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -36,11 +36,15 @@
 	nodes    int
 	every    time.Duration // in which one of them restarts; 0: none does
 	restarts int           // of nodes and backends an hour that the play is of; 0: it is of none
+	lease    time.Duration // of the entries; 0: they have none
 }
 
 // with starts a replica with so many backends, and nodes, and does something once they are ready.
 func (n *Nodes) with(ctx context.Context, size Sizes, b beside, do func(rig) error) error {
-	return n.fresh(ctx, size.Backends, func(set *replicas.Set, k *client.Client) error {
+	return n.fresh(ctx, 0, func(set *replicas.Set, k *client.Client) error {
+		if err := together(ctx, 0, size.Backends, registering(k, b.lease)); err != nil {
+			return err
+		}
 		dir, err := os.MkdirTemp(n.Dir, "nodes")
 		if err != nil {
 			return err
--- a/internal/lab/scale/zone.go
+++ b/internal/lab/scale/zone.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"indigotack/internal/list/client"
 )
 
 const (
@@ -27,10 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	back, err := r.wave(ctx, lost, namesOf(0, r.Backends), func(ctx context.Context, i int) error {
-		_, err := change(ctx, r.k, i, r.Backends)
-		return err
-	})
+	back, err := r.wave(ctx, lost, namesOf(0, r.Backends), registering(r.k, 0))
 	for name, f := range back {
 		gone["back_"+name] = f
 	}
@@ -67,6 +66,14 @@
 	return g.Wait()
 }
 
+// registering gives a call that registers an entry by its number, as a server that has just started.
+func registering(k *client.Client, ttl time.Duration) func(context.Context, int) error {
+	return func(ctx context.Context, i int) error {
+		_, err := k.Register(ctx, entryOf(i), ttl, nil)
+		return err
+	}
+}
+
 // namesOf are those of entries from one number up to another.
 func namesOf(from, to int) (all []string) {
 	for i := from; i < to; i++ {
