--- a/internal/lab/scale/other_lines.go
+++ b/internal/lab/scale/other_lines.go
@@ -22,6 +22,16 @@
 			}},
 		constant("tenants' conductor", "tenants", "tenants", "tenants", func(p Plan) float64 { return p.Plan.Tenants }, "one machine, one book", "orders are refused"),
 		constant("tenants' conductor", "members enrolled", "nodes", "enrolled", func(p Plan) float64 { return p.Plan.Nodes }, "a barrier over all nodes", "nodes beyond are not enrolled"),
+		{Role: "holder of shares", What: "processor, one limit that all nodes want", Unit: "cores", Command: "holders", Mechanism: "a claim a node and 200 ms, in the pure core", Next: "each further busy limit, in each claim",
+			budget: func(p Plan) float64 { return p.Assumed.MachineCores },
+			cost: func(m measured, p Plan) (float64, grounds, error) {
+				return m.at("holders", "nodes", "holder_cores", p.Plan.Nodes, nil)
+			}},
+		{Role: "holder of shares", What: "bytes in a second, of one such limit", Unit: "bytes/s", Command: "holders", Mechanism: "as above", Next: "as above",
+			budget: func(p Plan) float64 { return p.Assumed.MachineBytes },
+			cost: func(m measured, p Plan) (float64, grounds, error) {
+				return m.at("holders", "nodes", "holder_bytes_in", p.Plan.Nodes, nil)
+			}},
 		constant("holder of shares", "nodes with seats", "nodes", "seats", func(p Plan) float64 { return p.Plan.Nodes }, "a seat for each node and limit", "nodes beyond go by safe shares"),
 		{Role: "operator's command", What: "a policy's text", Unit: "bytes", Command: "policy", Mechanism: "one text, compiled at the operator's", Next: "a text is refused",
 			limit: "policy_bytes", cost: func(m measured, p Plan) (float64, grounds, error) {
--- a/internal/lab/scale/tables.go
+++ b/internal/lab/scale/tables.go
@@ -113,6 +113,9 @@
 		{"entries", "entries", nil, []string{"change_cpu_s", "whole_bytes", "whole_cpu_s", "memory_bytes"}},
 		{"renewals", "renewals", nil, []string{"cores"}},
 		{"view", "members", nil, []string{"datagrams_per_s", "datagram_bytes_per_s", "all_joined_s", "one_dies_s", "heal_s"}},
+		{"zone", "backends", nodeFew, []string{"settled_s", "node_cpu_s", "node_bytes_in"}},
+		{"apart", "members", nil, []string{"heal_s"}},
+		{"holders", "nodes", nil, []string{"holder_cores", "holder_peak_cores", "holder_bytes_in", "holder_bytes_out"}},
 		{"tenants", "tenants", nil, []string{"catalogue_bytes", "change_s", "memory_bytes"}},
 		{"policy", "books", nil, []string{"text_bytes", "compile_s", "memory_bytes"}},
 	} {
@@ -128,8 +131,11 @@
 }
 
 func commandOf(what string) string {
-	if what == "hollow" || what == "real" {
+	switch what {
+	case "hollow", "real":
 		return "nodes --kind " + what
+	case "zone":
+		return "nodes --zone"
 	}
 	return what
 }
