Show that a kept list which is not its part's is told

The faults' end rests on that comparison alone, and few backends are one part: it gets a test of its own, which fails with the part or the count left out. The rows of halves apart and of a lost holder take their harm from the lab's experiments of the same name.

--- a/internal/lab/scale/faults.go
+++ b/internal/lab/scale/faults.go
@@ -55,7 +55,7 @@
 		{"a zone's backends gone", zone.sizes(), zone.say("{settled_s} after the last of {changes} writes"), zone.atNode(), zone.atReplica(), gone(p.Backends / float64(p.Zones)), m.play("zone-lost").harmed()},
 		{"a zone's backends back", back.sizes(), back.say("{settled_s} after the last of {changes} writes"), back.atNode(), back.atReplica(), "as gone", "in the row above"},
 		{"halves apart for an hour, with deaths and joins on both sides, then together", apart.sizes(), apart.say("one view after {heal_s}"), apart.say("view: {peak_bytes_per_s} sent in the worst second"),
-			apart.say("none: a region has its own"), one("one view after ", 1, "apart", "members", "heal_s", p.Nodes, "s"), notRun},
+			apart.say("none: a region has its own"), one("one view after ", 1, "apart", "members", "heal_s", p.Nodes, "s"), m.play("fleet-split").harmed()},
 		{"nodes and backends rolled, by the second", roll.sizes(), roll.say("{settled_s} after the last of {replaced} replacements"), roll.atNode(), roll.atReplica(),
 			"each second: " + gone(a.RestartChanges*(p.Nodes+p.Backends)/3600), notRun},
 		{"everything cold at once", cold.sizes(), cold.say("a list of {entries}: half {half_s}, the last {last_s}"), cold.say("{watcher_cpu_s} of processor in all"), cold.say("{replica_cpu_s} of processor, {replica_bytes_out} in all"),
@@ -63,9 +63,9 @@
 				one("; out of a replica ", p.Nodes/a.Replicas, "entries", "entries", "whole_bytes", p.Backends, "bytes"), notRun},
 		{"one of three replicas lost, the leader", lost.sizes(), lost.say("a list of {entries}: written {written_s} after the kill, the last watcher {last_s} after that"), lost.say("a watch made anew"), notRun,
 			"each of the others, at the peak: " + worked(left, "cores"), notRun},
-		{"the holder of shares lost, another in wait", holders.sizes(), holders.say("heard by all after {heard_all_s}, the limit used as before after {settled_s}"),
+		{"the holder of shares lost, another in wait", holders.sizes(), holders.say("heard by all after {heard_all_s}, the limit used as before after {settled_s}; granted beyond it: {over_burst}"),
 			holders.say("least used in a second: {used_least:share} of the limit"), holders.say("{holder_peak_cores}; {holder_bytes_in} in, {holder_bytes_out} out a second"),
-			one("", 1, "holders", "nodes", "holder_peak_cores", p.Nodes, "cores"), holders.say("beyond the limit granted: {over_burst}; refused: what its least says")},
+			one("", 1, "holders", "nodes", "holder_peak_cores", p.Nodes, "cores"), m.play("quota-holder-kill").harmed()},
 		{"the tenants' conductor lost", notRun, notRun, notRun, notRun, notRun, notRun},
 	}
 }
--- /dev/null
+++ b/internal/lab/scale/settled_test.go
@@ -0,0 +1,50 @@
+package scale
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"indigotack/internal/list"
+	"indigotack/internal/sealed"
+)
+
+// TestDiffers: a kept list is settled if it has all servers of its part and no others.
+func TestDiffers(t *testing.T) {
+	part, at := list.Part{From: 0, Width: 1 << 14}, map[string]uint64{}
+	var inside, outside []string
+	for _, name := range namesOf(0, 40) {
+		if at[name] = list.Point(name); part.Holds(at[name]) {
+			inside = append(inside, name)
+		} else {
+			outside = append(outside, name)
+		}
+	}
+	if len(inside) < 2 || len(outside) < 2 {
+		t.Fatal(inside, outside)
+	}
+	for name, c := range map[string]struct {
+		kept []string
+		of   string
+		same bool
+	}{
+		"its part":        {inside, part.String(), true},
+		"all":             {namesOf(0, 40), "all", true},
+		"one less":        {inside[1:], part.String(), false},
+		"one of another":  {append(outside[:1:1], inside[1:]...), part.String(), false},
+		"one that is not": {append([]string{entryName(41)}, inside[1:]...), part.String(), false},
+	} {
+		var entries []string
+		for _, n := range c.kept {
+			entries = append(entries, fmt.Sprintf(`{"name":%q}`, n))
+		}
+		file := filepath.Join(t.TempDir(), "list")
+		if err := sealed.Write(file, fmt.Appendf(nil, `{"of":{"part":%q},"entries":[%s]}`, c.of, strings.Join(entries, ","))); err != nil {
+			t.Fatal(err)
+		}
+		if why, err := differs(file, at); err != nil || (why == "") != c.same {
+			t.Errorf("%s: %q, %v", name, why, err)
+		}
+	}
+}
