Start the nodes that go or restart by a command of their own

Those that measure with hollow nodes go on with the same calls: what stands beside the measured nodes is a part of Nodes, and its process has its own entry.

--- a/cmd/indigolab/scale.go
+++ b/cmd/indigolab/scale.go
@@ -48,7 +48,7 @@
 		scaleWatchersCommand(&f, "cold", "watchers without a list that come to one replica all at once", []int{30, 100, 300, 1000, 4300}, 2000, (*scale.Lists).Cold),
 		scaleWatchersCommand(&f, "lost", "the leader of three replicas killed under watchers, and a change", []int{30, 100, 300, 1000, 4300}, 200, (*scale.Lists).Lost),
 		scaleCoreCommand(&f, "view", "members", "the view of the fleet by its members, in the simulator", []int{10, 30, 100, 300, 1000}, scale.View),
-		scaleApartCommand(&f), scaleHarmCommand(&f),
+		scaleApartCommand(&f), scaleHarmCommand(&f), scaleBesideCommand(),
 		scaleCoreCommand(&f, "holders", "nodes", "the holder of shares killed with another in wait, in the pure cores, by nodes", []int{30, 100, 300, 1000, 4000}, scale.Holders),
 		scaleCoreCommand(&f, "tenants", "tenants", "a node's desk by the tenants of its catalogue", []int{50, 200, 800, 3200, 12800, 50000}, scale.Tenants),
 		scaleCoreCommand(&f, "policy", "books", "a policy's text, its making and its table by the books that it names", []int{50, 200, 800, 1600, 3200}, scale.Policy),
--- a/cmd/indigolab/scale_nodes.go
+++ b/cmd/indigolab/scale_nodes.go
@@ -96,8 +96,27 @@
 // scaleHollowCommand is a process of hollow nodes; the measurement starts it.
 func scaleHollowCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:    "hollow FOLDER FIRST NODES EVERY",
+		Use:    "hollow FOLDER NODES",
 		Short:  "a process of hollow nodes, as the measurement starts it",
+		Args:   cobra.ExactArgs(2),
+		Hidden: true,
+		RunE: func(c *cobra.Command, args []string) error {
+			n, err := strconv.Atoi(args[1])
+			if err != nil {
+				return unplayed{err}
+			}
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM)
+			defer stop()
+			return scale.Hollow(ctx, args[0], n)
+		},
+	}
+}
+
+// scaleBesideCommand is a process of hollow nodes that are killed or restart; the measurement starts it.
+func scaleBesideCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:    "beside FOLDER FIRST NODES EVERY",
+		Short:  "a process of hollow nodes that restart in turn, as the measurement starts it",
 		Args:   cobra.ExactArgs(4),
 		Hidden: true,
 		RunE: func(c *cobra.Command, args []string) error {
@@ -109,7 +128,7 @@
 			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM)
 			defer stop()
-			return scale.Hollow(ctx, args[0], first, nodes, every)
+			return scale.Beside(ctx, args[0], first, nodes, every)
 		},
 	}
 }
--- a/internal/lab/scale/nodes.go
+++ b/internal/lab/scale/nodes.go
@@ -24,25 +24,26 @@
 	Told  int      // how many nodes they are told that there are; 0: as many as there are
 
 	Watchers int // further hollow clients at the replica, each with a part of its own
+	beside   beside
 }
 
 // Measure measures nodes at rest and by changes, by how many there are and by the backends that they know.
 func (n *Nodes) Measure(ctx context.Context, sizes []Sizes) error {
-	return n.played(ctx, n.Kind, sizes, beside{}, func(r rig) (map[string]float64, error) { return n.worked(ctx, r) })
+	return n.played(ctx, n.Kind, sizes, func(r rig) (map[string]float64, error) { return n.worked(ctx, r) })
 }
 
 // played records something that is done with fresh nodes of each size.
-func (n *Nodes) played(ctx context.Context, what string, sizes []Sizes, b beside, do func(rig) (map[string]float64, error)) error {
+func (n *Nodes) played(ctx context.Context, what string, sizes []Sizes, do func(rig) (map[string]float64, error)) error {
 	return n.record(what, func() (all []Point, err error) {
 		for _, size := range sizes {
 			by := map[string]int{"nodes": size.Nodes, "backends": size.Backends}
-			for name, more := range map[string]int{"watchers": n.Watchers, "beside": b.nodes, "restarts_per_h": b.restarts} {
+			for name, more := range map[string]int{"watchers": n.Watchers, "beside": n.beside.nodes, "restarts_per_h": n.beside.restarts} {
 				if more > 0 {
 					by[name] = more
 				}
 			}
 			p, err := repeated(n.Repeat, by, func() (f map[string]float64, err error) {
-				err = n.with(ctx, size, b, func(r rig) error {
+				err = n.with(ctx, size, func(r rig) error {
 					f, err = do(r)
 					return err
 				})
@@ -86,7 +87,7 @@
 	}
 	made++
 	if !n.Parts { // of which some have the last
-		if err := r.all(ctx, r.controls, "discovered", r.Backends-1); err != nil { // else what is counted are not these changes
+		if err := r.all(ctx, "discovered", r.Backends-1); err != nil { // else what is counted are not these changes
 			return nil, err
 		}
 	}
--- a/internal/lab/scale/rack.go
+++ b/internal/lab/scale/rack.go
@@ -13,7 +13,8 @@
 
 // Rack plays a rack gone at once: its nodes are killed, and nobody renews its backends.
 func (n *Nodes) Rack(ctx context.Context, p Plan, sizes []Sizes) error {
-	return n.played(ctx, "rack", sizes, beside{nodes: int(p.Assumed.RackNodes), lease: list.MaxTTL}, func(r rig) (map[string]float64, error) {
+	n.beside = beside{nodes: int(p.Assumed.RackNodes), lease: list.MaxTTL}
+	return n.played(ctx, "rack", sizes, func(r rig) (map[string]float64, error) {
 		return r.rack(ctx, int(p.Assumed.RackBackends), time.Duration(p.Assumed.TTL*float64(time.Second)))
 	})
 }
@@ -26,16 +27,14 @@
 	renewed := time.Now()
 	var known, settled time.Duration
 	f, err := r.spent(ctx, func() error {
-		for _, p := range r.beside {
-			if err := p.Kill(); err != nil {
-				return err
-			}
+		if err := r.beside.Kill(); err != nil {
+			return err
 		}
 		killed := time.Now()
 		g, ctx := errgroup.WithContext(ctx)
 		if r.View {
 			g.Go(func() error {
-				err := r.all(ctx, r.controls, "fleet.alive", r.Nodes)
+				err := r.all(ctx, "fleet.alive", r.Nodes)
 				known = time.Since(killed)
 				return err
 			})
@@ -62,8 +61,8 @@
 func (n *Nodes) Roll(ctx context.Context, p Plan, sizes []Sizes, restarts []int, last time.Duration) error {
 	for _, perHour := range restarts {
 		share := float64(perHour) / (p.Plan.Nodes + p.Plan.Backends) / time.Hour.Seconds() // of the fleet, a second
-		b := beside{nodes: int(p.Assumed.RackNodes), every: every(share * p.Plan.Nodes), restarts: perHour}
-		err := n.played(ctx, "roll", sizes, b, func(r rig) (map[string]float64, error) { return r.roll(ctx, every(share*p.Plan.Backends), last) })
+		n.beside = beside{nodes: int(p.Assumed.RackNodes), every: every(share * p.Plan.Nodes), restarts: perHour}
+		err := n.played(ctx, "roll", sizes, func(r rig) (map[string]float64, error) { return r.roll(ctx, every(share*p.Plan.Backends), last) })
 		if err != nil {
 			return fmt.Errorf("%d restarts an hour: %w", perHour, err)
 		}
--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -24,9 +24,9 @@
 	k        *client.Client
 	service  *proc.Proc
 	nodes    []*proc.Proc
-	controls []string // of the nodes, where operators call
-	beside   []*proc.Proc
-	files    []string // of the nodes' kept lists
+	controls []string   // of the nodes, where operators call
+	beside   *proc.Proc // hollow nodes that are not measured
+	files    []string   // of the nodes' kept lists
 	parts    bool
 	View     bool // the nodes keep one
 }
@@ -40,9 +40,9 @@
 }
 
 // with starts a replica with so many backends, and nodes, and does something once they are ready.
-func (n *Nodes) with(ctx context.Context, size Sizes, b beside, do func(rig) error) error {
+func (n *Nodes) with(ctx context.Context, size Sizes, do func(rig) error) error {
 	return n.fresh(ctx, 0, func(set *replicas.Set, k *client.Client) error {
-		if err := together(ctx, 0, size.Backends, registering(k, b.lease)); err != nil {
+		if err := together(ctx, 0, size.Backends, registering(k, n.beside.lease)); err != nil {
 			return err
 		}
 		dir, err := os.MkdirTemp(n.Dir, "nodes")
@@ -52,7 +52,7 @@
 		defer os.RemoveAll(dir)
 		r := rig{Sizes: size, k: k, service: set.All[0].Proc(), parts: n.Parts, View: n.View}
 		var free func()
-		controls, free, err := n.configure(dir, size.Nodes+b.nodes, set.All[0].Address())
+		controls, free, err := n.configure(dir, size.Nodes+n.beside.nodes, set.All[0].Address())
 		defer free()
 		if err != nil {
 			return err
@@ -64,19 +64,19 @@
 		group := proc.NewGroup(log)
 		defer group.Close(endTime)
 		r.controls = controls[:size.Nodes]
-		if r.nodes, err = n.begin(ctx, group, dir, 0, r.controls, 0); err != nil {
+		if r.nodes, err = n.begin(ctx, group, dir, r.controls); err != nil {
 			return err
 		}
-		if b.nodes > 0 {
-			if r.beside, err = n.begin(ctx, group, dir, size.Nodes, controls[size.Nodes:], b.every); err != nil {
+		if n.beside.nodes > 0 {
+			if r.beside, err = n.begunBeside(ctx, group, dir, size.Nodes, controls[size.Nodes:]); err != nil {
 				return err
 			}
 		}
 		for i := range r.controls {
 			r.files = append(r.files, listFile(dir, i))
 		}
-		if n.View && b.every == 0 {
-			if err := r.all(ctx, r.controls, "fleet.alive", len(controls)); err != nil {
+		if n.View && n.beside.every == 0 {
+			if err := r.all(ctx, "fleet.alive", len(controls)); err != nil {
 				return err
 			}
 		}
@@ -138,35 +138,53 @@
 
 func listFile(dir string, i int) string { return filepath.Join(dir, fmt.Sprint("list", i)) }
 
-// begin starts the processes of nodes from the first on and waits until each node is ready. Hollow ones restart one by
-// one, if every is not 0.
-func (n *Nodes) begin(ctx context.Context, group *proc.Group, dir string, first int, controls []string, every time.Duration) (all []*proc.Proc, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readyTime)
-	defer cancel()
-	start := func(name string, env string, command ...string) error {
-		p, err := group.Start(proc.Spec{Name: name, Command: command, Dir: filepath.Join(dir, name), Env: append([]string{"HOME=" + dir, "TMPDIR=" + dir, env}, n.Env...)})
-		all = append(all, p)
-		return err
-	}
+// begin starts the processes and waits until each node is ready.
+func (n *Nodes) begin(ctx context.Context, group *proc.Group, dir string, controls []string) (all []*proc.Proc, err error) {
 	if n.Kind == "hollow" {
-		command := append(slices.Clone(n.Start), dir, strconv.Itoa(first), strconv.Itoa(len(controls)), every.String())
-		if err := start(fmt.Sprint("hollow", first), "PATH="+os.Getenv("PATH"), command...); err != nil {
-			return nil, err
-		}
+		p, err := n.hollow(ctx, group, dir, "hollow", controls, append(slices.Clone(n.Start), dir, strconv.Itoa(len(controls))))
+		return []*proc.Proc{p}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
 	for i, control := range controls {
-		if n.Kind != "hollow" {
-			if err := start(fmt.Sprint("n", first+i), "GW_CONFIG="+configOf(dir, first+i), n.Start...); err != nil {
-				return nil, err
-			}
+		p, err := n.start(group, dir, fmt.Sprint("n", i), "GW_CONFIG="+configOf(dir, i), n.Start)
+		if err != nil {
+			return nil, err
 		}
-		if err := all[len(all)-1].WaitReady(ctx, "http://"+control+"/healthcheck"); err != nil {
+		if err := p.WaitReady(ctx, "http://"+control+"/healthcheck"); err != nil {
 			return nil, err
 		}
+		all = append(all, p)
 	}
 	return all, nil
 }
 
+// begunBeside starts the process of the nodes beside, from the first on.
+func (n *Nodes) begunBeside(ctx context.Context, group *proc.Group, dir string, first int, controls []string) (*proc.Proc, error) {
+	command := append(slices.Clone(n.Start[:len(n.Start)-1]), "beside", dir, strconv.Itoa(first), strconv.Itoa(len(controls)), n.beside.every.String())
+	return n.hollow(ctx, group, dir, "beside", controls, command)
+}
+
+// hollow starts a process of hollow nodes and waits until each is ready.
+func (n *Nodes) hollow(ctx context.Context, group *proc.Group, dir, name string, controls, command []string) (*proc.Proc, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	p, err := n.start(group, dir, name, "PATH="+os.Getenv("PATH"), command)
+	if err != nil {
+		return nil, err
+	}
+	for _, control := range controls {
+		if err := p.WaitReady(ctx, "http://"+control+"/healthcheck"); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (n *Nodes) start(group *proc.Group, dir, name, env string, command []string) (*proc.Proc, error) {
+	return group.Start(proc.Spec{Name: name, Command: command, Dir: filepath.Join(dir, name), Env: append([]string{"HOME=" + dir, "TMPDIR=" + dir, env}, n.Env...)})
+}
+
 // usedBy sums what processes have used.
 func usedBy(all []*proc.Proc) (sum use, err error) {
 	for _, p := range all {
--- a/internal/lab/scale/settled.go
+++ b/internal/lab/scale/settled.go
@@ -19,7 +19,7 @@
 // know waits until every node knows of these servers and no others, of its part of the list.
 func (r rig) know(ctx context.Context, names []string) error {
 	if !r.parts {
-		return r.all(ctx, r.controls, "discovered", len(names))
+		return r.all(ctx, "discovered", len(names))
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
@@ -80,11 +80,11 @@
 	return "", nil
 }
 
-// all waits until a figure of nodes is so much.
-func (r rig) all(ctx context.Context, controls []string, figure string, want int) error {
+// all waits until a figure of every node is so much.
+func (r rig) all(ctx context.Context, figure string, want int) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	for i, at := range controls {
+	for i, at := range r.controls {
 		for {
 			f, err := statsOf(ctx, at)
 			if err != nil {
@@ -94,7 +94,7 @@
 				break
 			}
 			if !pause.For(ctx, lookEvery) {
-				return fmt.Errorf("node %d of %d has %s %v, not %d: %w", i, len(controls), figure, f[figure], want, ctx.Err())
+				return fmt.Errorf("node %d of %d has %s %v, not %d: %w", i, len(r.controls), figure, f[figure], want, ctx.Err())
 			}
 		}
 	}
--- a/internal/lab/scale/zone.go
+++ b/internal/lab/scale/zone.go
@@ -16,7 +16,7 @@
 
 // Zone plays a zone's backends gone at once and back at once, before nodes that follow.
 func (n *Nodes) Zone(ctx context.Context, sizes []Sizes) error {
-	return n.played(ctx, "zone", sizes, beside{}, func(r rig) (map[string]float64, error) { return r.zone(ctx) })
+	return n.played(ctx, "zone", sizes, func(r rig) (map[string]float64, error) { return r.zone(ctx) })
 }
 
 // zone takes the entries of a zone away, and puts them back as servers that have just started.
