--- a/internal/lab/scale/played.go
+++ b/internal/lab/scale/played.go
@@ -68,14 +68,12 @@
 			return notRun
 		case isShare:
 			return percent(f.Median)
-		case strings.HasSuffix(name, "per_s"):
+		case strings.Contains(name, "bytes"):
 			unit = "bytes"
-		case strings.HasSuffix(name, "_s"):
-			unit = "s"
 		case strings.HasSuffix(name, "cores"):
 			unit = "cores"
-		case strings.Contains(name, "bytes"):
-			unit = "bytes"
+		case strings.HasSuffix(name, "_s") && !strings.HasSuffix(name, "_per_s"):
+			unit = "s"
 		}
 		text := strings.TrimSpace(shown(f.Median, unit))
 		if unit == "s" && f.Least != f.Most {
