--- a/internal/lab/scale/holders.go
+++ b/internal/lab/scale/holders.go
@@ -54,7 +54,7 @@
 	admitted    int
 	heard       map[string]bool // nodes that the acting holder has sent something
 	first, all  time.Duration   // when it had sent to one of them, and to all
-	work        tally
+	work        holderWork
 }
 
 type parcel struct {
@@ -63,8 +63,8 @@
 	what quota.Event
 }
 
-// tally is what holders have done.
-type tally struct {
+// holderWork is what holders have done.
+type holderWork struct {
 	cpu                time.Duration
 	datagrams, in, out float64
 }
@@ -225,7 +225,7 @@
 	if err := s.run(ctx, untilKilled-2*time.Second); err != nil {
 		return nil, err
 	}
-	s.work = tally{}
+	s.work = holderWork{}
 	before, err := used(untilKilled)
 	if err != nil {
 		return nil, err
@@ -238,7 +238,7 @@
 		"holder_bytes_in": calm.in / 2, "holder_bytes_out": calm.out / 2}
 	least, worst := before, 0.0
 	for second := 1; s.now < killed+afterKilled; second++ {
-		s.work = tally{}
+		s.work = holderWork{}
 		u, err := used(killed + time.Duration(second)*time.Second)
 		if err != nil {
 			return nil, err
