Try a suspect within 3 s of the last attempt where there is no other server

With every server of a node refusing or silent, the trials' budget (one for 20 arrivals) and a suspect's own wait (4 s, jittered to half as much again) each left the node without an attempt: up to 6 s with one or two servers, 5 s with 10 or 40 at 4 requests a second.

tryOut now holds the bound: with no warm server but suspects, the one that has waited longest is tried once 2 to 3 s (drawn anew each time) have passed since the node's last attempt, with the next request that may be repeated.

Requests that must not run twice make no trials, as before: a node that gets nothing else makes no attempt until a list tells of a start, an operator's word, or the first request that may be repeated.

--- a/decide/api.go
+++ b/decide/api.go
@@ -8,9 +8,9 @@
 // looks.go, shedding.go, attempts.go and retries.go; those on servers in
 // lists.go, thresholds.go, modes.go, learning.go, suspicion.go and cold.go.
 // What nodes tell each other of servers is in peers.go, in the form of notes.go;
-// what a new process takes over from an old one is in handover.go. ring.go keeps
-// the servers and the nodes in order; state.go and module.go hold what all of
-// them share.
+// what a new process takes over from an old one is in handover.go; servers taken
+// out by hand are in maintenance.go. ring.go keeps the servers and the nodes in
+// order; state.go and module.go hold what all of them share.
 package decide
 
 import "time"
--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -40,7 +40,7 @@
 	r.attempts = append(r.attempts,
 		attempt{server: s, sent: m.now, mayRun: true, lost: r.coming, work: work})
 	r.out++
-	s.tokens -= work
+	s.tokens, m.sentAt = s.tokens-work, m.now
 	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now), Before: before})
 	if !r.coming { // else it counts from its last byte on
 		m.count(r, &r.attempts[len(r.attempts)-1])
--- a/decide/module.go
+++ b/decide/module.go
@@ -18,7 +18,7 @@
 
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
-	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, running: 1, tight: math.Inf(1),
+	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, running: 1, tight: math.Inf(1), idleWait: idleMost,
 		known: map[ServerID]*server{}, banned: map[ServerID]bool{}, lifted: map[ServerID]Time{},
 		requests: map[RequestID]*request{}}
 	m.adopt(s)
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -38,7 +38,7 @@
 		c.group.n1, c.group.n2 = c.group.n1+1, c.group.n2-1
 	}
 	m.budget, m.trials = math.Min(retryBurst, m.budget+retryBudget), math.Min(1, m.trials+retryBudget/2)
-	if m.trials < 1 || !m.tryOut(r) {
+	if !m.tryOut(r) {
 		m.place(r)
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -142,6 +142,8 @@
 	budget             float64 // further attempts allowed
 	spared             float64 // s; processor time left for notes
 	sparedAt           Time
+	sentAt             Time          // of the last attempt
+	idleWait           time.Duration // from it on, until a suspect is tried where there is nothing else
 	subscribed, asking bool
 	askAt              Time
 	askLost            Time       // since when calls to discovery fail; 0: the last did not
--- a/decide/suspicion.go
+++ b/decide/suspicion.go
@@ -4,7 +4,7 @@
 
 import (
 	"fmt"
-	"maps"
+	"slices"
 	"time"
 )
 
@@ -14,6 +14,7 @@
 	failGain   = 0.05                   // weight of an outcome in that part
 	trialFirst = 500 * time.Millisecond // s; wait before a suspect's first trial request; doubles
 	trialLast  = 4 * time.Second        // s; the longest such wait, well under what troubles last
+	idleMost   = 3 * time.Second        // s; without an attempt, where all are suspects; 4 s is an idle node
 )
 
 // judge takes the outcome of an attempt. A server that was away and answers a trial may have restarted
@@ -68,37 +69,31 @@
 }
 
 // tryOut sends a request that may be repeated to a suspect whose turn it is, with time left to try again.
+// With no warm server but suspects neither the budget nor a suspect's wait may leave the node idle: the one
+// that has waited longest is tried within idleMost of the last attempt, up to a third sooner, by chance.
 func (m *Module) tryOut(r *request) bool {
-	wait := max(m.set.ConnectTimeout, time.Duration(muteFactor*m.mean*r.class.relative*float64(time.Second)))
+	alone := !slices.ContainsFunc(r.class.group.near, func(s *server) bool { return !s.cold && !s.suspect })
+	idle := alone && m.now >= m.sentAt+m.idleWait
+	if r.class.Effect == Unsafe || m.trials < 1 && !idle {
+		return false
+	}
+	var next *server
 	m.suspects.turn(m.first)
 	for i := range m.suspects.servers {
 		s := m.suspects.at(i)
-		if m.now >= s.trialAt && s.suspect && r.class.Effect != Unsafe && m.send(r, s, min(wait, r.class.Aim/3)) {
-			s.trialWait = min(2*s.trialWait, trialLast)
-			r.trial, s.trialAt, m.trials = true, m.now+m.jitter(s.trialWait), m.trials-1
-			return true
+		better := next == nil || alone && s.trialAt < next.trialAt
+		if better && (idle || m.now >= s.trialAt) && s.suspect && m.maySend(r, s) {
+			next = s
 		}
 	}
-	return false
-}
-
-// maintain takes a server out by hand, or back. It is restarted meanwhile, so nothing learned of it holds.
-func (m *Module) maintain(e Maintenance) {
-	if s := m.known[e.Server]; e.On != m.banned[e.Server] && s != nil {
-		if s.banned = e.On; e.On {
-			m.do(CloseIdle{Server: s.ID}) // those in use follow as they end
-		} else {
-			s.suspect, s.strikes, s.unanswered, s.failing, s.imposedUntil = false, 0, 0, 0, m.now
-			s.excess, s.rate, s.since = 0, 0, m.now
-			m.startCold(s, m.now)
-		}
-	}
-	if m.banned[e.Server] && !e.On {
-		maps.DeleteFunc(m.lifted, func(_ ServerID, at Time) bool { return m.now-at > m.set.ColdTime })
-		m.lifted[e.Server] = m.now
+	wait := max(m.set.ConnectTimeout, time.Duration(muteFactor*m.mean*r.class.relative*float64(time.Second)))
+	if !m.send(r, next, min(wait, r.class.Aim/3)) {
+		return false
 	}
-	if delete(m.banned, e.Server); e.On {
-		m.banned[e.Server] = true
+	next.trialWait = min(2*next.trialWait, trialLast)
+	r.trial, next.trialAt, m.trials = true, m.now+m.jitter(next.trialWait), max(0, m.trials-1)
+	if alone {
+		m.idleWait = idleMost/2 + m.jitter(idleMost/3)
 	}
-	m.survey()
+	return true
 }
