Keep large fleets to 6 s after outages of discovery that are no queue

After 20 s in which no call was answered, a node of over 36 that ask one discovery went back to AskWithin (up to 15 s between calls), as calls may fail in the queue of a discovery that is too slow for so many. It did so as well where they were refused, and where calls are so cheap that all fit.

The decision now rests on what calls show (asking.go, jammed). One that is refused or broken at once stood in no queue: such an outage holds the short wait for any fleet, however long. One that has been answered within 3.4 s over the number of nodes shows that the calls of all fit: the short wait is then kept through 200 s of silence, as discovery may have become slower since. Else 20 s, as before.

TestFailedCallIsMadeAgainInTime and TestReturnOfDiscoveryIsNoHerd hold it and fail with the former rule. Their former limits stand; the nodes of the latter now start and get their lists before the outage, each with its own clock.

--- a/decide/handle.go
+++ b/decide/handle.go
@@ -98,8 +98,5 @@
 			g.n1, g.n2, g.filled, g.ticks = 0, 0, 0, 0
 		}
 	}
-	if m.set.AskForList && !m.subscribed && !m.asking && m.now >= m.askAt {
-		m.asking = true // until it is answered: asking again would leave its turn, or a watch that is held
-		m.do(Subscribe{On: true})
-	}
+	m.ask()
 }
--- a/decide/lists.go
+++ b/decide/lists.go
@@ -21,14 +21,11 @@
 
 func (m *Module) follow(e ListUpdate) {
 	if e.Kind == ListFailed {
-		if m.subscribed, m.asking = false, false; m.askLost == 0 {
-			m.askLost = m.now
-		}
-		m.askAt = m.now + m.jitter(m.askWait())
+		m.askFailed()
 		return
 	}
 	if e.Kind != ListCached && m.asking {
-		m.subscribed, m.asking, m.askLost = true, false, 0
+		m.askAnswered()
 	}
 	var changed []*server
 	if e.Kind != ListChanges {
--- a/decide/module.go
+++ b/decide/module.go
@@ -9,13 +9,6 @@
 	"time"
 )
 
-// How calls to discovery are spread.
-const (
-	askFirst = 200 * time.Millisecond // before a call, at least; grows to four times that while calls fail
-	askTurn  = 50 * time.Millisecond  // for each node: all may ask at once, of one discovery
-	askStorm = 20 * time.Second       // of calls that failed, with none answered
-)
-
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
 	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, running: 1, tight: math.Inf(1), idleWait: idleMost,
@@ -125,23 +118,6 @@
 	return n
 }
 
-// askLeast is the shortest wait between calls to discovery, which serves all nodes in turn: nodes that start
-// together and call together fill its queue with calls that fail in it and so are made again.
-func (m *Module) askLeast() time.Duration {
-	return max(askFirst, min(time.Duration(m.set.Nodes)*askTurn, m.set.AskWithin/2))
-}
-
-// askWait is the mean wait after calls that failed; jitter makes half as much again of it at most. It keeps to
-// MostAskWait. In a fleet whose spread is wider, that ends with askStorm: by then calls may fail in the queue of a
-// discovery that is too slow for so many at this rate, and none would ever be answered.
-func (m *Module) askWait() time.Duration {
-	least, failing := m.askLeast(), m.now-m.askLost
-	if failing > askStorm && least > MostAskWait*2/3 {
-		return max(least, m.set.AskWithin)
-	}
-	return min(MostAskWait*2/3, max(least, min(failing, 4*askFirst, m.set.AskWithin/2)))
-}
-
 func (m *Module) do(a Action) { m.out = append(m.out, a) }
 
 // note logs a line about a server, at most one in 5 s, so that one that fails and recovers all the time fills no disk.
--- a/decide/state.go
+++ b/decide/state.go
@@ -105,50 +105,48 @@
 
 // Module decides for one node. It is not safe for concurrent use.
 type Module struct {
-	set                Settings
-	rng                uint64
-	now, periodAt      Time
-	out                []Action
-	classes, former    map[string]*class // former: of the settings before
-	order              []*class
-	tenants            map[string]*tenant
-	known              map[ServerID]*server
-	banned             map[ServerID]bool          // by hand, listed or not
-	lifted             map[ServerID]Time          // when the last bans ended, listed or not
-	inherited          map[ServerID]ServerLearned // of servers that no list has named yet
-	leaving            bool                       // a new process serves
-	groups             []*group
-	list               ring       // those not gone, from this node's place on
-	first              uint64     // that place
-	part                          // of the list that this node knows
-	suspects, silent   ring       // those not gone that are suspects; that answer nothing; some are so no longer
-	homes              []*server  // those with home set
-	changes            int        // of lists and settings so far
-	nodes              []int      // all of them by their starts, where nodes share
-	shares             bool       // it needs to know which other nodes work with a server
-	sharers            float64    // how many nodes a server is in reach of, on average
-	looking            []*request // that wait for answers to probes
-	running            float64    // requests that a server works on at once, by its reports
-	unit, tight        float64    // s: service time of a mean request; the tightest aim for one
-	looks              bool       // it asks servers for their load before each send
-	tells              bool       // it tells other nodes what it has out at the servers that they share
-	requests           map[RequestID]*request
-	open               []*request // in order of arrival
-	ticking, learned   bool
-	answers            float64
-	mean, base         float64 // s: smoothed latency; uncrowded
-	fleetRate, peak    float64 // answers each second from the mean server; the most that this has been
-	trials             float64 // trial requests allowed
-	budget             float64 // further attempts allowed
-	spared             float64 // s; processor time left for notes
-	sparedAt           Time
-	sentAt             Time          // of the last attempt
-	idleWait           time.Duration // from it on, until a suspect is tried where there is nothing else
-	subscribed, asking bool
-	askAt              Time
-	askLost            Time       // since when calls to discovery fail; 0: the last did not
-	limits             [2]limiter // of the table that holds; of the one that is tried
-	level              int        // of degradation
+	set              Settings
+	rng              uint64
+	now, periodAt    Time
+	out              []Action
+	classes, former  map[string]*class // former: of the settings before
+	order            []*class
+	tenants          map[string]*tenant
+	known            map[ServerID]*server
+	banned           map[ServerID]bool          // by hand, listed or not
+	lifted           map[ServerID]Time          // when the last bans ended, listed or not
+	inherited        map[ServerID]ServerLearned // of servers that no list has named yet
+	leaving          bool                       // a new process serves
+	groups           []*group
+	list             ring       // those not gone, from this node's place on
+	first            uint64     // that place
+	part                        // of the list that this node knows
+	suspects, silent ring       // those not gone that are suspects; that answer nothing; some are so no longer
+	homes            []*server  // those with home set
+	changes          int        // of lists and settings so far
+	nodes            []int      // all of them by their starts, where nodes share
+	shares           bool       // it needs to know which other nodes work with a server
+	sharers          float64    // how many nodes a server is in reach of, on average
+	looking          []*request // that wait for answers to probes
+	running          float64    // requests that a server works on at once, by its reports
+	unit, tight      float64    // s: service time of a mean request; the tightest aim for one
+	looks            bool       // it asks servers for their load before each send
+	tells            bool       // it tells other nodes what it has out at the servers that they share
+	requests         map[RequestID]*request
+	open             []*request // in order of arrival
+	ticking, learned bool
+	answers          float64
+	mean, base       float64 // s: smoothed latency; uncrowded
+	fleetRate, peak  float64 // answers each second from the mean server; the most that this has been
+	trials           float64 // trial requests allowed
+	budget           float64 // further attempts allowed
+	spared           float64 // s; processor time left for notes
+	sparedAt         Time
+	sentAt           Time          // of the last attempt
+	idleWait         time.Duration // from it on, until a suspect is tried where there is nothing else
+	asker
+	limits [2]limiter // of the table that holds; of the one that is tried
+	level  int        // of degradation
 }
 
 // within takes a token of the tenant's share, if there is one.
--- a/internal/list/client/silence.go
+++ b/internal/list/client/silence.go
@@ -22,8 +22,8 @@
 // after a failure is held, one that began just ahead of that moment ends with the
 // grace, and the next comes after the longest wait. Pushed: gracePushed,
 // 1.5 * backoffHigh, an answer within gracePushed, 2.4 s. Asked for: graceAsked,
-// decide.MostAskWait, an answer within graceAsked, 5.7 s; decide says what fleets
-// of over 36 nodes do in long outages. The project's list service, once a list is
+// decide.MostAskWait, an answer within graceAsked, 5.7 s; decide (asking.go) says
+// what fleets of over 36 nodes do when calls stay silent for long. The project's list service, once a list is
 // known: grace, mostWait, an answer within grace, 5.5 s.
 const (
 	holdPushed  = 3500 * time.Millisecond // a watch on the agent costs it nothing, and the node little
