Test that a trial of a suspect does not begin for a client that has left

All servers are made suspects on the real node's module, so that the request is a trial; its connection is held while the client leaves in each way. It passes as the code stands; without the look in exchange.go, send, all nine of its cases fail.

--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -23,6 +23,7 @@
 	sent  string
 }{
 	{"first", 1, nil, wholeGet},
+	{"trial of a suspect", 1, nil, wholeGet},
 	{"first of one with a body", 1, nil, wholePost},
 	{"first of one in chunks", 1, nil, chunkedPost},
 	{"further, as the first has failed", 2, func(_ *running, answer func()) { answer() }, wholeGet},
@@ -58,6 +59,9 @@
 						n.cfg.Settings.MayCancel, n.cfg.Settings.MayOverlap = false, true
 						n.module = decide.New(n.cfg.Settings, 1)
 					}, backendServer(t, script), backendServer(t, script))
+					if strings.HasPrefix(w.name, "trial") {
+						n.accuse(t)
+					}
 					c := n.dial(t)
 					io.WriteString(c, w.sent)
 					answered := false
@@ -84,6 +88,27 @@
 	}
 }
 
+// accuse has the module take all servers for suspects, so long ago that the next request to come is a trial.
+func (n *running) accuse(t *testing.T) {
+	t.Helper()
+	n.on(t, func() {
+		now := n.now() - 10*time.Second
+		for i := 0; n.module.Ejected() < len(n.listed) && i < 100; i++ {
+			id := decide.RequestID(fmt.Sprint("refused", i))
+			actions := n.module.Handle(now, decide.RequestArrived{ID: id, Class: "saldo", Patience: time.Second})
+			for leg := 0; len(actions) > 0; leg++ {
+				s, sent := actions[0].(decide.Send)
+				if actions = nil; sent {
+					actions = n.module.Handle(now, decide.AttemptEnded{ID: id, Attempt: leg, Server: s.Server, Code: decide.ConnectFailed})
+				}
+			}
+		}
+		if n.module.Ejected() < len(n.listed) {
+			t.Error("there are servers that are no suspects")
+		}
+	})
+}
+
 // TestLastByteOfALongRequest is kept from the server where the client has left, so that it does not begin.
 func TestLastByteOfALongRequest(t *testing.T) {
 	for _, length := range []int64{maxBody + 5, -1} {
