--- a/internal/list/server/duties_test.go
+++ b/internal/list/server/duties_test.go
@@ -25,47 +25,44 @@
 func TestDutyOverHTTP(t *testing.T) {
 	folder := t.TempDir()
 	url, stop := serve(t, folder, nil)
-	open := func(id string) {
+	open := func(id string, ttl time.Duration) {
+		sure(t, "PUT", url+"/registry/sessions/"+id, fmt.Sprintf(`{"process":"p-%s","ttl_ms":%d}`, id, ttl.Milliseconds()))
+	}
+	campaign := func(id string) {
+		sure(t, "POST", url+"/registry/sessions/"+id+"/campaign", `{"duties":[{"duty":"d"}]}`)
+	}
+	held := func(by string) list.Duty { // once it is
 		t.Helper()
-		if status, body := call(t, "PUT", url+"/registry/sessions/"+id, fmt.Sprintf(`{"process":"p-%s","ttl_ms":600}`, id)); status != 200 {
-			t.Fatal(status, body)
-		}
-		if status, body := call(t, "POST", url+"/registry/sessions/"+id+"/campaign", `{"duties":[{"duty":"d"}]}`); status != 200 {
-			t.Fatal(status, body)
+		for a, until := duty(t, url, "?session="+by), time.Now().Add(enough); ; a = duty(t, url, fmt.Sprintf("?session=%s&from=%d&hold_ms=1000", by, a.Index)) {
+			if len(a.Duties) == 1 && a.Duties[0].Holder == by {
+				return a.Duties[0]
+			} else if time.Now().After(until) {
+				t.Fatalf("%s does not come to hold it: %+v", by, a)
+			}
 		}
 	}
-	open("x")
-	first := duty(t, url, "?session=x")
-	if len(first.Duties) != 1 || first.Duties[0].Holder != "x" {
-		t.Fatalf("%+v", first)
-	}
+	open("x", 2*enough) // no pause of this machine ends it
+	campaign("x")
+	first := held("x")
 	fenced := func(f uint64) (int, string) {
 		return put(t, url, "a", fmt.Sprintf(`,"fence":{"duty":"d","fence":%d}`, f))
 	}
-	if status, body := fenced(first.Duties[0].Fence); status != 200 {
+	if status, body := fenced(first.Fence); status != 200 {
 		t.Error(status, body)
 	}
+	open("x", 600*time.Millisecond) // from here on it does not matter when it lapses
 	stop()
 	url, stop = serve(t, folder, nil)
 	defer stop()
-	open("y")
-	from := duty(t, url, "?session=y").Index
-	for until := time.Now().Add(enough); ; {
-		if status, body := call(t, "POST", url+"/registry/sessions/renew", `{"sessions":["y"]}`); status != 200 || strings.Contains(body, `"y"`) {
-			t.Fatal(status, body)
-		}
-		a := duty(t, url, fmt.Sprintf("?session=y&from=%d&hold_ms=100", from))
-		if len(a.Duties) == 1 && a.Duties[0].Holder == "y" {
-			if a.Duties[0].Fence <= first.Duties[0].Fence {
-				t.Errorf("fence %d after %d", a.Duties[0].Fence, first.Duties[0].Fence)
-			}
-			break
-		}
-		if time.Now().After(until) {
-			t.Fatalf("x does not lapse: %+v", a)
-		}
+	open("y", 2*enough)
+	campaign("y")
+	if body := sure(t, "POST", url+"/registry/sessions/renew", `{"sessions":["y"]}`); strings.Contains(body, `"y"`) {
+		t.Error(body)
+	}
+	if second := held("y"); second.Fence <= first.Fence {
+		t.Errorf("fence %d after %d", second.Fence, first.Fence)
 	}
-	if status, body := fenced(first.Duties[0].Fence); status != 409 || !strings.Contains(body, `"fenced"`) {
+	if status, body := fenced(first.Fence); status != 409 || !strings.Contains(body, `"fenced"`) {
 		t.Errorf("the earlier holder's write: %d %s", status, body)
 	}
 	if status, body := call(t, "POST", url+"/registry/sessions/renew", `{"sessions":["x"]}`); status != 200 || !strings.Contains(body, `"x"`) {
