Let answers go once a node takes none of them, and make each once in the play of parts

The play kept every message, and a replica made the same whole part anew for each call while a list was held back. A node's answers are let go at its next call; calls, which are small, stay. A replica keeps its answers until its state changes, as the hub does. The check of exactness goes through two lists in order in place of two maps.

--- a/internal/sim/parts/fleet.go
+++ b/internal/sim/parts/fleet.go
@@ -52,7 +52,7 @@
 	now     map[string]list.Entry // the list, kept apart from State
 	history map[string]*history   // by epoch
 	broken  map[string]error      // by check, the first
-	mail    map[string]any
+	mail    mail
 }
 
 // logged is an entry of the log.
@@ -74,7 +74,7 @@
 // newFleet gives a fleet without nodes, before a list of total servers.
 func newFleet(w *sim.World, replicas, total int) *Fleet {
 	f := &Fleet{World: w, Replicas: names(replicas, "r"), Next: list.Part.Next, disks: map[string]*disk{}, nodes: map[string]*node{}, sizes: map[string]int{},
-		files: map[string]client.View{}, now: map[string]list.Entry{}, history: map[string]*history{}, broken: map[string]error{}, mail: map[string]any{}}
+		files: map[string]client.View{}, now: map[string]list.Entry{}, history: map[string]*history{}, broken: map[string]error{}, mail: mail{kept: map[string]any{}, to: map[string][]string{}}}
 	w.Play = f
 	f.begin()
 	for i := range total {
@@ -120,7 +120,7 @@
 func (f *Fleet) epoch() string {
 	f.epochs++
 	e := fmt.Sprint("E", f.epochs)
-	f.history[e] = &history{changes: map[string][]change{}}
+	f.history[e] = &history{}
 	return e
 }
 
--- a/internal/sim/parts/history.go
+++ b/internal/sim/parts/history.go
@@ -1,55 +1,70 @@
 package parts
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"indigotack/internal/list"
 	"indigotack/internal/list/client"
 )
 
-// history is what the list was at each version of an epoch, kept by name and without the list's own code.
-type history struct{ changes map[string][]change }
+// history is what the list was at each version of an epoch, kept by name, in order, and without the list's own code.
+type history struct{ servers []past }
+
+// past is what a server was.
+type past struct {
+	name    string
+	point   uint64
+	changes []change
+}
 
 type change struct {
 	version uint64
-	point   uint64
 	entry   list.Entry
 }
 
 func (h *history) add(version uint64, e list.Entry) {
-	h.changes[e.Name] = append(h.changes[e.Name], change{version, list.Point(e.Name), e})
+	i, there := slices.BinarySearchFunc(h.servers, e.Name, func(p past, name string) int { return cmp.Compare(p.name, name) })
+	if !there {
+		h.servers = slices.Insert(h.servers, i, past{name: e.Name, point: list.Point(e.Name)})
+	}
+	h.servers[i].changes = append(h.servers[i].changes, change{version, e})
 }
 
-// differs says in what a view is not the list of its version within its part.
-func (h *history) differs(v client.View) error {
-	has := make(map[string]int, len(v.Entries))
-	for i, e := range v.Entries {
-		has[e.Name] = i
+// at is what the server was at a version, nil where it was not listed.
+func (p *past) at(version uint64) *list.Entry {
+	for i := len(p.changes) - 1; i >= 0; i-- {
+		if c := &p.changes[i]; c.version <= version {
+			if c.entry.Status == list.Gone {
+				return nil
+			}
+			return &c.entry
+		}
 	}
-	n := 0
-	for name, all := range h.changes {
-		if !v.Part.Holds(all[0].point) {
+	return nil
+}
+
+// differs says in what a view, which is by name, is not the list of its version within its part.
+func (h *history) differs(v client.View) error {
+	n, left := 0, v.Entries
+	for i := range h.servers {
+		p := &h.servers[i]
+		if !v.Part.Holds(p.point) {
 			continue
 		}
-		var want list.Entry
-		for _, c := range all {
-			if c.version <= v.Version {
-				want = c.entry
-			}
-		}
-		var e list.Entry
-		i, there := has[name]
-		if there {
-			e = v.Entries[i]
+		for len(left) > 0 && left[0].Name < p.name { // not of the part
+			left = left[1:]
 		}
-		switch listed := want.Name != "" && want.Status != list.Gone; {
-		case listed && !there:
-			return fmt.Errorf("%s of %s at version %d lacks %s", v.Part, v.Epoch, v.Version, name)
-		case !listed && there:
-			return fmt.Errorf("%s of %s at version %d still has %s as %s", v.Part, v.Epoch, v.Version, name, e.Status)
-		case listed && e != want:
-			return fmt.Errorf("%s of %s at version %d has %s as %s, not %s", v.Part, v.Epoch, v.Version, name, e.Status, want.Status)
-		case listed:
+		want, there := p.at(v.Version), len(left) > 0 && left[0].Name == p.name
+		switch {
+		case want != nil && !there:
+			return fmt.Errorf("%s of %s at version %d lacks %s", v.Part, v.Epoch, v.Version, p.name)
+		case want == nil && there:
+			return fmt.Errorf("%s of %s at version %d still has %s as %s", v.Part, v.Epoch, v.Version, p.name, left[0].Status)
+		case want != nil && left[0] != *want:
+			return fmt.Errorf("%s of %s at version %d has %s as %s, not %s", v.Part, v.Epoch, v.Version, p.name, left[0].Status, want.Status)
+		case want != nil:
 			n++
 		}
 	}
--- a/internal/sim/parts/node.go
+++ b/internal/sim/parts/node.go
@@ -47,7 +47,7 @@
 		}
 		return n.fail("no answer", true)
 	case sim.Message:
-		if r := n.fleet.mail[string(e.Data)].(reply); n.open && r.number == n.asked.number {
+		if r, ok := n.fleet.mail.of(e).(reply); ok && n.open && r.number == n.asked.number {
 			return n.take(now, r.answer)
 		}
 	}
@@ -69,9 +69,10 @@
 	case !n.failed:
 		q.hold = hold
 	}
+	n.fleet.mail.forget(n.name)
 	n.asked, n.open, n.putOff = q, true, false
 	n.calls++
-	out := []sim.Effect{sim.Send{To: n.fleet.Replicas[n.at], Data: n.fleet.post(q)}, sim.Wake{After: q.hold + grace}}
+	out := []sim.Effect{sim.Send{To: n.fleet.Replicas[n.at], Data: n.fleet.mail.post("", q)}, sim.Wake{After: q.hold + grace}}
 	if q.moves {
 		out = append(out, sim.Say{What: fmt.Sprintf("asks %s for %s whole; %s stands", n.fleet.Replicas[n.at], q.part, n.has)})
 	}
--- a/internal/sim/parts/replica.go
+++ b/internal/sim/parts/replica.go
@@ -40,7 +40,14 @@
 type replica struct {
 	fleet *Fleet
 	*disk
-	held []held
+	held    []held
+	answers map[span]list.Answer // as the state is, for those who ask for the same; nil: it has changed
+}
+
+// span is what an answer is of: a part, since a version.
+type span struct {
+	part list.Part
+	from uint64
 }
 
 // held is a watch that is open.
@@ -57,26 +64,19 @@
 	case sim.Started, sim.Tick:
 		out = append(out, sim.Wake{After: applyEvery})
 	case sim.Message:
-		q := r.fleet.mail[string(e.Data)].(query)
+		q := r.fleet.mail.of(e).(query)
 		r.held = append(r.held, held{q, e.From, now + q.hold})
 	}
 	r.held = slices.DeleteFunc(r.held, func(h held) bool {
 		a := r.serve(h.query, now >= h.until)
 		if a != nil {
-			out = append(out, sim.Send{To: h.by, Data: r.fleet.post(*a)})
+			out = append(out, sim.Send{To: h.by, Data: r.fleet.mail.post(h.by, *a)})
 		}
 		return a != nil
 	})
 	return out
 }
 
-// post gives a message that stands for what it carries.
-func (f *Fleet) post(what any) []byte {
-	key := time.Duration(len(f.mail)).String()
-	f.mail[key] = what
-	return []byte(key)
-}
-
 func (r *replica) catchUp() {
 	upTo := r.fleet.World.Now() - applyAfter
 	if r.lags > 0 {
@@ -88,7 +88,21 @@
 			r.state = list.NewState()
 		}
 		r.state.Apply(c.Command)
+		r.answers = nil
+	}
+}
+
+// since is PartSince, made once for all who ask for the same.
+func (r *replica) since(p list.Part, from uint64) list.Answer {
+	a, ok := r.answers[span{p, from}]
+	if !ok {
+		a = r.state.PartSince(p, from)
+		if r.answers == nil {
+			r.answers = map[span]list.Answer{}
+		}
+		r.answers[span{p, from}] = a
 	}
+	return a
 }
 
 // serve answers a call, or holds it: then it gives nothing.
@@ -103,9 +117,10 @@
 	if from > 0 && !over && !r.state.Newer(q.part, from) {
 		return nil
 	}
-	a := r.state.PartSince(q.part, from)
+	a := r.since(q.part, from)
 	a.Part, a.Total = q.part.String(), r.state.Len()
 	if r.fleet.Alter != nil {
+		a.Endpoints = slices.Clone(a.Endpoints)
 		r.fleet.Alter(q, &a)
 	}
 	return &reply{q.number, &a}
