Hold watchers through an election rather than send all of them away at once

A replica without a leader for two election times refused every watcher at the same moment. They came back within 250 ms at the other replicas, which had no leader either, and went round with waits of up to 2.5 s: on a loaded machine that work kept the next leader from its heartbeats, so leaderships ended again, and whoever was in a wait when the write went through heard of it late.

A call is now held on for a drawn time of up to 1 s (0.5 s once its own time is over) and is refused only where there is no leader by then; so is one of records. Duties are refused at once, as before. A cut that lasts sends all elsewhere within that second, one after the other: 4.8 s at most of the 6 s in which a change is told, with the default election's time.

--- a/internal/list/server/duties.go
+++ b/internal/list/server/duties.go
@@ -108,13 +108,9 @@
 	writeJSON(w, http.StatusOK, a)
 }
 
-// holdDuties waits until a duty changes after the reader's version. It is false where the call has been answered.
+// holdDuties waits until a duty changes after the reader's version: few do, and not for a moment at a replica that is
+// cut off. It is false where the call has been answered.
 func (s *Server) holdDuties(w http.ResponseWriter, r *http.Request, q query) bool {
-	lost, news := s.contact.state()
-	if lost {
-		s.refuseCutOff(w)
-		return false
-	}
-	_, ok := s.await(w, r, s.dutyHub, query{from: q.from}, q.hold, news)
+	_, ok := s.await(w, r, s.dutyHub, query{from: q.from}, q.hold, 0)
 	return ok
 }
--- a/internal/list/server/reads.go
+++ b/internal/list/server/reads.go
@@ -1,8 +1,9 @@
 package server
 
 import (
-	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +17,14 @@
 // behind is how long a call that has seen more than this replica waits for it, whatever its hold.
 const behind = time.Second
 
+// cutOffHold is the longest that a call is held on at a replica that is cut off. Half of it, past the call's own hold,
+// is a third of what a client grants an answer there; all of it, with two of the default election's times to lose a
+// leader, two to be cut off for it, and a client's wait and grace for the next call, is 4.8 s of the 6 s in which a change is told.
+const (
+	cutOffHold = time.Second
+	never      = time.Duration(math.MaxInt64) // a reader without an epoch is never sent elsewhere
+)
+
 // query is what a read asks for.
 type query struct {
 	from    uint64
@@ -117,22 +126,19 @@
 	if wait == 0 {
 		return q.from, true
 	}
-	var news <-chan struct{} // of this replica's contact, for readers that have others to ask
+	cut := never
 	if q.epoch != "" {
-		var lost bool
-		if lost, news = s.contact.state(); lost {
-			s.refuseCutOff(w)
-			return 0, false
-		}
+		cut = cutOffHold
 	}
-	return s.await(w, r, s.hub, q, wait, news)
+	return s.await(w, r, s.hub, q, wait, cut)
 }
 
-// await holds a call until its hub has something newer than its version, its time
-// is over, or news comes of this replica's contact, which refuses it. It gives the
-// version up to which nothing that the call asks for has changed, and is false
-// where the call has been answered, or has no caller any more.
-func (s *Server) await(w http.ResponseWriter, r *http.Request, h *hub, q query, wait time.Duration, news <-chan struct{}) (from uint64, ok bool) {
+// await holds a call until its hub has something newer than its version, or its time is over. Where this replica is
+// cut off, it is held for a drawn time of up to cut, half of that once its own time is over, and refused unless there
+// is a leader again by then. So an election under thousands of watchers costs them no call, and a longer one sends them
+// elsewhere one after the other. It gives the version up to which nothing that the call asks for has changed, and is false where
+// the call has been answered, or has no caller any more.
+func (s *Server) await(w http.ResponseWriter, r *http.Request, h *hub, q query, wait, cut time.Duration) (from uint64, ok bool) {
 	watcher, full := h.wait(q.part, q.from, s.c.MaxWatchers)
 	if full {
 		refuse(w, http.StatusTooManyRequests, "watchers", "too many calls are held here", time.Second)
@@ -141,23 +147,35 @@
 	if watcher == nil {
 		return q.from, true
 	}
-	ok = true
-	ctx, cancel := context.WithTimeout(r.Context(), wait)
-	defer cancel()
-	select {
-	case <-watcher.wake:
-	case <-news:
-		s.refuseCutOff(w)
-		ok = false
-	case <-ctx.Done():
-		ok = r.Context().Err() == nil
-	case <-s.ctx.Done():
-	}
-	return h.leave(watcher), ok
-}
-
-// refuseCutOff tells a reader that there may be news which this replica can't have.
-// At the end of a cut it is told the same, and comes again.
-func (s *Server) refuseCutOff(w http.ResponseWriter) {
-	refuse(w, http.StatusServiceUnavailable, "cut-off", "this replica is, or was just now, without a leader; ask another", 0)
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	var leave <-chan time.Time // nil while there is a leader
+	for over := false; ; {
+		lost, news := s.contact.state()
+		switch lost = lost && cut != never; {
+		case !lost && over:
+			return h.leave(watcher), true
+		case !lost:
+			leave = nil
+		case leave == nil && over:
+			leave = time.After(rand.N(cut/2 + 1))
+		case leave == nil:
+			leave = time.After(rand.N(cut + 1))
+		}
+		select {
+		case <-watcher.wake:
+			return h.leave(watcher), true
+		case <-news:
+		case <-leave:
+			h.leave(watcher)
+			refuse(w, http.StatusServiceUnavailable, "cut-off", "this replica has been without a leader; ask another", 0)
+			return 0, false
+		case <-end.C:
+			over, leave = true, nil
+		case <-r.Context().Done():
+			return h.leave(watcher), false
+		case <-s.ctx.Done():
+			return h.leave(watcher), true
+		}
+	}
 }
--- a/internal/list/server/records.go
+++ b/internal/list/server/records.go
@@ -83,12 +83,7 @@
 			writeJSON(w, http.StatusOK, a)
 			return
 		}
-		lost, contact := s.contact.state()
-		if lost {
-			s.refuseCutOff(w)
-			return
-		}
-		if _, ok := s.await(w, r, s.docHub, query{from: a.Index}, wait, contact); !ok {
+		if _, ok := s.await(w, r, s.docHub, query{from: a.Index}, wait, cutOffHold); !ok {
 			return
 		}
 	}
