Have a request wait for its tenant's part of the catalogue, with real nodes to show it

A node with govern.tenants_on_demand answered the first request of each tenant with 503. A request that waited while the module was given new routes counts as of the same settings.

--- a/cmd/indigotack/tenants_fleet_test.go
+++ b/cmd/indigotack/tenants_fleet_test.go
@@ -34,11 +34,12 @@
 	places  map[string]*platform
 	lists   map[string]string // where each finds the service
 	done    atomic.Int32      // orders that have returned
+	demand  map[string]bool   // nodes that read what their requests name
 }
 
-func newBookFleet(t *testing.T) *bookFleet {
+func newBookFleet(t *testing.T, hashTree bool) *bookFleet {
 	address, k := trial.List(t)
-	f := &bookFleet{t: t, k: k, service: address, net: link.NewNet(1), nodes: map[string]*process{}, places: map[string]*platform{}, lists: map[string]string{}}
+	f := &bookFleet{t: t, k: k, service: address, net: link.NewNet(1), nodes: map[string]*process{}, places: map[string]*platform{}, lists: map[string]string{}, demand: map[string]bool{}}
 	t.Cleanup(f.net.Close)
 	for _, zone := range []string{"z1", "z2"} {
 		back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, zone) }))
@@ -71,7 +72,7 @@
 	}
 	t.Cleanup(trial.Run(t, func(ctx context.Context) error {
 		p.Run(ctx, tenant.Duty, func(ctx context.Context, fence duty.Fence) error {
-			c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fence}, Fleet: tenant.Listed{List: k}, Every: 50 * time.Millisecond, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler)}
+			c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fence}, Fleet: tenant.Listed{List: k}, Every: 50 * time.Millisecond, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler), HashTree: hashTree}
 			return c.Run(ctx)
 		})
 		return p.Close(time.Second)
@@ -102,7 +103,7 @@
 	}
 	f.nodes[name] = p.startWith(f.t, map[string]any{"name": name, "discovery": nil, "list": []string{f.lists[name]}, "peers": nil,
 		"fleet":  map[string]any{"name": "windhoek", "join": seeds, "period_ms": 100},
-		"govern": map[string]any{"policy": true, "tenants": true},
+		"govern": map[string]any{"policy": true, "tenants": true, "tenants_on_demand": f.demand[name]},
 		"settings": map[string]any{"balancers": 3, "caps": map[string]any{"peers": true, "max_attempts": 3, "connect_timeout_ns": enough},
 			"invariants": map[string]any{"cold_from": 0.5, "overload_factor": 3}, "classes": classes}})
 	return f.nodes[name]
--- a/cmd/indigotack/tenants_test.go
+++ b/cmd/indigotack/tenants_test.go
@@ -16,10 +16,78 @@
 	return fmt.Sprintf(`{"names":["k","kal"],"classes":[%s],"quotas":[{"limit":"book/k:repeats"}],"routes":[{"zones":[%q]}]}`, classes, zone)
 }
 
+// change has k changed from classes a and b in z1, with requests all the time.
+func (f *bookFleet) change(t *testing.T) {
+	next := false
+	stop := f.watch(t, func(_ int32, node, class, said string) {
+		former := class == "b" && said == "200 z1" || class == "c" && said == "403"
+		latter := class == "b" && said == "403" || class == "c" && said == "200 z2"
+		if !former && !latter && said != "503" || former && next {
+			t.Errorf("%s says %s of %s, the next form was seen: %v", node, said, class, next)
+		}
+		next = next || latter
+	}, "k", "b", "c")
+	f.order(tenant.Change, "k", kalahari(`"a","c"`, "z2"))
+	trial.Await(t, "the change everywhere", f.all("k", "c", "200 z2"))
+	stop()
+}
+
+// knows are the tenants that a node tells its operator of.
+func (f *bookFleet) knows(node string) (all []string) {
+	var r tenant.Report
+	_, body, _ := ask("GET", "http://"+f.nodes[node].control+"/tenants", nil)
+	if err := json.Unmarshal([]byte(body), &r); err != nil || !r.Ready {
+		f.t.Errorf("%v: %s", err, body)
+	}
+	for _, one := range r.Tenants {
+		all = append(all, one.Name)
+	}
+	return all
+}
+
+// TestTenantsOnDemand: of a catalogue that is a hash tree one node reads what its requests name, another all of it.
+func TestTenantsOnDemand(t *testing.T) {
+	f := newBookFleet(t, true)
+	f.demand["n0"] = true
+	for _, name := range []string{"n0", "n1"} {
+		f.lay(name)
+		f.start(name).waitReady(t)
+	}
+	f.order(tenant.Add, "k", kalahari(`"a","b"`, "z1"))
+	f.order(tenant.Add, "l", `{"names":["l"],"classes":["a"],"quotas":[{"limit":"book/l:repeats"}],"routes":[{}]}`)
+	if n0, n1 := f.knows("n0"), f.knows("n1"); len(n0) != 0 || !slices.Equal(n1, []string{"k", "l"}) {
+		t.Errorf("before the first request they know %v and %v", n0, n1)
+	}
+	for _, name := range []string{"k", "kal"} { // each has its own part
+		if said := f.says("n0", name, "a"); said != "200 z1" {
+			t.Errorf("the first request of %s is told %s", name, said)
+		}
+	}
+	if said := f.says("n0", "nobody", "a"); said != "404" {
+		t.Errorf("a name that nobody has is told %s", said)
+	}
+	if n0 := f.knows("n0"); !slices.Equal(n0, []string{"k"}) {
+		t.Errorf("it has read %v", n0)
+	}
+	t.Run("a change is seen whole and never goes back", f.change)
+
+	f.cut("n0")
+	trial.Await(t, "the end of its right", func() bool { return f.says("n0", "nobody", "a") == "503" })
+	for name, want := range map[string]string{"k": "200 z2", "kal": "200 z2", "l": "503"} {
+		if said := f.says("n0", name, "a"); said != want {
+			t.Errorf("without the service %s is told %s, want %s", name, said, want)
+		}
+	}
+	f.heal("n0")
+	trial.Await(t, "n0 to serve l", func() bool { return strings.HasPrefix(f.says("n0", "l", "a"), "200") })
+	f.order(tenant.Remove, "k", "")
+	trial.Await(t, "the end of k", f.all("k", "a", "404"))
+}
+
 // TestTenants: three real nodes bring tenants in, change and remove them, with requests all the time, one node cut off
 // from the list service, one that leaves and one that begins without the service.
 func TestTenants(t *testing.T) {
-	f := newBookFleet(t)
+	f := newBookFleet(t, false)
 	for _, name := range []string{"n0", "n1", "n2"} {
 		f.lay(name)
 	}
@@ -58,20 +126,7 @@
 		stop()
 	})
 
-	t.Run("a change is seen whole and never goes back", func(t *testing.T) {
-		next := false
-		stop := f.watch(t, func(_ int32, node, class, said string) {
-			former := class == "b" && said == "200 z1" || class == "c" && said == "403"
-			latter := class == "b" && said == "403" || class == "c" && said == "200 z2"
-			if !former && !latter && said != "503" || former && next {
-				t.Errorf("%s says %s of %s, the next form was seen: %v", node, said, class, next)
-			}
-			next = next || latter
-		}, "k", "b", "c")
-		f.order(tenant.Change, "k", kalahari(`"a","c"`, "z2"))
-		trial.Await(t, "the change everywhere", f.all("k", "c", "200 z2"))
-		stop()
-	})
+	t.Run("a change is seen whole and never goes back", f.change)
 
 	t.Run("one that is cut off is not sure, and serves on", func(t *testing.T) {
 		f.cut("n2")
@@ -118,10 +173,8 @@
 		}
 		f.heal("n3")
 		late.waitReady(t)
-		var r tenant.Report
-		_, body, _ := ask("GET", "http://"+late.control+"/tenants", nil)
-		if err := json.Unmarshal([]byte(body), &r); err != nil || !r.Ready || len(r.Tenants) != 1 || r.Tenants[0].Name != "l" {
-			t.Errorf("%v: %s", err, body)
+		if knows := f.knows("n3"); !slices.Equal(knows, []string{"l"}) {
+			t.Errorf("it knows %v", knows)
 		}
 	})
 
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -30,6 +30,7 @@
 	guard     *time.Timer
 	tenant    string          // by its name in the catalogue, until the request is over; empty: tenants are not told apart
 	stream    *stream         // the long answer that has begun; nil: none
+	parked    bool            // it has waited for its tenant's part of the catalogue
 	leaveRoom func()          // gives back what its body has taken; may be nil
 	client    *accept.Conn    // nil: not known
 	gone      <-chan struct{} // closed when the server knows that the client has left
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -152,6 +152,7 @@
 // rules is what the front must know of the settings to take a request.
 type rules struct {
 	number      int                      // one more each time that the module is given settings: it knows the last two
+	came        int                      // the number with which the settings first came
 	effects     map[string]decide.Effect // of the classes
 	longest     time.Duration            // deadline of a class
 	former      map[string]decide.Effect // of the settings before
@@ -166,6 +167,7 @@
 	}
 	if before != nil {
 		r.number = before.number + 1
+		r.came = r.number
 		r.former, r.formerUntil = before.effects, time.Now().Add(max(formerLeast, before.longest))
 	}
 	return r
--- a/internal/node/tenants.go
+++ b/internal/node/tenants.go
@@ -20,6 +20,8 @@
 	books   map[string]string // by limit of the policy's table: the name under which that knows its tenant
 	lanes   lanes
 	session *session
+	parked  []parked
+	look    bool          // there is another catalogue: some of parked may go on
 	ready   chan struct{} // closed when it has the catalogue and is on the book, for the first time
 	off     chan struct{} // closed when it leaves and the book does not have it any more
 
@@ -94,7 +96,7 @@
 		for _, a := range t.desk.Handle(n.clock(), t.queue[0]) {
 			switch a := a.(type) {
 			case tenant.Swap:
-				t.now = a.Catalogue
+				t.now, t.look = a.Catalogue, true
 				n.swapped()
 			case tenant.Tell:
 				t.session.tell(a.Word)
@@ -107,6 +109,10 @@
 		t.queue = t.queue[1:]
 	}
 	t.queue = nil
+	if t.look {
+		t.look = false
+		n.unpark()
+	}
 }
 
 // swapped follows a new catalogue up.
--- a/internal/node/tenants_follow.go
+++ b/internal/node/tenants_follow.go
@@ -46,6 +46,7 @@
 	if shell := n.view.Load(); shell != nil {
 		n.desk(tenant.Heard{Number: shell.Catalogue()})
 	}
+	n.tenants.look = true // some have waited for long enough
 	n.desk(tenant.Tick{})
 	n.giveLanes()
 }
--- a/internal/node/tenants_judge.go
+++ b/internal/node/tenants_judge.go
@@ -37,8 +37,8 @@
 		a.status = http.StatusNotFound
 		t.unknown.Add(1)
 	default:
-		if v.Why == tenant.WhyUnread {
-			n.desk(tenant.Asked{Name: e.Tenant})
+		if v.Why == tenant.WhyUnread && n.park(r, *e) {
+			return false
 		}
 		a.status, a.holdOff = http.StatusServiceUnavailable, v.Retry
 		t.unsure.Add(1)
--- a/internal/tenant/catalogue.go
+++ b/internal/tenant/catalogue.go
@@ -74,12 +74,9 @@
 // right tells whether the node may say a definite no.
 func (c *Catalogue) right(now time.Duration) bool { return c.sure && now < c.until && !c.behind }
 
-// retryUnread is longer where the list service seems to be gone.
-func (c *Catalogue) retryUnread(now time.Duration) time.Duration {
-	if now < c.until {
-		return retrySoon
-	}
-	return retryLater
+// Holds tells whether the node holds the part of a name.
+func (c *Catalogue) Holds(tenant string) bool {
+	return c.whole || c.held[leafOf(tenant, c.levels)] != nil
 }
 
 // Answer gives the verdict on a request. tenant is as in X-Tenant.
@@ -100,8 +97,10 @@
 		p = part.names[tenant]
 	}
 	switch {
-	case part == nil && !c.whole:
-		return unsure(WhyUnread, c.retryUnread(now))
+	case part == nil && !c.whole && now < c.until:
+		return unsure(WhyUnread, retrySoon)
+	case part == nil && !c.whole: // it can't be read for now
+		return unsure(WhyNoWord, retryLater)
 	case p == nil && c.right(now):
 		return Answer{Verdict: Unknown, Number: c.number}
 	case p == nil && c.behind:
--- a/internal/tenant/held.go
+++ b/internal/tenant/held.go
@@ -139,6 +139,11 @@
 	return []any{Fetch{}}
 }
 
+// Coming tells whether the part of a name is to be read.
+func (d *Desk) Coming(name string) bool {
+	return d.image != nil && d.asked[leafOf(name, d.image.levels)]
+}
+
 // take has an image take the place of the present one, and makes what differs ready.
 func (d *Desk) take(now time.Duration, i *Image) {
 	if i == nil {
--- a/internal/tenant/service_test.go
+++ b/internal/tenant/service_test.go
@@ -68,21 +68,19 @@
 		return nil
 	}
 	head, err := DecodeHead(r.value)
-	for key, r := range w.records {
-		if digest, is := keyName(key, PagePrefix); is && w.pages[digest] == nil {
-			var bad error
-			if w.pages[digest], bad = decodePage(digest, r.value); bad != nil {
-				w.fail("%v", bad)
+	if err == nil && w.haveAt != w.version {
+		w.have, w.haveAt = map[string]*page{}, w.version
+		for key, r := range w.records {
+			digest, is := keyName(key, PagePrefix)
+			if is && w.pages[digest] == nil {
+				w.pages[digest], err = decodePage(digest, r.value)
+			}
+			if is {
+				w.have[digest] = w.pages[digest]
 			}
 		}
 	}
-	have := map[string]*page{}
-	for digest, p := range w.pages {
-		if w.records[PagePrefix+digest].value != nil {
-			have[digest] = p
-		}
-	}
-	got := gather(head, have, want.whole, want.at(head.Levels))
+	got := gather(head, w.have, want.whole, want.at(head.Levels))
 	if err != nil || got.err != nil || len(got.missing) > 0 {
 		w.fail("the catalogue is not whole: %v, %v, without %v", err, got.err, got.missing)
 	}
--- a/internal/tenant/world_test.go
+++ b/internal/tenant/world_test.go
@@ -26,6 +26,8 @@
 	fence    uint64
 	tree     bool             // conductors write the catalogue as a hash tree, but each fourth
 	pages    map[string]*page // that were read, by digest
+	have     map[string]*page // those that are on record at haveAt
+	haveAt   uint64
 	images   map[uint64]*Image
 
 	nodes      []*node
