Have the conductor's rounds cost what moves, and measure nodes that read tenants on demand

Each round walked all tenants, and each order sorted all of their limits; now a round looks at those that do not rest, what is claimed is kept by name, and the floors are summed once a round. indigolab scale tenants-demand plays the conductor's machine, the reader and the desk over records in memory, as the list service has fewer than the plan's tenants.

--- a/cmd/indigolab/scale.go
+++ b/cmd/indigolab/scale.go
@@ -49,6 +49,7 @@
 		scaleWatchersCommand(&f, "lost", "the leader of three replicas killed under watchers, and a change", []int{30, 100, 300, 1000, 4300}, 200, (*scale.Lists).Lost),
 		scaleCoreCommand(&f, "view", "members", "the view of the fleet by its members, in the simulator", []int{10, 30, 100, 300, 1000}, scale.View),
 		scaleCoreCommand(&f, "tenants", "tenants", "a node's desk by the tenants of its catalogue", []int{50, 200, 800, 3200, 12800, 50000}, scale.Tenants),
+		scaleCoreCommand(&f, "tenants-demand", "tenants", "a node that reads the tenants that its requests name, and their conductor, by the tenants that there are", []int{200, 2000, 20000, 50000, 200000}, scale.TenantsOnDemand),
 		scaleCoreCommand(&f, "policy", "books", "a policy's text, its making and its table by the books that it names", []int{50, 200, 800, 1600, 3200}, scale.Policy),
 		scaleCoreCommand(&f, "constants", "", "what the programs refuse beyond", nil, func(ctx context.Context, run scale.Run, _ []int, say func(scale.Point)) error {
 			return scale.Constants(ctx, run, say)
--- /dev/null
+++ b/internal/lab/scale/tenants_demand.go
@@ -0,0 +1,164 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"time"
+
+	"indigotack/internal/lab/fleet"
+	"indigotack/internal/list"
+	"indigotack/internal/list/client"
+	"indigotack/internal/tenant"
+)
+
+// workingSet is how many tenants a node works with in the measurement, of all that there are.
+const workingSet = 2000
+
+// recordStore stands for the list service, whose records are fewer than the plan's tenants. What
+// a node reads is counted as its values' bytes: an answer's head and envelope come on top.
+type recordStore struct {
+	all   map[string]list.Record
+	bytes int
+}
+
+func (r *recordStore) Record(_ context.Context, key string) (list.Record, error) {
+	one, there := r.all[key]
+	if !there {
+		return one, &client.Refused{Status: http.StatusNotFound}
+	}
+	r.bytes += len(one.Value)
+	return one, nil
+}
+
+// read gives the bytes that were read since it was last asked.
+func (r *recordStore) read() float64 {
+	n := r.bytes
+	r.bytes = 0
+	return float64(n)
+}
+
+// conducted is the conductor's machine over records, with all its tenants at rest.
+type conducted struct {
+	recordStore
+	m       *tenant.Machine
+	look    tenant.Look
+	now     time.Duration
+	version uint64
+	written int // bytes
+}
+
+func conduct(n int) (*conducted, error) {
+	c := &conducted{recordStore: recordStore{all: map[string]list.Record{}}, look: tenant.Look{Policy: tenant.Policy{Version: 1, Floors: map[string]float64{}, Whole: float64(2 * n)}}}
+	var s tenant.Stored
+	for i := range n {
+		f := tenantForm(i)
+		s.Tenants = append(s.Tenants, &tenant.Tenant{V: 1, Name: f.Names[0], State: tenant.Active, Now: f})
+		c.look.Policy.Floors[f.Quotas[0].Limit] = 1
+		c.look.Boxes = append(c.look.Boxes, tenant.Box{Zone: zoneOf(i), Kind: "m"})
+	}
+	c.m = tenant.Load(0, s, tenant.DefaultTimes(), true)
+	return c, c.round()
+}
+
+// round has the machine look, and writes what it says.
+func (c *conducted) round() error {
+	c.now += 200 * time.Millisecond
+	puts, err := c.m.Handle(c.now, c.look)
+	c.look.Asks = nil
+	for _, p := range puts {
+		c.version++
+		if p.Value == nil {
+			delete(c.all, p.Key)
+		} else {
+			c.all[p.Key] = list.Record{Key: p.Key, Value: p.Value, Version: c.version}
+		}
+		c.written += len(p.Value)
+		c.m.Wrote(p, c.version)
+	}
+	return err
+}
+
+// order has a tenant changed; three rounds bring it to its end, each with a catalogue.
+func (c *conducted) order(i int) {
+	f := tenantForm(i)
+	c.version++
+	f.DrainMS = int64(c.version % 60000)
+	c.look.Asks = []tenant.Ask{{Key: tenant.AskPrefix + f.Names[0], Name: f.Names[0], Version: c.version, Order: tenant.Order{V: 1, ID: fmt.Sprint(c.version), Do: tenant.Change, Form: f}}}
+}
+
+// demanding is a node's desk with its reader, on demand.
+type demanding struct {
+	*tenant.Desk
+	*tenant.Reader
+	now time.Duration
+}
+
+// read has the desk take up what it wants.
+func (d *demanding) read(ctx context.Context) error {
+	d.now += time.Second
+	got, err := d.Reader.Read(ctx, func() time.Duration { return d.now }, d.Want())
+	got.Enrolled = true
+	d.Handle(d.now, got)
+	return err
+}
+
+// TenantsOnDemand measures a node that reads what its requests name, and the conductor that writes for it, by the tenants that there are.
+func TenantsOnDemand(ctx context.Context, run Run, sizes []int, say func(Point)) error {
+	return run.points(ctx, "tenants-demand", "tenants", sizes, nil, say, func(n int) (map[string]float64, error) {
+		none, _ := heap()
+		c, err := conduct(n)
+		if err != nil {
+			return nil, err
+		}
+		figures := map[string]float64{}
+		empty, _ := heap()
+		figures["conductor_memory_bytes"] = empty - none // with the records
+		d := &demanding{Desk: tenant.NewDesk(1, 0, true), Reader: &tenant.Reader{List: &c.recordStore}, now: time.Second}
+		d.Handle(d.now, tenant.Tables{Table: tenant.Table{Version: 1, Has: func(string) bool { return true }}})
+		d.Handle(d.now, tenant.Opened{TTL: time.Hour})
+		if err := d.read(ctx); err != nil {
+			return nil, err
+		}
+		figures["start_bytes"] = c.read()
+		began, set := fleet.OwnCPU(), min(n, workingSet)
+		for i := range set {
+			d.Handle(d.now, tenant.Asked{Name: tenantForm(i * n / set).Names[0]})
+			if i%64 == 63 || i == set-1 {
+				if err := d.read(ctx); err != nil {
+					return nil, err
+				}
+			}
+		}
+		figures["working_bytes"], figures["working_s"], figures["known"] = c.read(), seconds(fleet.OwnCPU()-began), float64(d.Known())
+		full, _ := heap()
+		figures["memory_bytes"] = full - empty
+
+		var rounds time.Duration
+		c.written = 0
+		orders := 0
+		figures["change_s"], figures["change_pieces"], err = cost(ctx, 30, func(i int) { // a catalogue that differs in one tenant; a third of them begin an order
+			if i%3 == 0 {
+				c.order(i * 7919 % n)
+				orders++
+			}
+			began := fleet.OwnCPU()
+			err = c.round()
+			rounds += fleet.OwnCPU() - began
+			if err == nil {
+				err = d.read(ctx)
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		catalogues := float64(d.Number() - 1)
+		figures["change_bytes"] = c.read() / catalogues
+		figures["change_s"] -= seconds(rounds) / catalogues
+		figures["conductor_order_s"], figures["conductor_order_bytes"] = seconds(rounds)/float64(orders), float64(c.written)/float64(orders)
+		figures["conductor_rest_s"], _, err = cost(ctx, 3, func(int) { err = c.round() })
+		runtime.KeepAlive(d)
+		return figures, err
+	})
+}
--- a/internal/tenant/advance.go
+++ b/internal/tenant/advance.go
@@ -177,6 +177,8 @@
 	} else {
 		m.enter(r, t, Changing)
 	}
-	r.before = append(r.before, t.claim()) // the next order of this round sees it
+	for _, limit := range m.claims.add(t) { // the next order of this round sees it
+		r.sum += r.Policy.Floors[limit]
+	}
 	return ""
 }
--- a/internal/tenant/check.go
+++ b/internal/tenant/check.go
@@ -12,15 +12,14 @@
 	if err := next.Check(); err != nil {
 		return err.Error()
 	}
-	for _, o := range r.before {
-		if o.tenant == t.Name {
-			continue
-		}
-		if i := slices.IndexFunc(next.Names, func(s string) bool { return o.names[s] }); i >= 0 {
-			return fmt.Sprintf("names: %s is that of %s", next.Names[i], o.tenant)
+	for _, name := range next.Names {
+		if o := m.claims.names[name]; o != "" && o != t.Name {
+			return fmt.Sprintf("names: %s is that of %s", name, o)
 		}
-		if i := slices.IndexFunc(next.Quotas, func(q Quota) bool { return o.limits[q.Limit] }); i >= 0 {
-			return fmt.Sprintf("quotas: %s is that of %s", next.Quotas[i].Limit, o.tenant)
+	}
+	for _, q := range next.Quotas {
+		if o := m.claims.limits[q.Limit]; o != "" && o != t.Name {
+			return fmt.Sprintf("quotas: %s is that of %s", q.Limit, o)
 		}
 	}
 	if why := m.floors(r, next); why != "" {
@@ -44,66 +43,94 @@
 	return why
 }
 
-// claim is what a tenant has for itself.
-type claim struct {
-	tenant string
-	names  map[string]bool // of one that is gone, too
-	limits map[string]bool
+// claims are what tenants have for themselves: what was on record when a round began, and
+// what has been let in since. So nothing is free before that is on record.
+type claims struct {
+	names, limits map[string]string  // their tenants
+	of            map[string][]claim // by tenant
 }
 
-// claims are those of all tenants as they are now.
-func (m *Machine) claims() (all []claim) {
-	for _, name := range slices.Sorted(maps.Keys(m.tenants)) {
-		all = append(all, m.tenants[name].claim())
+// claim is what one tenant has: names, of one that is gone, too, and limits.
+type claim struct{ names, limits []string }
+
+// add notes what a tenant has besides, and gives the limits that nobody had.
+func (c *claims) add(t *Tenant) (taken []string) {
+	one := t.claim()
+	for _, name := range one.names {
+		c.names[name] = t.Name
+	}
+	for _, limit := range one.limits {
+		if c.limits[limit] == "" {
+			taken = append(taken, limit)
+		}
+		c.limits[limit] = t.Name
+	}
+	c.of[t.Name] = append(c.of[t.Name], one)
+	return taken
+}
+
+// drop takes all away that a tenant has.
+func (c *claims) drop(tenant string) {
+	for _, one := range c.of[tenant] {
+		for _, name := range one.names {
+			delete(c.names, name)
+		}
+		for _, limit := range one.limits {
+			delete(c.limits, limit)
+		}
 	}
-	return all
+	delete(c.of, tenant)
 }
 
-func (t *Tenant) claim() claim {
-	c := claim{t.Name, map[string]bool{}, t.limits()}
+func (t *Tenant) claim() (c claim) {
 	for _, f := range []*Form{t.Now, t.Next} {
-		if f != nil {
-			for _, s := range f.Names {
-				c.names[s] = true
+		if f == nil {
+			continue
+		}
+		c.names = append(c.names, f.Names...)
+		for _, q := range f.Quotas {
+			if t.State.owns() {
+				c.limits = append(c.limits, q.Limit)
 			}
 		}
 	}
 	return c
 }
 
-// limits are those that a tenant owns, in its present form and in the next.
-func (t *Tenant) limits() map[string]bool {
-	all := map[string]bool{}
-	for _, f := range []*Form{t.Now, t.Next} {
-		if f != nil && t.State.owns() {
-			for _, q := range f.Quotas {
-				all[q.Limit] = true
-			}
+// settled notes a tenant whose record has changed or is gone, at the end of a round: what it
+// does not have any more is free, and whether there is anything to be done about it.
+func (m *Machine) settled(name string) {
+	m.claims.drop(name)
+	delete(m.live, name)
+	if t := m.tenants[name]; t != nil {
+		m.claims.add(t)
+		if !t.State.rests() || t.Until > 0 {
+			m.live[name] = t
 		}
 	}
-	return all
 }
 
 // floors says whether the floors of all tenants' limits fit once one has its next form,
 // too. What is taken is no count that is kept, but the sum over the states on record:
-// so nothing is taken or freed twice, whoever dies in between.
+// so nothing is taken or freed twice, whoever dies in between. A round has it once.
 func (m *Machine) floors(r *round, next *Form) (why string) {
-	owned := map[string]bool{}
+	if !r.summed {
+		r.sum = 0
+		for _, limit := range slices.Sorted(maps.Keys(m.claims.limits)) {
+			r.sum += r.Policy.Floors[limit]
+		}
+		r.summed = true
+	}
+	sum, seen := r.sum, map[string]bool{}
 	for _, q := range next.Quotas {
-		if _, there := r.Policy.Floors[q.Limit]; !there {
+		floor, there := r.Policy.Floors[q.Limit]
+		if !there {
 			return fmt.Sprintf("quotas: %s is no limit of policy %d", q.Limit, r.Policy.Version)
 		}
-		owned[q.Limit] = true
-	}
-	for _, o := range m.tenants {
-		maps.Copy(owned, o.limits())
-	}
-	for _, c := range r.before {
-		maps.Copy(owned, c.limits)
-	}
-	sum := 0.0
-	for _, limit := range slices.Sorted(maps.Keys(owned)) {
-		sum += r.Policy.Floors[limit]
+		if m.claims.limits[q.Limit] == "" && !seen[q.Limit] {
+			sum += floor
+		}
+		seen[q.Limit] = true
 	}
 	if sum > r.Policy.Whole {
 		return fmt.Sprintf("quotas: the floors of all tenants come to %g, of %g", sum, r.Policy.Whole)
--- a/internal/tenant/machine.go
+++ b/internal/tenant/machine.go
@@ -62,32 +62,15 @@
 	BookVersion uint64
 }
 
-// Put is a write under the conductor's fence, conditional on the version that it
-// replaces. Puts of one stage may go together; a later stage waits for the earlier:
-// intent (tenants, members), pages, head, what is done with (orders, old pages).
-type Put struct {
-	Stage   int
-	Key     string
-	Value   []byte // nil: the record goes
-	Version uint64 // that it must have; 0: none
-	Free    bool   // it is not conditional: a page is what its key says
-}
-
-// The stages.
-const (
-	stageIntent = iota
-	stagePages
-	stageHead
-	stageAfter
-)
-
 // Machine decides the next writes of a conductor. It is pure; times are of the
 // conductor's monotonic clock. One that a write fails for is thrown away: the next
 // begins from what is on record.
 type Machine struct {
 	times   Times
 	tenants map[string]*Tenant
-	entries map[string]*Entry // of the last catalogue
+	entries map[string]*Entry  // of the last catalogue
+	live    map[string]*Tenant // those that do not rest, or rest for a time
+	claims  claims
 	moving  map[string]*Entry // those of them that are not simply served
 	tree    *tree             // of it; nil: its pages are to be written anew
 	looked  bool              // all tenants have been compared with it once
@@ -112,7 +95,8 @@
 // Load begins a conductor's work. Waits that were under way begin anew. With hashTree the
 // catalogue is written as a hash tree, else flat, whichever it is on record.
 func Load(now time.Duration, s Stored, t Times, hashTree bool) *Machine {
-	m := &Machine{times: t, hashTree: hashTree, tenants: map[string]*Tenant{}, entries: map[string]*Entry{}, moving: map[string]*Entry{}, head: s.Head, headVer: s.HeadVersion, pages: maps.Clone(s.Pages), book: s.Book, bookVer: s.BookVersion,
+	m := &Machine{times: t, hashTree: hashTree, tenants: map[string]*Tenant{}, entries: map[string]*Entry{}, moving: map[string]*Entry{}, live: map[string]*Tenant{},
+		claims: claims{map[string]string{}, map[string]string{}, map[string][]claim{}}, head: s.Head, headVer: s.HeadVersion, pages: maps.Clone(s.Pages), book: s.Book, bookVer: s.BookVersion,
 		start: now, clock: s.Book.Clock, absent: map[string]time.Duration{}, asked: map[string]time.Duration{}, since: map[string]time.Duration{}}
 	if s.Image != nil {
 		m.entries = s.Image.byName()
@@ -125,6 +109,7 @@
 	m.book.V = form
 	for _, one := range s.Tenants {
 		m.tenants[one.Name], m.asked[one.Name], m.since[one.Name] = one, now, now
+		m.settled(one.Name)
 	}
 	if m.pages == nil {
 		m.pages = map[string]uint64{}
@@ -135,7 +120,7 @@
 
 // Rests tells whether no tenant is on its way.
 func (m *Machine) Rests() bool {
-	for _, t := range m.tenants {
+	for _, t := range m.live {
 		if !t.State.rests() {
 			return false
 		}
@@ -150,7 +135,8 @@
 	sessions map[string][]Word // by node
 	changed  map[string]bool   // tenants
 	gone     map[string]bool   // records to be taken away
-	before   []claim           // what tenants had when the round began: it is free only once that is on record
+	sum      float64           // of the floors that are taken, if
+	summed   bool
 	puts     []Put
 }
 
@@ -167,13 +153,10 @@
 		}
 		r.sessions[s.Node] = append(r.sessions[s.Node], s.Word)
 	}
-	if len(l.Asks) > 0 {
-		r.before = m.claims()
-	}
 	m.enrol(r)
 	if !m.restored(r) { // else the words are about another catalogue
-		for _, name := range slices.Sorted(maps.Keys(m.tenants)) {
-			m.advance(r, m.tenants[name])
+		for _, name := range slices.Sorted(maps.Keys(m.live)) {
+			m.advance(r, m.live[name])
 		}
 		for _, a := range l.Asks {
 			m.take(r, a)
@@ -185,6 +168,12 @@
 	if err := m.publish(r); err != nil {
 		return nil, err
 	}
+	for name := range r.changed {
+		m.settled(name)
+	}
+	for name := range r.gone {
+		m.settled(name)
+	}
 	slices.SortStableFunc(r.puts, func(a, b Put) int { return cmp.Compare(a.Stage, b.Stage) })
 	return r.puts, nil
 }
--- a/internal/tenant/members.go
+++ b/internal/tenant/members.go
@@ -40,7 +40,7 @@
 			m.dirty = true
 		}
 	}
-	for _, t := range m.tenants {
+	for _, t := range m.live {
 		m.dirty = m.dirty || t.Until > 0 && m.clockAt(r.now)-m.book.Clock >= clockEvery
 	}
 }
--- a/internal/tenant/publish.go
+++ b/internal/tenant/publish.go
@@ -7,6 +7,25 @@
 	"slices"
 )
 
+// Put is a write under the conductor's fence, conditional on the version that it
+// replaces. Puts of one stage may go together; a later stage waits for the earlier:
+// intent (tenants, members), pages, head, what is done with (orders, old pages).
+type Put struct {
+	Stage   int
+	Key     string
+	Value   []byte // nil: the record goes
+	Version uint64 // that it must have; 0: none
+	Free    bool   // it is not conditional: a page is what its key says
+}
+
+// The stages.
+const (
+	stageIntent = iota
+	stagePages
+	stageHead
+	stageAfter
+)
+
 // restored tells whether a node has a higher catalogue than there is: the service's
 // state is from a copy. All is published anew, above what any node has.
 func (m *Machine) restored(r *round) bool {
--- a/internal/tenant/reader.go
+++ b/internal/tenant/reader.go
@@ -10,13 +10,19 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"indigotack/internal/list/client"
+	"indigotack/internal/list"
 )
 
+// Source has the records: the list service's client, or what stands for it where that is
+// too small. One that is not there is a client.Refused with 404.
+type Source interface {
+	Record(ctx context.Context, key string) (list.Record, error)
+}
+
 // Reader reads the catalogue for a node's Desk, from the list service as it is now.
 // Pages that it has already are not read again. It is for one goroutine at a time.
 type Reader struct {
-	List   *client.Client
+	List   Source
 	Member Member // as the book has to have the node
 
 	image *Image
--- a/internal/tenant/store.go
+++ b/internal/tenant/store.go
@@ -64,7 +64,7 @@
 }
 
 // record reads one record into v; a record that is not there has version 0.
-func record(ctx context.Context, k *client.Client, key string, v any) (uint64, error) {
+func record(ctx context.Context, k Source, key string, v any) (uint64, error) {
 	r, err := k.Record(ctx, key)
 	if none(err) {
 		return 0, nil
