Let a node's change of catalogue cost the parts that differ, not all that it holds

The desk made its tables of entries anew at each catalogue: 14,160 of them at 2,000 parts. It now takes out and in what differs.

--- a/internal/lab/scale/tenants_demand.go
+++ b/internal/lab/scale/tenants_demand.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"runtime"
 	"time"
@@ -46,7 +48,8 @@
 	look    tenant.Look
 	now     time.Duration
 	version uint64
-	written int // bytes
+	written int                    // bytes
+	kept    map[string]list.Record // pages that were taken away
 }
 
 func conduct(n int) (*conducted, error) {
@@ -56,7 +59,7 @@
 		f := tenantForm(i)
 		s.Tenants = append(s.Tenants, &tenant.Tenant{V: 1, Name: f.Names[0], State: tenant.Active, Now: f})
 		c.look.Policy.Floors[f.Quotas[0].Limit] = 1
-		c.look.Boxes = append(c.look.Boxes, tenant.Box{Zone: zoneOf(i), Kind: "m"})
+		c.look.Boxes = append(c.look.Boxes, tenant.Box{Zone: zoneOf(i), Kind: "m"}) // as many, so that each route has its own
 	}
 	c.m = tenant.Load(0, s, tenant.DefaultTimes(), true)
 	return c, c.round()
@@ -70,6 +73,9 @@
 	for _, p := range puts {
 		c.version++
 		if p.Value == nil {
+			if c.kept != nil {
+				c.kept[p.Key] = c.all[p.Key]
+			}
 			delete(c.all, p.Key)
 		} else {
 			c.all[p.Key] = list.Record{Key: p.Key, Value: p.Value, Version: c.version}
@@ -80,6 +86,30 @@
 	return err
 }
 
+// playedOrders is how many tenants are changed in one measurement, all over the catalogue.
+const playedOrders = 20
+
+// changes has tenants changed one after the other, notes the conductor's costs, and gives the
+// heads of all catalogues, whose pages stay.
+func (c *conducted) changes(ctx context.Context, figures map[string]float64) (heads []list.Record, err error) {
+	n := len(c.look.Boxes)
+	c.written, c.kept = 0, map[string]list.Record{}
+	began := fleet.OwnCPU()
+	for i := range playedOrders {
+		c.order((i*7919 + n/2) % n)
+		for range 3 {
+			if err := errors.Join(c.round(), ctx.Err()); err != nil {
+				return nil, err
+			}
+			heads = append(heads, c.all[tenant.HeadKey])
+		}
+	}
+	figures["conductor_order_s"], figures["conductor_order_bytes"] = seconds(fleet.OwnCPU()-began)/playedOrders, float64(c.written)/playedOrders
+	figures["conductor_rest_s"], _, err = cost(ctx, 3, func(int) { err = errors.Join(err, c.round()) })
+	maps.Copy(c.all, c.kept)
+	return heads, err
+}
+
 // order has a tenant changed; three rounds bring it to its end, each with a catalogue.
 func (c *conducted) order(i int) {
 	f := tenantForm(i)
@@ -135,29 +165,23 @@
 		full, _ := heap()
 		figures["memory_bytes"] = full - empty
 
-		var rounds time.Duration
-		c.written = 0
-		orders := 0
-		figures["change_s"], figures["change_pieces"], err = cost(ctx, 30, func(i int) { // a catalogue that differs in one tenant; a third of them begin an order
-			if i%3 == 0 {
-				c.order(i * 7919 % n)
-				orders++
-			}
-			began := fleet.OwnCPU()
-			err = c.round()
-			rounds += fleet.OwnCPU() - began
-			if err == nil {
-				err = d.read(ctx)
-			}
-		})
+		heads, err := c.changes(ctx, figures)
 		if err != nil {
 			return nil, err
 		}
-		catalogues := float64(d.Number() - 1)
-		figures["change_bytes"] = c.read() / catalogues
-		figures["change_s"] -= seconds(rounds) / catalogues
-		figures["conductor_order_s"], figures["conductor_order_bytes"] = seconds(rounds)/float64(orders), float64(c.written)/float64(orders)
-		figures["conductor_rest_s"], _, err = cost(ctx, 3, func(int) { err = c.round() })
+		c.m, c.look, c.kept = nil, tenant.Look{}, nil // else their garbage would be counted, too
+		_, before := heap()
+		began = fleet.OwnCPU()
+		for _, head := range heads {
+			c.all[tenant.HeadKey] = head
+			if err := d.read(ctx); err != nil {
+				return nil, err
+			}
+		}
+		took := seconds(fleet.OwnCPU() - began)
+		_, after := heap()
+		catalogues := float64(len(heads))
+		figures["change_s"], figures["change_pieces"], figures["change_bytes"] = took/catalogues, (after-before)/catalogues, c.read()/catalogues
 		runtime.KeepAlive(d)
 		return figures, err
 	})
--- a/internal/tenant/desk.go
+++ b/internal/tenant/desk.go
@@ -19,7 +19,7 @@
 	table    Table
 	tables   int               // that it has had
 	entries  map[string]*Entry // those of image, by tenant
-	moving   []*Entry          // those of them that are not simply served, by name
+	moving   map[string]*Entry // those of them that are not simply served
 
 	onDemand bool          // it reads the parts that requests name, where the catalogue has parts
 	held     map[int]*held // the parts of image, ready for requests
@@ -57,7 +57,7 @@
 // a catalogue with parts only those that its requests name.
 func NewDesk(life uint64, hold time.Duration, onDemand bool) *Desk {
 	return &Desk{life: life, hold: min(hold, maxHold).Truncate(time.Millisecond), onDemand: onDemand, reads: bucket{left: readsAtOnce}, idle: idleTime,
-		asked: map[int]bool{}, busy: map[string]int{}, leave: map[string]time.Duration{}}
+		entries: map[string]*Entry{}, moving: map[string]*Entry{}, asked: map[int]bool{}, busy: map[string]int{}, leave: map[string]time.Duration{}}
 }
 
 // Member is how the book has this node when it is enrolled.
--- a/internal/tenant/held.go
+++ b/internal/tenant/held.go
@@ -150,11 +150,14 @@
 		return
 	}
 	same := d.image != nil && d.image.levels == i.levels
+	if !same {
+		d.held, d.entries, d.moving = nil, map[string]*Entry{}, map[string]*Entry{}
+	}
 	next := make(map[int]*held, len(i.parts))
 	for n, p := range i.parts {
 		h := &held{part: p, table: d.tables}
 		h.used.Store(int64(now))
-		if has := d.held[n]; same && has != nil {
+		if has := d.held[n]; has != nil {
 			if has.part == p && has.table == d.tables {
 				next[n] = has
 				continue
@@ -176,17 +179,35 @@
 	}
 }
 
-// enter notes what the parts that are held from now on have.
+// enter notes what the parts that are held from now on have, by what differs from those
+// before: the others are not walked through.
 func (d *Desk) enter(i *Image, next map[int]*held) {
+	var out, in []*Entry
+	for n, h := range d.held {
+		if o := next[n]; o == nil || o.part != h.part {
+			out = append(out, h.part.entries...)
+		}
+	}
+	for n, h := range next {
+		if o := d.held[n]; o == nil || o.part != h.part {
+			in = append(in, h.part.entries...)
+		}
+	}
 	d.image, d.held = i, next
-	d.entries = i.byName()
-	d.moving = nil
-	for _, e := range d.entries {
-		if e.Phase != Serve {
-			d.moving = append(d.moving, e)
+	for _, e := range out {
+		delete(d.entries, e.Name)
+		delete(d.moving, e.Name)
+		for _, leaf := range leavesOf(e, i.levels) { // by another of its names it may be held still
+			if h := next[leaf]; h != nil {
+				in = append(in, h.part.find(e.Name)...)
+			}
+		}
+	}
+	for _, e := range in {
+		if d.entries[e.Name] = e; e.Phase != Serve {
+			d.moving[e.Name] = e
 		}
 	}
-	slices.SortFunc(d.moving, func(a, b *Entry) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // letGo lets parts go that have not been asked for in a while and, beyond the bounds,
--- a/internal/tenant/image.go
+++ b/internal/tenant/image.go
@@ -90,6 +90,15 @@
 	bytes   int      // of its page
 }
 
+// find gives the entry of a tenant, if it is here.
+func (p *Part) find(name string) []*Entry {
+	i, there := slices.BinarySearchFunc(p.entries, name, func(e *Entry, name string) int { return cmp.Compare(e.Name, name) })
+	if !there {
+		return nil
+	}
+	return p.entries[i : i+1]
+}
+
 var noEntries = &Part{}
 
 // NewImage is a catalogue that is whole, in one part.
