--- a/cmd/indigolab/scale.go
+++ b/cmd/indigolab/scale.go
@@ -51,6 +51,7 @@
 		scaleApartCommand(&f), scaleHarmCommand(&f), scaleBesideCommand(),
 		scaleCoreCommand(&f, "holders", "nodes", "the holder of shares killed with another in wait, in the pure cores, by nodes", []int{30, 100, 300, 1000, 4000}, scale.Holders),
 		scaleCoreCommand(&f, "tenants", "tenants", "a node's desk by the tenants of its catalogue", []int{50, 200, 800, 3200, 12800, 50000}, scale.Tenants),
+		scaleCoreCommand(&f, "tenants-demand", "tenants", "a node that reads the tenants that its requests name, and their conductor, by the tenants that there are", []int{200, 2000, 20000, 50000, 200000}, scale.TenantsOnDemand),
 		scaleCoreCommand(&f, "policy", "books", "a policy's text, its making and its table by the books that it names", []int{50, 200, 800, 1600, 3200}, scale.Policy),
 		scaleCoreCommand(&f, "constants", "", "what the programs refuse beyond", nil, func(ctx context.Context, run scale.Run, _ []int, say func(scale.Point)) error {
 			return scale.Constants(ctx, run, say)
--- a/internal/tenant/service_test.go
+++ b/internal/tenant/service_test.go
@@ -61,33 +61,35 @@
 	return w.version, nil
 }
 
-// image is the catalogue as it is on record.
-func (w *world) image() *Image {
+// read is the catalogue as it is on record, as far as it is wanted.
+func (w *world) read(want Want) *Image {
 	r, ok := w.records[HeadKey]
 	if !ok {
 		return nil
 	}
-	if w.whole != nil && w.wholeAt == r.version {
-		return w.whole
-	}
 	head, err := DecodeHead(r.value)
-	entries := map[string][]*Entry{}
-	for key, r := range w.records {
-		if digest, is := keyName(key, PagePrefix); is {
-			var bad error
-			if entries[digest], bad = decodePage(digest, r.value); bad != nil {
-				w.fail("%v", bad)
+	if err == nil && w.haveAt != w.version {
+		w.have, w.haveAt = map[string]*page{}, w.version
+		for key, r := range w.records {
+			digest, is := keyName(key, PagePrefix)
+			if is && w.pages[digest] == nil {
+				w.pages[digest], err = decodePage(digest, r.value)
+			}
+			if is {
+				w.have[digest] = w.pages[digest]
 			}
 		}
 	}
-	image, err2 := join(head, entries)
-	if err != nil || err2 != nil {
-		w.fail("the catalogue is not whole: %v, %v", err, err2)
+	got := gather(head, w.have, want.whole, want.at(head.Levels))
+	if err != nil || got.err != nil || len(got.missing) > 0 {
+		w.fail("the catalogue is not whole: %v, %v, without %v", err, got.err, got.missing)
 	}
-	w.whole, w.wholeAt = image, r.version
-	return image
+	return got.image
 }
 
+// image is the whole catalogue.
+func (w *world) image() *Image { return w.read(Want{whole: true}) }
+
 func (w *world) book() (b Book) {
 	if r, ok := w.records[BookKey]; ok {
 		if err := json.Unmarshal(r.value, &b); err != nil {
