Test of the view's shell: let the process that is to leave know of somebody first

A process that goes on with a handed-over life knows nobody until its first answer, and a leave then has nobody to tell: the other shell took it for dead, and the test waited 30 s for "left".

--- a/internal/node/view/shell_test.go
+++ b/internal/node/view/shell_test.go
@@ -83,6 +83,7 @@
 		}
 		return r.Members[1].Incarnation > h.Incarnation
 	})
+	await(t, next, "a", func(r Report) bool { return healths(r) == "a alive b alive " }) // else it has nobody to tell
 	leave, cancel := context.WithTimeout(ctx, enough)
 	defer cancel()
 	next.Leave(leave)
