Test of unusable descriptors: keep the freed address from others

The test closed its socket so that the node could have the address, and until then the system could give the port to any other process. It is now reserved meanwhile, as the lab does it.

--- a/cmd/indigotack/upgrade_test.go
+++ b/cmd/indigotack/upgrade_test.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"indigotack/internal/lab/link"
 )
 
 // TestUpgrade: what is open at the old process is answered there, and the new one takes what comes.
@@ -78,7 +80,13 @@
 func TestUnusableDescriptor(t *testing.T) {
 	for _, fd := range []string{"three", "-1", "77"} {
 		p := newPlatform(t)
-		p.socket.Close() // the address is free
+		p.socket.Close()
+		address, free, err := link.Reserve() // nobody else can take it meanwhile
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer free()
+		p.address = address
 		null, err := os.Open(os.DevNull)
 		if err != nil {
 			t.Fatal(err)
