Copy a client's entries once for its choice of a part and for its view

Both collected the entries into a list that grew step by step; the choice of a part, made after each answer, then copied them again.

--- a/internal/list/client/belief.go
+++ b/internal/list/client/belief.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -82,7 +81,18 @@
 
 // View is the list as it is believed.
 func (b *Belief) View() View {
-	return View{b.epoch, b.version, slices.SortedFunc(maps.Values(b.entries), func(x, y list.Entry) int { return cmp.Compare(x.Name, y.Name) }), b.part, b.total}
+	all := b.appendTo(nil)
+	slices.SortFunc(all, func(x, y list.Entry) int { return cmp.Compare(x.Name, y.Name) })
+	return View{b.epoch, b.version, all, b.part, b.total}
+}
+
+// appendTo appends the entries, in no order.
+func (b *Belief) appendTo(all []list.Entry) []list.Entry {
+	all = slices.Grow(all, len(b.entries))
+	for _, e := range b.entries {
+		all = append(all, e)
+	}
+	return all
 }
 
 // Take judges the answer to a call that named version from. One of another part
--- a/internal/list/client/part.go
+++ b/internal/list/client/part.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -111,8 +110,7 @@
 	if k.belief.total == 0 {
 		return
 	}
-	entries := append([]list.Entry{}, slices.Collect(maps.Values(k.belief.entries))...)
-	next := k.c.Part(k.belief.part, k.belief.total, entries)
+	next := k.c.Part(k.belief.part, k.belief.total, k.belief.appendTo([]list.Entry{}))
 	if next == k.move.to {
 		return
 	}
