--- a/internal/node/tenants_follow.go
+++ b/internal/node/tenants_follow.go
@@ -46,6 +46,7 @@
 	if shell := n.view.Load(); shell != nil {
 		n.desk(tenant.Heard{Number: shell.Catalogue()})
 	}
+	n.tenants.look = true // some have waited for long enough
 	n.desk(tenant.Tick{})
 	n.giveLanes()
 }
@@ -60,8 +61,12 @@
 		case <-ctx.Done():
 			return
 		}
+		want := tenant.Want{}
+		if !n.do(func() { want = t.desk.Want() }) {
+			return
+		}
 		call, done := context.WithTimeout(ctx, readTries)
-		got, err := r.Read(call, n.clock)
+		got, err := r.Read(call, n.clock, want)
 		done()
 		if err != nil {
 			if !failed {
