Scale a cold server's part by its size where lists tell sizes

The part is now scaled by Server.Size over the mean size of the warm servers that it was measured at, where the settings say that sizes are known and don't fall as a server fills.

The plays have dead nodes now, too: of nodes drawn at random half are killed ahead of the start and stay dead. Sharers that are counted and dead only make smaller what each may hold; but how many of a server's own nodes live is chance, and those have the others' clients.

--- a/decide/cold.go
+++ b/decide/cold.go
@@ -32,7 +32,7 @@
 	if !s.cold || !s.home || m.leaving { // with suspects all around, every node would reach a restarted one
 		return s.cold
 	}
-	part := warmth * m.fleetRate
+	part := warmth * m.fleetRate * m.sizePart(s)
 	if part == 0 { // no warm one: as fast as its own answers come
 		part = math.Max(warmth*coldStart/m.sharers, m.rateOf(s))
 	}
@@ -42,3 +42,11 @@
 	s.tokens -= math.Ceil(math.Max(0, s.tokens-1-held))
 	return s.tokens < 1
 }
+
+// sizePart is a server's size over that of the mean warm one in reach, where lists tell what machines can do.
+func (m *Module) sizePart(s *server) float64 {
+	if !m.set.SizeKnown || m.set.SizeLive || s.Size <= 0 || m.fleetSize <= 0 {
+		return 1
+	}
+	return s.Size / m.fleetSize
+}
--- a/decide/cold_fleet_test.go
+++ b/decide/cold_fleet_test.go
@@ -31,6 +31,8 @@
 	parts          int           // nodes know so many times what they work with; 0: all
 	moves          bool          // a third of the nodes change their numbers in the ramp, and so their parts
 	sizes          bool          // every other node takes the fleet for half as large
+	size           float64       // of server 1, beside others of 0.6 and 1.4 in turn, which lists tell; 0: all are alike
+	dead           float64       // part of the nodes that are killed ahead of the start; the others get their clients
 }
 
 const (
@@ -70,6 +72,7 @@
 	queue         coldQueue
 	nodes         []*decide.Module
 	life, number  []int
+	drawn         []int             // nodes in the order of their deaths, the last first
 	order         []decide.ServerID // of the servers in lists
 	told          []time.Duration   // when each node was told of the start
 	free          []time.Duration   // by server: when its queue is empty
@@ -88,9 +91,12 @@
 		work: map[decide.RequestID]float64{}}
 	f.set = decide.Settings{Nodes: d.nodes, MaxAttempts: 3, MayCancel: true, MinTick: 5 * time.Millisecond,
 		ConnectTimeout: 100 * time.Millisecond, ColdFrom: coldFrom, ColdTime: d.ramp, OverloadFactor: d.factor,
-		OverloadTime: d.window, HoldOffs: true, MaxHoldOff: time.Second, Classes: []decide.Class{
+		SizeKnown: d.size > 0, OverloadTime: d.window, HoldOffs: true, MaxHoldOff: time.Second, Classes: []decide.Class{
 			{Name: "a", Worth: 3, Aim: time.Second, Deadline: 3 * time.Second, Effect: decide.Safe},
 			{Name: "b", Worth: 1, Aim: 2 * time.Second, Deadline: 4 * time.Second, Effect: decide.Safe}}}
+	if f.drawn = rand.New(rand.NewSource(seed)).Perm(d.nodes); d.dead == 0 {
+		slices.Sort(f.drawn)
+	}
 	f.sort()
 	for i := range f.nodes {
 		f.number[i] = i
@@ -149,10 +155,15 @@
 				f.work[id], class = 2, "b"
 			}
 		}
-		i := f.r.Intn(len(f.nodes))
+		alive := len(f.nodes)
+		if f.now > f.start-4*time.Second {
+			alive = max(1, int(float64(alive)*(1-f.dead)))
+		}
+		i := f.r.Intn(alive)
 		if i%3 > 0 && f.r.Intn(3) > 0 {
 			i -= i % 3
 		}
+		i = f.drawn[i]
 		f.feed(i, decide.RequestArrived{ID: id, Class: class, Patience: 2 * time.Second})
 	}
 }
@@ -185,7 +196,7 @@
 
 // serve is a server's answer: in turn, 30 ms at least. A cold one seems as quick as others while it has room.
 func (f *coldFleet) serve(i, id int, work float64, timeout time.Duration) (time.Duration, decide.OutcomeCode) {
-	rate, refused := f.rate, f.suspects > 0 && id%5 > 1 && f.now > f.start+f.suspects
+	rate, refused := f.rate*f.sizeOf(id), f.suspects > 0 && id%5 > 1 && f.now > f.start+f.suspects
 	if id == 1 {
 		rate *= f.can(f.now)
 		at := f.now - f.start
@@ -221,12 +232,12 @@
 		for ; k < warm && f.sent[k].at < s.at+f.window; k++ {
 			sum += f.sent[k].work
 		}
-		n := f.rate * f.can(s.at) * f.factor * f.window.Seconds()
+		n := f.rate * f.sizeOf(1) * f.can(s.at) * f.factor * f.window.Seconds()
 		bound := n + 2*math.Sqrt(n) + 2
 		if windows++; sum > bound {
 			over++
 		}
 		worst, sum, all = math.Max(worst, sum/bound), sum-s.work, all+s.work
 	}
-	return windows, over, worst, all / (f.rate * (1 + coldFrom) / 2 * f.factor * f.ramp.Seconds())
+	return windows, over, worst, all / (f.rate * f.sizeOf(1) * (1 + coldFrom) / 2 * f.factor * f.ramp.Seconds())
 }
--- a/decide/cold_part_test.go
+++ b/decide/cold_part_test.go
@@ -28,11 +28,21 @@
 	return set
 }
 
+// sizeOf is a server's size: what it can do, over what the mean one can.
+func (f *coldFleet) sizeOf(id int) float64 {
+	if f.size == 0 {
+		return 1
+	} else if id == 1 {
+		return f.size
+	}
+	return 0.6 + 0.8*float64(id%2)
+}
+
 // list is what a node is told now: all servers, or those of its part.
 func (f *coldFleet) list(i int) decide.ListUpdate {
 	u := decide.ListUpdate{Kind: decide.ListFull}
 	for _, id := range f.order {
-		s := decide.Server{ID: id, Zone: "z"}
+		s := decide.Server{ID: id, Zone: "z", Size: 8 * f.sizeOf(int(id))}
 		if id == 1 && f.now >= f.start {
 			s.StartedAt = f.start
 		}
--- a/decide/cold_sum_test.go
+++ b/decide/cold_sum_test.go
@@ -26,6 +26,9 @@
 		{"cut off in its ramp", coldDay{load: 0.7, cut: 3 * s}, 0.15},
 		{"cut off, busy", coldDay{load: 1.1, cut: 3 * s}, 0.25},
 		{"suspects after a quiet time", coldDay{load: 0.25, down: s, suspects: 4 * s, burst: 4 * s}, 0.08},
+		{"small, returned, busy", coldDay{load: 1.1, down: s, size: 0.3}, 0.15},
+		{"large, busy", coldDay{load: 1.1, size: 2}, 0.25},
+		{"half of the nodes are dead, busy", coldDay{load: 1.1, dead: 0.5}, 0.25},
 		{"heavy requests, burst", coldDay{load: 0.7, down: 2 * s, heavy: true, burst: 3 * s}, 0.15},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -138,6 +138,7 @@
 	answers          float64
 	mean, base       float64 // s: smoothed latency; uncrowded
 	fleetRate, peak  float64 // answers each second from the mean server; the most that this has been
+	fleetSize        float64 // its size
 	trials           float64 // trial requests allowed
 	budget           float64 // further attempts allowed
 	spared           float64 // s; processor time left for notes
--- a/decide/thresholds.go
+++ b/decide/thresholds.go
@@ -16,7 +16,7 @@
 // survey renews what the thresholds need of the servers in reach: of those open to a group, the next on the
 // ring that are no suspects. A node of many works with a part of the fleet, as servers take few connections.
 func (m *Module) survey() {
-	rate, count, reach := 0.0, 0.0, 0.0
+	rate, size, count, reach := 0.0, 0.0, 0.0, 0.0
 	for _, g := range m.groups {
 		reach, g.near = reach+g.reach, g.near[:0]
 		for i := 0; i < len(g.list.servers) && len(g.near) < int(g.reach); i++ {
@@ -25,11 +25,12 @@
 				continue
 			}
 			if g.near, s.high = append(g.near, s), m.high(s); !s.cold {
-				rate, count = rate+m.rateOf(s), count+1
+				rate, size, count = rate+m.rateOf(s), size+s.Size, count+1
 			}
 		}
 	}
-	m.fleetRate, m.learned = rate/math.Max(1, count), rate > 0 && m.answers >= learnCount*reach
+	m.fleetRate, m.fleetSize = rate/math.Max(1, count), size/math.Max(1, count)
+	m.learned = rate > 0 && m.answers >= learnCount*reach
 	m.tight = math.Inf(1)
 	for _, c := range m.order {
 		if c.Aim > 0 {
