--- a/decide/idle_test.go
+++ b/decide/idle_test.go
@@ -13,13 +13,7 @@
 func fallen(t *testing.T, nodes, node, servers int, rate float64, class string, code decide.OutcomeCode, sent func(at time.Duration)) *rig {
 	s := rigSettings()
 	s.Nodes, s.Self = nodes, node
-	r := newRig(t, s, 0)
-	r.m = decide.New(s, int64(node)*7+1)
-	var list []decide.Server
-	for i := range servers {
-		list = append(list, decide.Server{ID: decide.ServerID(i + 1)})
-	}
-	r.feed(decide.ListUpdate{Kind: decide.ListCached, Entries: list})
+	r := newRig(t, s, servers)
 	r.run(10*time.Second, rate, class)
 	start := r.now
 	r.delay = func(decide.ServerID) (time.Duration, decide.OutcomeCode) {
--- a/decide/rig_test.go
+++ b/decide/rig_test.go
@@ -46,7 +46,7 @@
 }
 
 func newRig(t *testing.T, s decide.Settings, servers int) *rig {
-	r := &rig{t: t, m: decide.New(s, 5), now: time.Hour, sent: map[decide.ServerID]int{}, over: map[decide.RequestID]bool{},
+	r := &rig{t: t, m: decide.New(s, 5+7*int64(s.Self)), now: time.Hour, sent: map[decide.ServerID]int{}, over: map[decide.RequestID]bool{},
 		last: map[decide.RequestID]decide.Action{}, legs: map[decide.RequestID]int{}, patience: 2 * time.Second,
 		inTime: map[string]int{}, came: map[decide.RequestID]time.Duration{}}
 	r.work = func(decide.RequestID) time.Duration { return 0 }
