--- a/internal/tenant/advance.go
+++ b/internal/tenant/advance.go
@@ -119,7 +119,7 @@
 		return // in order: after the one before is done, and published
 	}
 	if t == nil {
-		if len(m.tenants) >= MaxTenants {
+		if len(m.tenants) >= m.most() {
 			return // it waits for room
 		}
 		if CheckName(a.Name) != nil { // no record can say why; who asks by Tell is told before
--- a/internal/tenant/form.go
+++ b/internal/tenant/form.go
@@ -18,7 +18,7 @@
 // Bounds on what a tenant may have. MaxForm keeps a page of the catalogue, which
 // holds two forms of each tenant on it, within a record.
 const (
-	MaxTenants = 800  // the list service keeps 1,000 records, of which some are pages and orders
+	MaxTenants = 800  // in the flat form: 25 on each of its pages
 	MaxForm    = 2048 // bytes of one form
 	MaxNames   = 8
 	MaxClasses = 32
@@ -27,6 +27,10 @@
 	MaxDrain   = 10 * time.Minute
 )
 
+// MaxTreeTenants is how many there may be where the catalogue is a hash tree: with their pages, of
+// which a tenant has its own while there are few, they leave the list service a tenth of its records.
+const MaxTreeTenants = max(min(200_000, list.MaxRecords*9/10-treePages), list.MaxRecords*2/5)
+
 // Form is what a tenant is: its namespace, its quotas and its routes, always together.
 type Form struct {
 	Names     []string `json:"names"`          // in X-Tenant
--- a/internal/tenant/pages.go
+++ b/internal/tenant/pages.go
@@ -21,11 +21,12 @@
 // between.
 const (
 	fanBits    = 5
-	fanOut     = 1 << fanBits // pages that the head names, or a page between: a head has 1.2 kB
-	leafSize   = 16           // tenants for a leaf, on average, at which the tree gets another level
-	leastDepth = 2            // of a tree
-	mostDepth  = 4            // 1,048,576 leaves
-	treeForm   = 2            // of a head; programs that know the flat form alone refuse it
+	fanOut     = 1 << fanBits                                 // pages that the head names, or a page between: a head has 1.2 kB
+	leafSize   = 16                                           // tenants for a leaf, on average, at which the tree gets another level
+	leastDepth = 2                                            // of a tree
+	mostDepth  = 4                                            // 1,048,576 leaves
+	treePages  = 1<<(3*fanBits) + 1<<(2*fanBits) + 1<<fanBits // of three levels
+	treeForm   = 2                                            // of a head; programs that know the flat form alone refuse it
 )
 
 // Head names the catalogue's uppermost pages by their digests.
@@ -136,16 +137,17 @@
 	have    map[string]*page // by digest
 	whole   bool             // to all leaves
 	image   *Image
-	used    map[string]*page
+	used    map[string]*page // those of them on the way; nil: nobody asks
+	count   int              // of them
 	missing []string
 	err     error
 }
 
 // gather makes the catalogue of a head, whole or with the parts that are wanted (sorted), from
-// pages by digest, and gives those that it used. A page that is not there is told as
-// missing: then there is no catalogue yet.
-func gather(h Head, have map[string]*page, whole bool, parts []int) *walk {
-	w := &walk{Head: h, have: have, whole: whole || h.Levels == 0, used: map[string]*page{}}
+// pages by digest. A page that is not there is told as missing: then there is no catalogue
+// yet.
+func gather(h Head, have map[string]*page, whole bool, parts []int, used map[string]*page) *walk {
+	w := &walk{Head: h, have: have, used: used, whole: whole || h.Levels == 0}
 	w.image = &Image{Number: h.Number, levels: h.Levels, whole: w.whole, parts: map[int]*Part{}, needs: h.Needs}
 	if h.Levels > 0 {
 		w.down(h.Pages, 1, 0, parts)
@@ -204,7 +206,9 @@
 		w.err = fmt.Errorf("tenant: page %s of the catalogue is of another kind", digest)
 		return nil
 	default:
-		w.used[digest] = p
+		if w.count++; w.used != nil {
+			w.used[digest] = p
+		}
 	}
 	return p
 }
--- a/internal/tenant/reader.go
+++ b/internal/tenant/reader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,7 +26,7 @@
 
 	image *Image
 	parts []int            // of image, that were wanted
-	pages map[string]*page // that it was made of, by digest
+	pages map[string]*page // that it was made of, and as many more, by digest
 }
 
 // readTries is how often the catalogue may change while it is read.
@@ -69,25 +68,34 @@
 	if r.image != nil && r.image.Number == head.Number && (r.image.whole || !want.whole && slices.Equal(parts, r.parts)) {
 		return r.image, nil
 	}
-	pages := map[string]*page{}
-	maps.Copy(pages, r.pages)
+	if r.pages == nil || len(r.pages) > mostKept {
+		r.pages = map[string]*page{}
+	}
 	for {
-		w := gather(head, pages, want.whole, parts)
+		w := gather(head, r.pages, want.whole, parts, nil)
 		if w.err != nil {
 			return nil, w.err
 		}
 		if len(w.missing) == 0 {
-			r.image, r.parts, r.pages = w.image, parts, w.used
+			r.image, r.parts = w.image, parts
+			if len(r.pages) > 2*w.count+fanOut {
+				used := map[string]*page{}
+				gather(head, r.pages, want.whole, parts, used)
+				r.pages = used
+			}
 			return r.image, nil
 		}
-		if err := r.fetch(ctx, w.missing, pages); err != nil {
+		if err := r.fetch(ctx, w.missing); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// fetch reads the pages that are missing on one level, some at a time, and adds them to others.
-func (r *Reader) fetch(ctx context.Context, digests []string, pages map[string]*page) error {
+// mostKept pages are kept of reads that failed, besides.
+const mostKept = 1 << 17
+
+// fetch reads the pages that are missing on one level, some at a time.
+func (r *Reader) fetch(ctx context.Context, digests []string) error {
 	var mu sync.Mutex
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(together)
@@ -100,7 +108,9 @@
 			p, err := decodePage(digest, one.Value)
 			mu.Lock()
 			defer mu.Unlock()
-			pages[digest] = p
+			if err == nil {
+				r.pages[digest] = p
+			}
 			return err
 		})
 	}
--- a/internal/tenant/service_test.go
+++ b/internal/tenant/service_test.go
@@ -80,7 +80,7 @@
 			}
 		}
 	}
-	got := gather(head, w.have, want.whole, want.at(head.Levels))
+	got := gather(head, w.have, want.whole, want.at(head.Levels), nil)
 	if err != nil || got.err != nil || len(got.missing) > 0 {
 		w.fail("the catalogue is not whole: %v, %v, without %v", err, got.err, got.missing)
 	}
--- a/internal/tenant/store.go
+++ b/internal/tenant/store.go
@@ -133,7 +133,7 @@
 		return err
 	}
 	s.HeadVersion = one.Version
-	w := gather(s.Head, pages, true, nil)
+	w := gather(s.Head, pages, true, nil, nil)
 	s.Image = w.image
 	if len(w.missing) > 0 {
 		return fmt.Errorf("%w: page %s of catalogue %d", errMissing, w.missing[0], s.Head.Number)
--- a/internal/tenant/tree.go
+++ b/internal/tenant/tree.go
@@ -130,6 +130,14 @@
 	return levels
 }
 
+// most is how many tenants there may be.
+func (m *Machine) most() int {
+	if m.hashTree {
+		return MaxTreeTenants
+	}
+	return MaxTenants
+}
+
 // needsOf gives what the next forms of entries need that move: of each policy, since when.
 func needsOf(moving map[string]*Entry) (all []Need) {
 	since := map[uint64]uint64{}
