Plan the routes of a catalogue by the parts that differ

A new catalogue had a node go through all the tenants that it knows for their classes' variants; with a catalogue of parts it now adds those of parts that are new and takes away those of parts that are gone, each by its count.

--- a/internal/node/tenants_lanes.go
+++ b/internal/node/tenants_lanes.go
@@ -22,6 +22,9 @@
 	wants map[string]decide.Class // variants of the catalogue
 	has   map[string]decide.Class // variants that the module was given
 	had   map[string]decide.Class // and those with the settings before
+	uses  map[string]int          // of wants: by so many of names
+	parts map[*tenant.Part][]lane // of names, by the parts of the catalogue that have the routes
+	short bool                    // a variant has no room in wants
 	late  bool                    // it is to be given others
 	tried *tenant.Image           // of which names and wants are
 }
@@ -32,7 +35,9 @@
 }
 
 func newLanes() lanes {
-	return lanes{names: map[lane]string{}, wants: map[string]decide.Class{}, has: map[string]decide.Class{}}
+	l := lanes{has: map[string]decide.Class{}}
+	l.plan(nil, nil)
+	return l
 }
 
 // of gives the class by which the module places a request; empty: it can't. One in the form of the settings before
@@ -54,9 +59,15 @@
 
 func narrows(r *tenant.Route) bool { return len(r.Zones)+len(r.Kinds)+len(r.Pods) > 0 }
 
-// plan finds the variants that a catalogue needs, in the order of its tenants' names: equal routes share one.
+// plan finds the variants that a catalogue needs: equal routes share one.
 func (l *lanes) plan(i *tenant.Image, classes []decide.Class) {
-	l.names, l.wants, l.tried = map[lane]string{}, map[string]decide.Class{}, i
+	l.names, l.wants, l.uses, l.parts, l.short = map[lane]string{}, map[string]decide.Class{}, map[string]int{}, map[*tenant.Part][]lane{}, false
+	l.follow(i, classes)
+}
+
+// follow finds them by the parts that the catalogue before had not, and those that it had.
+func (l *lanes) follow(i *tenant.Image, classes []decide.Class) {
+	l.tried = i
 	if i == nil {
 		return
 	}
@@ -64,30 +75,75 @@
 	for _, c := range classes {
 		byName[c.Name] = c
 	}
-	for _, e := range i.Sorted() {
+	there := map[*tenant.Part]bool{}
+	var more []int
+	for n, p := range i.Parts() {
+		if there[p] = true; l.parts[p] == nil {
+			more = append(more, n)
+		}
+	}
+	short := l.short
+	for p := range l.parts {
+		if !there[p] {
+			l.drop(p)
+		}
+	}
+	if short && !l.short { // there is room again for those that were left out
+		l.plan(i, classes)
+		return
+	}
+	slices.Sort(more)
+	for _, n := range more {
+		l.take(i.Parts()[n], byName)
+	}
+}
+
+// take adds the variants of a part, in the order of its tenants' names.
+func (l *lanes) take(p *tenant.Part, classes map[string]decide.Class) {
+	l.parts[p] = []lane{}
+	for _, e := range p.Entries() {
 		for _, f := range []*tenant.Form{e.Now, e.Next} {
 			if f == nil {
 				continue
 			}
 			for _, class := range f.Classes {
-				if c, known := byName[class]; known {
-					l.add(f.Route(class), c)
+				if c, known := classes[class]; known {
+					l.add(p, f.Route(class), c)
 				}
 			}
 		}
 	}
 }
 
-func (l *lanes) add(r *tenant.Route, c decide.Class) {
+// drop takes away what only a part that is gone needed.
+func (l *lanes) drop(p *tenant.Part) {
+	for _, one := range l.parts[p] {
+		name := l.names[one]
+		delete(l.names, one)
+		if l.uses[name]--; l.uses[name] == 0 {
+			delete(l.uses, name)
+			delete(l.wants, name)
+			l.short = false
+		}
+	}
+	delete(l.parts, p)
+}
+
+func (l *lanes) add(p *tenant.Part, r *tenant.Route, c decide.Class) {
 	if r == nil || !narrows(r) || len(r.Pods) > 0 {
 		return
 	}
-	v := variant(c, r)
+	v, one := variant(c, r), lane{r, c.Name}
 	if _, there := l.wants[v.Name]; !there && len(l.wants) >= mostVariants {
+		l.short = true
+		return
+	}
+	if _, there := l.names[one]; there {
 		return
 	}
-	l.wants[v.Name] = v
-	l.names[lane{r, c.Name}] = v.Name
+	l.wants[v.Name], l.names[one] = v, v.Name
+	l.uses[v.Name]++
+	l.parts[p] = append(l.parts[p], one)
 }
 
 // variant is a class with the zones and kinds of a route alone. Its name is the same for equal routes, in every process,
@@ -122,7 +178,7 @@
 		return s
 	}
 	t.lanes.plan(t.lanes.tried, s.Classes)
-	t.lanes.had, t.lanes.has, t.lanes.late = t.lanes.has, t.lanes.wants, false
+	t.lanes.had, t.lanes.has, t.lanes.late = t.lanes.has, maps.Clone(t.lanes.wants), false
 	s.Classes = slices.Clone(s.Classes)
 	for _, name := range slices.Sorted(maps.Keys(t.lanes.has)) {
 		s.Classes = append(s.Classes, t.lanes.has[name])
@@ -136,7 +192,7 @@
 	if l.tried == i {
 		return
 	}
-	l.plan(i, n.cfg.Settings.Classes)
+	l.follow(i, n.cfg.Settings.Classes)
 	for name := range l.wants {
 		if _, given := l.has[name]; !given {
 			l.late = true
--- a/internal/node/tenants_test.go
+++ b/internal/node/tenants_test.go
@@ -138,4 +138,12 @@
 	if l.plan(tenant.NewImage(2, entries...), classes); len(l.wants) != mostVariants {
 		t.Errorf("%d variants", len(l.wants))
 	}
+	last := entries[len(entries)-2:]                                                                       // which had no room
+	if l.follow(tenant.NewImage(3, last...), classes); len(l.wants) != 3 || len(l.names) != 4 || l.short { // saldo has no zone of either
+		t.Errorf("after the others have gone: %d variants of %d routes", len(l.wants), len(l.names))
+	}
+	again := []*tenant.Entry{last[0], {Name: "new", Now: formOf(0, tenant.Route{Zones: []string{last[1].Now.Routes[0].Zones[0]}})}}
+	if l.follow(tenant.NewImage(4, again...), classes); len(l.wants) != 3 || len(l.names) != 4 {
+		t.Errorf("after one has changed: %d variants of %d routes", len(l.wants), len(l.names))
+	}
 }
--- a/internal/tenant/image.go
+++ b/internal/tenant/image.go
@@ -107,6 +107,13 @@
 	return &Image{Number: number, whole: true, parts: map[int]*Part{0: {entries: all}}}
 }
 
+// Parts are those of the catalogue that are here, by their numbers; they are not to be changed. A
+// part that two catalogues have alike is the same.
+func (i *Image) Parts() map[int]*Part { return i.parts }
+
+// Entries are those of a part, by name; they are not to be changed.
+func (p *Part) Entries() []*Entry { return p.entries }
+
 // has tells whether a part is here; one that has nothing may be.
 func (i *Image) has(part int) bool { return i.whole || i.parts[part] != nil }
 
