Follow an order by its tenant's record and its parts of the catalogue alone

indigoctl tenant add and its like read all tenants and all pages each 200 ms while they waited: at 200,000 tenants 234,000 records a look. They read one tenant, the head and the parts with its names; flat, the 32 pages; of one that was refused, all.

--- a/cmd/indigoctl/tenant.go
+++ b/cmd/indigoctl/tenant.go
@@ -116,20 +116,16 @@
 		waits, err := tenant.Waiting(ctx, k, name, o)
 		return !waits, "", err
 	}
-	all, err := standings(ctx, k)
-	if err != nil {
+	s, there, err := tenant.ReadStanding(ctx, k, name)
+	if err != nil || !there {
 		return false, "", err
 	}
-	i := slices.IndexFunc(all, func(s tenant.Standing) bool { return s.Name == name })
-	if i < 0 {
-		return false, "", nil
-	}
-	if out, over := all[i].Outcome(o.ID); over && out.Why != "" {
+	if out, over := s.Outcome(o.ID); over && out.Why != "" {
 		return false, "", errors.New(out.Why)
 	} else if over {
 		return true, "", nil
 	}
-	return false, standing(all[i]), nil
+	return false, standing(s), nil
 }
 
 func standing(s tenant.Standing) string {
--- a/internal/tenant/standing.go
+++ b/internal/tenant/standing.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
+
+	"indigotack/internal/list/client"
 )
 
 // Standing is how far a tenant is, as an operator asks.
@@ -37,6 +40,42 @@
 	return all
 }
 
+// ReadStanding tells how far one tenant is, from its own record and the parts of the catalogue with
+// its names. One that is refused has none left, and all is read. there is false where there is no such tenant.
+func ReadStanding(ctx context.Context, k *client.Client, name string) (s Standing, there bool, err error) {
+	one, err := k.Record(ctx, Prefix+name)
+	if none(err) {
+		return s, false, nil
+	}
+	var t *Tenant
+	if err == nil {
+		t, err = DecodeTenant(one.Value, one.Version)
+	}
+	if err != nil {
+		return s, false, err
+	}
+	stored := Stored{Tenants: []*Tenant{t}}
+	if t.Now == nil && t.Next == nil {
+		stored, err = ReadStored(ctx, k)
+		stored.Tenants = []*Tenant{t} // before what was read with the catalogue
+	} else {
+		if stored.BookVersion, err = record(ctx, k, BookKey, &stored.Book); err != nil {
+			return s, false, err
+		}
+		r := Reader{List: k}
+		for range readTries { // it may change meanwhile
+			if stored.Image, err = r.catalogue(ctx, Want{image: NewImage(0, &Entry{Name: name, Now: t.Now, Next: t.Next})}); !none(err) {
+				break
+			}
+		}
+	}
+	if err != nil {
+		return s, false, err
+	}
+	sessions, err := ReadSessions(ctx, k)
+	return Standings(stored, sessions)[0], true, err
+}
+
 // Outcome tells what came of an order; done is false while it is under way. One that is
 // done and not published yet is under way still: nodes are to know of it first.
 func (s Standing) Outcome(order string) (o Outcome, done bool) {
