--- a/internal/tenant/held_test.go
+++ b/internal/tenant/held_test.go
@@ -123,6 +123,11 @@
 		t.Errorf("what is open is let go: it holds %d parts", len(d.held))
 	}
 	d.Handle(now, Over{"t1"})
+	d.catalogue().Answer(now+idleTime, "x-t1", "a", "")
+	now += idleTime + lookEvery
+	if d.Handle(now, Tick{}); len(d.held) != 1 || d.Known() == 0 || d.entries["t1"] == nil {
+		t.Errorf("by one of its names: it holds %d parts", len(d.held))
+	}
 	now += idleTime
 	if d.Handle(now, Tick{}); len(d.held) != 0 {
 		t.Errorf("idle: it holds %d parts", len(d.held))
