Measure what a node adds to a request, by the servers that it knows

The way in and out, connections made and kept, attempts and processor are told apart. No figures yet.

--- a/cmd/indigolab/duties_test.go
+++ b/cmd/indigolab/duties_test.go
@@ -27,7 +27,11 @@
 		main()
 		return
 	}
-	if err := replica(); err != nil {
+	program := replica
+	if os.Args[1] == "node" {
+		program = standNode
+	}
+	if err := program(); err != nil {
 		os.Stderr.WriteString(err.Error() + "\n")
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/lab/scale/latency.go
@@ -0,0 +1,199 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/link"
+	arrivals "indigotack/internal/lab/load"
+	"indigotack/internal/lab/platform"
+	"indigotack/internal/lab/proc"
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+)
+
+const (
+	warming    = 10 * time.Second // of load that is not counted: a node that has just started takes little at first
+	directTime = 10 * time.Second
+	leastSent  = 0.9 // of the requests, else the time of those that were served says little
+)
+
+// Latency says how a node's own time is measured.
+type Latency struct {
+	Lists
+	Node    []string // the node's program
+	Rate    float64  // requests a second at the node
+	Length  time.Duration
+	Changes int     // of the list a second: a server restarts
+	PerNode float64 // servers to a node of the fleet that it is told of
+	Use     float64 // of what so many servers can do, by the requests' work
+}
+
+// Measure measures what the node adds to a request, by the servers that it knows.
+func (l *Latency) Measure(ctx context.Context, sizes []int) error {
+	return l.record("latency", func() (all []Point, err error) {
+		for _, n := range sizes {
+			var p Point
+			err := l.fresh(ctx, 0, func(set *replicas.Set, k *client.Client) error {
+				base := time.Now()
+				a, err := listenBehind(ctx, base)
+				if err != nil {
+					return err
+				}
+				defer a.close()
+				if err := a.list(ctx, k, n); err != nil {
+					return err
+				}
+				seed := uint64(0)
+				p, err = repeated(l.Repeat, map[string]int{"servers": n, "changes": l.Changes}, func() (map[string]float64, error) {
+					seed++
+					return l.one(ctx, a, k, set.All[0].Address(), n, seed)
+				})
+				return err
+			})
+			if err != nil {
+				return nil, err
+			}
+			l.Say(p)
+			all = append(all, p)
+		}
+		return all, nil
+	})
+}
+
+// one measures a fresh node, after the same requests sent straight to the server.
+func (l *Latency) one(ctx context.Context, a *answerer, k *client.Client, service string, servers int, seed uint64) (map[string]float64, error) {
+	dir, err := os.MkdirTemp(l.Dir, "latency")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	log, err := history.New("")
+	if err != nil {
+		return nil, err
+	}
+	listen, freeListen, err := link.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	defer freeListen()
+	control, freeControl, err := link.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	defer freeControl()
+	nodes := max(1, int(float64(servers)/l.PerNode+0.5))
+	c := platform.Node{Name: "n0", Number: nodes / 2, Nodes: nodes, Zone: zoneOf(0), Listen: listen, Control: control,
+		List: []string{service}, ListFile: filepath.Join(dir, "list"), ListPart: l.Parts, Seed: seed}
+	if err := c.Write(configOf(dir, 0), drawn, l.Rate); err != nil {
+		return nil, err
+	}
+	group := proc.NewGroup(log)
+	defer group.Close(endTime)
+	p, err := group.Start(proc.Spec{Name: "n0", Command: l.Node, Dir: dir, Env: append([]string{"HOME=" + dir, "TMPDIR=" + dir, "GW_CONFIG=" + configOf(dir, 0)}, l.Env...)})
+	if err != nil {
+		return nil, err
+	}
+	ready, stop := context.WithTimeout(ctx, readyTime)
+	defer stop()
+	if err := p.WaitReady(ready, "http://"+control+"/healthcheck"); err != nil {
+		return nil, err
+	}
+	f := map[string]float64{"nodes": float64(nodes)}
+	direct := newCaller(a.base, 10*seed)
+	if err := l.send(ctx, direct, "direct_", min(directTime, l.Length), a.address(0), f); err != nil {
+		return nil, err
+	}
+	newCaller(a.base, 10*seed+1).run(ctx, l.draw(10*seed+1, min(warming, l.Length)), listen)
+	changing, calm := context.WithCancel(ctx)
+	changed := make(chan error, 1)
+	go func() { changed <- l.change(changing, a, k, servers) }()
+	err = l.through(ctx, newCaller(a.base, 10*seed+2), p, control, listen, f)
+	calm()
+	return f, errors.Join(err, <-changed)
+}
+
+// draw draws the requests of a length, with work as much as the servers are to be used.
+func (l *Latency) draw(seed uint64, length time.Duration) []arrivals.Op {
+	ops := arrivals.Draw(seed, drawn, arrivals.Shape{Rate: l.Rate, Length: length})
+	times := l.Use * l.PerNode / l.Rate / seconds(meanWork())
+	for i := range ops {
+		ops[i].Work = time.Duration(times * float64(ops[i].Work))
+		ops[i].Hint = time.Duration(times * float64(ops[i].Hint))
+	}
+	return ops
+}
+
+// send plays a load and adds its figures. What is not served is not timed, so there may be little of it.
+func (l *Latency) send(ctx context.Context, c *caller, prefix string, length time.Duration, to string, into map[string]float64) error {
+	ops := l.draw(c.seed, length)
+	c.run(ctx, ops, to)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if float64(c.served) < leastSent*float64(len(ops)) {
+		return fmt.Errorf("%s%d of %d requests were served; %v", prefix, c.served, len(ops), c.failed)
+	}
+	c.figures(prefix, into)
+	into[prefix+"failed"] = float64(len(ops) - c.served)
+	return nil
+}
+
+// through plays the load through the node, with what the node says of itself.
+func (l *Latency) through(ctx context.Context, c *caller, p *proc.Proc, control, listen string, f map[string]float64) error {
+	before, err := statsOf(ctx, control)
+	if err != nil {
+		return err
+	}
+	begun, err := useOf(p.Pid)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	if err := l.send(ctx, c, "", l.Length, listen, f); err != nil {
+		return err
+	}
+	took := time.Since(start)
+	ended, err := useOf(p.Pid)
+	if err != nil {
+		return err
+	}
+	after, err := statsOf(ctx, control)
+	if err != nil {
+		return err
+	}
+	work := ended.minus(begun)
+	f["attempts"] = (after["forwards"] - before["forwards"]) / f["requests"]
+	f["made_share"] = float64(c.took[inMade].TotalCount()) / f["requests"]
+	f["node_cores"], f["node_request_cpu_s"] = seconds(work.CPU)/seconds(took), seconds(work.CPU)/f["requests"]
+	f["node_memory_bytes"], f["node_descriptors"], f["known"], f["load"] = ended.RSS, ended.FDs, after["discovered"], load()
+	return nil
+}
+
+// change has servers restart, so many a second, until ctx ends.
+func (l *Latency) change(ctx context.Context, a *answerer, k *client.Client, servers int) error {
+	if l.Changes == 0 {
+		return nil
+	}
+	pace := time.Second / time.Duration(l.Changes)
+	for i, start := 0, time.Now(); pause.For(ctx, time.Until(start.Add(time.Duration(i)*pace))); i++ {
+		if err := a.register(ctx, k, i*7919%servers, time.Now()); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// meanWork is that of the drawn classes' requests.
+func meanWork() (mean time.Duration) {
+	for _, c := range drawn.Classes {
+		mean += time.Duration(c.Share * float64(c.Work))
+	}
+	return mean
+}
--- /dev/null
+++ b/internal/lab/scale/latency_table.go
@@ -0,0 +1,41 @@
+package scale
+
+import "fmt"
+
+// latencyTable is what a node adds to a request, and of which ways that is made.
+func latencyTable(s sheet) (string, error) {
+	var whole, ways [][]string
+	for _, m := range []measured{s.before, s.after} {
+		r, has := m.of["latency"]
+		if !has {
+			whole = append(whole, append([]string{m.label, notRun}, slicesOf(7, "")...))
+			continue
+		}
+		for _, p := range r.Points {
+			all := func(name string) string { return p.shown(name, "s") }
+			at := []string{m.label, number(float64(p.Sizes["servers"])), number(float64(p.Sizes["changes"]))}
+			share := percent(p.Figures["added_p99_s"].Median / s.plan.Plan.Added)
+			whole = append(whole, append(at[:3:3], all("direct_added_p50_s"), all("direct_added_p99_s"), all("added_p50_s"), all("added_p99_s")+", "+share, all("added_p999_s"),
+				fmt.Sprintf("%s of %s", p.shown("failed", ""), p.shown("requests", ""))))
+			ways = append(ways, append(at[:3:3], all("in_kept_p50_s"), all("in_kept_p99_s"), all("in_made_p50_s"), percent(p.Figures["made_share"].Median), all("out_p50_s"), all("out_p99_s"),
+				p.shown("attempts", ""), all("node_request_cpu_s"), p.shown("load", "")))
+		}
+	}
+	return table([]string{"program", "servers known", "changes a second", "straight to the server: 50%", "99%", "through the node: 50%", "99%, of the budget", "99.9%", "refused beside those timed"}, whole) +
+		"\nOf which, through the node:\n\n" +
+		table([]string{"program", "servers known", "changes a second", "in, on a kept connection: 50%", "99%", "in, on one just made: 50%", "so many of them", "out: 50%", "99%", "attempts a request",
+			"node's processor a request", "load"}, ways), nil
+}
+
+// shown is a figure with the least and the most of its repetitions.
+func (p Point) shown(name, unit string) string {
+	f, has := p.Figures[name]
+	if !has {
+		return "none"
+	}
+	text := shown(f.Median, unit)
+	if f.Least != f.Most {
+		text += fmt.Sprintf(" (%s to %s)", shown(f.Least, unit), shown(f.Most, unit))
+	}
+	return text
+}
