Measure policies, tenants and bans until they are in force at many hollow nodes

In force everywhere was measured for changes of the list alone. indigolab scale force runs whole hollow nodes with policy and tenants, a conductor and one replica in a process; nodes' logs say what they have taken up and when. A ban is a call to each node's control address, as no other way exists. Meanwhile the list may change in bursts.

--- /dev/null
+++ b/internal/lab/scale/force.go
@@ -0,0 +1,257 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"indigotack/internal/duty"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/platform"
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+	"indigotack/internal/policy"
+	"indigotack/internal/quota/record"
+	"indigotack/internal/tenant"
+)
+
+const (
+	forceEntries = 200
+	burstOf      = 10                     // changes that come at once
+	conductEvery = 200 * time.Millisecond // as the operators' command conducts
+	lookAgain    = 20 * time.Millisecond
+)
+
+// Force measures policies, tenants and bans, from the operator's call to the last of many hollow nodes in this process.
+type Force struct {
+	Lists
+	Each    int     // changes of each kind
+	Changes float64 // of the list a second meanwhile, in bursts; 0: none
+}
+
+// Measure measures it by nodes.
+func (f *Force) Measure(ctx context.Context, sizes []int) error {
+	return f.points(ctx, "force", "nodes", sizes, map[string]int{"changes": int(f.Changes + 0.5)}, f.Say, func(n int) (got map[string]float64, err error) {
+		err = f.fresh(ctx, 0, func(set *replicas.Set, k *client.Client) error {
+			got, err = f.one(ctx, k, set.All[0].Address(), n)
+			return err
+		})
+		return got, err
+	})
+}
+
+// one runs so many nodes, and a conductor of tenants, and makes the changes.
+func (f *Force) one(ctx context.Context, k *client.Client, service string, nodes int) (map[string]float64, error) {
+	for i := range forceEntries {
+		if _, err := change(ctx, k, i, forceEntries); err != nil {
+			return nil, err
+		}
+	}
+	if _, err := f.policy(ctx, k, 0); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp(f.Dir, "force")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	controls, free, err := governed(dir, nodes, service, f.Parts)
+	defer free()
+	if err != nil {
+		return nil, err
+	}
+	got, n := map[string]float64{}, newNews(nodes)
+	running, stop := context.WithCancelCause(ctx)
+	var all errgroup.Group
+	begin := func(run func() error) {
+		all.Go(func() error {
+			err := run()
+			if running.Err() == nil {
+				stop(fmt.Errorf("it ended by itself: %w", err)) // what waits for it need not
+			}
+			return err
+		})
+	}
+	begin(func() error { return hollow(running, dir, nodes, n.log) })
+	begin(func() error { return conduct(running, k) })
+	err = f.play(running, k, controls, n, got)
+	if why := context.Cause(running); why != nil {
+		err = why
+	}
+	stop(nil)
+	if ended := all.Wait(); err == nil && !errors.Is(ended, context.Canceled) {
+		err = ended
+	}
+	return got, err
+}
+
+// play makes the changes before nodes that run.
+func (f *Force) play(ctx context.Context, k *client.Client, controls []string, n *news, got map[string]float64) error {
+	begun := time.Now()
+	for _, at := range controls {
+		if err := ready(ctx, at); err != nil {
+			return err
+		}
+	}
+	got["ready_s"] = seconds(time.Since(begun))
+	used, err := ownUse()
+	if err != nil {
+		return err
+	}
+	got["memory_bytes"], got["descriptors"], got["load"] = used.RSS/float64(len(controls)), used.FDs/float64(len(controls)), load()
+	busy, calm := context.WithCancel(ctx)
+	changing := make(chan error, 1)
+	go func() { changing <- f.bursts(busy, k) }()
+	var policies, tenants, bans tally
+	policiesBefore, tenantsBefore := n.times("policy"), n.times("tenants")
+	for i := range f.Each {
+		if err = errors.Join(f.policied(ctx, k, n, i+1, &policies), f.tenanted(ctx, k, n, i, &tenants), banned(ctx, controls, i, &bans)); err != nil {
+			break
+		}
+	}
+	calm()
+	if err = errors.Join(err, <-changing); err != nil {
+		return err
+	}
+	got["policy_taken"], got["tenant_taken"] = (n.times("policy")-policiesBefore)/float64(f.Each), (n.times("tenants")-tenantsBefore)/float64(f.Each)
+	policies.figures("policy", got)
+	tenants.figures("tenant", got)
+	bans.figures("ban", got)
+	return nil
+}
+
+// governed writes the files of nodes that follow the policy and the tenants, and have a view of each other.
+func governed(dir string, nodes int, service string, parts bool) (controls []string, free func(), err error) {
+	var frees []func()
+	free = func() {
+		for _, f := range frees {
+			f()
+		}
+	}
+	peers, err := freeUDP(nodes)
+	if err != nil {
+		return nil, free, err
+	}
+	for i := range nodes {
+		control, done, err := link.Reserve()
+		if err != nil {
+			return nil, free, err
+		}
+		frees = append(frees, done)
+		c := platform.Node{Name: fmt.Sprint("n", i), Number: i, Nodes: nodes, Zone: zoneOf(i), Listen: "127.0.0.1:1", Control: control, List: []string{service},
+			ListFile: filepath.Join(dir, fmt.Sprint("list", i)), ListPart: parts, PeerListen: peers[i], Peers: peers, Fleet: "scale", Govern: true, Tenants: true, Seed: uint64(i + 1)}
+		if err := c.Write(configOf(dir, i), drawn, 1); err != nil {
+			return nil, free, err
+		}
+		controls = append(controls, control)
+	}
+	return controls, free, nil
+}
+
+// conduct holds the duty of the tenants' conductor until ctx ends, as the operators' command does.
+func conduct(ctx context.Context, k *client.Client) error {
+	p, err := duty.Open(duty.Config{Client: k, Process: "scale", TTL: duty.DefaultTTL})
+	if err != nil {
+		return err
+	}
+	err = p.Run(ctx, tenant.Duty, func(ctx context.Context, fenced duty.Fence) error {
+		c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fenced}, Fleet: tenant.Listed{List: k}, Every: conductEvery, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler)}
+		return c.Run(ctx)
+	})
+	return errors.Join(err, p.Close(duty.DefaultTTL))
+}
+
+// policy puts the i-th table on record, with a limit for each tenant that is to come.
+func (f *Force) policy(ctx context.Context, k *client.Client, i int) (version uint64, err error) {
+	known, text := policy.Known{}, fmt.Appendf(nil, "fleet {\n requests { rate = %d }\n", 1_000_000+i)
+	for j := range f.Each {
+		known.Books = append(known.Books, tenantForm(j).Names[0])
+		text = fmt.Appendf(text, " book %q {\n  requests { rate = 10 }\n }\n", known.Books[j])
+	}
+	t, err := policy.Compile("force.hcl", append(text, "}\n"...), known)
+	if err != nil {
+		return 0, err
+	}
+	raw, err := record.Value(t)
+	if err != nil {
+		return 0, err
+	}
+	r, err := k.Put(ctx, record.Current, raw, nil)
+	return r.Entry, err
+}
+
+func (f *Force) policied(ctx context.Context, k *client.Client, n *news, i int, to *tally) error {
+	version, err := f.policy(ctx, k, i)
+	if err != nil {
+		return err
+	}
+	times, err := n.await(ctx, "policy", version, time.Now())
+	if err == nil {
+		to.add(times)
+	}
+	return err
+}
+
+// tenanted brings a tenant in: it is in force at a node that has the catalogue in which it is served.
+func (f *Force) tenanted(ctx context.Context, k *client.Client, n *news, i int, to *tally) error {
+	form := tenantForm(i)
+	if placed, err := tenant.Place(ctx, k, form.Names[0], tenant.Order{ID: fmt.Sprint("scale-", i), Do: tenant.Add, Form: form}); err != nil || !placed {
+		return fmt.Errorf("an order is not taken: %v, %w", placed, err)
+	}
+	acknowledged := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for {
+		s, err := tenant.ReadStored(ctx, k)
+		if err != nil {
+			return err
+		}
+		if s.Image != nil && s.Image.Entries[form.Names[0]] != nil && s.Image.Entries[form.Names[0]].Phase == tenant.Serve {
+			times, err := n.await(ctx, "tenants", s.Image.Entries[form.Names[0]].Since, acknowledged)
+			if err == nil {
+				to.add(times)
+			}
+			return err
+		}
+		if !pause.For(ctx, lookAgain) {
+			return fmt.Errorf("the %d-th tenant is not served: %w", i, ctx.Err())
+		}
+	}
+}
+
+// banned takes a server out at each node, and puts it back: it is in force where the call is answered.
+func banned(ctx context.Context, controls []string, i int, to *tally) error {
+	for _, do := range []string{"maint", "ready"} {
+		times, err := callAll(ctx, controls, fmt.Sprintf("/backends/%s/%s", entryName(i%forceEntries), do))
+		if err != nil {
+			return err
+		}
+		if do == "maint" {
+			to.add(times)
+		}
+	}
+	return nil
+}
+
+// bursts changes the list until ctx ends, several servers at once at drawn times.
+func (f *Force) bursts(ctx context.Context, k *client.Client) error {
+	r := rand.New(rand.NewPCG(1, 0x6275727374))
+	for i := 0; f.Changes > 0 && pause.For(ctx, time.Duration(r.ExpFloat64()*burstOf/f.Changes*float64(time.Second))); i += burstOf {
+		var g errgroup.Group
+		for j := range burstOf {
+			g.Go(func() error { _, err := change(ctx, k, i+j, forceEntries); return err })
+		}
+		if err := g.Wait(); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -29,8 +29,12 @@
 // Hollow runs so many nodes of the program in this process until ctx ends: all of a node but its clients' listener
 // and, per process, the runtime and the text of the program. Their files are n0.json and so on in dir.
 func Hollow(ctx context.Context, dir string, nodes int) error {
+	return hollow(ctx, dir, nodes, func(int) slog.Handler { return slog.DiscardHandler })
+}
+
+// hollow is Hollow with logs.
+func hollow(ctx context.Context, dir string, nodes int, log func(i int) slog.Handler) error {
 	debug.SetGCPercent(gcPercent)
-	log := slog.New(slog.DiscardHandler)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var all sync.WaitGroup
@@ -40,7 +44,7 @@
 		if err != nil {
 			return err
 		}
-		n := node.New(cfg, log)
+		n := node.New(cfg, slog.New(log(i)))
 		all.Go(func() { n.ServeControl(ctx, cfg.Control) })
 		all.Go(func() {
 			if errs[i] = n.Run(ctx, &silent{closed: make(chan struct{})}); errs[i] != nil {
