Measure and fit two sizes together: nodes with backends, nodes with tenants

Each direction was measured alone, so nothing told whether costs at two large sizes add or multiply. indigolab scale pairs runs hollow nodes at a grid of both; a joint fit says by an F test whether the product counts.

--- a/cmd/indigolab/scale.go
+++ b/cmd/indigolab/scale.go
@@ -43,7 +43,7 @@
 	c.PersistentFlags().DurationVar(&f.rest, "rest", 5*time.Second, "for which processes are left alone, and for which nodes get changes")
 	c.PersistentFlags().BoolVar(&f.parts, "parts", false, "nodes and watchers follow their parts of the list alone")
 	c.PersistentFlags().StringVar(&f.bin, "bin", "", "the folder with the programs (default: beside indigolab, or built from the project)")
-	c.AddCommand(scalePageCommand(&f), scaleModuleCommand(&f), scaleEntriesCommand(&f), scaleRenewalsCommand(&f), scaleNodesCommand(&f), scaleHollowCommand(), scaleLatencyCommand(&f), scaleForceCommand(&f),
+	c.AddCommand(scalePageCommand(&f), scaleModuleCommand(&f), scaleEntriesCommand(&f), scaleRenewalsCommand(&f), scaleNodesCommand(&f), scaleHollowCommand(), scaleLatencyCommand(&f), scaleForceCommand(&f), scalePairsCommand(&f),
 		scaleWatchersCommand(&f, "watchers", "one replica of the list service by how many hollow nodes' clients watch it", []int{30, 100, 300, 1000, 4300}, 200, (*scale.Lists).Watchers),
 		scaleWatchersCommand(&f, "cold", "watchers without a list that come to one replica all at once", []int{30, 100, 300, 1000, 4300}, 2000, (*scale.Lists).Cold),
 		scaleWatchersCommand(&f, "lost", "the leader of three replicas killed under watchers, and a change", []int{30, 100, 300, 1000, 4300}, 200, (*scale.Lists).Lost),
--- /dev/null
+++ b/cmd/indigolab/scale_pairs.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"indigotack/internal/lab/scale"
+)
+
+func scalePairsCommand(f *scaleFlags) *cobra.Command {
+	var nodes, backends, tenants []int
+	p := &scale.Pairs{}
+	c := &cobra.Command{
+		Use:   "pairs backends|tenants",
+		Short: "hollow nodes and their replica by nodes and backends together, or by nodes and tenants",
+		Args:  cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs), ValidArgs: []string{"backends", "tenants"},
+		RunE: func(c *cobra.Command, args []string) error {
+			own, err := os.Executable()
+			if err != nil {
+				return unplayed{err}
+			}
+			p.Kind, p.Start = "hollow", []string{own, "scale", "hollow"}
+			return f.lists(c, func(ctx context.Context, l *scale.Lists) error {
+				p.Lists = *l
+				p.Command += " " + args[0]
+				if args[0] == "backends" {
+					return p.Backends(ctx, nodes, backends)
+				}
+				if len(tenants) == 0 {
+					return errors.New("--tenants is empty")
+				}
+				return p.Tenants(ctx, nodes, tenants)
+			})
+		},
+	}
+	c.Flags().IntSliceVar(&nodes, "nodes", []int{10, 30, 100}, "how many run")
+	c.Flags().IntSliceVar(&backends, "backends", []int{200, 2000, 10000}, "how many there are")
+	c.Flags().IntSliceVar(&tenants, "tenants", []int{25, 100, 400}, "of the catalogue, one after another before the same nodes: from few to many")
+	c.Flags().BoolVar(&p.View, "view", true, "they keep the view of the fleet, where backends are the other size")
+	c.Flags().IntVar(&p.Told, "told", 4300, "how many nodes they are told that there are, at least, where backends are the other size")
+	return c
+}
--- a/internal/lab/scale/force.go
+++ b/internal/lab/scale/force.go
@@ -50,12 +50,7 @@
 
 // one runs so many nodes, and a conductor of tenants, and makes the changes.
 func (f *Force) one(ctx context.Context, k *client.Client, service string, nodes int) (map[string]float64, error) {
-	for i := range forceEntries {
-		if _, err := change(ctx, k, i, forceEntries); err != nil {
-			return nil, err
-		}
-	}
-	if _, err := f.policy(ctx, k, 0); err != nil {
+	if err := f.prepare(ctx, k); err != nil {
 		return nil, err
 	}
 	dir, err := os.MkdirTemp(f.Dir, "force")
@@ -93,6 +88,17 @@
 	return got, err
 }
 
+// prepare lists servers, and puts a policy on record.
+func (f *Force) prepare(ctx context.Context, k *client.Client) error {
+	for i := range forceEntries {
+		if _, err := change(ctx, k, i, forceEntries); err != nil {
+			return err
+		}
+	}
+	_, err := f.policy(ctx, k, 0)
+	return err
+}
+
 // play makes the changes before nodes that run.
 func (f *Force) play(ctx context.Context, k *client.Client, controls []string, n *news, got map[string]float64) error {
 	begun := time.Now()
@@ -202,9 +208,8 @@
 
 // tenanted brings a tenant in: it is in force at a node that has the catalogue in which it is served.
 func (f *Force) tenanted(ctx context.Context, k *client.Client, n *news, i int, to *tally) error {
-	form := tenantForm(i)
-	if placed, err := tenant.Place(ctx, k, form.Names[0], tenant.Order{ID: fmt.Sprint("scale-", i), Do: tenant.Add, Form: form}); err != nil || !placed {
-		return fmt.Errorf("an order is not taken: %v, %w", placed, err)
+	if err := order(ctx, k, i); err != nil {
+		return err
 	}
 	acknowledged := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
@@ -214,12 +219,14 @@
 		if err != nil {
 			return err
 		}
-		if s.Image != nil && s.Image.Entries[form.Names[0]] != nil && s.Image.Entries[form.Names[0]].Phase == tenant.Serve {
-			times, err := n.await(ctx, "tenants", s.Image.Entries[form.Names[0]].Since, acknowledged)
-			if err == nil {
-				to.add(times)
+		if s.Image != nil {
+			if e := s.Image.Entries[tenantForm(i).Names[0]]; e != nil && e.Phase == tenant.Serve {
+				times, err := n.await(ctx, "tenants", e.Since, acknowledged)
+				if err == nil {
+					to.add(times)
+				}
+				return err
 			}
-			return err
 		}
 		if !pause.For(ctx, lookAgain) {
 			return fmt.Errorf("the %d-th tenant is not served: %w", i, ctx.Err())
--- /dev/null
+++ b/internal/lab/scale/pairs.go
@@ -0,0 +1,198 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"indigotack/internal/lab/history"
+	"indigotack/internal/lab/proc"
+	"indigotack/internal/lab/replicas"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+	"indigotack/internal/tenant"
+)
+
+const (
+	broughtAtOnce = 50 // tenants that are ordered together: the service keeps 1,000 records
+	pairChanges   = 5  // of tenants, each alone
+)
+
+// Pairs says which nodes, all hollow in one process, are measured along two sizes together.
+type Pairs struct{ Nodes }
+
+// Backends measures nodes and their replica by nodes and backends.
+func (p *Pairs) Backends(ctx context.Context, nodes, backends []int) error {
+	return p.grid(nodes, "backends", "pairs", func(n int, add func(int, map[string]float64)) error {
+		for _, b := range backends {
+			size := Sizes{Nodes: n, Backends: b}
+			err := p.with(ctx, size, func(r rig) error {
+				before, err := useOf(r.service.Pid)
+				if err != nil {
+					return err
+				}
+				f, err := p.worked(ctx, r)
+				if err != nil {
+					return err
+				}
+				after, err := useOf(r.service.Pid)
+				work, took := after.minus(before), 2*p.Rest.Seconds()
+				f["replica_cores"], f["replica_bytes_out_per_s"], f["replica_memory_bytes"] = seconds(work.CPU)/took, work.Written/took, after.RSS
+				add(b, f)
+				return err
+			})
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// grid records what one gives for each number of nodes, at sizes of another kind.
+func (p *Pairs) grid(nodes []int, other, what string, one func(n int, add func(size int, f map[string]float64)) error) error {
+	return p.record(what, func() (all []Point, err error) {
+		for _, n := range nodes {
+			found := map[int]map[string][]float64{}
+			for range p.Repeat {
+				err := one(n, func(size int, f map[string]float64) {
+					if found[size] == nil {
+						found[size] = map[string][]float64{}
+					}
+					for name, v := range f {
+						found[size][name] = append(found[size][name], v)
+					}
+				})
+				if err != nil {
+					return nil, fmt.Errorf("with %d nodes: %w", n, err)
+				}
+			}
+			for _, size := range sorted(found) {
+				at := Point{Sizes: map[string]int{"nodes": n, other: size}, Figures: map[string]Spread{}}
+				for name, v := range found[size] {
+					at.Figures[name] = spreadOf(v)
+				}
+				p.Say(at)
+				all = append(all, at)
+			}
+		}
+		return all, nil
+	})
+}
+
+// Tenants measures nodes and their replica by nodes and the tenants of the catalogue, which a conductor brings in.
+func (p *Pairs) Tenants(ctx context.Context, nodes, tenants []int) error {
+	return p.grid(nodes, "tenants", "pairs-tenants", func(n int, add func(int, map[string]float64)) error {
+		return p.fresh(ctx, 0, func(set *replicas.Set, k *client.Client) error {
+			f := Force{Lists: p.Lists, Each: tenants[len(tenants)-1] + pairChanges*len(tenants)}
+			if err := f.prepare(ctx, k); err != nil {
+				return err
+			}
+			dir, err := os.MkdirTemp(p.Dir, "pairs")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			controls, free, err := governed(dir, n, set.All[0].Address(), p.Parts)
+			defer free()
+			if err != nil {
+				return err
+			}
+			conducting, stop := context.WithCancel(ctx)
+			ended := make(chan error, 1)
+			go func() { ended <- conduct(conducting, k) }()
+			defer func() { stop(); <-ended }()
+			log, err := history.New("")
+			if err != nil {
+				return err
+			}
+			group := proc.NewGroup(log)
+			defer group.Close(endTime)
+			r := rig{Sizes: Sizes{Nodes: n}, k: k, service: set.All[0].Proc(), controls: controls}
+			if r.nodes, err = p.begin(ctx, group, dir, controls); err != nil {
+				return err
+			}
+			for have, i := 0, 0; i < len(tenants); i++ {
+				if err := r.bring(ctx, have, tenants[i]); err != nil {
+					return err
+				}
+				got, err := p.tenanted(ctx, r, tenants[i])
+				if err != nil {
+					return err
+				}
+				add(tenants[i], got)
+				have = tenants[i] + pairChanges
+			}
+			return nil
+		})
+	})
+}
+
+// bring orders tenants until there are so many, and waits until every node knows them.
+func (r rig) bring(ctx context.Context, have, want int) error {
+	for ; have < want; have += broughtAtOnce {
+		var g errgroup.Group
+		for i := have; i < min(want, have+broughtAtOnce); i++ {
+			g.Go(func() error { return order(ctx, r.k, i) })
+		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
+		if err := r.all(ctx, "tenants.known", min(want, have+broughtAtOnce)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// order leaves the order that brings the i-th tenant in.
+func order(ctx context.Context, k *client.Client, i int) error {
+	form := tenantForm(i)
+	placed, err := tenant.Place(ctx, k, form.Names[0], tenant.Order{ID: fmt.Sprint("scale-", i), Do: tenant.Add, Form: form})
+	if err == nil && !placed {
+		err = fmt.Errorf("an order for %s waits already", form.Names[0])
+	}
+	return err
+}
+
+// tenanted takes the use of nodes and replica at rest, and for tenants that come one after another.
+func (p *Pairs) tenanted(ctx context.Context, r rig, have int) (map[string]float64, error) {
+	var uses [3]struct{ nodes, service use }
+	look := func(i int) (err error) {
+		if uses[i].nodes, err = usedBy(r.nodes); err != nil {
+			return err
+		}
+		uses[i].service, err = useOf(r.service.Pid)
+		return err
+	}
+	pause.For(ctx, time.Second) // the last tenant is served
+	if err := look(0); err != nil {
+		return nil, err
+	}
+	pause.For(ctx, p.Rest)
+	if err := look(1); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	for i := range pairChanges {
+		if err := r.bring(ctx, have+i, have+i+1); err != nil {
+			return nil, err
+		}
+	}
+	pause.For(ctx, time.Second)
+	took := time.Since(began)
+	if err := look(2); err != nil {
+		return nil, err
+	}
+	rest, work, each := uses[1].nodes.minus(uses[0].nodes), uses[2].nodes.minus(uses[1].nodes), float64(r.Nodes)
+	restService, workService := uses[1].service.minus(uses[0].service), uses[2].service.minus(uses[1].service)
+	longer := seconds(took) / p.Rest.Seconds()
+	perChange := func(work, rest float64) float64 { return max(0, work-rest*longer) / pairChanges }
+	return map[string]float64{"rest_cores": seconds(rest.CPU) / p.Rest.Seconds() / each, "memory_bytes": uses[2].nodes.RSS / each,
+		"change_cpu_s": perChange(seconds(work.CPU), seconds(rest.CPU)) / each, "change_bytes_in": perChange(work.Read, rest.Read) / each,
+		"replica_memory_bytes": uses[2].service.RSS, "replica_change_cpu_s": perChange(seconds(workService.CPU), seconds(restService.CPU)),
+		"replica_change_bytes_out": perChange(workService.Written, restService.Written), "known_s": seconds(took-time.Second) / pairChanges}, nil
+}
--- /dev/null
+++ b/internal/lab/scale/pairs_fit_test.go
@@ -0,0 +1,42 @@
+package scale
+
+import (
+	"math"
+	"testing"
+)
+
+// TestFitPair: a product that is there counts, one that is not doesn't, and a little noise changes neither.
+func TestFitPair(t *testing.T) {
+	for name, c := range map[string]struct {
+		of      func(a, b float64) float64
+		product bool
+		a, b    string
+	}{
+		"a sum":                       {func(a, b float64) float64 { return 5 + 2*a + 0.3*b }, false, "n", "n"},
+		"of one alone":                {func(a, b float64) float64 { return 5 + 0.3*b }, false, "", "n"},
+		"a product":                   {func(a, b float64) float64 { return 5 + 0.1*a*b }, true, "n", "n"},
+		"a sum and a product":         {func(a, b float64) float64 { return 100 + a + b + 0.01*a*b }, true, "n", "n"},
+		"a share of each node":        {func(a, b float64) float64 { return 5 + 40*b/a }, true, "1/n", "n"},
+		"a product of a log and of n": {func(a, b float64) float64 { return 5 + math.Log(a)*b }, true, "log n", "n"},
+	} {
+		var as, bs, ys []float64
+		for i, a := range []float64{10, 30, 100} {
+			for j, b := range []float64{200, 2000, 10000} {
+				as, bs, ys = append(as, a), append(bs, b), append(ys, c.of(a, b)*(1+0.01*math.Sin(float64(7*i+3*j))))
+			}
+		}
+		f, err := fitPair(as, bs, ys)
+		if err != nil || f.Product() != c.product || f.Residual > 0.03 || c.a != "" && f.A != c.a || f.B != c.b {
+			t.Errorf("%s: %+v, %v", name, f, err)
+		}
+		if got, want := f.Cost(200, 20000), c.of(200, 20000); math.Abs(got/want-1) > 0.1 {
+			t.Errorf("%s: %v at twice the sizes, want %v", name, got, want)
+		}
+	}
+	nine := make([]float64, 9)
+	for _, ys := range [][]float64{nine, nine[:8]} {
+		if _, err := fitPair(ys, ys, ys); err == nil {
+			t.Errorf("%d costs of 0 are no error", len(ys))
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/pairs_table.go
@@ -0,0 +1,82 @@
+package scale
+
+import (
+	"fmt"
+	"maps"
+)
+
+// pairsTable is what was measured by two sizes together: its ends, its joint fit, and whether their product counts.
+func pairsTable(s sheet) (string, error) {
+	var rows [][]string
+	for _, k := range []struct {
+		what, of, a, b string
+		others         map[string]int
+		figures        [][2]string // and their units
+	}{
+		{"module", "decisions alone", "nodes", "backends", map[string]int{"placements": 1}, [][2]string{{"rest_cores", "cores"}, {"change_s", "s"}, {"memory_bytes", "bytes"}}},
+		{"pairs", "hollow nodes", "nodes", "backends", nil, [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
+			{"replica_cores", "cores"}, {"replica_bytes_out_per_s", "bytes/s"}, {"replica_memory_bytes", "bytes"}}},
+		{"pairs-tenants", "hollow nodes", "nodes", "tenants", nil, [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
+			{"replica_change_cpu_s", "s"}, {"replica_change_bytes_out", "bytes"}, {"replica_memory_bytes", "bytes"}}},
+	} {
+		for _, m := range []measured{s.before, s.after} {
+			r, has := m.of[k.what]
+			if !has {
+				rows = append(rows, []string{m.label, k.of, k.a + ", " + k.b, "", notRun, "", "", ""})
+				continue
+			}
+			for _, f := range k.figures {
+				at := append([]string{m.label, k.of, k.a + ", " + k.b, "`" + f[0] + "`"}, corners(r, k.a, k.b, f[0], f[1], k.others)...)
+				fit, err := fitPairOf(r, k.a, k.b, f[0], k.others)
+				if err != nil {
+					rows = append(rows, append(at, "no fit: "+err.Error(), "", ""))
+					continue
+				}
+				text := fmt.Sprintf("%.3g + %.3g × %s + %.3g × %s", fit.Terms[0], fit.Terms[1], fit.A, fit.Terms[2], fit.B)
+				says := fmt.Sprintf("no (chance %s)", percent(fit.Chance))
+				if fit.Product() {
+					text, says = text+fmt.Sprintf(" + %.3g × their product", fit.Terms[3]), fmt.Sprintf("yes (chance %s)", percent(fit.Chance))
+				}
+				rows = append(rows, append(at, fmt.Sprintf("%s; residual %s, %d points", text, percent(fit.Residual), fit.Points), says))
+			}
+		}
+	}
+	return table([]string{"program", "of", "A, B", "figure", "least of both", "most of A", "most of B", "most of both", "fit", "product counts"}, pad(rows, 10)), nil
+}
+
+// corners are a figure at the ends of two sizes: least of both, most of the first, most of the second, most of both.
+func corners(r Record, a, b, figure, unit string, others map[string]int) []string {
+	var as, bs [2]int
+	for _, p := range r.Points {
+		if _, has := p.Figures[figure]; has && matches(p, others) {
+			as, bs = widen(as, p.Sizes[a]), widen(bs, p.Sizes[b])
+		}
+	}
+	var cells []string
+	for _, at := range [][2]int{{as[0], bs[0]}, {as[1], bs[0]}, {as[0], bs[1]}, {as[1], bs[1]}} {
+		here, cell := map[string]int{a: at[0], b: at[1]}, "none"
+		maps.Copy(here, others)
+		for _, p := range r.Points {
+			if f, has := p.Figures[figure]; has && matches(p, here) {
+				cell = fmt.Sprintf("%s, %s: %s", number(float64(at[0])), number(float64(at[1])), shown(f.Median, unit))
+			}
+		}
+		cells = append(cells, cell)
+	}
+	return cells
+}
+
+func widen(ends [2]int, n int) [2]int {
+	if ends[0] == 0 {
+		return [2]int{n, n}
+	}
+	return [2]int{min(ends[0], n), max(ends[1], n)}
+}
+
+// pad gives each row so many cells.
+func pad(rows [][]string, cells int) [][]string {
+	for i, r := range rows {
+		rows[i] = append(r, slicesOf(max(0, cells-len(r)), "")...)
+	}
+	return rows
+}
