--- a/internal/lab/scale/force.go
+++ b/internal/lab/scale/force.go
@@ -4,17 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
-	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"indigotack/internal/duty"
-	"indigotack/internal/lab/link"
-	"indigotack/internal/lab/platform"
 	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list/client"
 	"indigotack/internal/pause"
@@ -35,11 +29,16 @@
 	Lists
 	Each    int     // changes of each kind
 	Changes float64 // of the list a second meanwhile, in bursts; 0: none
+	Fleet   bool    // in place of tenants and bans: what so many nodes take in one process, and when their views are whole
 }
 
 // Measure measures it by nodes.
 func (f *Force) Measure(ctx context.Context, sizes []int) error {
-	return f.points(ctx, "force", "nodes", sizes, map[string]int{"changes": int(f.Changes + 0.5)}, f.Say, func(n int) (got map[string]float64, err error) {
+	what := "force"
+	if f.Fleet {
+		what = "fleet"
+	}
+	return f.points(ctx, what, "nodes", sizes, map[string]int{"changes": int(f.Changes + 0.5)}, f.Say, func(n int) (got map[string]float64, err error) {
 		err = f.fresh(ctx, 0, func(set *replicas.Set, k *client.Client) error {
 			got, err = f.one(ctx, k, set.All[0].Address(), n)
 			return err
@@ -58,7 +57,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	controls, free, err := governed(dir, nodes, service, f.Parts)
+	controls, free, err := governed(dir, nodes, service, f.Parts, !f.Fleet)
 	defer free()
 	if err != nil {
 		return nil, err
@@ -76,7 +75,9 @@
 		})
 	}
 	begin(func() error { return hollow(running, dir, nodes, n.log) })
-	begin(func() error { return conduct(running, k) })
+	if !f.Fleet {
+		begin(func() error { return conduct(running, k) })
+	}
 	err = f.play(running, k, controls, n, got)
 	if why := context.Cause(running); why != nil {
 		err = why
@@ -108,6 +109,9 @@
 		}
 	}
 	got["ready_s"] = seconds(time.Since(begun))
+	if f.Fleet {
+		return f.fleet(ctx, k, controls, n, begun, got)
+	}
 	used, err := ownUse()
 	if err != nil {
 		return err
@@ -134,47 +138,6 @@
 	return nil
 }
 
-// governed writes the files of nodes that follow the policy and the tenants, and have a view of each other.
-func governed(dir string, nodes int, service string, parts bool) (controls []string, free func(), err error) {
-	var frees []func()
-	free = func() {
-		for _, f := range frees {
-			f()
-		}
-	}
-	peers, err := freeUDP(nodes)
-	if err != nil {
-		return nil, free, err
-	}
-	for i := range nodes {
-		control, done, err := link.Reserve()
-		if err != nil {
-			return nil, free, err
-		}
-		frees = append(frees, done)
-		c := platform.Node{Name: fmt.Sprint("n", i), Number: i, Nodes: nodes, Zone: zoneOf(i), Listen: "127.0.0.1:1", Control: control, List: []string{service},
-			ListFile: filepath.Join(dir, fmt.Sprint("list", i)), ListPart: parts, PeerListen: peers[i], Peers: peers, Fleet: "scale", Govern: true, Tenants: true, Seed: uint64(i + 1)}
-		if err := c.Write(configOf(dir, i), drawn, 1); err != nil {
-			return nil, free, err
-		}
-		controls = append(controls, control)
-	}
-	return controls, free, nil
-}
-
-// conduct holds the duty of the tenants' conductor until ctx ends, as the operators' command does.
-func conduct(ctx context.Context, k *client.Client) error {
-	p, err := duty.Open(duty.Config{Client: k, Process: "scale", TTL: duty.DefaultTTL})
-	if err != nil {
-		return err
-	}
-	err = p.Run(ctx, tenant.Duty, func(ctx context.Context, fenced duty.Fence) error {
-		c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fenced}, Fleet: tenant.Listed{List: k}, Every: conductEvery, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler)}
-		return c.Run(ctx)
-	})
-	return errors.Join(err, p.Close(duty.DefaultTTL))
-}
-
 // policy puts the i-th table on record, with a limit for each tenant that is to come.
 func (f *Force) policy(ctx context.Context, k *client.Client, i int) (version uint64, err error) {
 	known, text := policy.Known{}, fmt.Appendf(nil, "fleet {\n requests { rate = %d }\n", 1_000_000+i)
@@ -247,18 +210,3 @@
 	}
 	return nil
 }
-
-// bursts changes the list until ctx ends, several servers at once at drawn times.
-func (f *Force) bursts(ctx context.Context, k *client.Client) error {
-	r := rand.New(rand.NewPCG(1, 0x6275727374))
-	for i := 0; f.Changes > 0 && pause.For(ctx, time.Duration(r.ExpFloat64()*burstOf/f.Changes*float64(time.Second))); i += burstOf {
-		var g errgroup.Group
-		for j := range burstOf {
-			g.Go(func() error { _, err := change(ctx, k, i+j, forceEntries); return err })
-		}
-		if err := g.Wait(); err != nil && ctx.Err() == nil {
-			return err
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/lab/scale/force_rig.go
@@ -0,0 +1,76 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"indigotack/internal/duty"
+	"indigotack/internal/lab/link"
+	"indigotack/internal/lab/platform"
+	"indigotack/internal/list/client"
+	"indigotack/internal/pause"
+	"indigotack/internal/tenant"
+)
+
+// governed writes the files of nodes that follow the policy, and the tenants if told so, and have a view of each other.
+func governed(dir string, nodes int, service string, parts, tenants bool) (controls []string, free func(), err error) {
+	var frees []func()
+	free = func() {
+		for _, f := range frees {
+			f()
+		}
+	}
+	peers, err := freeUDP(nodes)
+	if err != nil {
+		return nil, free, err
+	}
+	for i := range nodes {
+		control, done, err := link.Reserve()
+		if err != nil {
+			return nil, free, err
+		}
+		frees = append(frees, done)
+		c := platform.Node{Name: fmt.Sprint("n", i), Number: i, Nodes: nodes, Zone: zoneOf(i), Listen: "127.0.0.1:1", Control: control, List: []string{service},
+			ListFile: filepath.Join(dir, fmt.Sprint("list", i)), ListPart: parts, PeerListen: peers[i], Peers: peers, Fleet: "scale", Govern: true, Tenants: tenants, Seed: uint64(i + 1)}
+		if err := c.Write(configOf(dir, i), drawn, 1); err != nil {
+			return nil, free, err
+		}
+		controls = append(controls, control)
+	}
+	return controls, free, nil
+}
+
+// conduct holds the duty of the tenants' conductor until ctx ends, as the operators' command does.
+func conduct(ctx context.Context, k *client.Client) error {
+	p, err := duty.Open(duty.Config{Client: k, Process: "scale", TTL: duty.DefaultTTL})
+	if err != nil {
+		return err
+	}
+	err = p.Run(ctx, tenant.Duty, func(ctx context.Context, fenced duty.Fence) error {
+		c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fenced}, Fleet: tenant.Listed{List: k}, Every: conductEvery, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler)}
+		return c.Run(ctx)
+	})
+	return errors.Join(err, p.Close(duty.DefaultTTL))
+}
+
+// bursts changes the list until ctx ends, several servers at once at drawn times.
+func (f *Force) bursts(ctx context.Context, k *client.Client) error {
+	r := rand.New(rand.NewPCG(1, 0x6275727374))
+	for i := 0; f.Changes > 0 && pause.For(ctx, time.Duration(r.ExpFloat64()*burstOf/f.Changes*float64(time.Second))); i += burstOf {
+		var g errgroup.Group
+		for j := range burstOf {
+			g.Go(func() error { _, err := change(ctx, k, i+j, forceEntries); return err })
+		}
+		if err := g.Wait(); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lab/scale/force_table.go
+++ b/internal/lab/scale/force_table.go
@@ -18,3 +18,21 @@
 	}
 	return table([]string{"program", "of", "hollow nodes", "changes of the list a second", "half of them", "99%", "the last", "the last, worst change", "load on 8 cores"}, rows), nil
 }
+
+// fleetTable is what whole hollow nodes take, all in one process.
+func fleetTable(s sheet) (string, error) {
+	var rows [][]string
+	for _, m := range []measured{s.before, s.after} {
+		r, has := m.of["fleet"]
+		if !has {
+			rows = append(rows, append([]string{m.label, notRun}, slicesOf(9, "")...))
+			continue
+		}
+		for _, p := range r.Points {
+			rows = append(rows, []string{m.label, number(float64(p.Sizes["nodes"])), p.shown("memory_bytes", "bytes"), p.shown("descriptors", ""), p.shown("datagrams_per_s", ""), p.shown("rest_cores", "cores"),
+				p.shown("ready_s", "s"), p.shown("settled_s", "s"), percent(p.Figures["alive"].Median), p.shown("policy_half_s", "s"), p.shown("policy_last_s", "s")})
+		}
+	}
+	return table([]string{"program", "nodes in a process", "memory, each", "descriptors, each", "datagrams a second, each", "processor at rest, each", "all are ready", "all views are whole", "of their view, in the mean",
+		"a policy: at half of them", "at the last"}, rows), nil
+}
--- a/internal/lab/scale/page.go
+++ b/internal/lab/scale/page.go
@@ -23,7 +23,7 @@
 // tables are the makers of the page's tables, by name.
 var tables = map[string]func(sheet) (string, error){
 	"assumptions": assumptions, "costs": costs, "sides": sides, "walls": wallsTable, "force": inForce,
-	"faults": faults, "honest": honest, "slopes": slopes, "runs": runs, "latency": latencyTable, "orders": ordersTable, "pairs": pairsTable,
+	"faults": faults, "honest": honest, "slopes": slopes, "runs": runs, "latency": latencyTable, "orders": ordersTable, "pairs": pairsTable, "fleet": fleetTable,
 }
 
 // Page puts the tables, made from the records and the plan of a folder, into a page's text.
--- a/internal/lab/scale/pairs.go
+++ b/internal/lab/scale/pairs.go
@@ -96,7 +96,7 @@
 				return err
 			}
 			defer os.RemoveAll(dir)
-			controls, free, err := governed(dir, n, set.All[0].Address(), p.Parts)
+			controls, free, err := governed(dir, n, set.All[0].Address(), p.Parts, true)
 			defer free()
 			if err != nil {
 				return err
