Measure a node's decisions by services and routes, which are its classes and their placements

Neither was a direction of its own. In today's program a service is a class of the settings and a route a rule of placement, of the settings or by a tenant, 128 of those at most. scale pairs routes takes both together. A node that took a policy up before its operator heard of the write counts as at once, not as negative time.

--- a/internal/lab/scale/force_news.go
+++ b/internal/lab/scale/force_news.go
@@ -70,8 +70,8 @@
 	return float64(sum) / float64(len(n.of[kind]))
 }
 
-// await waits until every node has a number of a kind, and gives the times from a moment until each had it, in order.
-// No higher one may come meanwhile.
+// await waits until every node has a number of a kind, and gives the times from a moment until each had it, in order;
+// 0 for one that had it before. No higher one may come meanwhile.
 func (n *news) await(ctx context.Context, kind string, number uint64, since time.Time) ([]float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
@@ -83,7 +83,7 @@
 				return nil, fmt.Errorf("node %d of %d stays at %s %d, not %d: %w", i, len(n.of[kind]), kind, t.number.Load(), number, ctx.Err())
 			}
 		}
-		all = append(all, seconds(time.Duration(t.when.Load())-since.Sub(n.begun)))
+		all = append(all, max(0, seconds(time.Duration(t.when.Load())-since.Sub(n.begun))))
 	}
 	slices.Sort(all)
 	return all, nil
--- a/internal/lab/scale/pairs_table.go
+++ b/internal/lab/scale/pairs_table.go
@@ -16,6 +16,7 @@
 		{"module", "decisions alone", "nodes", "backends", map[string]int{"placements": 1}, [][2]string{{"rest_cores", "cores"}, {"change_s", "s"}, {"memory_bytes", "bytes"}}},
 		{"pairs", "hollow nodes", "nodes", "backends", nil, [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
 			{"replica_cores", "cores"}, {"replica_bytes_out_per_s", "bytes/s"}, {"replica_memory_bytes", "bytes"}}},
+		{"pairs-routes", "decisions alone, 2,000 backends, 300 nodes", "services", "routes", nil, [][2]string{{"rest_cores", "cores"}, {"change_s", "s"}, {"memory_bytes", "bytes"}}},
 		{"pairs-tenants", "hollow nodes", "nodes", "tenants", nil, [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
 			{"replica_change_cpu_s", "s"}, {"replica_change_bytes_out", "bytes"}, {"replica_memory_bytes", "bytes"}}},
 	} {
