--- a/internal/lab/scale/latency.go
+++ b/internal/lab/scale/latency.go
@@ -51,7 +51,7 @@
 					return err
 				}
 				seed := uint64(0)
-				p, err = repeated(l.Repeat, map[string]int{"servers": n, "changes": l.Changes}, func() (map[string]float64, error) {
+				p, err = repeated(l.Repeat, map[string]int{"servers": n, "changes": l.Changes, "part": partOf(l.Parts)}, func() (map[string]float64, error) {
 					seed++
 					return l.one(ctx, a, k, set.All[0].Address(), n, seed)
 				})
--- a/internal/lab/scale/latency_table.go
+++ b/internal/lab/scale/latency_table.go
@@ -5,15 +5,10 @@
 // latencyTable is what a node adds to a request, and of which ways that is made.
 func latencyTable(s sheet) (string, error) {
 	var whole, ways [][]string
-	for _, m := range []measured{s.before, s.after} {
-		r, has := m.of["latency"]
-		if !has {
-			whole = append(whole, append([]string{m.label, notRun}, slicesOf(7, "")...))
-			continue
-		}
+	for _, r := range s.records("latency") {
 		for _, p := range r.Points {
 			all := func(name string) string { return p.shown(name, "s") }
-			at := []string{m.label, number(float64(p.Sizes["servers"])), number(float64(p.Sizes["changes"]))}
+			at := []string{knows(p), number(float64(p.Sizes["servers"])), number(float64(p.Sizes["changes"]))}
 			share := percent(p.Figures["added_p99_s"].Median / s.plan.Plan.Added)
 			whole = append(whole, append(at[:3:3], all("direct_added_p50_s"), all("direct_added_p99_s"), all("added_p50_s"), all("added_p99_s")+", "+share, all("added_p999_s"),
 				fmt.Sprintf("%s of %s", p.shown("failed", ""), p.shown("requests", ""))))
@@ -21,10 +16,43 @@
 				p.shown("attempts", ""), all("node_request_cpu_s"), p.shown("load", "")))
 		}
 	}
-	return table([]string{"program", "servers known", "changes a second", "straight to the server: 50%", "99%", "through the node: 50%", "99%, of the budget", "99.9%", "refused beside those timed"}, whole) +
+	return table([]string{"known of the list", "servers", "changes a second", "straight to the server: 50%", "99%", "through the node: 50%", "99%, of the budget", "99.9%", "refused beside those timed"}, orNotRun(whole, 9)) +
 		"\nOf which, through the node:\n\n" +
-		table([]string{"program", "servers known", "changes a second", "in, on a kept connection: 50%", "99%", "in, on one just made: 50%", "so many of them", "out: 50%", "99%", "attempts a request",
-			"node's processor a request", "load"}, ways), nil
+		table([]string{"known of the list", "servers", "changes a second", "in, on a kept connection: 50%", "99%", "in, on one just made: 50%", "so many of them", "out: 50%", "99%", "attempts a request",
+			"node's processor a request", "load"}, orNotRun(ways, 12)), nil
+}
+
+// orNotRun is rows, or one that says that there are none.
+func orNotRun(rows [][]string, cells int) [][]string {
+	if len(rows) > 0 {
+		return rows
+	}
+	return [][]string{append([]string{notRun}, slicesOf(cells-1, "")...)}
+}
+
+// partOf says as a size whether nodes follow their parts of the list alone.
+func partOf(parts bool) int {
+	if parts {
+		return 1
+	}
+	return 0
+}
+
+func knows(p Point) string {
+	if p.Sizes["part"] == 1 {
+		return "its part"
+	}
+	return "all"
+}
+
+// records are those of something, of each program.
+func (s sheet) records(what string) (all []Record) {
+	for _, m := range []measured{s.before, s.after} {
+		if r, has := m.of[what]; has {
+			all = append(all, r)
+		}
+	}
+	return all
 }
 
 // shown is a figure with the least and the most of its repetitions.
--- a/internal/lab/scale/pairs.go
+++ b/internal/lab/scale/pairs.go
@@ -71,7 +71,7 @@
 				}
 			}
 			for _, size := range sorted(found) {
-				at := Point{Sizes: map[string]int{"nodes": n, other: size}, Figures: map[string]Spread{}}
+				at := Point{Sizes: map[string]int{"nodes": n, other: size, "part": partOf(p.Parts)}, Figures: map[string]Spread{}}
 				for name, v := range found[size] {
 					at.Figures[name] = spreadOf(v)
 				}
--- a/internal/lab/scale/pairs_table.go
+++ b/internal/lab/scale/pairs_table.go
@@ -3,27 +3,29 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 )
 
 // pairsTable is what was measured by two sizes together: its ends, its joint fit, and whether their product counts.
 func pairsTable(s sheet) (string, error) {
 	var rows [][]string
+	figures := [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
+		{"replica_cores", "cores"}, {"replica_bytes_out_per_s", "bytes/s"}, {"replica_memory_bytes", "bytes"}}
 	for _, k := range []struct {
 		what, of, a, b string
 		others         map[string]int
 		figures        [][2]string // and their units
 	}{
 		{"module", "decisions alone", "nodes", "backends", map[string]int{"placements": 1}, [][2]string{{"rest_cores", "cores"}, {"change_s", "s"}, {"memory_bytes", "bytes"}}},
-		{"pairs", "hollow nodes", "nodes", "backends", nil, [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
-			{"replica_cores", "cores"}, {"replica_bytes_out_per_s", "bytes/s"}, {"replica_memory_bytes", "bytes"}}},
+		{"pairs", "hollow nodes, all of the list", "nodes", "backends", map[string]int{"part": 0}, figures},
+		{"pairs", "hollow nodes, their parts", "nodes", "backends", map[string]int{"part": 1}, figures},
 		{"pairs-routes", "decisions alone, 2,000 backends, 300 nodes", "services", "routes", nil, [][2]string{{"rest_cores", "cores"}, {"change_s", "s"}, {"memory_bytes", "bytes"}}},
 		{"pairs-tenants", "hollow nodes", "nodes", "tenants", nil, [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
 			{"replica_change_cpu_s", "s"}, {"replica_change_bytes_out", "bytes"}, {"replica_memory_bytes", "bytes"}}},
 	} {
 		for _, m := range []measured{s.before, s.after} {
 			r, has := m.of[k.what]
-			if !has {
-				rows = append(rows, []string{m.label, k.of, k.a + ", " + k.b, "", notRun, "", "", ""})
+			if !has || !slices.ContainsFunc(r.Points, func(p Point) bool { return matches(p, k.others) }) {
 				continue
 			}
 			for _, f := range k.figures {
@@ -42,7 +44,7 @@
 			}
 		}
 	}
-	return table([]string{"program", "of", "A, B", "figure", "least of both", "most of A", "most of B", "most of both", "fit", "product counts"}, pad(rows, 10)), nil
+	return table([]string{"program", "of", "A, B", "figure", "least of both", "most of A", "most of B", "most of both", "fit", "product counts"}, rows), nil
 }
 
 // corners are a figure at the ends of two sizes: least of both, most of the first, most of the second, most of both.
@@ -73,11 +75,3 @@
 	}
 	return [2]int{min(ends[0], n), max(ends[1], n)}
 }
-
-// pad gives each row so many cells.
-func pad(rows [][]string, cells int) [][]string {
-	for i, r := range rows {
-		rows[i] = append(r, slicesOf(max(0, cells-len(r)), "")...)
-	}
-	return rows
-}
