Warm a measured module up until it has learned, also with many groups or a long reach

It learns from two answers a server in reach. 2,000 requests are enough for one group of a fleet of 4,300 nodes, not for 128 rules of placement (3,400) or for 30 nodes before 54,000 servers (21,600): there its survey ended early, and 128 rules seemed cheaper at rest than 64.

--- a/internal/lab/scale/force.go
+++ b/internal/lab/scale/force.go
@@ -78,7 +78,7 @@
 	if !f.Fleet {
 		begin(func() error { return conduct(running, k) })
 	}
-	err = f.play(running, k, controls, n, got)
+	err = f.play(running, k, controls, free, n, got)
 	if why := context.Cause(running); why != nil {
 		err = why
 	}
@@ -100,8 +100,8 @@
 	return err
 }
 
-// play makes the changes before nodes that run.
-func (f *Force) play(ctx context.Context, k *client.Client, controls []string, n *news, got map[string]float64) error {
+// play makes the changes before nodes that run. free gives up what kept their addresses for them.
+func (f *Force) play(ctx context.Context, k *client.Client, controls []string, free func(), n *news, got map[string]float64) error {
 	begun := time.Now()
 	for _, at := range controls {
 		if err := ready(ctx, at); err != nil {
@@ -109,6 +109,7 @@
 		}
 	}
 	got["ready_s"] = seconds(time.Since(begun))
+	free() // the nodes have their addresses
 	if f.Fleet {
 		return f.fleet(ctx, k, controls, n, begun, got)
 	}
--- a/internal/lab/scale/force_rig.go
+++ b/internal/lab/scale/force_rig.go
@@ -26,6 +26,7 @@
 		for _, f := range frees {
 			f()
 		}
+		frees = nil
 	}
 	peers, err := freeUDP(nodes)
 	if err != nil {
--- a/internal/lab/scale/module.go
+++ b/internal/lab/scale/module.go
@@ -15,7 +15,7 @@
 
 const (
 	tick       = 25 * time.Millisecond // between a module's rounds of checks
-	warmUp     = 2000                  // requests, after which a module has learned
+	warmUp     = 25000                 // requests, after which a module has learned: two a server in reach, of all groups
 	leastTicks = 40                    // a second of them
 	enough     = 200 * time.Millisecond
 )
