--- a/internal/lab/scale/latency_table.go
+++ b/internal/lab/scale/latency_table.go
@@ -1,6 +1,9 @@
 package scale
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // latencyTable is what a node adds to a request, and of which ways that is made.
 func latencyTable(s sheet) (string, error) {
@@ -12,14 +15,14 @@
 			share := percent(p.Figures["added_p99_s"].Median / s.plan.Plan.Added)
 			whole = append(whole, append(at[:3:3], all("direct_added_p50_s"), all("direct_added_p99_s"), all("added_p50_s"), all("added_p99_s")+", "+share, all("added_p999_s"),
 				fmt.Sprintf("%s of %s", p.shown("failed", ""), p.shown("requests", ""))))
-			ways = append(ways, append(at[:3:3], all("in_kept_p50_s"), all("in_kept_p99_s"), all("in_made_p50_s"), percent(p.Figures["made_share"].Median), all("out_p50_s"), all("out_p99_s"),
+			ways = append(ways, append(at[:3:3], all("direct_in_p50_s"), all("direct_out_p50_s"), all("in_kept_p50_s"), all("in_kept_p99_s"), all("in_made_p50_s"), percent(p.Figures["made_share"].Median), all("out_p50_s"), all("out_p99_s"),
 				p.shown("attempts", ""), all("node_request_cpu_s"), p.shown("load", "")))
 		}
 	}
 	return table([]string{"known of the list", "servers", "changes a second", "straight to the server: 50%", "99%", "through the node: 50%", "99%, of the budget", "99.9%", "refused beside those timed"}, orNotRun(whole, 9)) +
 		"\nOf which, through the node:\n\n" +
-		table([]string{"known of the list", "servers", "changes a second", "in, on a kept connection: 50%", "99%", "in, on one just made: 50%", "so many of them", "out: 50%", "99%", "attempts a request",
-			"node's processor a request", "load"}, orNotRun(ways, 12)), nil
+		table([]string{"known of the list", "servers", "changes a second", "straight, in: 50%", "out: 50%", "through the node, in, on a kept connection: 50%", "99%", "in, on one just made: 50%", "so many of them", "out: 50%", "99%", "attempts a request",
+			"node's processor a request", "load"}, orNotRun(ways, 14)), nil
 }
 
 // orNotRun is rows, or one that says that there are none.
@@ -61,9 +64,9 @@
 	if !has {
 		return "none"
 	}
-	text := shown(f.Median, unit)
-	if f.Least != f.Most {
-		text += fmt.Sprintf(" (%s to %s)", shown(f.Least, unit), shown(f.Most, unit))
+	one := func(v float64) string { return strings.TrimSpace(shown(v, unit)) }
+	if f.Least == f.Most {
+		return one(f.Median)
 	}
-	return text
+	return fmt.Sprintf("%s (%s to %s)", one(f.Median), one(f.Least), one(f.Most))
 }
