--- a/internal/lab/scale/latency_client.go
+++ b/internal/lab/scale/latency_client.go
@@ -48,9 +48,19 @@
 	late   *hdrhistogram.Histogram
 	served int
 	failed map[string]int // by reason
-	opened atomic.Int64   // connections
+	calm   map[int]*second
+	opened atomic.Int64 // connections
 }
 
+// second is one of the play: how late the caller itself was, and what was added.
+type second struct {
+	late  time.Duration
+	added []time.Duration
+}
+
+// calmLate is how late a caller may be in a second that counts as calm: in others the machine, not the node, keeps it waiting.
+const calmLate = 2 * time.Millisecond
+
 type callerConn struct {
 	net.Conn
 	in   *bufio.Reader
@@ -58,7 +68,7 @@
 }
 
 func newCaller(base time.Time, seed uint64) *caller {
-	c := &caller{base: base, seed: seed, idle: map[string][]*callerConn{}, failed: map[string]int{}, late: newTimes()}
+	c := &caller{base: base, seed: seed, idle: map[string][]*callerConn{}, failed: map[string]int{}, calm: map[int]*second{}, late: newTimes()}
 	for i := range c.took {
 		c.took[i] = newTimes()
 	}
@@ -96,6 +106,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.late.RecordValue(int64(max(0, late)))
+	at := c.calm[int(sent/time.Second)]
+	if at == nil {
+		at = &second{}
+		c.calm[int(sent/time.Second)] = at
+	}
+	at.late = max(at.late, late)
 	if err != nil {
 		c.failed[err.Error()]++
 		return
@@ -104,6 +120,7 @@
 	for way, d := range map[int]time.Duration{wayAll: came - sent - (s.ended - s.began), wayIn: s.began - sent, wayOut: came - s.ended} {
 		c.took[way].RecordValue(int64(max(0, d)))
 	}
+	at.added = append(at.added, came-sent-(s.ended-s.began))
 	kept := inKept
 	if s.nth == 1 {
 		kept = inMade
@@ -190,6 +207,20 @@
 			into[fmt.Sprintf("%s%s_%s_s", prefix, wayNames[way], name)] = seconds(time.Duration(h.ValueAtQuantile(q)))
 		}
 	}
+	calm, quiet := newTimes(), 0
+	for _, s := range c.calm {
+		if s.late > calmLate {
+			continue
+		}
+		quiet++
+		for _, d := range s.added {
+			calm.RecordValue(int64(max(0, d)))
+		}
+	}
+	into[prefix+"calm_share"] = float64(quiet) / float64(max(1, len(c.calm)))
+	if quiet > 0 {
+		into[prefix+"calm_p50_s"], into[prefix+"calm_p99_s"] = seconds(time.Duration(calm.ValueAtQuantile(50))), seconds(time.Duration(calm.ValueAtQuantile(99)))
+	}
 	into[prefix+"requests"] = float64(c.served)
 	into[prefix+"late_p99_s"] = seconds(time.Duration(c.late.ValueAtQuantile(99)))
 	into[prefix+"opened"] = float64(c.opened.Load())
