--- a/internal/lab/scale/pairs_fit.go
+++ b/internal/lab/scale/pairs_fit.go
@@ -13,8 +13,9 @@
 // node works with, its reach, falls as nodes come: 1/n.
 var pairForms = append(slices.Clone(forms[1:3]), form{"1/n", func(n float64) float64 { return 1 / n }})
 
-// counts is how rarely chance alone may make a product look as it does, for it to count.
-const counts = 0.05
+// counts is how rarely chance alone may make a product look as it does, for it to count: in one of twenty tables, each
+// of which is looked at in all pairs of forms.
+const counts = 0.05 / 9
 
 // PairFit is a cost by two sizes: terms of 1, a, b and a*b, each size in its form.
 type PairFit struct {
