--- a/internal/lab/scale/force.go
+++ b/internal/lab/scale/force.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"indigotack/internal/lab/platform"
 	"indigotack/internal/lab/replicas"
 	"indigotack/internal/list/client"
 	"indigotack/internal/pause"
@@ -57,7 +59,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	controls, free, err := governed(dir, nodes, service, f.Parts, !f.Fleet)
+	controls, free, err := governed(dir, nodes, service, f.Parts, platform.Node{Tenants: !f.Fleet})
 	defer free()
 	if err != nil {
 		return nil, err
@@ -76,7 +78,7 @@
 	}
 	begin(func() error { return hollow(running, dir, nodes, n.log) })
 	if !f.Fleet {
-		begin(func() error { return conduct(running, k) })
+		begin(func() error { return holdConduct(running, k, false) })
 	}
 	err = f.play(running, k, controls, free, n, got)
 	if why := context.Cause(running); why != nil {
@@ -184,8 +186,10 @@
 			return err
 		}
 		if s.Image != nil {
-			if e := s.Image.Entries[tenantForm(i).Names[0]]; e != nil && e.Phase == tenant.Serve {
-				times, err := n.await(ctx, "tenants", e.Since, acknowledged)
+			all := s.Image.Sorted()
+			at := slices.IndexFunc(all, func(e *tenant.Entry) bool { return e.Name == tenantForm(i).Names[0] && e.Phase == tenant.Serve })
+			if at >= 0 {
+				times, err := n.await(ctx, "tenants", all[at].Since, acknowledged)
 				if err == nil {
 					to.add(times)
 				}
--- a/internal/lab/scale/pairs_table.go
+++ b/internal/lab/scale/pairs_table.go
@@ -12,6 +12,8 @@
 	var rows [][]string
 	figures := [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
 		{"replica_cores", "cores"}, {"replica_bytes_out_per_s", "bytes/s"}, {"replica_memory_bytes", "bytes"}}
+	ofTenants := [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
+		{"replica_change_cpu_s", "s"}, {"replica_change_bytes_out", "bytes"}, {"replica_memory_bytes", "bytes"}}
 	for _, k := range []struct {
 		what, of, a, b string
 		others         map[string]int
@@ -21,8 +23,8 @@
 		{"pairs", "hollow nodes, all of the list", "nodes", "backends", map[string]int{"part": 0}, figures},
 		{"pairs", "hollow nodes, their parts", "nodes", "backends", map[string]int{"part": 1}, figures},
 		{"pairs-routes", "decisions alone, 2,000 backends, 300 nodes", "services", "routes", nil, [][2]string{{"rest_cores", "cores"}, {"change_s", "s"}, {"memory_bytes", "bytes"}}},
-		{"pairs-tenants", "hollow nodes", "nodes", "tenants", nil, [][2]string{{"rest_cores", "cores"}, {"change_cpu_s", "s"}, {"change_bytes_in", "bytes"}, {"memory_bytes", "bytes"},
-			{"replica_change_cpu_s", "s"}, {"replica_change_bytes_out", "bytes"}, {"replica_memory_bytes", "bytes"}}},
+		{"pairs-tenants", "hollow nodes, the whole catalogue", "nodes", "tenants", nil, ofTenants},
+		{"pairs-demand", "hollow nodes, tenants on demand", "nodes", "tenants", nil, ofTenants},
 	} {
 		for _, m := range []measured{s.before, s.after} {
 			r, has := m.of[k.what]
