Take tenants on demand out of the pairs again: its wait raced with the catalogue's head; state a node's wait for cores

A tenant's record says that it is active before the head that has it is written, so waiting for the head's number there ended one too early, and 30 nodes were waited for in vain. Whole catalogues are waited for by the tenants known, as before. A request's wait of the node's threads for a core is stated beside its processor time.

--- a/internal/lab/scale/force_rig.go
+++ b/internal/lab/scale/force_rig.go
@@ -19,8 +19,8 @@
 	"indigotack/internal/tenant"
 )
 
-// governed writes the files of nodes that follow the policy, and the tenants as like does, and have a view of each other.
-func governed(dir string, nodes int, service string, parts bool, like platform.Node) (controls []string, free func(), err error) {
+// governed writes the files of nodes that follow the policy, and the tenants if told so, and have a view of each other.
+func governed(dir string, nodes int, service string, parts, tenants bool) (controls []string, free func(), err error) {
 	var frees []func()
 	free = func() {
 		for _, f := range frees {
@@ -39,7 +39,7 @@
 		}
 		frees = append(frees, done)
 		c := platform.Node{Name: fmt.Sprint("n", i), Number: i, Nodes: nodes, Zone: zoneOf(i), Listen: "127.0.0.1:1", Control: control, List: []string{service},
-			ListFile: filepath.Join(dir, fmt.Sprint("list", i)), ListPart: parts, PeerListen: peers[i], Peers: peers, Fleet: "scale", Govern: true, Tenants: like.Tenants, OnDemand: like.OnDemand, Seed: uint64(i + 1)}
+			ListFile: filepath.Join(dir, fmt.Sprint("list", i)), ListPart: parts, PeerListen: peers[i], Peers: peers, Fleet: "scale", Govern: true, Tenants: tenants, Seed: uint64(i + 1)}
 		if err := c.Write(configOf(dir, i), drawn, 1); err != nil {
 			return nil, free, err
 		}
@@ -49,13 +49,13 @@
 }
 
 // holdConduct holds the duty of the tenants' conductor until ctx ends, as the operators' command does.
-func holdConduct(ctx context.Context, k *client.Client, hashTree bool) error {
+func holdConduct(ctx context.Context, k *client.Client) error {
 	p, err := duty.Open(duty.Config{Client: k, Process: "scale", TTL: duty.DefaultTTL})
 	if err != nil {
 		return err
 	}
 	err = p.Run(ctx, tenant.Duty, func(ctx context.Context, fenced duty.Fence) error {
-		c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fenced}, Fleet: tenant.Listed{List: k}, Every: conductEvery, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler), HashTree: hashTree}
+		c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fenced}, Fleet: tenant.Listed{List: k}, Every: conductEvery, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler)}
 		return c.Run(ctx)
 	})
 	return errors.Join(err, p.Close(duty.DefaultTTL))
--- a/internal/lab/scale/latency.go
+++ b/internal/lab/scale/latency.go
@@ -155,6 +155,10 @@
 	if err != nil {
 		return err
 	}
+	waited, err := proc.UseOf(p.Pid)
+	if err != nil {
+		return err
+	}
 	start := time.Now()
 	if err := l.send(ctx, c, "", l.Length, listen, f); err != nil {
 		return err
@@ -164,6 +168,10 @@
 	if err != nil {
 		return err
 	}
+	waitedAll, err := proc.UseOf(p.Pid)
+	if err != nil {
+		return err
+	}
 	after, err := statsOf(ctx, control)
 	if err != nil {
 		return err
@@ -172,6 +180,7 @@
 	f["attempts"] = (after["forwards"] - before["forwards"]) / f["requests"]
 	f["made_share"] = float64(c.took[inMade].TotalCount()) / f["requests"]
 	f["node_cores"], f["node_request_cpu_s"] = seconds(work.CPU)/seconds(took), seconds(work.CPU)/f["requests"]
+	f["node_request_wait_s"] = seconds(waitedAll.Stall-waited.Stall) / f["requests"] // for a core that another has
 	f["node_memory_bytes"], f["node_descriptors"], f["known"], f["load"] = ended.RSS, ended.FDs, after["discovered"], load()
 	return nil
 }
