End the measurement's conductor also when its service has ended first

A duty is given up at the service; without that Run waits on, so a play that was ended with its processes never was. Closing the process, which has a bound, ends it: a play ended so after 7 s is over after 11 s, where it stood for 4 minutes.

--- a/internal/lab/scale/force_rig.go
+++ b/internal/lab/scale/force_rig.go
@@ -54,11 +54,21 @@
 	if err != nil {
 		return err
 	}
-	err = p.Run(ctx, tenant.Duty, func(ctx context.Context, fenced duty.Fence) error {
-		c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fenced}, Fleet: tenant.Listed{List: k}, Every: conductEvery, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler)}
-		return c.Run(ctx)
-	})
-	return errors.Join(err, p.Close(duty.DefaultTTL))
+	ended := make(chan error, 1)
+	go func() {
+		ended <- p.Run(ctx, tenant.Duty, func(ctx context.Context, fenced duty.Fence) error {
+			c := tenant.Conductor{Store: &tenant.Records{List: k, Fence: fenced}, Fleet: tenant.Listed{List: k}, Every: conductEvery, Times: tenant.DefaultTimes(), Log: slog.New(slog.DiscardHandler)}
+			return c.Run(ctx)
+		})
+	}()
+	select {
+	case err = <-ended:
+		return errors.Join(err, p.Close(duty.DefaultTTL))
+	case <-ctx.Done(): // without the service the duty is not given up: then closing ends it
+		err = p.Close(duty.DefaultTTL)
+		<-ended
+		return errors.Join(ctx.Err(), err)
+	}
 }
 
 // bursts changes the list until ctx ends, several servers at once at drawn times.
