--- a/internal/lab/scale/constants.go
+++ b/internal/lab/scale/constants.go
@@ -14,6 +14,7 @@
 const (
 	platformList = 4 << 20 // maxPlatform of internal/list/client
 	viewMembers  = 4096    // Most of internal/fleet, where a configuration says nothing
+	enrolled     = 2000    // enrolMost of internal/tenant
 )
 
 // Constants records what the program of this commit refuses beyond.
@@ -31,7 +32,8 @@
 		}
 		p := Point{Sizes: map[string]int{}, Figures: map[string]Spread{}}
 		for name, n := range map[string]float64{"entries": list.MaxEntries, "records": list.MaxRecords, "sessions": list.MaxSessions,
-			"held_calls": float64(server.Default().MaxWatchers), "tenants": tenant.MaxTenants, "enrolled": list.MaxSessions, // as many, by internal/tenant
+			"held_calls": float64(server.Default().MaxWatchers), "tenants": tenant.MaxTenants, "enrolled": enrolled,
+
 			"seats": quota.MostNodes, "members": viewMembers, "policy_bytes": list.MaxRecord, // as many, by internal/policy
 			"platform_list_bytes": platformList, "entry_bytes": float64(len(two) - len(one))} {
 			p.Figures[name] = Spread{n, n, n}
--- a/internal/list/duties.go
+++ b/internal/list/duties.go
@@ -10,7 +10,7 @@
 
 // Bounds on duties.
 const (
-	MaxSessions   = 2000
+	MaxSessions   = 1 << 13 // as each of 4,300 nodes may have one, with room for those that start anew
 	MaxDuties     = 10000
 	MaxCandidates = 256  // in the queue of one duty
 	MaxBatch      = 1000 // duties of one command
--- a/internal/list/size_bench_test.go
+++ b/internal/list/size_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 func fullState(n int) *State {
@@ -57,3 +58,27 @@
 		})
 	}
 }
+
+// BenchmarkLook is the leader's look at all leases, ten times a second, and what the renewals of the time between cost it.
+func BenchmarkLook(b *testing.B) {
+	for _, n := range []int{4300, MaxEntries} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := fullState(n)
+			const ttl, looks = 10 * time.Second, 33 // between two renewals of one
+			items, now := s.Items(), time.Duration(0)
+			for i := range items {
+				items[i].TTL = ttl
+			}
+			l := NewLeases(items, now)
+			for i := range b.N {
+				now += 100 * time.Millisecond
+				for k := i % looks; k < n; k += looks {
+					l.Renew(items[k].Entry.Name, now)
+				}
+				if due, kept := l.Due(now); len(due)+kept > 0 {
+					b.Fatal(len(due), kept)
+				}
+			}
+		})
+	}
+}
