State the raised constants, and the bytes of records as the wall that stays

Need: the page had walls that are gone (records 1,000, sessions 2,000), and no row for the bytes of all records, which are met first now.

--- a/internal/lab/scale/constants.go
+++ b/internal/lab/scale/constants.go
@@ -31,7 +31,7 @@
 			return nil, err
 		}
 		p := Point{Sizes: map[string]int{}, Figures: map[string]Spread{}}
-		for name, n := range map[string]float64{"entries": list.MaxEntries, "records": list.MaxRecords, "sessions": list.MaxSessions,
+		for name, n := range map[string]float64{"entries": list.MaxEntries, "records": list.MaxRecords, "record_bytes": list.MaxRecordBytes, "sessions": list.MaxSessions,
 			"held_calls": float64(server.Default().MaxWatchers), "tenants": tenant.MaxTenants, "enrolled": enrolled,
 
 			"seats": quota.MostNodes, "members": viewMembers, "policy_bytes": list.MaxRecord, // as many, by internal/policy
--- a/internal/lab/scale/other_lines.go
+++ b/internal/lab/scale/other_lines.go
@@ -20,6 +20,10 @@
 				v, on, err := m.at("tenants", "tenants", "change_s", p.Plan.Tenants, nil)
 				return v * p.Assumed.Peak * p.Plan.Changes / day, on, err
 			}},
+		{Role: "list replica", What: "bytes of records, the catalogue's pages alone", Unit: "bytes", Command: "tenants", Mechanism: "a backup comes back in one command of the log",
+			Next: "writes are refused as full", limit: "record_bytes", cost: func(m measured, p Plan) (float64, grounds, error) {
+				return m.at("tenants", "tenants", "catalogue_bytes", p.Plan.Tenants, nil)
+			}},
 		constant("tenants' conductor", "tenants", "tenants", "tenants", func(p Plan) float64 { return p.Plan.Tenants }, "one machine, one book", "orders are refused"),
 		constant("tenants' conductor", "members enrolled", "nodes", "enrolled", func(p Plan) float64 { return p.Plan.Nodes }, "a barrier over all nodes", "nodes beyond are not enrolled"),
 		constant("holder of shares", "nodes with seats", "nodes", "seats", func(p Plan) float64 { return p.Plan.Nodes }, "a seat for each node and limit", "nodes beyond go by safe shares"),
