Set nodes that read tenants on demand beside those with the whole catalogue on the page

Need: the page took the whole catalogue's figures for after, too. Change: the three lines of a node's desk read the record of tenants-demand for after, its slopes are listed, and the conductor's limit is that of the hash tree (200,000).

--- a/internal/lab/scale/constants.go
+++ b/internal/lab/scale/constants.go
@@ -32,8 +32,7 @@
 		}
 		p := Point{Sizes: map[string]int{}, Figures: map[string]Spread{}}
 		for name, n := range map[string]float64{"entries": list.MaxEntries, "records": list.MaxRecords, "record_bytes": list.MaxRecordBytes, "sessions": list.MaxSessions,
-			"held_calls": float64(server.Default().MaxWatchers), "tenants": tenant.MaxTenants, "enrolled": enrolled,
-
+			"held_calls": float64(server.Default().MaxWatchers), "tenants": tenant.MaxTreeTenants, "enrolled": enrolled,
 			"seats": quota.MostNodes, "members": viewMembers, "policy_bytes": list.MaxRecord, // as many, by internal/policy
 			"platform_list_bytes": platformList, "entry_bytes": float64(len(two) - len(one))} {
 			p.Figures[name] = Spread{n, n, n}
--- a/internal/lab/scale/other_lines.go
+++ b/internal/lab/scale/other_lines.go
@@ -1,23 +1,31 @@
 package scale
 
+// ofTenants is a figure of a node's desk: of one that reads tenants on demand, where that was played.
+func (m measured) ofTenants(whole, onDemand string, tenants float64) (float64, grounds, error) {
+	if _, played := m.of["tenants-demand"]; played {
+		return m.at("tenants-demand", "tenants", onDemand, tenants, nil)
+	}
+	return m.at("tenants", "tenants", whole, tenants, nil)
+}
+
 func otherLines() []Line {
 	desk := "node's desk of tenants"
 	return []Line{
-		{Role: desk, What: "memory", Unit: "bytes", Command: "tenants", Mechanism: "the whole catalogue, compiled", Next: "every node holds every tenant",
+		{Role: desk, What: "memory", Unit: "bytes", Command: "tenants", Mechanism: "the whole catalogue, compiled; after, what its requests name of a hash tree", Next: "bounds of what is held",
 			budget: func(p Plan) float64 { return p.Plan.NodeMemory },
 			cost: func(m measured, p Plan) (float64, grounds, error) {
-				return m.at("tenants", "tenants", "memory_bytes", p.Plan.Tenants, nil)
+				return m.ofTenants("memory_bytes", "memory_bytes", p.Plan.Tenants)
 			}},
-		{Role: desk, What: "whole catalogue, at its bytes a second", Unit: "s", Command: "tenants", Mechanism: "pages by digest, one head", Next: "a node that starts reads all pages",
+		{Role: desk, What: "catalogue at a start, at its bytes a second", Unit: "s", Command: "tenants", Mechanism: "all pages by digest; after, the head, and leaves on demand", Next: "leaves read on demand are paced at 4 a second",
 			budget: func(p Plan) float64 { return p.Assumed.Start },
 			cost: func(m measured, p Plan) (float64, grounds, error) {
-				v, on, err := m.at("tenants", "tenants", "catalogue_bytes", p.Plan.Tenants, nil)
+				v, on, err := m.ofTenants("catalogue_bytes", "start_bytes", p.Plan.Tenants)
 				return v / p.Plan.NodeBytes, on, err
 			}},
-		{Role: desk, What: "processor for changes of tenants at the peak", Unit: "cores", Command: "tenants", Mechanism: "the catalogue is compiled whole at each change",
+		{Role: desk, What: "processor for changes of tenants at the peak", Unit: "cores", Command: "tenants", Mechanism: "the catalogue is compiled whole at each change; after, the parts that differ",
 			Next: "17,000 changes a day, were all of them tenants'", budget: func(p Plan) float64 { return p.Plan.NodeCores },
 			cost: func(m measured, p Plan) (float64, grounds, error) {
-				v, on, err := m.at("tenants", "tenants", "change_s", p.Plan.Tenants, nil)
+				v, on, err := m.ofTenants("change_s", "change_s", p.Plan.Tenants)
 				return v * p.Assumed.Peak * p.Plan.Changes / day, on, err
 			}},
 		{Role: "list replica", What: "bytes of records, the catalogue's pages alone", Unit: "bytes", Command: "tenants", Mechanism: "a backup comes back in one command of the log",
--- a/internal/lab/scale/tables.go
+++ b/internal/lab/scale/tables.go
@@ -117,6 +117,7 @@
 		{"apart", "members", nil, []string{"heal_s"}},
 		{"holders", "nodes", nil, []string{"holder_cores", "holder_peak_cores", "holder_bytes_in", "holder_bytes_out"}},
 		{"tenants", "tenants", nil, []string{"catalogue_bytes", "change_s", "memory_bytes"}},
+		{"tenants-demand", "tenants", nil, []string{"start_bytes", "change_bytes", "change_s", "memory_bytes", "conductor_order_s"}},
 		{"policy", "books", nil, []string{"text_bytes", "compile_s", "memory_bytes"}},
 	} {
 		for _, figure := range k.figures {
