--- a/internal/lab/scale/pairs_fit_test.go
+++ b/internal/lab/scale/pairs_fit_test.go
@@ -19,18 +19,20 @@
 		"a share of each node":        {func(a, b float64) float64 { return 5 + 40*b/a }, true, "1/n", "n"},
 		"a product of a log and of n": {func(a, b float64) float64 { return 5 + math.Log(a)*b }, true, "log n", "n"},
 	} {
-		var as, bs, ys []float64
-		for i, a := range []float64{10, 30, 100} {
-			for j, b := range []float64{200, 2000, 10000} {
-				as, bs, ys = append(as, a), append(bs, b), append(ys, c.of(a, b)*(1+0.01*math.Sin(float64(7*i+3*j))))
+		for noise := range 10 {
+			var as, bs, ys []float64
+			for i, a := range []float64{10, 30, 100} {
+				for j, b := range []float64{200, 2000, 10000} {
+					as, bs, ys = append(as, a), append(bs, b), append(ys, c.of(a, b)*(1+0.01*math.Sin(float64(7*i+3*j+noise))))
+				}
+			}
+			f, err := fitPair(as, bs, ys)
+			if err != nil || f.Product() != c.product || f.Residual > 0.03 || c.a != "" && f.A != c.a || f.B != c.b {
+				t.Errorf("%s: %+v, %v", name, f, err)
+			}
+			if got, want := f.Cost(200, 20000), c.of(200, 20000); math.Abs(got/want-1) > 0.1 {
+				t.Errorf("%s: %v at twice the sizes, want %v", name, got, want)
 			}
-		}
-		f, err := fitPair(as, bs, ys)
-		if err != nil || f.Product() != c.product || f.Residual > 0.03 || c.a != "" && f.A != c.a || f.B != c.b {
-			t.Errorf("%s: %+v, %v", name, f, err)
-		}
-		if got, want := f.Cost(200, 20000), c.of(200, 20000); math.Abs(got/want-1) > 0.1 {
-			t.Errorf("%s: %v at twice the sizes, want %v", name, got, want)
 		}
 	}
 	nine := make([]float64, 9)
