--- a/internal/tenant/machine.go
+++ b/internal/tenant/machine.go
@@ -25,7 +25,7 @@
 const (
 	cutSlack   = time.Second      // beyond late: a node looks at its drains within it
 	clockEvery = 10 * time.Second // the book's clock is written so often while a tombstone waits for it
-	enrolMost  = 2000             // members; as many as the list service has sessions
+	enrolMost  = 2000             // members, each with a session of the list service
 	mostAhead  = 1 << 32          // a node that says to be further ahead of the catalogue is not believed
 )
 
