--- a/review/harness/kit/kit.go
+++ b/review/harness/kit/kit.go
@@ -255,6 +255,9 @@
 	changes map[int]Entry
 	changed chan struct{}
 	silent  bool
+	delay   time.Duration        // of every answer
+	open    int                  // calls in progress
+	gaveUp  time.Time            // when a caller last gave up a call
 	told    map[string]time.Time // when the status of a name was first written to a caller, by name and status
 }
 
@@ -274,6 +277,17 @@
 	from, hold := 0, 0
 	_, _ = fmt.Sscan(r.URL.Query().Get("from"), &from)
 	_, _ = fmt.Sscan(r.URL.Query().Get("hold_ms"), &hold)
+	d.mu.Lock()
+	d.open++
+	delay := d.delay
+	d.c.Log("discovery %s: call %s", d.Address, r.URL.RawQuery)
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.open--
+	}()
+	time.Sleep(delay)
 	end := time.NewTimer(time.Duration(hold) * time.Millisecond)
 	defer end.Stop()
 	expired := false
@@ -315,11 +329,28 @@
 		case <-end.C:
 			expired = true
 		case <-r.Context().Done():
+			d.mu.Lock()
+			d.gaveUp = time.Now()
+			d.mu.Unlock()
 			return
 		}
 	}
 }
 
+// Slow makes every answer come later.
+func (d *Discovery) Slow(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delay = delay
+}
+
+// Unasked reports whether no call has been open for a while, since the last one was given up.
+func (d *Discovery) Unasked(while time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open == 0 && !d.gaveUp.IsZero() && time.Since(d.gaveUp) > while
+}
+
 // Set changes an entry of the list.
 func (d *Discovery) Set(e Entry) {
 	d.mu.Lock()
