--- a/internal/registry/server/replica.go
+++ b/internal/registry/server/replica.go
@@ -96,7 +96,7 @@
 		return fmt.Errorf("raft: %w", err)
 	}
 	// MaxRPCsInFlight is 1 because with more raft uses a pipeline, which hangs for good if the peer closes the
-	// connection while the pipeline is full (docs/findings/raft-pipeline.md).
+	// connection while the pipeline is full (docs/incidents/raft-pipeline.md).
 	t, err := raft.NewTCPTransportWithConfig(
 		c.Raft,
 		own,
