Count a request's deadline from the arrival of its last byte, also while it waits for memory

Cause: readStart waited for memory for up to 5 s, whatever the request's time, and the deadline was counted from the end of the read, so that it left out whatever had kept the proxy from reading. Evidence: with the wait bounded alone TestDeadlineIncludesTheWaitForMemory still fails (the deadline comes 390 ms late after a wait of 400 ms), and so does TestPipelinedRequestDeadlineRunsFromItsArrival, whose second request waits behind the first.

Change: the listener tells when the last byte of the current request reached this machine, read or not (arrival.go): by the count of unread bytes for a stated length, by the wait of the oldest unread byte for chunks, by the time of the read for pipelined requests. The deadline runs from then on. A wait for memory ends at half of the request's time. Long bodies, which keep their places for as long as their clients send, may take three quarters of the places, so that shorter ones are served beside them. bodyreader.go and serverequest.go are split off from upload.go and frontend.go.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"wrenspread/balancer"
 	"wrenspread/internal/besteffort"
 	"wrenspread/internal/proxy/listener"
 )
@@ -32,6 +31,7 @@
 	maxConnections   int // open client connections at a time
 	rules            atomic.Pointer[requestRules]
 	memory           memoryBudget // for request bodies over maxSmallBody
+	longMemory       memoryBudget // the part of memory that bodies over maxBufferedBody may take
 	waitForLateConns func()       // waits after SIGTERM, while new connections are still accepted
 	ready            atomic.Bool
 	draining         atomic.Bool
@@ -90,9 +90,7 @@
 		f.rejectRequest(w, r, err)
 		return
 	}
-	if req.releaseMemory != nil {
-		defer req.releaseMemory()
-	}
+	defer req.releaseMemory()
 	outstanding := &f.server.stats.outstanding
 	if up := req.outbound.upload; up != nil {
 		// It can't fail: HTTP/1 always supports it. A response may precede the end of the body.
@@ -147,86 +145,3 @@
 	clientListener := f.clientListener.Load()
 	return f.serving() && clientListener != nil && !clientListener.Full()
 }
-
-// requestResult describes how a request ended: its outcome, whether its client has a complete response to
-// read, and whether the response was truncated.
-type requestResult struct {
-	outcome             requestOutcome
-	answered, truncated bool
-}
-
-// handleRequest hands a request to the loop, writes its response and returns how it ended.
-func (f *frontend) handleRequest(
-	w http.ResponseWriter,
-	r *http.Request,
-	req *request,
-	event balancer.RequestArrived,
-) requestResult {
-	var uploadEnded <-chan struct{} // closed when reading the upload has ended, with or without an error
-	// While a body is still to come, the HTTP server does not detect that the client has left.
-	var clientChecks <-chan time.Time // when to check whether the client has left
-	if req.outbound.upload != nil {
-		uploadEnded = req.outbound.upload.readingEnded
-		ticker := time.NewTicker(clientGoneLimit / 2)
-		defer ticker.Stop()
-		clientChecks = ticker.C
-	}
-	f.server.post(func() { f.server.openRequest(req, event) })
-	for {
-		select {
-		case <-uploadEnded:
-			if uploadEnded = nil; req.outbound.upload.err == nil {
-				continue
-			}
-			f.server.post(func() { f.server.abandonRequest(req) })
-			f.askToClose(w, r)
-			http.Error(w, "the body is not whole", http.StatusBadRequest)
-			return requestResult{outcome: outcomeAborted}
-		default:
-		}
-		select {
-		case <-uploadEnded:
-			continue // the select above handles it
-		case resp := <-req.response:
-			f.askToClose(w, r)
-			return f.writeResponse(w, req, resp)
-		case <-clientChecks:
-			if !req.abandoned() {
-				continue
-			}
-			f.abandon(w, req)
-		case <-r.Context().Done():
-			f.abandon(w, req)
-		case <-f.server.ended:
-			http.Error(w, "the node has ended", http.StatusBadGateway)
-		}
-		return requestResult{outcome: outcomeAborted}
-	}
-}
-
-// abandon ends a request whose client has left, or has ended its sending side only and can still read.
-// Without an explicit response the HTTP server would send status 200, which no backend has sent.
-func (f *frontend) abandon(w http.ResponseWriter, req *request) {
-	f.server.post(func() { f.server.abandonRequest(req) })
-	writeComplete(w, response{status: http.StatusBadGateway})
-}
-
-// writeResponse writes a response to its client.
-func (f *frontend) writeResponse(w http.ResponseWriter, req *request, resp response) requestResult {
-	if up := req.outbound.upload; up != nil {
-		if besteffort.Close(up.pipe); up.completedAt.Load() == 0 {
-			w.Header().Set("Connection", "close") // the rest of the upload is not read
-		}
-	}
-	if resp.stream == nil {
-		return requestResult{outcome: writeComplete(w, resp), answered: true}
-	}
-	writeHeader(w, resp, resp.stream.length)
-	err := resp.stream.writeTo(w, req.deadline)
-	resp.stream.ended <- err
-	if err != nil {
-		f.server.log.Info("streamed response failed", "id", req.id, "err", err)
-		return requestResult{outcome: outcomeAborted, truncated: true}
-	}
-	return requestResult{outcome: outcomeSucceeded, answered: true}
-}
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -39,6 +39,7 @@
 	inFlight       bool   // the HTTP server has a complete request and has not finished serving it
 	hasReceived    bool   // some bytes of the client have been passed to the HTTP server
 	pipelined      []byte // bytes received behind the end of the current request
+	arrival        arrivalTracker
 }
 
 // Read withholds the bytes behind a head of ambiguous length. It returns no bytes beyond the end of a
@@ -48,6 +49,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	background := c.isBackgroundRead(p)
+	if background && c.framing.chunked {
+		c.arrival.endChunked()
+	}
 	for buf := p; ; {
 		switch {
 		case c.framing.err != nil:
@@ -55,8 +59,9 @@
 		case c.readError != nil:
 			return 0, c.readError // also with pipelined bytes: a client that has left gets no more responses
 		case len(c.pipelined) > 0 && !background:
-			n, err := c.followFraming(p[:copy(p, c.pipelined)])
+			n, err := c.followFraming(p[:copy(p, c.pipelined)], c.arrival.lastPipelined)
 			c.pipelined = c.pipelined[n:]
+			c.arrival.removePipelined(n)
 			return n, err
 		case len(c.pipelined) >= MaxHead:
 			return 0, c.waitForClientEnd()
@@ -66,10 +71,12 @@
 			return 0, err
 		}
 		if !background {
-			passed, err := c.followFraming(p[:n])
+			passed, err := c.followFraming(p[:n], func(int) time.Time { return c.arrival.receivedAt })
 			c.pipelined = append([]byte(nil), p[passed:n]...)
+			c.arrival.appendPipelined(n-passed, c.arrival.receivedAt)
 			return passed, err
 		}
+		c.arrival.appendPipelined(n, c.arrival.receivedAt)
 		if c.pipelined = append(c.pipelined, buf[:n]...); len(buf) < pipelinedReadSize {
 			buf = make([]byte, pipelinedReadSize)
 		}
@@ -84,9 +91,11 @@
 
 // receive reads what the client has sent. It returns io.EOF if the proxy has closed the connection meanwhile.
 func (c *Conn) receive(p []byte) (int, error) {
+	c.arrival.reading = true
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
+	c.arrival.receive(n)
 	if n == 0 && err != nil {
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.readError = err
@@ -101,8 +110,12 @@
 }
 
 // followFraming tracks the framing of the bytes that are to be passed to the HTTP server, and returns how
-// many of them may be passed. At the first byte of a later request it starts HeadTimeout.
-func (c *Conn) followFraming(p []byte) (int, error) {
+// many of them may be passed. arrivedAt tells when the last of the first n bytes came. At the first byte of a
+// later request followFraming starts HeadTimeout.
+func (c *Conn) followFraming(p []byte, arrivedAt func(n int) time.Time) (int, error) {
+	if c.framing.isBetweenRequests() {
+		c.arrival.begin()
+	}
 	if c.framing.isBetweenRequests() && c.hasReceived {
 		now := time.Now()
 		c.startedAt.Store(now.UnixNano())
@@ -115,6 +128,9 @@
 	if n == 0 && c.framing.err != nil {
 		return 0, c.framing.err
 	}
+	if c.framing.requestEnded {
+		c.arrival.completeAt = arrivedAt(n)
+	}
 	c.inFlight, c.framing.requestEnded = c.inFlight || c.framing.requestEnded, false
 	return n, nil
 }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -37,7 +37,7 @@
 	tenant        string
 	stream        *responseStream // the response that is being streamed; nil if there is none
 	parked        bool            // it waits, or has waited, for its tenant's leaf of the catalogue
-	releaseMemory func()          // returns the memory reserved for its body; may be nil
+	releaseMemory func()          // returns the memory reserved for its body
 	client        *listener.Conn  // nil if not known
 	clientGone    <-chan struct{} // closed when the HTTP server has detected that the client left
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -127,6 +127,7 @@
 	srv.pool.memory = newMemoryBudget(config.MemoryMB)
 	srv.frontend = newFrontend(srv, maxClients)
 	srv.frontend.memory = newMemoryBudget(config.MemoryMB)
+	srv.frontend.longMemory = srv.frontend.memory.share(longBodyShare)
 	srv.identity = newIdentity(config, maxClients)
 	return srv
 }
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -10,73 +10,8 @@
 	"time"
 
 	"wrenspread/internal/besteffort"
-	"wrenspread/internal/proxy/listener"
 )
 
-const (
-	bodyStartGrace = 400 * time.Millisecond // for a body to begin, if the head took all of its time
-	minBodyRate    = 32 << 10               // bytes per second: half of the rate of the slowest client
-)
-
-// bodyReader reads a request's body and enforces its rate: the body must come at minBodyRate or faster, but
-// has at least readTimeout from the first byte of the request. The time in which the proxy does not read is
-// excluded.
-type bodyReader struct {
-	body       io.Reader
-	stopped    atomic.Bool
-	control    *http.ResponseController
-	startedAt  time.Time // when the first byte of the request came
-	headEnd    time.Time // when its head ended, plus the time since then in which the proxy did not read
-	lastReadAt time.Time // when the last read returned
-	received   int64     // bytes of the body
-}
-
-func newBodyReader(w http.ResponseWriter, r *http.Request) *bodyReader {
-	now := time.Now()
-	b := &bodyReader{
-		body:       r.Body,
-		control:    http.NewResponseController(w),
-		startedAt:  now,
-		headEnd:    now,
-		lastReadAt: now,
-	}
-	if c, ok := r.Context().Value(connKey{}).(*listener.Conn); ok {
-		b.startedAt = c.StartedAt()
-	}
-	return b
-}
-
-// progressDeadline returns the time by which the next part of the body must have come.
-func (b *bodyReader) progressDeadline() time.Time {
-	deadline := b.headEnd.Add(bodyStartGrace + time.Duration(b.received)*time.Second/minBodyRate)
-	if earliest := b.startedAt.Add(readTimeout); deadline.Before(earliest) {
-		return earliest
-	}
-	return deadline
-}
-
-// Read reads the next part of the body, until progressDeadline.
-func (b *bodyReader) Read(p []byte) (int, error) {
-	b.headEnd = b.headEnd.Add(time.Since(b.lastReadAt))
-	besteffort.SocketOption(b.control.SetReadDeadline(b.progressDeadline()))
-	if b.stopped.Load() {
-		besteffort.SocketOption(b.control.SetReadDeadline(time.Unix(1, 0)))
-	}
-	n, err := b.body.Read(p)
-	b.received += int64(n)
-	b.lastReadAt = time.Now()
-	if err == io.EOF { // the HTTP server reads on, to detect that the client leaves
-		besteffort.SocketOption(b.control.SetReadDeadline(time.Time{}))
-	}
-	return n, err
-}
-
-// stop ends a read in progress and all later ones.
-func (b *bodyReader) stop() {
-	b.stopped.Store(true)
-	besteffort.SocketOption(b.control.SetReadDeadline(time.Unix(1, 0)))
-}
-
 // upload is the remainder of a body that is too long to be buffered. It is passed from the client to a
 // backend as fast as the backend reads it.
 type upload struct {
@@ -90,7 +25,7 @@
 	readingEnded    chan struct{} // closed when nothing more is read from the client
 	err             error         // why reading from the client failed; valid once readingEnded is closed
 	onComplete      func(wait time.Duration)
-	responseTimeout time.Duration // from the last byte on
+	responseTimeout time.Duration // from the arrival of the last byte on
 
 	mu                   sync.Mutex
 	countedAsOutstanding bool // countStart has counted the request
@@ -188,35 +123,8 @@
 	}
 }
 
-// errTooLong means that a body has more than maxStreamedBody bytes.
-var errTooLong = errors.New("body exceeds the size limit")
-
-// readStart reads a body to its end, or up to maxBufferedBody bytes; hasMore reports that the body is longer
-// and has to be streamed.
-func readStart(
-	ctx context.Context,
-	body io.Reader,
-	reserveMemory func(context.Context) error,
-) (start []byte, hasMore bool, err error) {
-	if start, err = io.ReadAll(io.LimitReader(body, maxSmallBody+1)); err != nil || len(start) <= maxSmallBody {
-		return start, false, err
-	}
-	if err = reserveMemory(ctx); err != nil {
-		return nil, false, err
-	}
-	more, err := io.ReadAll(io.LimitReader(body, maxBufferedBody-maxSmallBody))
-	start = append(start, more...)
-	return start, len(start) > maxBufferedBody, err
-}
-
-const (
-	maxSmallBody  = 16 << 10                        // bytes; a larger body needs a place in the memory budget
-	messageMemory = maxBufferedBody + 2*copyBufSize // bytes that one larger message takes at most
-	memoryWait    = 5 * time.Second                 // for a place in the memory budget
-)
-
 // startUpload starts to read the remainder of a body of which start bytes have been read. wait is the time
-// for the response, from the last byte on.
+// for the response, from the arrival of the last byte on.
 func startUpload(r *http.Request, body *bodyReader, start int, wait time.Duration) *upload {
 	read, write := io.Pipe()
 	u := &upload{
--- a/internal/proxy/validate.go
+++ b/internal/proxy/validate.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"wrenspread/balancer"
-	"wrenspread/internal/proxy/listener"
 )
 
 const (
@@ -60,23 +59,27 @@
 	}
 	event.WorkHint, event.HasWorkHint = workHint(r)
 
-	body, err := f.readBody(w, r)
+	body, err := f.readBody(w, r, timeout)
 	if err != nil {
 		return nil, event, err
 	}
-	timeout = f.remainingTime(timeout - answerMargin)
-	deadline := time.Now().Add(timeout) // the client waits from now on, as the last byte has come
+	client := connOf(r)
+	timeout -= answerMargin
+	if !body.isLong {
+		timeout -= time.Since(lastByteAt(client))
+	}
+	timeout = f.remainingTime(timeout)
+	deadline := time.Now().Add(timeout) // of a long body: if its last byte came now
 	f.updateLatestDeadline(deadline)
 	out := newOutbound(r, body.start)
 	if body.isLong {
 		out.upload = startUpload(r, body.reader, len(body.start), timeout)
 	}
-	client, _ := r.Context().Value(connKey{}).(*listener.Conn)
 	return &request{
 		id:             id,
 		settingsNumber: rules.settingsNumberFor(previous),
 		deadline:       deadline,
-		releaseMemory:  body.releaseMemory,
+		releaseMemory:  body.memory.release,
 		class:          event.Class,
 		response:       make(chan response, 1),
 		client:         client,
@@ -116,14 +119,19 @@
 
 // requestBody is a request's body, or the beginning of a long one.
 type requestBody struct {
-	start         []byte
-	isLong        bool
-	reader        *bodyReader // of the remainder of a long body
-	releaseMemory func()      // may be nil
+	start  []byte
+	isLong bool
+	reader *bodyReader // of the remainder of a long body
+	memory *bodyMemory
 }
 
-// readBody reads a request's body, or the beginning of a long one. An error is a *requestError.
-func (f *frontend) readBody(w http.ResponseWriter, r *http.Request) (requestBody, error) {
+// readBody reads a request's body, or the beginning of a long one. timeout is the time in which the client
+// wants its response. An error is a *requestError.
+func (f *frontend) readBody(
+	w http.ResponseWriter,
+	r *http.Request,
+	timeout time.Duration,
+) (requestBody, error) {
 	if r.ContentLength > maxStreamedBody {
 		return requestBody{}, rejectUnread(
 			w,
@@ -132,19 +140,17 @@
 			maxStreamedBody,
 		)
 	}
-	var body requestBody
+	body := requestBody{memory: &bodyMemory{budget: f.memory, longBudget: f.longMemory}}
 	if r.Body == http.NoBody {
 		return body, nil
 	}
 	var err error
 	body.reader = newBodyReader(w, r)
-	body.start, body.isLong, err = readStart(r.Context(), body.reader, f.memory.reserveOnce(&body.releaseMemory))
+	body.start, body.isLong, err = body.reader.readStart(r.Context(), r.ContentLength, timeout, body.memory)
 	if err == nil {
 		return body, nil
 	}
-	if body.releaseMemory != nil {
-		body.releaseMemory()
-	}
+	body.memory.release()
 	switch {
 	case errors.Is(err, errNoMemory):
 		return requestBody{}, rejectUnread(w, http.StatusServiceUnavailable, "%w", err)
--- a/internal/socketoption/socketoption.go
+++ b/internal/socketoption/socketoption.go
@@ -42,6 +42,19 @@
 	return err == nil && available > 0
 }
 
+// Unread returns how many bytes have come on a connection that have not been read. known is false if the
+// system does not tell.
+func Unread(socket any) (bytes int64, known bool) {
+	raw := rawConn(socket)
+	if raw == nil {
+		return 0, false
+	}
+	unread := 0
+	var err error
+	controlErr := raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return int64(unread), err == nil && controlErr == nil
+}
+
 // rawConn returns access to the socket's descriptor, or nil if socket is not an open socket.
 func rawConn(socket any) syscall.RawConn {
 	conn, ok := socket.(syscall.Conn)
