Start an upload's deadline when its last byte has come, not when a backend has taken it

Cause: the deadline of a body over 64 KiB began with its last byte written to a backend. While the backend took no bytes, the end of the body lay in the client connection's receive buffer, the guard was a placeholder of an hour, and only the stall limit of 20 s ended the attempt. Evidence: with the check of arrivals taken out, an upload of which every byte is acknowledged, at a backend that reads nothing, is answered 19.45 s after its deadline, chunked or not.

Change: while an upload is open, its handler asks the listener every 50 ms whether the last byte has come. If so, the deadline runs, in the proxy (guard, time told to a further attempt, time for the response) and in the balancer by the new event RequestReceived; RequestSent starts only the endpoint's work. A chunked body has no known end, so there no unread byte may wait for longer than the request's time: an upload at that pace would be late in any case.

TestUploadIsAnsweredInTimeWhileItsBackendTakesNoBytes fails without the check (19.45 s), TestReceivedRequestHasItsDeadlineBeforeItIsSent needs the new event.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -22,13 +22,20 @@
 	HasWorkHint      bool
 	ClientRetry      bool // the client marks the request as a retry
 	PreviousSettings bool // its class is that of the previous settings
-	// The last byte of the request has not arrived yet. Timeout counts only from RequestSent on.
+	// The last byte of the request has not arrived yet. Timeout counts only from RequestReceived on.
 	Incomplete bool
 	Write      bool
 }
 
-// RequestSent reports that the last byte of an incomplete request has been sent in its attempt. The time of
-// the request runs from this event on.
+// RequestReceived reports that the last byte of an incomplete request has arrived. Its time runs from then
+// on, though its attempt may still be sending it.
+type RequestReceived struct {
+	ID      RequestID
+	Timeout time.Duration // that is left
+}
+
+// RequestSent reports that the last byte of an incomplete request has been sent in its attempt. If it was not
+// reported as received before, its time runs from this event on.
 type RequestSent struct {
 	ID      RequestID
 	Timeout time.Duration
@@ -115,6 +122,7 @@
 type TimerFired struct{ Token int64 }
 
 func (RequestArrived) event()     {}
+func (RequestReceived) event()    {}
 func (RequestSent) event()        {}
 func (RequestAbandoned) event()   {}
 func (AttemptEnded) event()       {}
--- a/balancer/handle.go
+++ b/balancer/handle.go
@@ -15,6 +15,8 @@
 	switch event := event.(type) {
 	case RequestArrived:
 		b.requestArrived(event)
+	case RequestReceived:
+		b.requestReceived(b.requests[event.ID], event.Timeout)
 	case RequestSent:
 		b.requestSent(b.requests[event.ID], event.Timeout)
 	case RequestAbandoned:
--- a/balancer/incomplete_test.go
+++ b/balancer/incomplete_test.go
@@ -38,6 +38,31 @@
 	}
 }
 
+// TestReceivedRequestHasItsDeadlineBeforeItIsSent guards against requests that wait without a deadline while
+// their endpoint takes no bytes. Until it is sent, the endpoint has no work.
+func TestReceivedRequestHasItsDeadlineBeforeItIsSent(t *testing.T) {
+	for _, isSent := range []bool{false, true} {
+		proxy := newLearnedProxy(t)
+		at := startRequest(t, proxy, RequestArrived{ID: "q", Class: "a", Timeout: time.Second, Incomplete: true})
+		ep := proxy.endpoints[at]
+		proxy.Handle(proxy.now+10*time.Second, RequestReceived{ID: "q", Timeout: time.Second})
+		if ep.inFlight != 0 || ep.unansweredSends != 0 {
+			t.Errorf("once the request has come: %+v", ep)
+		}
+		proxy.Handle(proxy.now+500*time.Millisecond, TimerFired{})
+		if isSent {
+			proxy.Handle(proxy.now, RequestSent{ID: "q", Timeout: time.Second})
+		}
+		if r := proxy.requests["q"]; r == nil || r.answered || isSent != (ep.inFlight == 1) {
+			t.Errorf("sent %v: request %+v, endpoint %+v", isSent, r, ep)
+		}
+		out := proxy.Handle(proxy.now+501*time.Millisecond, TimerFired{})
+		if len(out) < 2 || out[0] != Action(Reject{ID: "q"}) {
+			t.Errorf("sent %v: actions at the deadline: %v, want a rejection", isSent, out)
+		}
+	}
+}
+
 // A request whose body was discarded cannot be sent again. It is rejected if it never ran, whatever its
 // class, and failed otherwise.
 func TestDiscardedBodyPreventsRetry(t *testing.T) {
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -15,6 +15,7 @@
 	relativeWork float64       // expected work, as a multiple of its class's mean
 	priority     bool          // it is shed only after requests without priority
 
+	received        bool // its last byte has arrived, so its deadline runs
 	incomplete      bool // its last byte has not been sent to an endpoint
 	responseStarted bool // the client has received the beginning of a response
 	answered        bool // it has its final answer, or needs none
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -45,6 +45,7 @@
 	c := b.classNamed(e.Class, e.PreviousSettings)
 	r := &request{id: e.ID, class: c, arrived: b.now, maxAttempts: b.settings.MaxAttempts, relativeWork: 1}
 	r.deadline = b.now + e.Timeout
+	r.received = !e.Incomplete
 	if e.Incomplete {
 		r.incomplete = true
 		r.deadline = b.now + maxRequestReadTime
@@ -61,15 +62,24 @@
 	return r
 }
 
-// requestSent starts the time of a request that was incomplete, and the time of its attempt, as the endpoint
-// starts to work on it now.
+// requestReceived starts the time of a request that was incomplete.
+func (b *Balancer) requestReceived(r *request, timeout time.Duration) {
+	if r == nil || r.answered || r.received {
+		return
+	}
+	r.received = true
+	r.arrived = b.now
+	r.deadline = b.now + timeout
+}
+
+// requestSent starts the time of the attempt of a request that was incomplete, as the endpoint starts to work
+// on it now.
 func (b *Balancer) requestSent(r *request, timeout time.Duration) {
 	if r == nil || r.answered || !r.incomplete {
 		return
 	}
+	b.requestReceived(r, timeout)
 	r.incomplete = false
-	r.arrived = b.now
-	r.deadline = b.now + timeout
 	for i := range r.attempts {
 		if a := &r.attempts[i]; !a.ended {
 			a.sentAt = b.now
--- a/balancer/shedding.go
+++ b/balancer/shedding.go
@@ -70,6 +70,6 @@
 func (b *Balancer) isTooLate(r *request, untilResponse float64) bool {
 	spent := (r.waitedBefore + b.now - r.arrived).Seconds()
 	objective := r.class.LatencyObjective.Seconds()
-	return !r.incomplete && r.class.LateWeight == 0 && objective > 0 &&
+	return r.received && r.class.LateWeight == 0 && objective > 0 &&
 		spent > 0 && spent+untilResponse >= objective
 }
--- a/internal/proxy/arrival_test.go
+++ b/internal/proxy/arrival_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,6 +46,54 @@
 	besteffort.Output(fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
 }
 
+// stalledBackend returns the address of a server that accepts connections and reads nothing, with small
+// buffers.
+func stalledBackend(t *testing.T) string {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096) })
+	}}
+	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { besteffort.Close(ln) })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { besteffort.Close(c) })
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestUploadIsAnsweredInTimeWhileItsBackendTakesNoBytes guards against uploads that have come completely and
+// wait unread, without a deadline, until a hung backend takes bytes again.
+func TestUploadIsAnsweredInTimeWhileItsBackendTakesNoBytes(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked %v", chunked), func(t *testing.T) {
+			srv := startProxyWith(t, func(srv *Server) {
+				srv.pool.dialer.Control = func(_, _ string, raw syscall.RawConn) error {
+					return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, 4096) })
+				}
+			}, stalledBackend(t))
+			c := srv.dial(t)
+			c.sendPost("q", "pagar", "0.6", pattern(maxBufferedBody+60000), chunked)
+			c.waitUntilTaken(t)
+			taken := time.Now()
+			if s := c.readStatus(t); s < http.StatusInternalServerError {
+				t.Errorf("response %d, want a failure", s)
+			}
+			if late := time.Since(taken) - 600*time.Millisecond; late > answerAllowance || late < -400*time.Millisecond {
+				t.Errorf("final answer %v after the deadline", late)
+			}
+		})
+	}
+}
+
 // fillMemory takes all places for request bodies, and returns a function that returns one.
 func fillMemory(srv *runningProxy) (release func()) {
 	for len(srv.frontend.memory) < cap(srv.frontend.memory) {
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -20,7 +20,7 @@
 	}
 	number := len(r.cancelAttempts)
 	timeout := time.Until(r.deadline)
-	if r.outbound.upload != nil {
+	if up := r.outbound.upload; up != nil && !up.hasDeadline() {
 		timeout = maxUploadTime // bodyReader enforces the rate of the upload
 	} else if a.Timeout != 0 {
 		timeout = min(timeout, a.Timeout)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -148,19 +148,21 @@
 }
 
 // sendStreaming sends an upload while its client sends it, and reads the response at the same time, so that
-// it detects an early rejection. The response timeout starts when the last byte has been sent. A request that
-// broke off before its last byte was never executed.
+// it detects an early rejection. The response timeout runs from the time at which the client's last byte
+// came. A request that broke off before its last byte was never executed.
 func (c *conn) sendStreaming(ctx context.Context, o *outbound) (res result, clean bool, err error) {
 	sent := make(chan error, 1)
 	sendCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	go func() {
-		err := o.streamingRequest(sendCtx, o.upload.responseTimeout).Write(timedWriter{c, sendCtx})
+		err := o.streamingRequest(sendCtx, o.upload.remaining()).Write(timedWriter{c, sendCtx})
 		if err == nil {
 			c.pool.forwards.Add(1)
 			o.upload.completedAt.Store(time.Now().UnixNano())
-			o.upload.onComplete(o.upload.responseTimeout)
-			besteffort.SocketOption(c.SetReadDeadline(time.Now().Add(o.upload.responseTimeout)))
+			o.upload.startDeadline(lastByteAt(o.upload.reader.conn))
+			wait := o.upload.remaining()
+			o.upload.onComplete(wait)
+			besteffort.SocketOption(c.SetReadDeadline(time.Now().Add(wait)))
 			if ctx.Err() != nil {
 				besteffort.SocketOption(c.SetReadDeadline(time.Unix(1, 0)))
 			}
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -84,10 +84,13 @@
 		return
 	}
 	srv.requests[r.id] = r
-	if r.outbound.upload != nil {
-		e.Incomplete, e.Timeout = true, r.outbound.upload.responseTimeout
-		r.deadlineGuard = time.AfterFunc(maxUploadTime, func() {}) // placeholder until the last byte is sent
+	if up := r.outbound.upload; up != nil {
+		e.Incomplete, e.Timeout = true, up.responseTimeout
+		r.deadlineGuard = time.AfterFunc(maxUploadTime, func() {}) // placeholder until the last byte has come
 		srv.handle(e)
+		if up.hasDeadline() { // the last byte came while the request was parked
+			srv.requestReceived(r, srv.frontend.remainingTime(up.remaining()))
+		}
 		return
 	}
 	e.Timeout = time.Until(r.deadline)
@@ -95,8 +98,9 @@
 	srv.handle(e)
 }
 
-// requestSent starts the deadline of an upload whose last byte has just been sent to a backend.
-func (srv *Server) requestSent(r *request, wait time.Duration) {
+// requestReceived starts the deadline of an upload whose last byte has reached this machine. wait is the time
+// that is left for its response.
+func (srv *Server) requestReceived(r *request, wait time.Duration) {
 	if r.answered {
 		return
 	}
@@ -104,7 +108,15 @@
 	r.deadline = time.Now().Add(wait)
 	r.deadlineGuard.Stop()
 	srv.guardDeadline(r, wait)
-	srv.handle(balancer.RequestSent{ID: r.id, Timeout: wait})
+	srv.handle(balancer.RequestReceived{ID: r.id, Timeout: wait})
+}
+
+// requestSent reports to the balancer that the last byte of an upload has just been sent to a backend.
+func (srv *Server) requestSent(r *request, wait time.Duration) {
+	srv.requestReceived(r, wait)
+	if !r.answered {
+		srv.handle(balancer.RequestSent{ID: r.id, Timeout: wait})
+	}
 }
 
 // guardDeadline answers a request shortly after its deadline if the balancer has not ended it, so that the
--- a/internal/proxy/serverequest.go
+++ b/internal/proxy/serverequest.go
@@ -24,10 +24,10 @@
 ) requestResult {
 	var uploadEnded <-chan struct{} // closed when reading the upload has ended, with or without an error
 	// While a body is still to come, the HTTP server does not detect that the client has left.
-	var clientChecks <-chan time.Time // when to check whether the client has left
+	var clientChecks <-chan time.Time // when to check whether the client has left, or its last byte has come
 	if req.outbound.upload != nil {
 		uploadEnded = req.outbound.upload.readingEnded
-		ticker := time.NewTicker(clientGoneLimit / 2)
+		ticker := time.NewTicker(min(clientGoneLimit/2, arrivalCheckInterval))
 		defer ticker.Stop()
 		clientChecks = ticker.C
 	}
@@ -52,6 +52,7 @@
 			return f.writeResponse(w, req, resp)
 		case <-clientChecks:
 			if !req.abandoned() {
+				f.checkArrival(req)
 				continue
 			}
 			f.abandon(w, req)
@@ -64,6 +65,22 @@
 	}
 }
 
+// checkArrival starts the deadline of an upload once its last byte has come, even if the proxy can't read it
+// yet because no endpoint takes the bytes before it. Where the end of the body is not known, the deadline has
+// passed when an unread byte has waited for as long as the client wants to wait for the response.
+func (f *frontend) checkArrival(req *request) {
+	up := req.outbound.upload
+	if up.hasDeadline() || req.client == nil {
+		return
+	}
+	arrival := req.client.Arrival()
+	if arrival.At.IsZero() || !arrival.Complete && time.Since(arrival.At) < up.responseTimeout {
+		return
+	}
+	up.startDeadline(arrival.At)
+	f.server.post(func() { f.server.requestReceived(req, f.remainingTime(up.remaining())) })
+}
+
 // abandon ends a request whose client has left, or has ended its sending side only and can still read.
 // Without an explicit response the HTTP server would send status 200, which no backend has sent.
 func (f *frontend) abandon(w http.ResponseWriter, req *request) {
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -26,12 +26,30 @@
 	err             error         // why reading from the client failed; valid once readingEnded is closed
 	onComplete      func(wait time.Duration)
 	responseTimeout time.Duration // from the arrival of the last byte on
+	deadline        atomic.Int64  // of the request, in Unix nanoseconds; 0 until the last byte has come
 
 	mu                   sync.Mutex
 	countedAsOutstanding bool // countStart has counted the request
 	countEnded           bool // countEnd has been called
 }
 
+// startDeadline sets the deadline of a request whose last byte came at a time, unless it has been set.
+func (u *upload) startDeadline(lastByteAt time.Time) {
+	u.deadline.CompareAndSwap(0, lastByteAt.Add(u.responseTimeout).UnixNano())
+}
+
+// hasDeadline reports whether the deadline of the request runs.
+func (u *upload) hasDeadline() bool { return u.deadline.Load() != 0 }
+
+// remaining returns how long the client still waits for the response. Before the last byte has come, that is
+// the whole time.
+func (u *upload) remaining() time.Duration {
+	if deadline := u.deadline.Load(); deadline != 0 {
+		return time.Until(time.Unix(0, deadline))
+	}
+	return u.responseTimeout
+}
+
 // pump copies the remaining body to w, as fast as attempts read the upload. It fails if the remaining body
 // has more than limit bytes.
 func (u *upload) pump(limit int64, w *io.PipeWriter) {
