Take an equal failure within 25 ms for a possible second one, in place of a rest of a second

Cause: let a connection rest for a second after a rejection, an error or a long answer.

Change: the rest is gone. A rejection or server error that follows an equal one on its connection within 25 ms proves nothing: it counts as "may have run", and the connection is closed, so that the response still to come is not taken for another. The connection of a long response is closed, as its repetition could not be recognised.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -17,11 +17,9 @@
 
 // lateResponseWait is the minimum time for which a connection is idle after a response before it is reused. A
 // backend may send a second response to the same request some milliseconds late. On an idle connection such
-// bytes are recognised as unsolicited; on one that is in use again, only a body equal to an earlier one shows
-// them (repeatedresponse.go). If a request needs the connection earlier, it waits for the rest of this time,
-// which takes no longer than a new connection and costs the backend nothing. After a response that could not
-// be recognised when it comes again, such as a rejection, the connection rests for repeatWindow instead, and
-// no request waits for it.
+// bytes are recognised as unsolicited; on one that is in use again, only their content shows what they are
+// (repeatedresponse.go). If a request needs the connection earlier, it waits for the rest of this time, which
+// takes no longer than a new connection and costs the backend nothing.
 const lateResponseWait = 5 * time.Millisecond
 
 // errNoCapacity means that the pool has reached its limit of connections.
@@ -54,14 +52,10 @@
 	readError     error  // of the last read; nil if the connection has not broken
 	releaseMemory func() // returns the memory reserved for the response; nil if there is none
 	idleSince     time.Time
-	restTime      time.Duration    // from idleSince on, before the connection is reused
-	number        uint64           // distinguishes the connections of the pool
-	recent        []recentResponse // its last successful responses, oldest first
+	number        uint64 // distinguishes the connections of the pool
+	history       responseHistory
 }
 
-// restLeft returns how long an idle connection still has to rest before it is reused.
-func (c *conn) restLeft(now time.Time) time.Duration { return c.restTime - now.Sub(c.idleSince) }
-
 // Read records the error that ended the connection, if any: it distinguishes a broken connection from a
 // response that is malformed or exceeds its budget.
 func (c *conn) Read(b []byte) (int, error) {
@@ -77,7 +71,7 @@
 		// A request on a connection that the backend has closed, or on which it has sent unsolicited bytes,
 		// would end in a reset, and might count as executed. Nothing of the request has been sent here, so
 		// another connection can serve it.
-		if p.pause(ctx, c.restLeft(time.Now())) && isOpenAndEmpty(c.Conn) {
+		if p.pause(ctx, lateResponseWait-time.Since(c.idleSince)) && isOpenAndEmpty(c.Conn) {
 			return c, nil
 		}
 		c.closeDirty()
@@ -95,14 +89,15 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c = &conn{Conn: raw, backend: b, pool: p, restTime: lateResponseWait, number: p.connNumbers.Add(1)}
+	c = &conn{Conn: raw, backend: b, pool: p, number: p.connNumbers.Add(1)}
 	c.budget.R = c
 	c.reader = bufio.NewReader(&c.budget)
 	return c, nil
 }
 
-// takeConn returns an idle connection. If there is none that a request may use or wait for, it counts a new
-// connection as open, and returns the backend and the dialer with which the caller has to open it.
+// takeConn returns an idle connection: the most recently used of those that have been idle for
+// lateResponseWait, otherwise the one that has been idle longest. If there is no idle connection, it counts a
+// new one as open, and returns the backend and the dialer with which the caller has to open it.
 func (p *pool) takeConn(id balancer.EndpointID) (*backend, *conn, net.Dialer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,7 +107,11 @@
 	}
 	now := time.Now()
 	p.closeExpiredLocked(b, now)
-	if i := b.reusableConn(now); i >= 0 {
+	if n := len(b.idle); n > 0 {
+		i := n - 1
+		for i > 0 && now.Sub(b.idle[i].idleSince) < lateResponseWait {
+			i--
+		}
 		c := b.idle[i]
 		b.idle = slices.Delete(b.idle, i, i+1)
 		return b, c, p.dialer, nil
@@ -124,23 +123,6 @@
 	return b, nil, p.dialer, nil
 }
 
-// reusableConn returns the index of the idle connection to use next: the most recently used of those that
-// have rested, otherwise the one that has to rest for the shortest time. It returns -1 if there is none that
-// has rested within lateResponseWait from now.
-func (b *backend) reusableConn(now time.Time) int {
-	soonest := -1
-	for i := len(b.idle) - 1; i >= 0; i-- {
-		left := b.idle[i].restLeft(now)
-		if left <= 0 {
-			return i
-		}
-		if left <= lateResponseWait && (soonest < 0 || left <= b.idle[soonest].restLeft(now)) {
-			soonest = i
-		}
-	}
-	return soonest
-}
-
 // closeDirty closes a connection that is not known to be at the end of a response.
 func (c *conn) closeDirty() {
 	c.releaseBudget()
--- a/internal/proxy/repeatedresponse.go
+++ b/internal/proxy/repeatedresponse.go
@@ -14,6 +14,9 @@
 const (
 	// repeatWindow is how long after a response the backend may still send it a second time.
 	repeatWindow = time.Second
+	// failureRepeatWindow is the same for rejections and server errors. They look alike, so it has to be shorter
+	// than the time in which a busy backend rejects two requests on one connection.
+	failureRepeatWindow = 25 * time.Millisecond
 	// maxRecentOnConn bounds the responses of one connection that are compared with the next one.
 	maxRecentOnConn = 8
 	// maxRecentOfClass bounds the responses of one class that show whether its bodies differ.
@@ -144,10 +147,17 @@
 	}
 }
 
+// responseHistory is what the responses on a connection have been, to recognise them when they come again.
+type responseHistory struct {
+	succeeded  []recentResponse // the last ones, oldest first
+	rejectedAt time.Time        // when the last rejection came
+	failedAt   time.Time        // when the last server error came
+}
+
 // receive reads the response to a request. It discards second responses to earlier requests on the
-// connection, as far as they can be told from the response to this one.
+// connection, as far as they can be told from the response to this one. clean reports whether the connection
+// can carry another request afterwards.
 func (c *conn) receive(ctx context.Context, o *outbound) (res result, clean bool, err error) {
-	c.restTime = repeatWindow
 	discarded := "" // class of the last discarded response
 	for repeats := range maxRepeatsInARow {
 		res, clean, err = c.receiveOne(ctx, o.method)
@@ -156,13 +166,20 @@
 			c.pool.variety.recordDiscarded(discarded, err == nil)
 			clean = false // the backend may repeat this response, too
 		}
-		if err != nil || res.outcome != balancer.OK || res.stream != nil {
+		switch {
+		case err != nil:
 			return res, clean, err
+		case res.stream != nil:
+			return res, false, nil // if it came again, it could not be recognised
+		case res.outcome != balancer.OK:
+			repeated := c.history.recordFailure(&res, time.Now())
+			return res, clean && !repeated, nil
 		}
 		current := newRecentResponse(o, res.body, c.number)
 		earlier, isRepeat := c.findRepeated(current)
 		if !isRepeat {
-			c.remember(current)
+			c.history.recordSuccess(current)
+			c.pool.variety.record(current)
 			return res, clean, nil
 		}
 		discarded = earlier.class
@@ -175,7 +192,7 @@
 	if current.digest.length < minIdentifyingBody {
 		return recentResponse{}, false
 	}
-	for _, earlier := range c.recent {
+	for _, earlier := range c.history.succeeded {
 		if earlier.digest == current.digest && current.at.Sub(earlier.at) < repeatWindow &&
 			!earlier.sameOperation(current) && c.pool.variety.identifies(earlier.class) {
 			return earlier, true
@@ -184,13 +201,26 @@
 	return recentResponse{}, false
 }
 
-// remember records a response that is passed to its client. Its repetition would be recognised, so the
-// connection can be reused soon.
-func (c *conn) remember(r recentResponse) {
-	c.restTime = lateResponseWait
-	if len(c.recent) == maxRecentOnConn {
-		c.recent = c.recent[1:]
+// recordSuccess records a response that is passed to its client.
+func (h *responseHistory) recordSuccess(r recentResponse) {
+	if len(h.succeeded) == maxRecentOnConn {
+		h.succeeded = h.succeeded[1:]
 	}
-	c.recent = append(c.recent, r)
-	c.pool.variety.record(r)
+	h.succeeded = append(h.succeeded, r)
+}
+
+// recordFailure records a rejection or a server error. It returns true if the same came within
+// failureRepeatWindow, so that this one may be a second response to an earlier request, and the response to
+// this one may still come. A rejection then does not prove that the request did not run.
+func (h *responseHistory) recordFailure(res *result, now time.Time) (repeated bool) {
+	last := &h.failedAt
+	if res.outcome == balancer.Rejected {
+		last = &h.rejectedAt
+	}
+	repeated = !last.IsZero() && now.Sub(*last) < failureRepeatWindow
+	*last = now
+	if repeated {
+		res.outcome = balancer.ServerError
+	}
+	return repeated
 }
