Keep the port of refusingAddress bound, so that no other test's server gets it

Cause: the test closed a listener and used its port as one that refuses. Any other socket could take that port; a proxy's attempt then reached another test's server.

Change: the socket stays bound without listening until the test ends; a connect is refused as before.

--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"wrenspread/internal/besteffort"
 )
 
@@ -51,15 +53,23 @@
 	return req
 }
 
-// refusingAddress returns an address at which nothing listens, so that it refuses connections.
+// refusingAddress returns an address that refuses connections. Its port is bound until the test ends, so that
+// no other socket of this or another test gets it.
 func refusingAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	besteffort.Close(ln)
-	return ln.Addr().String()
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
 }
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: inflight=7,queue=2\r\n\r\nhi"
