--- a/internal/proxy/arrival_test.go
+++ b/internal/proxy/arrival_test.go
@@ -163,7 +163,7 @@
 }
 
 // TestPipelinedRequestDeadlineRunsFromItsArrival guards against requests that wait behind another one on their
-// connection and get their whole time again after that.
+// connection and get their full time again after that.
 func TestPipelinedRequestDeadlineRunsFromItsArrival(t *testing.T) {
 	srv, release := startWithHeldResponse(t, false)
 	c := srv.dialAccepted(t)
--- a/internal/proxy/listener/arrival.go
+++ b/internal/proxy/listener/arrival.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxPipelinedParts and maxBacklogMarks bound what is remembered of one connection. Beyond that, bytes count
-	// from an earlier time than that at which they came.
+	// maxPipelinedParts and maxBacklogMarks bound what is stored of one connection. Beyond that, pipelined bytes
+	// count from earlier than they came, and bytes of a backlog from later, at most until they are read.
 	maxPipelinedParts = 64
 	maxBacklogMarks   = 64
 )
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -42,7 +42,7 @@
 func (u *upload) hasDeadline() bool { return u.deadline.Load() != 0 }
 
 // remaining returns how long the client still waits for the response. Before the last byte has come, that is
-// the whole time.
+// the full time.
 func (u *upload) remaining() time.Duration {
 	if deadline := u.deadline.Load(); deadline != 0 {
 		return time.Until(time.Unix(0, deadline))
