--- a/review/standin-2/kit/kit.go
+++ b/review/standin-2/kit/kit.go
@@ -307,4 +307,3 @@
 
 // Limits are the limits of a node on a scored day.
 func Limits() map[string]any { return map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024} }
-
