--- a/review/standin-2/kit/client.go
+++ b/review/standin-2/kit/client.go
@@ -23,7 +23,7 @@
 	Err       error // why the answer is not whole
 	Closed    bool  // the connection was to be closed after the answer
 	NoBytes   bool  // the connection ended before any byte of an answer
-	reused    bool
+	SentAgain bool  // a kept connection ended so, and the request was sent once more on a new one
 }
 
 // Ask sends one request on a new connection, and waits for the answer for a time.
@@ -96,18 +96,19 @@
 	k.mu.Unlock()
 	if conn != nil {
 		a := exchange(conn, request, wait)
-		a.reused = true
 		if !a.NoBytes || errors.Is(a.Err, os.ErrDeadlineExceeded) {
 			k.keep(conn, a)
 			return a
 		}
 		_ = conn.Close()
 	}
+	again := conn != nil
 	conn, err := net.DialTimeout("tcp", k.Address, 2*time.Second)
 	if err != nil {
-		return Answer{Err: err, NoBytes: true}
+		return Answer{Err: err, NoBytes: true, SentAgain: again}
 	}
 	a := exchange(conn, request, wait)
+	a.SentAgain = again
 	k.keep(conn, a)
 	return a
 }
