--- a/review/standin-2/kit/client.go
+++ b/review/standin-2/kit/client.go
@@ -23,7 +23,8 @@
 	Err       error // why the answer is not whole
 	Closed    bool  // the connection was to be closed after the answer
 	NoBytes   bool  // the connection ended before any byte of an answer
-	SentAgain bool  // a kept connection ended so, and the request was sent once more on a new one
+	// SentAgainAt is when a kept connection had ended so and the request was sent once more on a new one; zero: not.
+	SentAgainAt time.Time
 }
 
 // Ask sends one request on a new connection, and waits for the answer for a time.
@@ -102,13 +103,16 @@
 		}
 		_ = conn.Close()
 	}
-	again := conn != nil
+	var again time.Time
+	if conn != nil {
+		again = time.Now()
+	}
 	conn, err := net.DialTimeout("tcp", k.Address, 2*time.Second)
 	if err != nil {
-		return Answer{Err: err, NoBytes: true, SentAgain: again}
+		return Answer{Err: err, NoBytes: true, SentAgainAt: again}
 	}
 	a := exchange(conn, request, wait)
-	a.SentAgain = again
+	a.SentAgainAt = again
 	k.keep(conn, a)
 	return a
 }
