--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -24,6 +24,19 @@
 	header http.Header // end-to-end headers only
 	body   []byte
 	upload *upload // the rest of the body; nil if body is complete
+	// deadline is that of the request; the zero time if there is none, or if the upload has it.
+	deadline time.Time
+}
+
+// responseDeadline returns the deadline of the request, or the zero time if it does not run yet.
+func (o *outbound) responseDeadline() time.Time {
+	if o.upload == nil {
+		return o.deadline
+	}
+	if deadline := o.upload.deadline.Load(); deadline != 0 {
+		return time.Unix(0, deadline)
+	}
+	return time.Time{}
 }
 
 // encode returns the complete request as bytes, so that a single write sends it, and the result of that write
--- a/internal/proxy/repeatedresponse.go
+++ b/internal/proxy/repeatedresponse.go
@@ -160,7 +160,7 @@
 func (c *conn) receive(ctx context.Context, o *outbound) (res result, clean bool, err error) {
 	discarded := "" // class of the last discarded response
 	for repeats := range maxRepeatsInARow {
-		res, clean, err = c.receiveOne(ctx, o.method)
+		res, clean, err = c.receiveOne(ctx, o)
 		res.repeatsDiscarded = repeats
 		if discarded != "" {
 			c.pool.variety.recordDiscarded(discarded, err == nil)
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"wrenspread/balancer"
 	"wrenspread/internal/simwire"
@@ -22,11 +20,11 @@
 
 // receiveOne reads one response to its end, or the beginning of a long one. clean reports whether the
 // connection can carry another request afterwards.
-func (c *conn) receiveOne(ctx context.Context, method string) (res result, clean bool, err error) {
+func (c *conn) receiveOne(ctx context.Context, o *outbound) (res result, clean bool, err error) {
 	c.budget.N = maxResponseHead + maxBufferedBody
 	var resp *http.Response
 	for i := 0; ; i++ {
-		resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err = http.ReadResponse(c.reader, &http.Request{Method: o.method})
 		if err != nil {
 			return res, false, err
 		}
@@ -42,72 +40,50 @@
 		return res, false, errTooLong
 	}
 	c.budget.N = math.MaxInt64 // the size of the body is bounded separately
-	body, long, err := readResponseBody(ctx, resp, c.pool.memory.reserveOnce(&c.releaseMemory))
+	if outcome := outcomeOf(resp); outcome != balancer.OK {
+		complete, err := discardBody(resp)
+		if err != nil {
+			return res, false, err
+		}
+		res.outcome = outcome
+		return res, complete && c.isReusableAfter(resp), nil
+	}
+	body, err := readResponseBody(ctx, resp, o.responseDeadline(), c.pool.memory.reserveOnce(&c.releaseMemory))
 	if err != nil {
 		return res, false, err
 	}
-	if long && resp.StatusCode == http.StatusOK {
-		res.outcome, res.header = balancer.OK, resp.Header
-		res.stream = &responseStream{
-			length:    resp.ContentLength,
-			start:     body,
-			remaining: resp.Body,
-			conn:      c,
-			ended:     make(chan error, 1),
-		}
-		return res, !resp.Close, nil
+	res.outcome, res.header = balancer.OK, resp.Header
+	if body.isComplete() {
+		res.body = body.start
+		return res, c.isReusableAfter(resp), nil
 	}
-	switch {
-	case resp.StatusCode == http.StatusOK:
-		res.outcome, res.header, res.body = balancer.OK, resp.Header, body
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Not-Run") == "1":
-		res.outcome = balancer.Rejected
-	default:
-		res.outcome = balancer.ServerError
+	res.stream = &responseStream{
+		length:    resp.ContentLength,
+		start:     body.start,
+		remaining: body.remaining,
+		conn:      c,
+		ended:     make(chan error, 1),
 	}
-	return res, !resp.Close && !long && c.reader.Buffered() == 0, nil
+	return res, !resp.Close, nil
 }
 
-// readResponseBody reads a response's body. long reports that the body has more than maxBufferedBody bytes,
-// or that it has no stated length and takes longer than maxBufferingTime. Of a long body only the beginning
-// has been read, if any.
-func readResponseBody(
-	ctx context.Context,
-	resp *http.Response,
-	reserveMemory func(context.Context) error,
-) (body []byte, long bool, err error) {
-	if resp.ContentLength > maxSmallBody {
-		if err := reserveMemory(ctx); err != nil {
-			return nil, false, err
-		}
-	}
-	if resp.ContentLength > maxBufferedBody {
-		return nil, true, nil
-	}
-	if resp.ContentLength >= 0 {
-		body = make([]byte, resp.ContentLength)
-		_, err = io.ReadFull(resp.Body, body)
-		return body, false, err
-	}
-	began := time.Now()
-	for buf := make([]byte, 4<<10); ; {
-		n, err := resp.Body.Read(buf)
-		if body = append(body, buf[:n]...); err == io.EOF {
-			return body, false, nil
-		}
-		if err != nil {
-			return nil, false, err
-		}
-		if len(body) > maxSmallBody {
-			if err := reserveMemory(ctx); err != nil {
-				return nil, false, err
-			}
-		}
-		if len(body) > maxBufferedBody || time.Since(began) > maxBufferingTime {
-			return body, true, nil
+// outcomeOf returns the outcome of an attempt whose response has been read completely.
+func outcomeOf(resp *http.Response) balancer.Outcome {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return balancer.OK
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if resp.Header.Get("X-Not-Run") == "1" {
+			return balancer.Rejected
 		}
 	}
+	return balancer.ServerError
+}
+
+// isReusableAfter reports whether the connection can carry another request after a response that has been
+// read to its end.
+func (c *conn) isReusableAfter(resp *http.Response) bool {
+	return !resp.Close && c.reader.Buffered() == 0
 }
 
 // parseLoad parses a load report. A report that is malformed in any part is ignored completely, because an
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	maxStreamedBody  = 32 << 20               // bytes; longer bodies are rejected
-	copyBufSize      = 16 << 10               // bytes of the buffer with which a long body is copied
-	maxBufferingTime = 100 * time.Millisecond // a response of no stated length that takes longer is streamed
+	maxStreamedBody = 32 << 20 // bytes; longer bodies are rejected
+	copyBufSize     = 16 << 10 // bytes of the buffer with which a long body is copied
 	// progressTimeout is how long either side of a long message may stall.
 	progressTimeout = 20 * time.Second
 )
--- a/internal/proxy/validate.go
+++ b/internal/proxy/validate.go
@@ -72,7 +72,9 @@
 	deadline := time.Now().Add(timeout) // of a long body: if its last byte came now
 	f.updateLatestDeadline(deadline)
 	out := newOutbound(r, body.start)
-	if body.isLong {
+	if !body.isLong {
+		out.deadline = deadline
+	} else {
 		out.upload = startUpload(r, body.reader, len(body.start), timeout)
 	}
 	return &request{
