--- /dev/null
+++ b/internal/proxy/longresponse_test.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wrenspread/internal/besteffort"
+)
+
+// longHead is the head of a response that is too long to be buffered.
+var longHead = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBufferedBody+1)
+
+// longResponseRequests are requests whose first response stops behind its head, with the status that their
+// client is owed and the number of times that they may run.
+var longResponseRequests = map[string]struct {
+	request string
+	status  int
+	runs    int32
+}{
+	"idempotent":     {completeGet, http.StatusOK, 2},
+	"not idempotent": {completePost, http.StatusBadGateway, 1},
+	"upload": {
+		fmt.Sprintf(uploadHeadFormat+"Content-Length: 70000\r\n\r\n", "q") + strings.Repeat("x", 70000),
+		http.StatusBadGateway, 1,
+	},
+}
+
+// dialKept returns a client's connection on which one request has been answered.
+func (srv *runningProxy) dialKept(t *testing.T) clientConn {
+	t.Helper()
+	c := srv.dial(t)
+	c.sendGet(t, "saldo", "earlier", "20")
+	if status := c.readStatus(t); status != http.StatusOK {
+		t.Fatalf("status %d of the first request, want 200", status)
+	}
+	return c
+}
+
+// TestLongResponseBrokenBehindItsHeadIsAFailedAttempt guards against ending a client's connection with no
+// answer where a backend's connection ends between the head and the body of a long one: a client sends its
+// request once more then, and it runs twice (review/6).
+func TestLongResponseBrokenBehindItsHeadIsAFailedAttempt(t *testing.T) {
+	for name, test := range longResponseRequests {
+		for _, linger := range []int{-1, 0} { // closed, reset
+			t.Run(fmt.Sprintf("%s, linger %d", name, linger), func(t *testing.T) {
+				t.Parallel()
+				var runs atomic.Int32
+				serve := func(_ int, c net.Conn, r *bufio.Reader) {
+					for req := readRequest(r); req != nil; req = readRequest(r) {
+						if req.Header.Get("X-Request-Id") == "q" && runs.Add(1) == 1 {
+							besteffort.Output(io.WriteString(c, longHead))
+							time.Sleep(20 * time.Millisecond)
+							besteffort.SocketOption(c.(*net.TCPConn).SetLinger(linger))
+							return
+						}
+						besteffort.Output(io.WriteString(c, okResponse))
+					}
+				}
+				srv := startProxy(t, backendServer(t, serve), backendServer(t, serve))
+				c := srv.dialKept(t)
+				besteffort.Output(io.WriteString(c, test.request))
+				if status := c.readStatus(t); status != test.status || runs.Load() != test.runs {
+					t.Errorf("status %d after %d runs, want %d after %d", status, runs.Load(), test.status, test.runs)
+				}
+				c.sendGet(t, "saldo", "later", "20")
+				if status := c.readStatus(t); status != http.StatusOK {
+					t.Errorf("status %d of the next request on the connection, want 200", status)
+				}
+			})
+		}
+	}
+}
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	bodyReadSize     = 4 << 10                // bytes that one read of a body that is buffered takes at most
+	bodyReadSize     = 4 << 10                // bytes of one read before a response is streamed
 	maxBufferingTime = 100 * time.Millisecond // a response of no stated length that takes longer is streamed
 	// maxStallBuffering is how long a stalled response of no stated length is buffered after its first byte. The
 	// attempt can still be retried in this time; a client must not wait 2 s for bytes that have come.
@@ -28,8 +28,10 @@
 func (b responseBody) isComplete() bool { return b.remaining == nil }
 
 // readResponseBody reads a response's body to its end, or until it has to be streamed: because it is longer
-// than maxBufferedBody, or by the rules of readUnstatedBody. deadline is that of the request; the zero time
-// means that it is not known.
+// than maxBufferedBody, or by the rules of readUnstatedBody. At least one byte of a body that has to be
+// streamed has been read: a connection may break behind the head, and then the attempt has failed and its
+// client can still get another response. deadline is that of the request; the zero time means that it is not
+// known.
 func readResponseBody(
 	ctx context.Context,
 	resp *http.Response,
@@ -43,7 +45,8 @@
 	}
 	switch {
 	case resp.ContentLength > maxBufferedBody:
-		return responseBody{remaining: resp.Body}, nil
+		start, err := readFirstPart(resp.Body)
+		return responseBody{start: start, remaining: resp.Body}, err
 	case resp.ContentLength >= 0:
 		body := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(resp.Body, body)
@@ -52,6 +55,16 @@
 	return readUnstatedBody(ctx, resp.Body, deadline, reserveMemory)
 }
 
+// readFirstPart reads the first bytes of a body that is known not to be empty.
+func readFirstPart(body io.Reader) ([]byte, error) {
+	buf := make([]byte, bodyReadSize)
+	n, err := io.ReadAtLeast(body, buf, 1)
+	if n > 0 {
+		return buf[:n], nil
+	}
+	return nil, err
+}
+
 // readUnstatedBody reads a body of no stated length to its end, or until it has to be streamed. That is the
 // case when it is longer than maxBufferedBody, when a part of it comes after maxBufferingTime, or when it has
 // stalled until streamStartTime.
--- a/internal/proxy/serverequest.go
+++ b/internal/proxy/serverequest.go
@@ -98,6 +98,10 @@
 	if resp.stream == nil {
 		return requestResult{outcome: writeComplete(w, resp), answered: true}
 	}
+	if resp.stream.isCancelled() { // before it has begun, so that the client can get a complete response
+		resp.stream.ended <- errResponseCut
+		return requestResult{outcome: writeComplete(w, response{status: http.StatusBadGateway}), answered: true}
+	}
 	writeHeader(w, resp, resp.stream.length)
 	err := resp.stream.writeTo(w, req.deadline)
 	resp.stream.ended <- err
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -20,10 +20,11 @@
 var errClientGone = errors.New("the client has gone")
 
 // responseStream is a long response that has begun. It is forwarded to the client while it comes from the
-// backend.
+// backend. Its head and the first part of its body are written together, so that a client that gets any of it
+// can tell when it is cut off.
 type responseStream struct {
 	length    int64     // of the complete body; negative if not stated
-	start     []byte    // the part of the body that has been read
+	start     []byte    // the part of the body that has been read; not empty
 	remaining io.Reader // the part that is still to come
 	conn      *conn
 	ended     chan error // receives one value: nil or the error that ended the stream
