--- a/internal/proxy/longresponse_test.go
+++ b/internal/proxy/longresponse_test.go
@@ -77,3 +77,41 @@
 		}
 	}
 }
+
+// TestLongResponseHangingBehindItsHeadEndsInTime guards against leaving a request without any answer where a
+// backend hangs between the head and the body of a long one (review/8).
+func TestLongResponseHangingBehindItsHeadEndsInTime(t *testing.T) {
+	const deadline = 2 * time.Second
+	for name, test := range longResponseRequests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gone := make(chan bool, 1)
+			srv := startProxy(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for req := readRequest(r); req != nil; req = readRequest(r) {
+					if req.Header.Get("X-Request-Id") != "q" {
+						besteffort.Output(io.WriteString(c, okResponse))
+						continue
+					}
+					besteffort.Output(io.WriteString(c, longHead))
+					_, _ = r.ReadByte() // returns when the proxy closes the connection
+					gone <- true
+					return
+				}
+			}))
+			c := srv.dialKept(t)
+			request := strings.Replace(test.request, "X-Deadline: 60", "X-Deadline: 2", 1)
+			request = strings.Replace(request, "X-Deadline: 20", "X-Deadline: 2", 1)
+			sentAt := time.Now()
+			besteffort.Output(io.WriteString(c, request))
+			status := c.readStatus(t)
+			if waited := time.Since(sentAt); status < http.StatusInternalServerError || waited > deadline+time.Second/2 {
+				t.Errorf("status %d after %v, want a failure by %v", status, waited, deadline)
+			}
+			wait(t, gone, "the attempt to end")
+			c.sendGet(t, "saldo", "later", "20")
+			if status := c.readStatus(t); status != http.StatusOK {
+				t.Errorf("status %d of the next request on the connection, want 200", status)
+			}
+		})
+	}
+}
