Only a complete rejection proves that a request did not run

Cause: receiveOne gave the outcome of a long answer by its head. Change: the body of a rejection is read to its end within the attempt's time; it is not kept, and needs no memory budget.

--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -40,8 +40,15 @@
 		return res, false, errTooLong
 	}
 	c.budget.N = math.MaxInt64 // the size of the body is bounded separately
-	if outcome := outcomeOf(resp); outcome != balancer.OK {
-		complete, err := discardBody(resp)
+	switch outcome := outcomeOf(resp); outcome {
+	case balancer.Rejected:
+		if err := discardRejection(resp); err != nil {
+			return res, false, err
+		}
+		res.outcome = outcome
+		return res, c.isReusableAfter(resp), nil
+	case balancer.ServerError:
+		complete, err := discardFailure(resp)
 		if err != nil {
 			return res, false, err
 		}
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -106,10 +106,20 @@
 	}
 }
 
-// discardBody reads a body that is not forwarded, and reports whether it has been read to its end. It stops
-// in a body of more than maxBufferedBody bytes, and in one of no stated length that takes longer than
-// maxBufferingTime.
-func discardBody(resp *http.Response) (complete bool, err error) {
+// discardRejection reads the body of a rejection to its end. Only a complete response proves that the request
+// did not run.
+func discardRejection(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStreamedBody+1))
+	if err == nil && n > maxStreamedBody {
+		return errTooLong
+	}
+	return err
+}
+
+// discardFailure reads the body of a response that proves nothing, so that its connection can be used again,
+// and reports whether it has been read to its end. It stops in a body of more than maxBufferedBody bytes, and
+// in one of no stated length that takes longer than maxBufferingTime.
+func discardFailure(resp *http.Response) (complete bool, err error) {
 	if resp.ContentLength > maxBufferedBody {
 		return false, nil
 	}
