Forward the bytes of a chunk that has not come completely

Seen by callers: while a backend paused within a chunk, up to 16 KiB that had come were held back; after 20 s the answer was cut without them. Cause: the standard library's chunked reader returns only when the caller's buffer is full or the chunk has ended. Change: partReader asks it for no more than the connection has unread, by the socket's count; buffering and streaming read through it. A part that is there is read without a goroutine.

--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -55,7 +55,7 @@
 		res.outcome = outcome
 		return res, complete && c.isReusableAfter(resp), nil
 	}
-	body, err := readResponseBody(ctx, resp, o.responseDeadline(), c.pool.memory.reserveOnce(&c.releaseMemory))
+	body, err := c.readResponseBody(ctx, resp, o.responseDeadline())
 	if err != nil {
 		return res, false, err
 	}
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -32,12 +32,13 @@
 // streamed has been read: a connection may break behind the head, and then the attempt has failed and its
 // client can still get another response. deadline is that of the request; the zero time means that it is not
 // known.
-func readResponseBody(
+func (c *conn) readResponseBody(
 	ctx context.Context,
 	resp *http.Response,
 	deadline time.Time,
-	reserveMemory func(context.Context) error,
 ) (responseBody, error) {
+	body := c.bodyReader(resp)
+	reserveMemory := c.pool.memory.reserveOnce(&c.releaseMemory)
 	if resp.ContentLength > maxSmallBody {
 		if err := reserveMemory(ctx); err != nil {
 			return responseBody{}, err
@@ -45,14 +46,14 @@
 	}
 	switch {
 	case resp.ContentLength > maxBufferedBody:
-		start, err := readFirstPart(resp.Body)
-		return responseBody{start: start, remaining: resp.Body}, err
+		start, err := readFirstPart(body)
+		return responseBody{start: start, remaining: body}, err
 	case resp.ContentLength >= 0:
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return responseBody{start: body}, err
+		complete := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(body, complete)
+		return responseBody{start: complete}, err
 	}
-	return readUnstatedBody(ctx, resp.Body, deadline, reserveMemory)
+	return c.readUnstatedBody(ctx, body, deadline, reserveMemory)
 }
 
 // readFirstPart reads the first bytes of a body that is known not to be empty.
@@ -66,9 +67,9 @@
 }
 
 // readUnstatedBody reads a body of no stated length to its end, or until it has to be streamed. That is the
-// case when it is longer than maxBufferedBody, when a part of it comes after maxBufferingTime, or when it has
-// stalled until streamStartTime.
-func readUnstatedBody(
+// case when it is longer than maxBufferedBody, when a further part comes after maxBufferingTime, or when it
+// has stalled until streamStartTime.
+func (c *conn) readUnstatedBody(
 	ctx context.Context,
 	body io.Reader,
 	deadline time.Time,
@@ -77,7 +78,7 @@
 	began := time.Now()
 	var start []byte
 	buf := make([]byte, bodyReadSize)
-	n, err := body.Read(buf[:1]) // a longer read would wait for the rest of a chunk that has begun
+	n, err := body.Read(buf)
 	stalled := time.NewTimer(time.Until(streamStartTime(time.Now(), deadline)))
 	defer stalled.Stop()
 	for reads := 1; ; reads++ {
@@ -96,6 +97,10 @@
 		if len(start) > maxBufferedBody || reads > 1 && time.Since(began) > maxBufferingTime {
 			return responseBody{start: start, remaining: body}, nil
 		}
+		if c.available() > maxChunkFraming {
+			n, err = body.Read(buf) // it does not wait
+			continue
+		}
 		next := startRead(body, buf)
 		select {
 		case read := <-next:
