Reset the connection of an HTTP/1.0 client whose answer is truncated

Seen by a client: an answer of no stated length that broke off at its backend ended as a complete one. Cause: without chunks the end of the connection ends the answer, and the aborted connection was closed gently. Change: ServeHTTP marks such a connection, and listener.Conn resets it on Close.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -114,6 +114,9 @@
 		outstanding.Add(-1)
 	}
 	if ended.truncated {
+		if client := connOf(r); client != nil && !r.ProtoAtLeast(1, 1) {
+			client.ResetOnClose() // HTTP/1.0 has no other way to tell that a response without a length is truncated
+		}
 		panic(http.ErrAbortHandler) // closes the connection before the response ends, so that the client can tell
 	}
 }
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -33,6 +33,7 @@
 	mu             sync.Mutex // protects the fields below
 	state          state
 	evictedUnused  bool  // evicted before its first byte came
+	resetOnClose   bool  // Close resets the connection
 	readError      error // the error with which the client's side ended; nil until then
 	hasUnreadBytes bool  // the client ended its side, but bytes before the end are unread
 	framing        framing
@@ -157,6 +158,14 @@
 	return len(c.pipelined) > 0
 }
 
+// ResetOnClose makes Close reset the connection. A client that takes the end of the connection for the end of
+// its response can tell then that the response is not complete.
+func (c *Conn) ResetOnClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resetOnClose = true
+}
+
 // Close closes the connection and then frees its slot. Closing a socket with unread bytes sends a reset,
 // which may destroy a response on its way to the client. So Close first ends the sending side, and waits up
 // to lingerTimeout for the client to close.
@@ -164,8 +173,14 @@
 	c.mu.Lock()
 	c.state = closed
 	ended := c.readError != nil && !c.hasUnreadBytes || c.evictedUnused
+	reset := c.resetOnClose
 	c.mu.Unlock()
-	if !ended && !c.listener.skipLinger.Load() {
+	switch {
+	case reset:
+		if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+			besteffort.SocketOption(tcp.SetLinger(0))
+		}
+	case !ended && !c.listener.skipLinger.Load():
 		c.linger()
 	}
 	err := c.Conn.Close()
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,6 +92,32 @@
 	}
 }
 
+// TestTruncatedStreamIsVisibleToAnOldClient guards against ending a truncated response of no stated length as
+// if it were complete, for a client of HTTP/1.0, which has no chunks.
+func TestTruncatedStreamIsVisibleToAnOldClient(t *testing.T) {
+	begun := make(chan bool, 1)
+	srv := startProxy(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) != nil {
+			besteffort.Output(io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf4240\r\n"))
+			besteffort.Output(c.Write(pattern(300000)))
+			<-begun
+		}
+	}))
+	c := srv.dial(t)
+	besteffort.Output(io.WriteString(c, strings.Replace(completeGet, "HTTP/1.1", "HTTP/1.0", 1)))
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("no response begins: %v, %+v", err, resp)
+	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, 200000)); err != nil {
+		t.Fatal(err)
+	}
+	begun <- true
+	if got, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("%d further bytes look like the end of the response", len(got))
+	}
+}
+
 // TestStreamOutlivesItsRequestDeadline checks that, after a long response has begun, only a stall ends it,
 // and not its request's deadline. Received bytes are forwarded without delay.
 func TestStreamOutlivesItsRequestDeadline(t *testing.T) {
