Read the head of a response in a function of its own

receiveOne had grown to four jobs; readHead skips interim responses, with a named error where there are too many (nine, as before). No change of behaviour; the tests of outcomes and endless responses pass under the race detector.

--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -18,23 +19,33 @@
 	maxInterimResponses = 8        // 1xx responses ahead of the final one
 )
 
-// receiveOne reads one response to its end, or the beginning of a long one. clean reports whether the
-// connection can carry another request afterwards.
-func (c *conn) receiveOne(ctx context.Context, o *outbound) (res result, clean bool, err error) {
+// errTooManyInterim means that a response has more than maxInterimResponses interim ones ahead of it.
+var errTooManyInterim = errors.New("read response: too many interim responses")
+
+// readHead reads the head of a final response, and discards interim ones ahead of it.
+func (c *conn) readHead(method string) (*http.Response, error) {
 	c.budget.N = maxResponseHead + maxBufferedBody
-	var resp *http.Response
-	for i := 0; ; i++ {
-		resp, err = http.ReadResponse(c.reader, &http.Request{Method: o.method})
-		if err != nil {
-			return res, false, err
-		}
-		if resp.StatusCode >= 200 {
-			break
-		}
-		if i == maxInterimResponses || resp.StatusCode == http.StatusSwitchingProtocols {
-			return res, false, fmt.Errorf("read response: unexpected status %s", resp.Status)
+	for range maxInterimResponses + 1 {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("read response: unexpected status %s", resp.Status)
 		}
 	}
+	return nil, errTooManyInterim
+}
+
+// receiveOne reads one response to its end, or the beginning of one that has to be streamed. clean reports
+// whether the connection can carry another request afterwards.
+func (c *conn) receiveOne(ctx context.Context, o *outbound) (res result, clean bool, err error) {
+	resp, err := c.readHead(o.method)
+	if err != nil {
+		return res, false, err
+	}
 	res.loadReport = parseLoad(resp.Header.Get("X-Load"))
 	if resp.ContentLength > maxStreamedBody {
 		return res, false, errTooLong
