Fits of the capacity page without the processor's rounding errors

Change: a fit is rounded to nine digits, and what is below that beside its figures is 0. The page's two rows of rounding errors say 0 now; all others are as they were. Evidence: TestFitHasNoRoundingErrors is new; it and the page's test pass with the fusion on and off. Not run on x86-64.

--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"slices"
+	"strconv"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -58,7 +60,9 @@
 			for i, x := range xs {
 				grown[i] = f.apply(x)
 			}
-			candidate.Intercept, candidate.Slope = stat.LinearRegression(grown, ys, weights, false)
+			intercept, slope := stat.LinearRegression(grown, ys, weights, false)
+			candidate.Intercept = roundBeside(intercept, slices.Min(ys))
+			candidate.Slope = roundBeside(slope, slope)
 			if degreesOfFreedom--; candidate.Slope <= 0 {
 				continue
 			}
@@ -67,13 +71,30 @@
 		for i, x := range xs {
 			sum += math.Pow((candidate.Cost(x)-ys[i])/ys[i], 2)
 		}
-		if candidate.Residual = math.Sqrt(sum / float64(degreesOfFreedom)); candidate.Residual < best.Residual {
+		candidate.Residual = roundBeside(math.Sqrt(sum/float64(degreesOfFreedom)), 1)
+		if candidate.Residual < best.Residual {
 			best = candidate
 		}
 	}
 	return best, nil
 }
 
+// fitDigits is the number of significant digits of a fit. Further ones depend on the processor, as some fuse
+// multiplications with additions.
+const fitDigits = 9
+
+// roundBeside rounds x to fitDigits, and to 0 if it is below the precision of a figure of the given size.
+func roundBeside(x, size float64) float64 {
+	if math.Abs(x) < math.Abs(size)*math.Pow10(-fitDigits) {
+		return 0
+	}
+	rounded, err := strconv.ParseFloat(strconv.FormatFloat(x, 'g', fitDigits, 64), 64)
+	if err != nil {
+		return x // infinite: it has no digits
+	}
+	return rounded
+}
+
 // Cost returns the fitted cost at a size; it is never below 0.
 func (f Fit) Cost(n float64) float64 {
 	if f.growth == nil {
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -35,6 +35,22 @@
 	}
 }
 
+// TestFitHasNoRoundingErrors guards against figures that differ from one kind of processor to another: a fit of
+// exact points is exact.
+func TestFitHasNoRoundingErrors(t *testing.T) {
+	ys := make([]float64, len(measuredSizes))
+	for i, x := range measuredSizes {
+		ys[i] = 350 * x
+	}
+	got, err := fit(measuredSizes, ys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Form != "n" || got.Intercept != 0 || got.Slope != 350 || got.Residual != 0 {
+		t.Errorf("got %+v, want 350 x n with no intercept and no residual", got)
+	}
+}
+
 func TestFitRefusesBadPointsAndTakesFallingCostAsConstant(t *testing.T) {
 	for _, c := range [][2][]float64{{{1, 2}, {1, 2}}, {{1, 2, 3}, {1, 2}}, {{1, 2, 3}, {1, 0, 3}}, {{0, 2, 3}, {1, 2, 3}}} {
 		if f, err := fit(c[0], c[1]); err == nil {
