The balancer's test rig sends the same load on every processor

Seen: TestOverloadWithClientRetriesServesHighPriority failed each time on an arm64 machine, with as well: 100 of 200 requests of class high in time. Cause: rig.run adds rate * 0.005 up to whole requests; where the processor fuses the two operations, ten steps of 0.2 give one request and not two, so only 100 were sent. With the fusion off (-gcflags=all=-d=fmahash=n) the test passed. Change: an explicit conversion, which the language defines to prevent fusion. Bounds and load of all tests are as they were on processors that don't fuse; here they get the load they name. Evidence: the test passes now with the fusion on and off, and with it the package's other tests.

--- a/balancer/rig_test.go
+++ b/balancer/rig_test.go
@@ -127,7 +127,8 @@
 			}
 			r.feed(event.event)
 		}
-		for arrived += rate * 0.005; arrived >= 1; arrived-- {
+		// The conversion keeps processors that fuse the two operations from sending fewer requests.
+		for arrived += float64(rate * 0.005); arrived >= 1; arrived-- {
 			r.nextID++
 			id := balancer.RequestID(fmt.Sprint(class, r.nextID))
 			r.arrivedAt[id] = r.now
