The test of former forms after a reload waits for its own changes

Seen once beside three busy processes: 405 where TestReloadAppliesClassesAndAcceptsPreviousForm wants 200 before previousUntil. Cause: the test moved previousUntil by functions posted to the loop, and sent its next request without waiting for the one that moves it back. With 20 ms of sleep in that one the former test failed in two of two runs; with the sleep in the one at the head of the loop it passed, so that one is not the cause. Change: all three run to their end (do) before the request is sent. What is checked is as before. Evidence: with the same sleep the changed test passed in two runs; without it, ten runs under the race detector pass.

--- a/internal/proxy/settings_test.go
+++ b/internal/proxy/settings_test.go
@@ -133,7 +133,7 @@
 		{"POST", "girar", "", 200, 200}, {"POST", "saldo", "k", 200, 200},
 		{"GET", "saldo", "", 200, 405}, {"POST", "pagar", "", 200, 400}, {"GET", "girar", "", 405, 405},
 	} {
-		srv.post(func() {
+		srv.do(func() {
 			r := *srv.frontend.rules.Load()
 			r.previousUntil = r.previousUntil.Add(testTimeout)
 			srv.frontend.rules.Store(&r)
@@ -141,18 +141,15 @@
 		if status := statusOf(c.method, c.class, c.key); status != c.wantSoon {
 			t.Errorf("%s %s before previousUntil: %d, want %d", c.method, c.class, status, c.wantSoon)
 		}
-		expired := make(chan bool)
-		srv.post(func() {
+		srv.do(func() {
 			r := *srv.frontend.rules.Load()
 			r.previousUntil = r.previousUntil.Add(-1000 * testTimeout)
 			srv.frontend.rules.Store(&r)
-			close(expired)
 		})
-		<-expired
 		if status := statusOf(c.method, c.class, c.key); status != c.wantLater {
 			t.Errorf("%s %s after previousUntil: %d, want %d", c.method, c.class, status, c.wantLater)
 		}
-		srv.post(func() {
+		srv.do(func() {
 			r := *srv.frontend.rules.Load()
 			r.previousUntil = r.previousUntil.Add(1000 * testTimeout)
 			srv.frontend.rules.Store(&r)
