--- a/internal/proxy/longresponse_test.go
+++ b/internal/proxy/longresponse_test.go
@@ -32,17 +32,6 @@
 	},
 }
 
-// dialKept returns a client's connection on which one request has been answered.
-func (srv *runningProxy) dialKept(t *testing.T) clientConn {
-	t.Helper()
-	c := srv.dial(t)
-	c.sendGet(t, "saldo", "earlier", "20")
-	if status := c.readStatus(t); status != http.StatusOK {
-		t.Fatalf("status %d of the first request, want 200", status)
-	}
-	return c
-}
-
 // TestLongResponseBrokenBehindItsHeadIsAFailedAttempt guards against ending a client's connection with no
 // answer where a backend's connection ends between the head and the body of a long one: a client sends its
 // request once more then, and it runs twice (review/6).
@@ -64,7 +53,7 @@
 					}
 				}
 				srv := startProxy(t, backendServer(t, serve), backendServer(t, serve))
-				c := srv.dialKept(t)
+				c := srv.dialKeepAlive(t)
 				besteffort.Output(io.WriteString(c, test.request))
 				if status := c.readStatus(t); status != test.status || runs.Load() != test.runs {
 					t.Errorf("status %d after %d runs, want %d after %d", status, runs.Load(), test.status, test.runs)
@@ -98,7 +87,7 @@
 					return
 				}
 			}))
-			c := srv.dialKept(t)
+			c := srv.dialKeepAlive(t)
 			request := strings.Replace(test.request, "X-Deadline: 60", "X-Deadline: 2", 1)
 			request = strings.Replace(request, "X-Deadline: 20", "X-Deadline: 2", 1)
 			sentAt := time.Now()
--- a/internal/proxy/partofchunk_test.go
+++ b/internal/proxy/partofchunk_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 
 	"wrenspread/internal/besteffort"
@@ -30,10 +29,7 @@
 			}))
 			c := srv.dial(t)
 			c.sendGet(t, "saldo", "q", "20")
-			resp, err := http.ReadResponse(c.reader, nil)
-			if err != nil || resp.StatusCode != http.StatusOK {
-				t.Fatalf("no response begins: %v, %+v", err, resp)
-			}
+			resp := c.readBegun(t)
 			body := make([]byte, 2*chunk)
 			read, err := io.ReadFull(resp.Body, body[:chunk])
 			if err != nil {
--- a/internal/proxy/running_proxy_test.go
+++ b/internal/proxy/running_proxy_test.go
@@ -180,6 +180,16 @@
 	}
 }
 
+// readBegun reads the head of a response with status 200, whose body the caller reads.
+func (c clientConn) readBegun(t *testing.T) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("no response begins: %v, %+v", err, resp)
+	}
+	return resp
+}
+
 // readStatus reads a response and returns its status.
 func (c clientConn) readStatus(t *testing.T) int {
 	t.Helper()
--- a/internal/proxy/stalledresponse_test.go
+++ b/internal/proxy/stalledresponse_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -28,7 +27,11 @@
 // wait, a response of no stated length of which a part has come and that goes on later (review/10).
 func TestStalledResponseIsForwardedInTime(t *testing.T) {
 	for name, response := range stalledResponses {
-		for form, deadline := range map[string]time.Duration{"get": time.Second, "late get": 20 * time.Second, "upload": time.Second} {
+		for form, deadline := range map[string]time.Duration{
+			"get":      time.Second,
+			"late get": 20 * time.Second,
+			"upload":   time.Second,
+		} {
 			t.Run(name+", "+form, func(t *testing.T) {
 				t.Parallel()
 				resume := make(chan struct{})
@@ -47,10 +50,7 @@
 				} else {
 					c.sendGet(t, "saldo", "q", fmt.Sprint(deadline.Seconds()))
 				}
-				resp, err := http.ReadResponse(c.reader, nil)
-				if err != nil || resp.StatusCode != http.StatusOK {
-					t.Fatalf("no response begins: %v, %+v", err, resp)
-				}
+				resp := c.readBegun(t)
 				if _, err := io.ReadFull(resp.Body, make([]byte, 1)); err != nil {
 					t.Fatalf("no first byte: %v", err)
 				}
@@ -90,10 +90,7 @@
 			address := srv.serveControlRoutes(t)
 			c := srv.dial(t)
 			c.sendGet(t, "saldo", "q", "1")
-			resp, err := http.ReadResponse(c.reader, nil)
-			if err != nil || resp.StatusCode != http.StatusOK {
-				t.Fatalf("no response begins: %v, %+v", err, resp)
-			}
+			resp := c.readBegun(t)
 			begun <- true
 			if got, err := io.ReadAll(resp.Body); err == nil {
 				t.Errorf("%q looks like a complete response", got)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -105,10 +105,7 @@
 	}))
 	c := srv.dial(t)
 	besteffort.Output(io.WriteString(c, strings.Replace(completeGet, "HTTP/1.1", "HTTP/1.0", 1)))
-	resp, err := http.ReadResponse(c.reader, nil)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("no response begins: %v, %+v", err, resp)
-	}
+	resp := c.readBegun(t)
 	if _, err := io.ReadFull(resp.Body, make([]byte, 200000)); err != nil {
 		t.Fatal(err)
 	}
@@ -208,10 +205,7 @@
 	}))
 	c := srv.dial(t)
 	c.sendGet(t, "saldo", "q", "3")
-	resp, err := http.ReadResponse(c.reader, nil)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("no response begins: %v", err)
-	}
+	resp := c.readBegun(t)
 	if got, err := io.ReadAll(resp.Body); err == nil {
 		t.Errorf("%d bytes look like a complete response", len(got))
 	}
