--- a/cmd/wrenspread-proxy/main.go
+++ b/cmd/wrenspread-proxy/main.go
@@ -47,17 +47,6 @@
 	if err != nil {
 		return err
 	}
-	// The soft limit of three quarters makes the garbage collector run more often well before the machine's
-	// memory limit kills the proxy.
-	limitMemory := func(shared bool) {
-		mb := cfg.MemoryMB
-		if shared { // two processes of this proxy are running
-			mb /= 2
-		}
-		debug.SetMemoryLimit(int64(mb) << 20 * 3 / 4)
-		debug.SetGCPercent(gcPercent(mb))
-	}
-	limitMemory(false)
 	inherited := os.Getenv("GW_ACCEPT_FD")
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
 	ln, err := listen(ctx, inherited, cfg.Listen, log)
@@ -65,8 +54,13 @@
 		return err
 	}
 	server := proxy.New(cfg, log)
+	// The soft limit makes the garbage collector run more often well before the machine's memory limit kills the
+	// proxy.
+	server.OnMemoryLimit = func(goBytes int64) {
+		debug.SetMemoryLimit(goBytes)
+		debug.SetGCPercent(gcPercent(int(goBytes >> 20)))
+	}
 	if inherited != "" { // a new process can share the clients' socket
-		server.OnOverlap = limitMemory
 		server.EnableHandoff(os.TempDir())
 	}
 	// GW_CONTROL overrides the configuration file, which the processes of one proxy share: each process can have
--- a/internal/proxy/bodyreader.go
+++ b/internal/proxy/bodyreader.go
@@ -10,12 +10,13 @@
 
 	"wrenspread/internal/besteffort"
 	"wrenspread/internal/proxy/listener"
+	"wrenspread/internal/proxy/memory"
 )
 
 const (
 	bodyStartGrace = 400 * time.Millisecond // for a body to begin, if the head took all of its time
 	minBodyRate    = 32 << 10               // bytes per second: half of the rate of the slowest client
-	maxSmallBody   = 16 << 10               // bytes; a larger body needs a place in the memory budget
+	minBodyBuffer  = 2 << 10                // bytes of the buffer in which a body is read at first
 
 	// arrivalCheckInterval is the time between two checks of whether the last byte of a request has come that
 	// the proxy is not reading.
@@ -119,25 +120,51 @@
 
 // readStart reads a body to its end, or up to maxBufferedBody bytes; hasMore reports that the body is longer
 // and has to be streamed. length is the stated length of the body, or negative. timeout is the time in which
-// the client wants its response.
+// the client wants its response. Memory is reserved before it is used, as the body comes.
 func (b *bodyReader) readStart(
 	ctx context.Context,
 	length int64,
 	timeout time.Duration,
-	memory *bodyMemory,
+	reservation *memory.Reservation,
 ) (start []byte, hasMore bool, err error) {
-	if start, err = io.ReadAll(io.LimitReader(b, maxSmallBody+1)); err != nil || len(start) <= maxSmallBody {
-		return start, false, err
+	tooLate := func() bool { return b.hasWaited(maxMemoryWait(timeout)) }
+	if length < 0 || length > maxBufferedBody {
+		reservation.ExpectLong()
+	} else {
+		reservation.Expect(length + memory.Forwarding(int(length)))
 	}
-	maxWait := time.Duration(memoryWaitFraction * float64(timeout))
-	tooLate := func() bool { return b.hasWaited(maxWait) }
-	if err = memory.reserve(ctx, length > maxBufferedBody, tooLate); err != nil {
-		return nil, false, err
+	for {
+		if len(start) == cap(start) {
+			size := nextBufferSize(cap(start), length)
+			if err := reservation.Grow(ctx, int64(size-cap(start)), tooLate); err != nil {
+				return nil, false, err
+			}
+			start = append(make([]byte, 0, size), start...)
+		}
+		n, err := b.Read(start[len(start):cap(start)])
+		start = start[:len(start)+n]
+		switch {
+		case err == io.EOF:
+			return start, false, reservation.Grow(ctx, memory.Forwarding(len(start)), tooLate)
+		case err != nil:
+			return nil, false, err
+		case len(start) > maxBufferedBody:
+			return start, true, reservation.Grow(ctx, memory.Forwarding(0)+memory.LongBody, tooLate)
+		}
 	}
-	more, err := io.ReadAll(io.LimitReader(b, maxBufferedBody-maxSmallBody))
-	start = append(start, more...)
-	if hasMore = len(start) > maxBufferedBody; hasMore && err == nil {
-		err = memory.reserve(ctx, true, tooLate)
+}
+
+// maxMemoryWait returns how long a request waits for memory whose client wants its response in a time.
+func maxMemoryWait(timeout time.Duration) time.Duration {
+	return time.Duration(memoryWaitFraction * float64(timeout))
+}
+
+// nextBufferSize returns the size to which the buffer of a body grows: twice the present size, but not more than
+// is needed to see the end of a body of the stated length, or that a body is too long to be buffered.
+func nextBufferSize(size int, length int64) int {
+	next := max(minBodyBuffer, 2*size)
+	if length >= 0 && length < int64(next) {
+		next = int(length) + 1
 	}
-	return start, hasMore, err
+	return min(next, maxBufferedBody+1)
 }
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -45,15 +45,15 @@
 // conn is a connection to a backend, idle in the pool or in use by one attempt.
 type conn struct {
 	net.Conn
-	backend       *backend
-	pool          *pool
-	budget        io.LimitedReader // bounds the bytes that a response may take
-	reader        *bufio.Reader
-	readError     error  // of the last read; nil if the connection has not broken
-	releaseMemory func() // returns the memory reserved for the response; nil if there is none
-	idleSince     time.Time
-	number        uint64 // distinguishes the connections of the pool
-	history       responseHistory
+	backend   *backend
+	pool      *pool
+	budget    io.LimitedReader // bounds the bytes that a response may take
+	reader    *bufio.Reader
+	readError error // of the last read; nil if the connection has not broken
+	memory    responseMemory
+	idleSince time.Time
+	number    uint64 // distinguishes the connections of the pool
+	history   responseHistory
 }
 
 // Read records the error that ended the connection, if any: it distinguishes a broken connection from a
@@ -61,6 +61,9 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.readError = err
+	if headErr := c.memory.admitHead(b[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
@@ -125,7 +128,7 @@
 
 // closeDirty closes a connection that is not known to be at the end of a response.
 func (c *conn) closeDirty() {
-	c.releaseBudget()
+	c.memory.release()
 	besteffort.Close(c.Conn)
 	c.pool.mu.Lock()
 	c.pool.openConnections--
@@ -134,7 +137,7 @@
 
 // release returns a connection to the pool after its response has been read cleanly to the end.
 func (c *conn) release() {
-	c.releaseBudget() // first: once it is in the pool, the connection belongs to the next attempt
+	c.memory.release() // first: once it is in the pool, the connection belongs to the next attempt
 	besteffort.SocketOption(c.SetDeadline(time.Time{}))
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -72,6 +72,12 @@
 	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		srv.stats.write(w)
+		writeStats(w, []stat{
+			gauge("app.memory_reserved_bytes", srv.memory.Used()),
+			gauge("app.memory_budget_bytes", srv.memory.Capacity()),
+			gauge("app.memory_waiting", int64(srv.memory.Waiting())),
+			counter("app.memory_denials", srv.memory.Denials()),
+		})
 		if gossipServer := srv.membership.Load(); gossipServer != nil {
 			gossipServer.WriteStats(w)
 		}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -31,6 +31,8 @@
 	clientListener := listener.Limit(ln, f.maxConnections)
 	clientListener.HeadTimeout, clientListener.FullTimeout = headTimeout, fullTimeout
 	clientListener.OnAcceptError = f.noteAcceptError
+	clientListener.OnReject = f.noteMemoryRejection
+	clientListener.AdmitBy(f.server.memory)
 	httpServer.ConnState = clientListener.TrackState
 	f.clientListener.Store(clientListener)
 	if f.handedOff.Load() { // stopAccepting came before clientListener was set
@@ -87,6 +89,9 @@
 	}
 }
 
+// noteMemoryRejection counts a request that has been rejected because there is no memory for it.
+func (f *frontend) noteMemoryRejection() { f.server.stats.memoryRejections.Add(1) }
+
 // finishConnections closes idle connections and waits until the requests on the others have been answered, or
 // ctx ends. When ctx ends, all requests are past their deadlines, so the remaining connections have no
 // request. Shutdown of http.Server is no alternative: a request whose head is complete only after the call of
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -53,6 +53,7 @@
 		c.closeDirty() // release would record a later idleSince than the true one
 		return result{outcome: balancer.NotSent}
 	}
+	c.memory.begin(o.memory)
 	stop := context.AfterFunc(ctx, func() { besteffort.SocketOption(c.SetDeadline(time.Unix(1, 0))) })
 	defer stop()
 	var res result
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -30,9 +30,7 @@
 	server           *Server
 	maxConnections   int // open client connections at a time
 	rules            atomic.Pointer[requestRules]
-	memory           memoryBudget // for request bodies over maxSmallBody
-	longMemory       memoryBudget // the part of memory that bodies over maxBufferedBody may take
-	waitForLateConns func()       // waits after SIGTERM, while new connections are still accepted
+	waitForLateConns func() // waits after SIGTERM, while new connections are still accepted
 	ready            atomic.Bool
 	draining         atomic.Bool
 	accepting        atomic.Bool                       // set when serve begins to accept
@@ -90,7 +88,6 @@
 		f.rejectRequest(w, r, err)
 		return
 	}
-	defer req.releaseMemory()
 	outstanding := &f.server.stats.outstanding
 	if up := req.outbound.upload; up != nil {
 		// It can't fail: HTTP/1 always supports it. A response may precede the end of the body.
--- a/internal/proxy/handoff_links.go
+++ b/internal/proxy/handoff_links.go
@@ -53,9 +53,17 @@
 // shareLimits halves the limits of this process while another one runs, or restores them.
 func (srv *Server) shareLimits(on bool) {
 	srv.pool.halve(on)
-	if srv.OnOverlap != nil {
-		srv.OnOverlap(on)
+	srv.limitMemory(on)
+}
+
+// limitMemory divides the memory of this process. shared says that another process of this proxy runs.
+func (srv *Server) limitMemory(shared bool) {
+	limits := srv.process.Limits(shared)
+	srv.memory.SetCapacity(limits.Budget)
+	if srv.OnMemoryLimit != nil {
+		srv.OnMemoryLimit(limits.Go)
 	}
+	srv.log.Info("memory limits", "go_bytes", limits.Go, "budget_bytes", limits.Budget, "shared", shared)
 }
 
 // receiveFromLink handles the other process's messages until the link ends. It carries out and answers
--- a/internal/proxy/handoff_new.go
+++ b/internal/proxy/handoff_new.go
@@ -27,7 +27,10 @@
 
 // EnableHandoff enables handoffs: from a process of this proxy that already serves to this one, and later
 // from this one to the next. The processes connect at a socket in dir. It is called once, before Run.
-func (srv *Server) EnableHandoff(dir string) { srv.handoffPath = filepath.Join(dir, handoffSocket) }
+func (srv *Server) EnableHandoff(dir string) {
+	srv.handoffPath = filepath.Join(dir, handoffSocket)
+	srv.process.Handoffs = true
+}
 
 // requestHandoff connects to the process that serves and restores its state here. It returns nil without an
 // error if no process serves.
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wrenspread/internal/besteffort"
+	"wrenspread/internal/proxy/memory"
 )
 
 const (
@@ -29,6 +30,7 @@
 	listener  *Listener
 	startedAt atomic.Int64 // Unix nanoseconds of the first byte of the current request, or of the accept
 	release   func()       // frees the slot of the connection
+	memory    *memory.Reservation
 
 	mu             sync.Mutex // protects the fields below
 	state          state
@@ -37,45 +39,81 @@
 	readError      error // the error with which the client's side ended; nil until then
 	hasUnreadBytes bool  // the client ended its side, but bytes before the end are unread
 	framing        framing
+	evicted        bool   // its current request is not read to its end, for want of memory
+	isStreamed     bool   // its current request is being forwarded while it comes
 	inFlight       bool   // the HTTP server has a complete request and has not finished serving it
 	hasReceived    bool   // some bytes of the client have been passed to the HTTP server
 	pipelined      []byte // bytes received behind the end of the current request
 	arrival        arrivalTracker
+	headReserved   int64 // bytes of memory reserved for the current head and its request
 }
 
-// Read withholds the bytes behind a head of ambiguous length. It returns no bytes beyond the end of a
-// request, because an error in the bytes behind a request must not end that request. The HTTP server never
-// runs two reads at a time.
+// Read withholds the bytes behind a head of ambiguous length, and a head for which there is no memory. It returns
+// no bytes beyond the end of a request, because an error in the bytes behind a request must not end that
+// request. The HTTP server never runs two reads at a time.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	background := c.isBackgroundRead(p)
-	if background && c.framing.chunked {
+	if c.isBackgroundRead(p) {
+		return 0, c.readBehindRequest(p)
+	}
+	switch {
+	case c.framing.err != nil:
+		return 0, c.framing.err
+	case c.readError != nil:
+		return 0, c.readError // also with pipelined bytes: a client that has left gets no more responses
+	case len(c.pipelined) > 0:
+		n, err := c.passOn(p[:copy(p, c.pipelined)], c.arrival.lastPipelined)
+		c.removePipelined(n)
+		return n, err
+	}
+	n, err := c.receive(p)
+	if err != nil {
+		return 0, err
+	}
+	passed, err := c.passOn(p[:n], func(int) time.Time { return c.arrival.receivedAt })
+	if passed < n {
+		c.memory.Charge(int64(n - passed))
+		c.pipelined = append([]byte(nil), p[passed:n]...)
+		c.arrival.appendPipelined(n-passed, c.arrival.receivedAt)
+	}
+	return passed, err
+}
+
+// passOn tracks bytes that are to be passed to the HTTP server, and returns how many of them may be passed. It
+// returns an error if they are ambiguous, or if there is no memory for their head.
+func (c *Conn) passOn(p []byte, arrivedAt func(n int) time.Time) (int, error) {
+	n, err := c.followFraming(p, arrivedAt)
+	if err == nil {
+		err = c.admitHead()
+	}
+	if err != nil {
+		return 0, err
+	}
+	return n, nil
+}
+
+// readBehindRequest reads what the client sends behind a request in flight into the buffer for pipelined bytes.
+// It returns when the client has ended its side. p is for the first byte.
+func (c *Conn) readBehindRequest(p []byte) error {
+	if c.framing.chunked {
 		c.arrival.endChunked()
 	}
 	for buf := p; ; {
 		switch {
 		case c.framing.err != nil:
-			return 0, c.framing.err
+			return c.framing.err
 		case c.readError != nil:
-			return 0, c.readError // also with pipelined bytes: a client that has left gets no more responses
-		case len(c.pipelined) > 0 && !background:
-			n, err := c.followFraming(p[:copy(p, c.pipelined)], c.arrival.lastPipelined)
-			c.pipelined = c.pipelined[n:]
-			c.arrival.removePipelined(n)
-			return n, err
-		case len(c.pipelined) >= MaxHead:
-			return 0, c.waitForClientEnd()
+			return c.readError
+		case len(c.pipelined) >= MaxHead || len(c.pipelined) > 0 && !c.memory.TryGrowUnderLock(int64(len(buf))):
+			return c.waitForClientEnd()
 		}
 		n, err := c.receive(buf)
-		if err != nil {
-			return 0, err
+		if len(c.pipelined) > 0 {
+			c.memory.Shrink(int64(len(buf) - n))
 		}
-		if !background {
-			passed, err := c.followFraming(p[:n], func(int) time.Time { return c.arrival.receivedAt })
-			c.pipelined = append([]byte(nil), p[passed:n]...)
-			c.arrival.appendPipelined(n-passed, c.arrival.receivedAt)
-			return passed, err
+		if err != nil {
+			return err
 		}
 		c.arrival.appendPipelined(n, c.arrival.receivedAt)
 		if c.pipelined = append(c.pipelined, buf[:n]...); len(buf) < pipelinedReadSize {
@@ -84,6 +122,15 @@
 	}
 }
 
+// removePipelined removes the first n pipelined bytes.
+func (c *Conn) removePipelined(n int) {
+	c.memory.Shrink(int64(n))
+	c.arrival.removePipelined(n)
+	if c.pipelined = c.pipelined[n:]; len(c.pipelined) == 0 {
+		c.pipelined = nil
+	}
+}
+
 // isBackgroundRead reports whether a read is the background read that the HTTP server runs during a handler
 // to detect that the client leaves. Such a read asks for one byte, and detects nothing more once it has that
 // byte, so Read returns no byte to it. The end of a chunked request is not known here, but in a chunked body
@@ -97,6 +144,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	c.arrival.receive(n)
+	if c.evicted && c.state != closed {
+		return 0, c.evictedError()
+	}
 	if n == 0 && err != nil {
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.readError = err
@@ -116,6 +166,7 @@
 func (c *Conn) followFraming(p []byte, arrivedAt func(n int) time.Time) (int, error) {
 	if c.framing.isBetweenRequests() {
 		c.arrival.begin()
+		c.framing.begin()
 	}
 	if c.framing.isBetweenRequests() && c.hasReceived {
 		now := time.Now()
@@ -129,7 +180,7 @@
 	if n == 0 && c.framing.err != nil {
 		return 0, c.framing.err
 	}
-	if c.framing.requestEnded {
+	if c.framing.requestEnded && c.arrival.completeAt.IsZero() { // it may have been known before it was read
 		c.arrival.completeAt = arrivedAt(n)
 	}
 	c.inFlight, c.framing.requestEnded = c.inFlight || c.framing.requestEnded, false
@@ -141,7 +192,7 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == closed {
+	if c.state == closed || c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/proxy/listener/framing.go
+++ b/internal/proxy/listener/framing.go
@@ -4,11 +4,16 @@
 	"bytes"
 	"errors"
 	"strconv"
+
+	"wrenspread/internal/proxy/memory"
 )
 
 // MaxHead is the maximum number of bytes of a request's head. The HTTP server must have the same limit.
 const MaxHead = 16 << 10
 
+// maxKeptLine is the largest buffer, in bytes, that is kept for the lines of the next head.
+const maxKeptLine = 1 << 10
+
 // errFraming makes the HTTP server answer 400 and close the connection.
 var errFraming = errors.New("read request: ambiguous body length")
 
@@ -25,6 +30,8 @@
 	bodyRemaining   int64    // bytes of the current body that are still to come
 	chunked         bool     // only the HTTP server knows where this request ends; bytes behind it aren't served
 	requestEnded    bool     // the HTTP server has been given the last byte of a request
+	headBytes       int      // bytes of the current head that have come, without line feeds
+	headFields      int      // complete header lines of the current head
 	err             error    // why no further byte is passed on
 }
 
@@ -33,6 +40,18 @@
 	return !f.hasRequestLine && len(f.headLine) == 0 && f.bodyRemaining == 0 && !f.chunked
 }
 
+// headEnded reports whether the head of the current request is complete.
+func (f *framing) headEnded() bool { return !f.hasRequestLine && len(f.headLine) == 0 }
+
+// begin starts to count the next head.
+func (f *framing) begin() {
+	f.headBytes = 0
+	f.headFields = 0
+}
+
+// headCost returns the memory that the current head takes, as far as it has come.
+func (f *framing) headCost() int64 { return memory.Head(f.headBytes, f.headFields) }
+
 // follow tracks the bytes that were read, and returns how many of them may be passed on: all, or those up to
 // the end of a request. If a head line is rejected, it sets f.err, and the count is up to the end of that
 // line without its line feed.
@@ -69,6 +88,7 @@
 // appendLine adds bytes to the current head line, and cuts the line at MaxHead bytes: the HTTP server rejects
 // a longer head.
 func (f *framing) appendLine(p []byte) {
+	f.headBytes += len(p)
 	f.headLine = append(f.headLine, p[:min(len(p), MaxHead-len(f.headLine))]...)
 }
 
@@ -85,6 +105,7 @@
 	case line[0] == ' ' || line[0] == '\t': // a folded line hides a header from some parsers
 		return false, errFraming
 	default:
+		f.headFields++
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch {
 		case bytes.EqualFold(name, []byte("Content-Length")):
@@ -113,5 +134,8 @@
 		f.bodyRemaining = int64(n)
 	}
 	f.hasRequestLine, f.contentLengths = false, f.contentLengths[:0]
+	if cap(f.headLine) > maxKeptLine {
+		f.headLine = nil
+	}
 	return nil
 }
--- a/internal/proxy/listener/idle.go
+++ b/internal/proxy/listener/idle.go
@@ -48,6 +48,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight = false
+	c.isStreamed = false
+	c.releaseRequestMemory()
 	if !c.framing.isBetweenRequests() || len(c.pipelined) > 0 {
 		return false
 	}
--- a/internal/proxy/listener/listener.go
+++ b/internal/proxy/listener/listener.go
@@ -16,6 +16,7 @@
 
 	"wrenspread/internal/backoff"
 	"wrenspread/internal/besteffort"
+	"wrenspread/internal/proxy/memory"
 	"wrenspread/internal/socketoption"
 )
 
@@ -42,55 +43,75 @@
 	FullTimeout time.Duration
 	// OnAcceptError is called with each error of an accept that is tried again. It may be nil.
 	OnAcceptError func(error)
-	slots         chan struct{} // one element for each open connection
-	full          atomic.Bool   // new clients are closed unread
-	skipLinger    atomic.Bool   // connections close without waiting for their clients
-	closed        chan struct{} // closed by Close
-	closeOnce     sync.Once     // closes closed
+	// OnReject is called when a request has been rejected because there is no memory for its head. It may be nil.
+	OnReject func()
+
+	memory      *memory.Budget // admits connections, heads and pipelined bytes; nil: all are admitted
+	reclaimedAt atomic.Int64   // Unix nanoseconds of the last call of evictIdle for want of memory
+	slots       chan struct{}  // one element for each open connection
+	freed       chan struct{}  // receives a value when a connection has ended
+	full        atomic.Bool    // new clients are closed unread
+	skipLinger  atomic.Bool    // connections close without waiting for their clients
+	closed      chan struct{}  // closed by Close
+	closeOnce   sync.Once      // closes closed
 
 	// fullSince is the time since which Accept has found all slots taken and no connection to evict. It is zero
 	// if the last slot was free at once. Only Accept uses it.
 	fullSince time.Time
 
 	mu       sync.Mutex
+	open     map[*Conn]struct{}
 	idle     map[net.Conn]time.Time // when each idle connection became idle
 	fresh    map[net.Conn]time.Time // when each new connection was accepted
 	draining bool                   // connections that go idle are closed
 }
 
+// AdmitBy makes the listener admit connections, heads and pipelined bytes by a budget of memory. It is called
+// before Accept.
+func (l *Listener) AdmitBy(budget *memory.Budget) {
+	l.memory = budget
+	budget.OnShortage(l.reclaim)
+}
+
 // Limit returns a Listener that accepts at most maxConns connections of ln at a time.
 func Limit(ln net.Listener, maxConns int) *Listener {
 	return &Listener{
 		Listener: ln,
 		slots:    make(chan struct{}, maxConns),
+		freed:    make(chan struct{}, 1),
 		closed:   make(chan struct{}),
+		open:     map[*Conn]struct{}{},
 		idle:     map[net.Conn]time.Time{},
 		fresh:    map[net.Conn]time.Time{},
 	}
 }
 
 // Accept returns the next connection. It frees a slot by closing a connection that is not in use, so that
-// clients that keep unused connections do not shut out others. If all slots are in use, further clients wait
-// in the queue of the socket. When that has lasted for FullTimeout, they are closed unread, so that each of
-// them notices and none waits in a queue that keeps growing.
+// clients that keep unused connections do not shut out others. If all slots are in use, or there is no memory
+// for another connection, further clients wait in the queue of the socket. When that has lasted for FullTimeout,
+// they are closed unread, so that each of them notices and none waits in a queue that keeps growing.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		hasSlot := l.takeSlot()
+		slot := l.waitForSlot()
 		c, err := l.acceptNext()
-		if err == nil && !hasSlot {
-			if hasSlot = l.takeSlot(); !hasSlot {
+		if err == nil && slot == nil {
+			if slot = l.waitForSlot(); slot == nil {
 				besteffort.Close(c)
 				continue
 			}
 		}
 		if err != nil {
-			if hasSlot {
-				l.releaseSlot()
+			if slot != nil {
+				l.releaseSlot(slot)
 			}
 			return nil, err
 		}
-		conn := &Conn{Conn: c, listener: l, release: sync.OnceFunc(l.releaseSlot)}
+		conn := &Conn{Conn: c, listener: l, memory: slot}
+		conn.release = sync.OnceFunc(func() { l.forget(conn, slot) })
 		conn.startedAt.Store(time.Now().UnixNano())
+		l.mu.Lock()
+		l.open[conn] = struct{}{}
+		l.mu.Unlock()
 		return conn, nil
 	}
 }
@@ -137,14 +158,12 @@
 	}
 }
 
-// takeSlot waits for a free slot. It returns false if the listener has been closed, or if all slots have been
-// taken for FullTimeout and no connection can be evicted.
-func (l *Listener) takeSlot() bool {
-	select {
-	case l.slots <- struct{}{}:
+// waitForSlot waits for a free slot. It returns nil if the listener has been closed, or if all slots or all
+// memory have been taken for FullTimeout and no connection can be evicted.
+func (l *Listener) waitForSlot() *memory.Reservation {
+	if slot := l.takeSlot(); slot != nil {
 		l.fullSince = time.Time{}
-		return true
-	default:
+		return slot
 	}
 	if l.fullSince.IsZero() {
 		l.fullSince = time.Now()
@@ -154,28 +173,53 @@
 	for {
 		full := !l.evictIdle() && l.FullTimeout > 0 && time.Since(l.fullSince) >= l.FullTimeout
 		l.full.Store(full) // set before the last check for a free slot
-		select {
-		case l.slots <- struct{}{}:
+		if slot := l.takeSlot(); slot != nil {
 			l.full.Store(false)
-			return true
-		default:
+			return slot
 		}
 		if full {
-			return false
+			return nil
 		}
 		select {
-		case l.slots <- struct{}{}:
-			return true
+		case <-l.freed:
 		case <-l.closed:
-			return false
+			return nil
 		case <-retry.C: // the evicted client has not closed yet, or none could be evicted
 		}
 	}
 }
 
-func (l *Listener) releaseSlot() {
+// takeSlot takes a slot, with the memory of its connection. It returns nil if there is none.
+func (l *Listener) takeSlot() *memory.Reservation {
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		return nil
+	}
+	reservation, ok := l.memory.Reserve(memory.Connection)
+	if !ok {
+		<-l.slots
+		return nil
+	}
+	return reservation
+}
+
+// forget frees the slot of a connection that has ended.
+func (l *Listener) forget(c *Conn, slot *memory.Reservation) {
+	l.mu.Lock()
+	delete(l.open, c)
+	l.mu.Unlock()
+	l.releaseSlot(slot)
+}
+
+func (l *Listener) releaseSlot(slot *memory.Reservation) {
+	slot.Release()
 	<-l.slots
 	l.full.Store(false)
+	select {
+	case l.freed <- struct{}{}:
+	default: // a value waits already
+	}
 }
 
 // Full reports whether clients that connect now are closed unread, as far as is known.
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"wrenspread/internal/proxy/memory"
 )
 
 // deadlineHeader names the header with the seconds that remain for the response.
@@ -23,7 +25,8 @@
 	host   string
 	header http.Header // end-to-end headers only
 	body   []byte
-	upload *upload // the rest of the body; nil if body is complete
+	upload *upload             // the rest of the body; nil if body is complete
+	memory *memory.Reservation // of the client; nil: without a budget
 	// deadline is that of the request; the zero time if there is none, or if the upload has it.
 	deadline time.Time
 }
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -33,7 +33,6 @@
 	backends          map[balancer.EndpointID]*backend
 	idleCandidates    []*backend                   // have idle connections, or had some since the last expire
 	barredBackends    map[balancer.EndpointID]bool // set for endpoints to which nothing may be written
-	memory            memoryBudget                 // for response bodies over maxSmallBody
 }
 
 // backend is one process of an endpoint. After a restart or with a new address the endpoint gets a new
@@ -55,7 +54,6 @@
 		variety:        newResponseVariety(),
 		backends:       map[balancer.EndpointID]*backend{},
 		barredBackends: map[balancer.EndpointID]bool{},
-		memory:         newMemoryBudget(defaultMemoryMB),
 		pause:          backoff.Sleep,
 		dialer:         net.Dialer{KeepAlive: -1},
 	}
--- a/internal/proxy/repeatedresponse.go
+++ b/internal/proxy/repeatedresponse.go
@@ -178,11 +178,13 @@
 		current := newRecentResponse(o, res.body, c.number)
 		earlier, isRepeat := c.findRepeated(current)
 		if !isRepeat {
+			c.memory.keep()
 			c.history.recordSuccess(current)
 			c.pool.variety.record(current)
 			return res, clean, nil
 		}
 		discarded = earlier.class
+		c.memory.release()
 	}
 	return result{repeatsDiscarded: maxRepeatsInARow}, false, errRepeats
 }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -34,12 +34,11 @@
 	deadlineGuard   *time.Timer
 	// tenant is the tenant's name in the catalogue, and is cleared when the request has ended; empty if tenants
 	// are not distinguished.
-	tenant        string
-	stream        *responseStream // the response that is being streamed; nil if there is none
-	parked        bool            // it waits, or has waited, for its tenant's leaf of the catalogue
-	releaseMemory func()          // returns the memory reserved for its body
-	client        *listener.Conn  // nil if not known
-	clientGone    <-chan struct{} // closed when the HTTP server has detected that the client left
+	tenant     string
+	stream     *responseStream // the response that is being streamed; nil if there is none
+	parked     bool            // it waits, or has waited, for its tenant's leaf of the catalogue
+	client     *listener.Conn  // nil if not known
+	clientGone <-chan struct{} // closed when the HTTP server has detected that the client left
 }
 
 // abandoned reports whether the client of a request has left. The loop may not know it yet.
--- a/internal/proxy/responsebody.go
+++ b/internal/proxy/responsebody.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"wrenspread/internal/proxy/memory"
 )
 
 const (
@@ -38,22 +40,22 @@
 	deadline time.Time,
 ) (responseBody, error) {
 	body := c.bodyReader(resp)
-	reserveMemory := c.pool.memory.reserveOnce(&c.releaseMemory)
-	if resp.ContentLength > maxSmallBody {
-		if err := reserveMemory(ctx); err != nil {
-			return responseBody{}, err
-		}
-	}
 	switch {
 	case resp.ContentLength > maxBufferedBody:
+		if err := c.memory.grow(ctx, memory.LongResponse); err != nil {
+			return responseBody{}, err
+		}
 		start, err := readFirstPart(body)
 		return responseBody{start: start, remaining: body}, err
 	case resp.ContentLength >= 0:
+		if err := c.memory.grow(ctx, resp.ContentLength); err != nil {
+			return responseBody{}, err
+		}
 		complete := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(body, complete)
 		return responseBody{start: complete}, err
 	}
-	return c.readUnstatedBody(ctx, body, deadline, reserveMemory)
+	return c.readUnstatedBody(ctx, body, deadline)
 }
 
 // readFirstPart reads the first bytes of a body that is known not to be empty.
@@ -73,29 +75,25 @@
 	ctx context.Context,
 	body io.Reader,
 	deadline time.Time,
-	reserveMemory func(context.Context) error,
 ) (responseBody, error) {
 	began := time.Now()
-	var start []byte
+	start := responseBuffer{memory: &c.memory}
 	buf := make([]byte, bodyReadSize)
 	n, err := body.Read(buf)
 	stalled := time.NewTimer(time.Until(streamStartTime(time.Now(), deadline)))
 	defer stalled.Stop()
 	for reads := 1; ; reads++ {
-		start = append(start, buf[:n]...)
+		if err := start.append(ctx, buf[:n]); err != nil {
+			return responseBody{}, err
+		}
 		if err == io.EOF {
-			return responseBody{start: start}, nil
+			return responseBody{start: start.data}, nil
 		}
 		if err != nil {
 			return responseBody{}, err
 		}
-		if len(start) > maxSmallBody {
-			if err := reserveMemory(ctx); err != nil {
-				return responseBody{}, err
-			}
-		}
-		if len(start) > maxBufferedBody || reads > 1 && time.Since(began) > maxBufferingTime {
-			return responseBody{start: start, remaining: body}, nil
+		if len(start.data) > maxBufferedBody || reads > 1 && time.Since(began) > maxBufferingTime {
+			return responseBody{start: start.data, remaining: body}, c.memory.grow(ctx, memory.LongResponse)
 		}
 		if c.available() > maxChunkFraming {
 			n, err = body.Read(buf) // it does not wait
@@ -106,7 +104,8 @@
 		case read := <-next:
 			n, err = len(read.data), read.err
 		case <-stalled.C:
-			return responseBody{start: start, remaining: &pendingReader{pending: next, body: body}}, nil
+			return responseBody{start: start.data, remaining: &pendingReader{pending: next, body: body}},
+				c.memory.grow(ctx, memory.LongResponse)
 		}
 	}
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -21,6 +21,7 @@
 	"wrenspread/internal/besteffort"
 	"wrenspread/internal/fencing"
 	"wrenspread/internal/membership/gossip"
+	"wrenspread/internal/proxy/memory"
 )
 
 const (
@@ -40,6 +41,8 @@
 	ended  chan struct{} // closed when the loop has ended
 
 	pool           *pool
+	memory         *memory.Budget // for clients' work
+	process        memory.Process
 	endpointSource endpointSource
 	fencing        *fencing.Guard // rejects maintenance calls with an old fencing token
 	startupError   error          // why Run refuses to start; nil: it starts
@@ -69,9 +72,9 @@
 	handoffListTimeout time.Duration // longest wait for the list in a handoff; the old process serves meanwhile
 	handoffPath        string        // socket at which this proxy's processes connect; empty: no handoffs
 
-	// OnOverlap is called with true when another process of this proxy begins to share its limits, and with
-	// false when none does any more. It may be nil.
-	OnOverlap func(bool)
+	// OnMemoryLimit is called with the bytes that the Go runtime may use: when Run starts, when another process of
+	// this proxy begins to share its limits, and when none does any more. It may be nil.
+	OnMemoryLimit func(goBytes int64)
 }
 
 // loopState is the state that only the loop reads and writes, except for loopContext and listKnown: any
@@ -124,10 +127,9 @@
 	maxClients := int(clientShare * float64(usable))
 	srv.pool = newPool(config.Settings, usable-maxClients)
 	srv.pool.forwards = &srv.stats.forwards
-	srv.pool.memory = newMemoryBudget(config.MemoryMB)
+	srv.process = memory.Process{MemoryMB: config.MemoryMB}
+	srv.memory = memory.NewBudget(srv.process.Limits(false).Budget)
 	srv.frontend = newFrontend(srv, maxClients)
-	srv.frontend.memory = newMemoryBudget(config.MemoryMB)
-	srv.frontend.longMemory = srv.frontend.memory.share(longBodyShare)
 	srv.identity = newIdentity(config, maxClients)
 	return srv
 }
@@ -156,6 +158,7 @@
 	loopContext, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	srv.loopContext = loopContext
+	srv.limitMemory(false)
 	err := srv.startupError
 	if err != nil {
 		return err
--- a/internal/proxy/validate.go
+++ b/internal/proxy/validate.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"wrenspread/balancer"
+	"wrenspread/internal/proxy/listener"
+	"wrenspread/internal/proxy/memory"
 )
 
 const (
@@ -72,16 +74,20 @@
 	deadline := time.Now().Add(timeout) // of a long body: if its last byte came now
 	f.updateLatestDeadline(deadline)
 	out := newOutbound(r, body.start)
+	out.memory = f.memoryOf(r)
 	if !body.isLong {
 		out.deadline = deadline
 	} else {
+		if client != nil && !client.SetStreamed() {
+			f.noteMemoryRejection()
+			return nil, event, rejectUnread(w, http.StatusServiceUnavailable, "%w", memory.ErrNone)
+		}
 		out.upload = startUpload(r, body.reader, len(body.start), timeout)
 	}
 	return &request{
 		id:             id,
 		settingsNumber: rules.settingsNumberFor(previous),
 		deadline:       deadline,
-		releaseMemory:  body.memory.release,
 		class:          event.Class,
 		response:       make(chan response, 1),
 		client:         client,
@@ -124,7 +130,14 @@
 	start  []byte
 	isLong bool
 	reader *bodyReader // of the remainder of a long body
-	memory *bodyMemory
+}
+
+// memoryOf returns the memory reservation of the connection on which a request came.
+func (f *frontend) memoryOf(r *http.Request) *memory.Reservation {
+	if c := connOf(r); c != nil {
+		return c.Memory()
+	}
+	return nil
 }
 
 // readBody reads a request's body, or the beginning of a long one. timeout is the time in which the client
@@ -142,20 +155,22 @@
 			maxStreamedBody,
 		)
 	}
-	body := requestBody{memory: &bodyMemory{budget: f.memory, longBudget: f.longMemory}}
-	if r.Body == http.NoBody {
-		return body, nil
-	}
+	var body requestBody
 	var err error
-	body.reader = newBodyReader(w, r)
-	body.start, body.isLong, err = body.reader.readStart(r.Context(), r.ContentLength, timeout, body.memory)
-	if err == nil {
-		return body, nil
+	if r.Body == http.NoBody {
+		client := connOf(r)
+		tooLate := func() bool { return time.Since(lastByteAt(client)) >= maxMemoryWait(timeout) }
+		err = f.memoryOf(r).Grow(r.Context(), memory.Forwarding(0), tooLate)
+	} else {
+		body.reader = newBodyReader(w, r)
+		body.start, body.isLong, err = body.reader.readStart(r.Context(), r.ContentLength, timeout, f.memoryOf(r))
 	}
-	body.memory.release()
 	switch {
-	case errors.Is(err, errNoMemory):
-		return requestBody{}, rejectUnread(w, http.StatusServiceUnavailable, "%w", err)
+	case err == nil:
+		return body, nil
+	case errors.Is(err, memory.ErrNone), errors.Is(err, listener.ErrEvicted):
+		f.noteMemoryRejection()
+		return requestBody{}, rejectUnread(w, http.StatusServiceUnavailable, "%w", memory.ErrNone)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return requestBody{}, &requestError{http.StatusRequestTimeout, errors.New("the body does not come")}
 	}
