Pace connections that send without a pause; cut a client's linger when slots are short

Callers saw other clients' answers 0.35 to 0.57 s late while one client flooded its connection at a fifth of a core. Cause: a connection whose next request has come already is served again at once, so its goroutine, the loop and the collector kept the processor.

Change: a connection may send 20 requests a second (50 at once) freely; what exceeds that comes from a common allowance of 2,000 a second for each core, after a pause before the read. Short reads and lines of chunked bodies count in part. limits.cores is read for that. When all slots are taken, a connection that lingers for over 100 ms, or a request that is not complete after a second, gives up its slot.

--- a/cmd/wrenspread-proxy/crowd_test.go
+++ b/cmd/wrenspread-proxy/crowd_test.go
@@ -77,7 +77,7 @@
 					return
 				case <-time.After(ordinaryPause):
 				}
-				result := client.request(fmt.Sprintf("ordinary-%d-%d", i, n), []string{"read", "write"}[n%2])
+				result := client.request(fmt.Sprintf("client-%d-%d", i, n), []string{"read", "write"}[n%2])
 				mu.Lock()
 				all = append(all, result)
 				mu.Unlock()
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -16,6 +16,7 @@
 
 // The limits of a proxy whose configuration sets none.
 const (
+	defaultCores          = 1
 	defaultMemoryMB       = 192
 	defaultMaxDescriptors = 1024
 )
@@ -34,6 +35,7 @@
 	FencingFolder  string
 	BackendStats   bool              // /stats has separate lines for each endpoint
 	Seed           int64             // of the balancer's random choices
+	Cores          float64           // processor cores that the process may use
 	MemoryMB       int               // memory that the process may use
 	MaxDescriptors int               // file descriptors that the process may open
 	Settings       balancer.Settings // of the balancer; a reload replaces them
@@ -77,8 +79,9 @@
 	BackendStats   bool     `json:"backend_stats"`
 	Seed           string   `json:"seed"`
 	Limits         struct {
-		MemoryMB int `json:"memory_mb"`
-		Sockets  int `json:"sockets"`
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	PeerListen  string                `json:"peer_listen"`
 	Peers       []string              `json:"peers"`
@@ -124,6 +127,7 @@
 		FencingFolder:  in.FencingFolder,
 		BackendStats:   in.BackendStats,
 		Seed:           int64(seed),
+		Cores:          in.Limits.Cores,
 		MemoryMB:       in.Limits.MemoryMB,
 		MaxDescriptors: in.Limits.Sockets,
 		Settings:       settings,
@@ -175,6 +179,9 @@
 
 // setDefaults sets the limits that the file leaves out, and returns the problems of the others.
 func (c *Config) setDefaults() (problems []error) {
+	if c.Cores <= 0 {
+		c.Cores = defaultCores
+	}
 	if c.MemoryMB <= 0 {
 		c.MemoryMB = defaultMemoryMB
 	}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -32,7 +32,9 @@
 	clientListener.HeadTimeout, clientListener.FullTimeout = headTimeout, fullTimeout
 	clientListener.OnAcceptError = f.noteAcceptError
 	clientListener.OnReject = f.noteMemoryRejection
+	clientListener.OnPause = func() { f.server.stats.pauses.Add(1) }
 	clientListener.AdmitBy(f.server.memory)
+	clientListener.Pace(f.server.config.Cores)
 	httpServer.ConnState = clientListener.TrackState
 	f.clientListener.Store(clientListener)
 	if f.handedOff.Load() { // stopAccepting came before clientListener was set
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -14,12 +14,6 @@
 )
 
 const (
-	// lingerTimeout is how long Close waits for the client to close its side: one round trip to any place on
-	// Earth, and the time that a busy client needs.
-	lingerTimeout = 500 * time.Millisecond
-	// maxLingerBytes bounds the bytes that Close reads and discards while it waits: a few of the longest
-	// requests. A client that sends more does not read its response.
-	maxLingerBytes    = 256 << 10
 	pipelinedReadSize = 1 << 10 // bytes; buffer size of a read behind a request in flight
 )
 
@@ -46,6 +40,8 @@
 	pipelined      []byte // bytes received behind the end of the current request
 	arrival        arrivalTracker
 	headReserved   int64 // bytes of memory reserved for the current head and its request
+	pacer          pacer
+	nextPause      time.Duration // before the next read
 }
 
 // Read withholds the bytes behind a head of ambiguous length, and a head for which there is no memory. It returns
@@ -57,6 +53,7 @@
 	if c.isBackgroundRead(p) {
 		return 0, c.readBehindRequest(p)
 	}
+	c.pause()
 	switch {
 	case c.framing.err != nil:
 		return 0, c.framing.err
@@ -71,6 +68,7 @@
 	if err != nil {
 		return 0, err
 	}
+	c.countRead(p[:n])
 	passed, err := c.passOn(p[:n], func(int) time.Time { return c.arrival.receivedAt })
 	if passed < n {
 		c.memory.Charge(int64(n - passed))
@@ -105,7 +103,7 @@
 			return c.framing.err
 		case c.readError != nil:
 			return c.readError
-		case len(c.pipelined) >= MaxHead || len(c.pipelined) > 0 && !c.memory.TryGrowUnderLock(int64(len(buf))):
+		case len(c.pipelined) >= MaxHead || len(c.pipelined) > 0 && !c.memory.TryGrowSpare(int64(len(buf))):
 			return c.waitForClientEnd()
 		}
 		n, err := c.receive(buf)
@@ -170,6 +168,7 @@
 	}
 	if c.framing.isBetweenRequests() && c.hasReceived {
 		now := time.Now()
+		c.countRequest(now)
 		c.startedAt.Store(now.UnixNano())
 		if d := c.listener.HeadTimeout; d > 0 { // the HTTP server starts its own timeout at the fourth byte
 			besteffort.SocketOption(c.Conn.SetReadDeadline(now.Add(d)))
@@ -226,6 +225,7 @@
 	ended := c.readError != nil && !c.hasUnreadBytes || c.evictedUnused
 	reset := c.resetOnClose
 	c.mu.Unlock()
+	c.memory.ShrinkTo(memory.Connection)
 	switch {
 	case reset:
 		if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
@@ -238,21 +238,3 @@
 	c.release()
 	return err
 }
-
-// linger ends the sending side of the proxy, and discards what the client sends until the client ends its
-// side, lingerTimeout has passed or maxLingerBytes have come.
-func (c *Conn) linger() {
-	writeCloser, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || writeCloser.CloseWrite() != nil {
-		return
-	}
-	besteffort.SocketOption(c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)))
-	buf := make([]byte, 1<<10)
-	for received := 0; received < maxLingerBytes; {
-		n, err := c.Conn.Read(buf)
-		if err != nil {
-			return
-		}
-		received += n
-	}
-}
--- a/internal/proxy/listener/listener.go
+++ b/internal/proxy/listener/listener.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"wrenspread/internal/backoff"
 	"wrenspread/internal/besteffort"
 	"wrenspread/internal/proxy/memory"
@@ -45,7 +47,10 @@
 	OnAcceptError func(error)
 	// OnReject is called when a request has been rejected because there is no memory for its head. It may be nil.
 	OnReject func()
+	// OnPause is called when a connection that sends much pauses before its next read. It may be nil.
+	OnPause func()
 
+	heavy       *rate.Limiter  // paces connections that send much; nil: they are not paced
 	memory      *memory.Budget // admits connections, heads and pipelined bytes; nil: all are admitted
 	reclaimedAt atomic.Int64   // Unix nanoseconds of the last call of evictIdle for want of memory
 	slots       chan struct{}  // one element for each open connection
@@ -61,6 +66,7 @@
 
 	mu       sync.Mutex
 	open     map[*Conn]struct{}
+	linger   map[*Conn]time.Time    // when each connection that waits for its client's end was closed
 	idle     map[net.Conn]time.Time // when each idle connection became idle
 	fresh    map[net.Conn]time.Time // when each new connection was accepted
 	draining bool                   // connections that go idle are closed
@@ -81,6 +87,7 @@
 		freed:    make(chan struct{}, 1),
 		closed:   make(chan struct{}),
 		open:     map[*Conn]struct{}{},
+		linger:   map[*Conn]time.Time{},
 		idle:     map[net.Conn]time.Time{},
 		fresh:    map[net.Conn]time.Time{},
 	}
@@ -171,7 +178,7 @@
 	retry := time.NewTicker(evictRetryInterval)
 	defer retry.Stop()
 	for {
-		full := !l.evictIdle() && l.FullTimeout > 0 && time.Since(l.fullSince) >= l.FullTimeout
+		full := !l.evictForSlot() && l.FullTimeout > 0 && time.Since(l.fullSince) >= l.FullTimeout
 		l.full.Store(full) // set before the last check for a free slot
 		if slot := l.takeSlot(); slot != nil {
 			l.full.Store(false)
@@ -189,6 +196,17 @@
 	}
 }
 
+// evictForSlot closes a connection to free its slot, and reports whether it found one: a connection that is not in
+// use, one that waits for its client's end, or one with a request that is not complete, if all slots have been taken for some time.
+func (l *Listener) evictForSlot() bool {
+	now := time.Now()
+	if l.evictIdle() || l.endOldestLinger(now.Add(-minLingerTime)) {
+		return true
+	}
+	return l.FullTimeout > 0 && now.Sub(l.fullSince) >= l.FullTimeout/2 &&
+		l.evictIncomplete(now.Add(-minIncompleteTime))
+}
+
 // takeSlot takes a slot, with the memory of its connection. It returns nil if there is none.
 func (l *Listener) takeSlot() *memory.Reservation {
 	select {
--- a/internal/proxy/memory/budget.go
+++ b/internal/proxy/memory/budget.go
@@ -29,14 +29,14 @@
 	share float64 // of the budget, which these reservations may use together with all smaller ones
 }{
 	{ordinary, 1},
-	{ordinary + 2*maxOrdinaryMessage, 0.85},
+	{ordinary + 2*maxOrdinaryMessage, 0.75},
 }
 
 const (
 	// ordinary is the cost of a client with a request of an ordinary head and a short body.
 	ordinary           = Connection + Request + forwarding + 16<<10
 	maxOrdinaryMessage = 64 << 10 // bytes of the longest message that is buffered
-	longShare          = 0.65     // share of the budget for all that is longer
+	longShare          = 0.55     // share of the budget for all that is longer
 	longMessage        = 32 << 20 // bytes of the longest message that is forwarded while it comes
 )
 
@@ -108,14 +108,19 @@
 
 // fitsLocked reports whether a reservation may grow by some bytes.
 func (b *Budget) fitsLocked(r *Reservation, bytes int64) bool {
+	return b.used+bytes <= b.partLocked(max(r.held+bytes, r.expected))
+}
+
+// partLocked returns the part of the budget, in bytes, for reservations of a size.
+func (b *Budget) partLocked(size int64) int64 {
 	share := longShare
 	for _, tier := range tiers {
-		if max(r.held+bytes, r.expected) <= tier.upTo {
+		if size <= tier.upTo {
 			share = tier.share
 			break
 		}
 	}
-	return b.used+bytes <= int64(share*float64(b.capacity))
+	return int64(share * float64(b.capacity))
 }
 
 // growLocked lets a reservation grow, if it may.
@@ -172,10 +177,15 @@
 	return false
 }
 
-// TryGrowUnderLock is TryGrow for a caller that holds a lock which the owner of the budget takes to free memory:
-// it reports no shortage.
-func (r *Reservation) TryGrowUnderLock(bytes int64) bool {
-	return r == nil || r.budget == nil || r.grow(bytes)
+// TryGrowSpare reserves some more bytes of memory that is of use only while there is enough for others. It returns
+// false if there is not.
+func (r *Reservation) TryGrowSpare(bytes int64) bool {
+	if r == nil || r.budget == nil {
+		return true
+	}
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	return r.budget.used+bytes <= r.budget.partLocked(longMessage) && r.budget.growLocked(r, bytes)
 }
 
 // Expect says how many more bytes will be reserved at least. So a client that will need much does not take what
--- a/internal/proxy/memory/cost.go
+++ b/internal/proxy/memory/cost.go
@@ -3,9 +3,9 @@
 // The costs of clients' work, in bytes.
 const (
 	// Connection is the cost of an open connection: the buffers and the goroutine of the HTTP server.
-	Connection = 12 << 10
+	Connection = 10 << 10
 	// Request is the cost of a request that comes, beside its head and body.
-	Request = 2 << 10
+	Request = 1 << 10
 	// forwarding is the cost of a request that is forwarded, beside its head and body: the goroutines that serve
 	// it, and the connection to a backend.
 	forwarding = 10 << 10
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -30,7 +30,7 @@
 type stats struct {
 	forwards, outstanding, discovered, ejected atomic.Int64
 	sighupApplied, sighupRejected              atomic.Int64
-	acceptErrors, memoryRejections             atomic.Int64
+	acceptErrors, memoryRejections, pauses     atomic.Int64
 
 	mu        sync.RWMutex
 	results   map[string]*[outcomeCount]atomic.Int64 // by class, including classes that a reload has dropped
@@ -148,6 +148,7 @@
 		counter("app.sighup_rejected", s.sighupRejected.Load()),
 		counter("app.accept_errors", s.acceptErrors.Load()),
 		counter("app.memory_rejected", s.memoryRejections.Load()),
+		counter("app.client_pauses", s.pauses.Load()),
 	})
 }
 
