Run a request once when its ID comes again, also at the other process of an upgrade

Callers saw an ID run twice. Cause: a request was forgotten when its attempts had ended, so the ID of a client that had left was new when it came again; and the processes of an upgrade knew nothing of each other's requests.

Tests changed: the departures test sent one ID again and again, which is refused now; each of its requests has its own.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -84,7 +84,7 @@
 	}
 	a := &r.attempts[event.Attempt]
 	a.ended = true
-	a.mayHaveRun = !event.Outcome.provesNotRun()
+	a.mayHaveRun = !event.Outcome.ProvesNotRun()
 	r.attemptsInFlight--
 	if !a.uncounted {
 		b.removeInFlight(a, observedLatency(r, event))
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -178,8 +178,8 @@
 	ConnectTimedOut
 )
 
-// provesNotRun reports whether an outcome proves that the endpoint did not run the request.
-func (o Outcome) provesNotRun() bool {
+// ProvesNotRun reports whether an outcome proves that the endpoint did not run the request.
+func (o Outcome) ProvesNotRun() bool {
 	switch o {
 	case Rejected, ConnectFailed, ConnectTimedOut, NotSent:
 		return true
--- a/balancer/sendrules.go
+++ b/balancer/sendrules.go
@@ -19,7 +19,7 @@
 
 // canSend returns the first rule that forbids an attempt of a request at an endpoint, or sendAllowed. Every
 // attempt is checked by canSend. The guarantee that a request which is not idempotent never runs twice
-// depends on canSend and on Outcome.provesNotRun.
+// depends on canSend and on Outcome.ProvesNotRun.
 func (b *Balancer) canSend(r *request, e *endpoint) sendRule {
 	switch {
 	case r.answered, r.responseStarted, b.now >= r.deadline:
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -101,6 +101,7 @@
 	res result,
 ) {
 	r.runningAttempts--
+	r.mayHaveRun = r.mayHaveRun || !res.outcome.ProvesNotRun()
 	if res.repeatsDiscarded > 0 {
 		srv.log.Info("second responses discarded", "id", r.id, "endpoint", endpoint, "count", res.repeatsDiscarded)
 	}
--- a/internal/proxy/handoff_link.go
+++ b/internal/proxy/handoff_link.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,6 +40,9 @@
 	// Membership is an encoded gossip.Handoff. It is decoded separately: if it can't be read, only the proxy's
 	// generation in the fleet is lost.
 	Membership json.RawMessage `json:"fleet,omitempty"`
+	Executions []executionKey  `json:"executions,omitempty"` // requests that are open or may have run
+	Execution  executionKey    `json:"execution,omitempty"`  // of a claim
+	Denied     bool            `json:"denied,omitempty"`     // the claim of that number
 }
 
 // The kinds of message, in the order in which they are sent. "New" and "old" are the two processes of a
@@ -49,6 +53,9 @@
 	kindState   = "state"   // old to new: what the old process has learned
 	kindCall    = "call"    // in both directions: a maintenance call
 	kindDone    = "done"    // answers kindCall when the call has taken effect
+	kindClaims  = "claims"  // new to old, and in answer: the sender takes claims
+	kindClaim   = "claim"   // in both directions: the sender serves a request that must not run twice
+	kindClaimed = "claimed" // answers kindClaim, unless its number is 0
 	kindReady   = "ready"   // new to old: the new process can serve
 	kindRelease = "yours"   // old to new, with the peer socket: the old process has stopped accepting
 )
@@ -59,14 +66,18 @@
 	scanner     *bufio.Scanner
 	descriptors []int // file descriptors that came with the lines read so far
 
+	takesClaims atomic.Bool // the other process takes claims
+	peerServes  atomic.Bool // the other process serves clients, or will do so at once
+
 	mu             sync.Mutex // guards the fields below and writes to conn
 	lastCallNumber int
-	pendingCalls   map[int]chan struct{} // closed when the other process has answered the call of that number
+	pendingCalls   map[int]chan struct{}    // closed when the other process has answered the call of that number
+	pendingClaims  map[int]chan claimResult // receive the other process's answer to the claim of that number
 	closed         bool
 }
 
 func newHandoffLink(c *net.UnixConn) *handoffLink {
-	l := &handoffLink{conn: c, pendingCalls: map[int]chan struct{}{}}
+	l := &handoffLink{conn: c, pendingCalls: map[int]chan struct{}{}, pendingClaims: map[int]chan claimResult{}}
 	l.scanner = bufio.NewScanner(l)
 	l.scanner.Buffer(nil, maxHandoffLineBytes)
 	return l
@@ -174,6 +185,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
+	l.endClaimsLocked()
 	for number, completed := range l.pendingCalls {
 		delete(l.pendingCalls, number)
 		close(completed)
--- a/internal/proxy/handoff_link_test.go
+++ b/internal/proxy/handoff_link_test.go
@@ -47,6 +47,9 @@
 		t.Errorf("receiving a message of kind %q: %v", kind, err)
 		return m
 	}
+	if json.Unmarshal(line, &m) == nil && m.Kind == kindClaims && kind != kindClaims {
+		return o.receive(t, kind) // may come at any time after the state
+	}
 	if err := json.Unmarshal(line, &m); err != nil || m.Kind != kind {
 		t.Errorf("received %s, want kind %q", line, kind)
 	}
--- a/internal/proxy/handoff_links.go
+++ b/internal/proxy/handoff_links.go
@@ -67,7 +67,7 @@
 }
 
 // receiveFromLink handles the other process's messages until the link ends. It carries out and answers
-// maintenance calls itself, and passes all other kinds to handleOther.
+// maintenance calls and claims itself, and passes all other kinds to handleOther.
 func (srv *Server) receiveFromLink(l *handoffLink, handleOther func(handoffMessage)) {
 	stop := context.AfterFunc(srv.loopContext, l.close)
 	defer stop()
@@ -77,17 +77,23 @@
 		if err != nil {
 			return
 		}
-		if m.Kind != kindCall {
-			if m.Kind == kindDone {
-				l.maintenanceDone(m.Number)
-			} else {
-				handleOther(m)
-			}
-			continue
+		switch m.Kind {
+		case kindCall:
+			srv.do(func() { srv.setMaintenance(m.Backend, m.On) })
+			srv.forwardMaintenance(l, m.Backend, m.On)
+			err = l.send(handoffMessage{Kind: kindDone, Number: m.Number}, -1)
+		case kindDone:
+			l.maintenanceDone(m.Number)
+		case kindClaims:
+			err = srv.acceptClaims(l, m)
+		case kindClaim:
+			err = srv.answerClaim(l, m)
+		case kindClaimed:
+			l.claimAnswered(m)
+		default:
+			handleOther(m)
 		}
-		srv.do(func() { srv.setMaintenance(m.Backend, m.On) })
-		srv.forwardMaintenance(l, m.Backend, m.On)
-		if l.send(handoffMessage{Kind: kindDone, Number: m.Number}, -1) != nil {
+		if err != nil {
 			return
 		}
 	}
--- a/internal/proxy/handoff_new.go
+++ b/internal/proxy/handoff_new.go
@@ -60,9 +60,10 @@
 		l.closeUnused()
 		return nil, err
 	}
+	l.peerServes.Store(true)
 	srv.addLink(l, false) // first, so that each call that takes effect here is forwarded to the old process
 	srv.do(func() { srv.restoreState(m) })
-	return l, nil
+	return l, l.send(handoffMessage{Kind: kindClaims}, -1)
 }
 
 // restoreState applies the old process's state. Endpoint IDs may differ between processes, so they are
--- a/internal/proxy/handoff_old.go
+++ b/internal/proxy/handoff_old.go
@@ -71,6 +71,7 @@
 			return
 		}
 		handedOff = true
+		l.peerServes.Store(true)
 		srv.log.Info("handing over")
 		besteffort.Close(listener)
 		// The membership is handed off first: to the fleet the proxy does not drain, only this process does.
--- a/internal/proxy/pipelining_test.go
+++ b/internal/proxy/pipelining_test.go
@@ -28,19 +28,22 @@
 func TestDepartedClientCancelsItsRequestDespitePipelinedBytes(t *testing.T) {
 	server, got, gone := silentServer(t)
 	srv := startProxy(t, server)
+	number := 0
 	for request, sent := range map[string]string{"get": completeGet, "post": completePost, "chunked": chunkedPost} {
 		for _, extra := range []string{"", "x", "\r\n", nextGet[:20], nextGet, nextGet + nextGet[:20], strings.Repeat("x", 40000)} {
 			for departure, leave := range clientDepartures {
 				t.Run(fmt.Sprintf("%s, %d bytes after the request, %s", request, len(extra), departure), func(t *testing.T) {
 					c := srv.dialAccepted(t)
-					besteffort.Output(io.WriteString(c, sent))
+					number++
+					want := fmt.Sprint("q", number) // an ID of its own: a request of a client that has left does not run again
+					besteffort.Output(io.WriteString(c, strings.Replace(sent, "Id: q", "Id: "+want, 1)))
 					wait(t, got, "the attempt")
 					before := srv.listener.bytesRead.Load()
 					besteffort.Output(io.WriteString(c, extra))
 					waitUntil(t, "the proxy to read the bytes", func() bool { return srv.listener.bytesRead.Load() >= before+min(int64(len(extra)), 16<<10) })
 					leave(c)
-					if id := wait(t, gone, "the attempt to end"); id != "q" {
-						t.Errorf("attempt of %q ended, want q", id)
+					if id := wait(t, gone, "the attempt to end"); id != want {
+						t.Errorf("attempt of %q ended, want %q", id, want)
 					}
 					waitUntil(t, "the request to end", func() (over bool) {
 						srv.do(func() { over = len(srv.requests) == 0 && srv.stats.outstanding.Load() == 0 })
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -36,6 +36,9 @@
 	// are not distinguished.
 	tenant     string
 	stream     *responseStream // the response that is being streamed; nil if there is none
+	runsOnce   bool            // its class is not idempotent, so it must not run again
+	mayHaveRun bool            // an attempt has begun that may have run it
+	served     bool            // the response of a backend has been given to its client's connection
 	parked     bool            // it waits, or has waited, for its tenant's leaf of the catalogue
 	client     *listener.Conn  // nil if not known
 	clientGone <-chan struct{} // closed when the HTTP server has detected that the client left
@@ -65,8 +68,7 @@
 func (srv *Server) openRequest(r *request, e balancer.RequestArrived) {
 	if srv.requests[r.id] != nil {
 		// Two open requests with the same ID would get each other's responses.
-		r.answered = true
-		r.response <- response{status: http.StatusConflict}
+		srv.answerUnopened(r, response{status: http.StatusConflict})
 		return
 	}
 	settingsNumber := srv.frontend.rules.Load().settingsNumber // as in the balancer: both change in one step
@@ -74,8 +76,7 @@
 		r.settingsNumber < settingsNumber-1 {
 		// Too many requests are open, or the balancer no longer has the settings in which the request's class is
 		// defined. In the latter case the present class of the same name may allow retries freely.
-		r.answered = true
-		r.response <- response{status: http.StatusServiceUnavailable}
+		srv.answerUnopened(r, response{status: http.StatusServiceUnavailable})
 		return
 	}
 	e.PreviousSettings = r.settingsNumber < settingsNumber
@@ -97,6 +98,13 @@
 	srv.handle(e)
 }
 
+// answerUnopened answers a request that the balancer does not get.
+func (srv *Server) answerUnopened(r *request, resp response) {
+	r.answered = true
+	r.response <- resp
+	srv.endExecution(r)
+}
+
 // requestReceived starts the deadline of an upload whose last byte has reached this machine. wait is the time
 // that is left for its response.
 func (srv *Server) requestReceived(r *request, wait time.Duration) {
@@ -155,6 +163,7 @@
 func (srv *Server) answerRequest(id balancer.RequestID, resp response) {
 	if r := srv.requests[id]; r != nil && !r.answered {
 		r.response <- resp
+		r.served = resp.status == http.StatusOK
 		srv.closeRequest(r)
 	}
 }
@@ -170,6 +179,7 @@
 func (srv *Server) forgetRequest(r *request) {
 	if r.answered && r.runningAttempts == 0 {
 		delete(srv.requests, r.id)
+		srv.endExecution(r)
 		srv.tenantRequestEnded(r)
 	}
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -43,6 +43,7 @@
 	pool           *pool
 	memory         *memory.Budget // for clients' work
 	process        memory.Process
+	executions     *executions
 	endpointSource endpointSource
 	fencing        *fencing.Guard // rejects maintenance calls with an old fencing token
 	startupError   error          // why Run refuses to start; nil: it starts
@@ -104,6 +105,8 @@
 		ended:     make(chan struct{}),
 		stats:     newStats(config.Settings.Classes, config.BackendStats),
 		rawConfig: config.rawFile,
+
+		executions: newExecutions(),
 	}
 	srv.firstListTimeout = agentAnswerTimeout
 	srv.handoffListTimeout = handoffListTimeout
--- a/internal/proxy/serverequest.go
+++ b/internal/proxy/serverequest.go
@@ -31,6 +31,10 @@
 		defer ticker.Stop()
 		clientChecks = ticker.C
 	}
+	if refusal, ok := f.server.beginExecution(r.Context(), req); !ok {
+		f.askToClose(w, r)
+		return f.writeResponse(w, req, refusal)
+	}
 	f.server.post(func() { f.server.openRequest(req, event) })
 	for {
 		select {
@@ -49,6 +53,7 @@
 			continue // the select above handles it
 		case resp := <-req.response:
 			f.askToClose(w, r)
+			defer f.server.recheckClient(req)
 			return f.writeResponse(w, req, resp)
 		case <-clientChecks:
 			if !req.abandoned() {
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -218,6 +218,13 @@
 	return &next
 }
 
+// runsOnce reports whether requests of a class must not run again, by the present or the previous settings.
+func (r *requestRules) runsOnce(class string) bool {
+	present, known := r.idempotency[class]
+	previous, wasKnown := r.previous[class]
+	return known && present != balancer.Idempotent || wasKnown && previous != balancer.Idempotent
+}
+
 // settingsNumberFor returns the number of the previous settings if previous is true, otherwise of the present
 // ones.
 func (r *requestRules) settingsNumberFor(previous bool) int {
--- a/internal/proxy/tenants_decide.go
+++ b/internal/proxy/tenants_decide.go
@@ -44,8 +44,7 @@
 		answer.status, answer.retryAfter = http.StatusServiceUnavailable, decision.RetryAfter
 		t.unavailable.Add(1)
 	}
-	r.answered = true
-	r.response <- answer
+	srv.answerUnopened(r, answer)
 	return false
 }
 
--- a/internal/proxy/validate.go
+++ b/internal/proxy/validate.go
@@ -89,6 +89,7 @@
 		settingsNumber: rules.settingsNumberFor(previous),
 		deadline:       deadline,
 		class:          event.Class,
+		runsOnce:       rules.runsOnce(event.Class),
 		response:       make(chan response, 1),
 		client:         client,
 		clientGone:     r.Context().Done(),
