Forward long answers to their end: past the deadline at a slow pace, and after SIGTERM

Callers saw a long answer cut off that its backend was still writing. Cause: an answer of no stated length had to come at 32 KiB a second past its request's deadline, until 64 KiB had come (progressDeadline); and after SIGTERM the process closed its connections when the requests' deadlines were over, although answers that have begun have none.

Change: such an answer also goes on at 4 KiB a second with no pause over a second; a trickle is cut as before. After SIGTERM the process waits for answers that have begun, 5 minutes at most or until SIGKILL; each ends by itself when a side stalls for 20 s. The tests of streams, stalled answers and SIGTERM pass.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"wrenspread/internal/backoff"
 	"wrenspread/internal/besteffort"
 	"wrenspread/internal/proxy/listener"
 )
@@ -19,7 +20,9 @@
 	// maxFinishTime is the longest time for the last responses after drainAcceptTime. SIGKILL may come when
 	// drainAcceptTime, finishSlack and the shorter of maxFinishTime and the longest deadline have passed since
 	// SIGTERM.
-	maxFinishTime       = 3 * time.Second
+	maxFinishTime = 3 * time.Second
+	// maxStreamFinishTime bounds the time for long responses that have begun.
+	maxStreamFinishTime = 5 * time.Minute
 	acceptErrorsPerLine = 200 // accept errors for each line of the log
 )
 
@@ -78,11 +81,22 @@
 	slackCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishSlack)
 	defer cancel()
 	clientListener.WaitForConns(slackCtx, 0)
+	f.finishStreams(context.WithoutCancel(ctx))
 	clientListener.SkipLinger()
 	besteffort.Close(httpServer)
 	return nil
 }
 
+// finishStreams waits until the long responses that have begun have ended, or SIGKILL comes. Each of them ends by
+// itself when its backend or its client stalls.
+func (f *frontend) finishStreams(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxStreamFinishTime)
+	defer cancel()
+	for ok := true; ok && f.streams.Load() > 0; {
+		ok = backoff.Sleep(ctx, shortWait)
+	}
+}
+
 // noteAcceptError counts an accept that failed for a moment, and logs the first one and then one in
 // acceptErrorsPerLine.
 func (f *frontend) noteAcceptError(err error) {
--- a/internal/proxy/serverequest.go
+++ b/internal/proxy/serverequest.go
@@ -107,6 +107,8 @@
 		resp.stream.ended <- errResponseCut
 		return requestResult{outcome: writeComplete(w, response{status: http.StatusBadGateway}), answered: true}
 	}
+	f.streams.Add(1)
+	defer f.streams.Add(-1)
 	writeHeader(w, resp, resp.stream.length)
 	err := resp.stream.writeTo(w, req.deadline)
 	resp.stream.ended <- err
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -14,6 +14,10 @@
 	copyBufSize     = 16 << 10 // bytes of the buffer with which a long body is copied
 	// progressTimeout is how long either side of a long message may stall.
 	progressTimeout = 20 * time.Second
+	// maxStreamPause and minStreamRate, in bytes a second, are what a response of no stated length has to keep to when
+	// it goes on slowly beyond its request's deadline.
+	maxStreamPause = time.Second
+	minStreamRate  = 4 << 10
 )
 
 // errClientGone is the error of a message whose client has left.
@@ -65,18 +69,22 @@
 		return nil
 	}
 	lastReadAt := time.Now() // when the last read returned
+	lastByteAt := lastReadAt // when the last bytes came
 	err, passed := writePart(s.start), int64(len(s.start))
 	s.start = nil
 	for buf := make([]byte, copyBufSize); err == nil; {
 		var n int
 		var readErr error
 		deadline = deadline.Add(time.Since(lastReadAt)) // excludes the time for writing to the client
-		besteffort.SocketOption(s.conn.SetReadDeadline(s.progressDeadline(deadline, passed)))
+		besteffort.SocketOption(s.conn.SetReadDeadline(s.progressDeadline(deadline, passed, lastByteAt)))
 		if s.isCancelled() {
 			return errResponseCut
 		}
 		n, readErr = s.remaining.Read(buf)
 		lastReadAt = time.Now()
+		if n > 0 {
+			lastByteAt = lastReadAt
+		}
 		if passed += int64(n); passed > maxStreamedBody {
 			return errTooLong
 		}
@@ -92,17 +100,23 @@
 
 // progressDeadline returns the time by which the next part of the stream must have come. A response of stated
 // length, and any response once it has more than maxBufferedBody bytes, only has to make progress. Until
-// then, a response of no stated length must not go on slowly beyond its request's deadline, but may still
-// arrive at minBodyRate, the rate that is required of clients.
-func (s *responseStream) progressDeadline(deadline time.Time, passed int64) time.Time {
+// then, a response of no stated length must go on beyond its request's deadline: at minBodyRate, the rate that is
+// required of clients, or without a pause of maxStreamPause at minStreamRate. lastByteAt is when its last bytes came.
+func (s *responseStream) progressDeadline(deadline time.Time, passed int64, lastByteAt time.Time) time.Time {
 	progressBy := time.Now().Add(progressTimeout)
 	if s.length >= 0 || passed > maxBufferedBody {
 		return progressBy
 	}
-	if last := deadline.Add(
-		bodyStartGrace + time.Duration(passed)*time.Second/minBodyRate,
-	); last.Before(progressBy) {
-		return last
+	fast := deadline.Add(bodyStartGrace + time.Duration(passed)*time.Second/minBodyRate)
+	steady := deadline.Add(bodyStartGrace + time.Duration(passed)*time.Second/minStreamRate)
+	if next := lastByteAt.Add(maxStreamPause); next.Before(steady) {
+		steady = next
+	}
+	if steady.After(fast) {
+		fast = steady
+	}
+	if fast.Before(progressBy) {
+		return fast
 	}
 	return progressBy
 }
