Begin no attempt for a client that may have closed behind unread bytes

Callers saw requests sent on after their client had closed its connection with much still unread. Cause: the end of a connection is seen only when it has reached this machine; behind more bytes than the receive buffer holds, the client's system keeps it back.

Requests that follow are served when less is unread.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -45,7 +45,7 @@
 	began := time.Now()
 	go func() {
 		defer cancel()
-		mayWrite := func() bool { return !r.abandoned() && srv.now() < a.WriteBy }
+		mayWrite := func() bool { return !r.mayBeAbandoned() && srv.now() < a.WriteBy }
 		res := srv.pool.attempt(ctx, a.Endpoint, r.outbound, mayWrite, func(res result) error {
 			return srv.streamResponse(r, number, a.Endpoint, time.Since(srv.serviceStart(r, began)), res)
 		})
--- a/internal/proxy/listener/clientgone.go
+++ b/internal/proxy/listener/clientgone.go
@@ -7,6 +7,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"wrenspread/internal/socketoption"
 )
 
 // ClientGone reports whether the client has closed its connection, or its sending side, as far as the kernel
@@ -23,6 +25,22 @@
 	return gone || err != nil
 }
 
+// maxVisibleBacklog is the number of unread bytes behind a request up to which the end of the client's side is seen. A
+// client's system holds back what exceeds the receive buffer of the connection, and the end behind it.
+const maxVisibleBacklog = 24 << 10
+
+// MayHideEnd reports whether so much of what the client has sent behind the current request is unread that the client
+// may have closed its connection behind that.
+func (c *Conn) MayHideEnd() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.framing.chunked || len(c.pipelined) == 0 {
+		return false // the unread bytes are of the request itself, or there are none
+	}
+	unread, _ := socketoption.Unread(c.Conn) // 0 if it is not known
+	return unread-c.framing.bodyRemaining >= maxVisibleBacklog
+}
+
 // waitForClientEnd waits until the client ends its connection or its sending side. It reads no bytes, as the
 // buffer for pipelined bytes is full. At the client's end it returns io.EOF; another error means that the
 // wait was interrupted.
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -54,6 +54,12 @@
 	}
 }
 
+// mayBeAbandoned reports whether the client of a request has left, or may have left unseen. A request that can't be
+// attempted for that is rejected or fails.
+func (r *request) mayBeAbandoned() bool {
+	return r.abandoned() || r.client != nil && r.client.MayHideEnd()
+}
+
 // response is a final response to a client.
 type response struct {
 	status     int
