Answer an upload in time while its backend reads it slowly

Callers saw the final answer of a large request seconds late. Cause: where more of a body was to come than the receive buffer held, the deadline did not run; but the client's system takes some megabytes ahead, and the client waits from its last write.

Change: while over 24 KiB wait unread and at most 4 MiB are to come (or how much is not known), the last byte may have been written since that began; a request that has waited so for its whole time is answered. A chunked upload that waits for its backend for its whole time on end now fails even if its client is still writing.

--- a/internal/proxy/listener/arrival.go
+++ b/internal/proxy/listener/arrival.go
@@ -11,6 +11,8 @@
 	// count from earlier than they came, and bytes of a backlog from later, at most until they are read.
 	maxPipelinedParts = 64
 	maxBacklogMarks   = 64
+	// maxSendBuffer is the number of bytes that a client's system takes from the client ahead of this machine.
+	maxSendBuffer = 4 << 20
 )
 
 // Arrival tells when the last byte of a request reached this machine, read or not: from then on its client
@@ -31,6 +33,7 @@
 	reading     bool            // a read waits for the client
 	receivedAt  time.Time       // when the bytes that were read last had come
 	received    int64           // bytes that have been read from the client
+	blockedAt   time.Time       // since when the client may be kept from writing by what is unread; zero: it isn't
 	backlog     []backlogMark   // of a chunked request, oldest first
 	pipelinedAt []pipelinedPart // when the pipelined bytes came, in their order
 }
@@ -50,9 +53,21 @@
 // begin starts to track the next request.
 func (t *arrivalTracker) begin() {
 	t.completeAt = time.Time{}
+	t.blockedAt = time.Time{}
 	t.backlog = t.backlog[:0]
 }
 
+// markBlocked notes whether the client may be kept from writing, as it has no room for more: from then on it may
+// have written its last byte already, which its own system holds. toCome is what is still to reach this machine.
+func (t *arrivalTracker) markBlocked(unread, toCome int64, now time.Time) {
+	switch {
+	case unread < maxVisibleBacklog || toCome > maxSendBuffer:
+		t.blockedAt = time.Time{}
+	case t.blockedAt.IsZero():
+		t.blockedAt = now
+	}
+}
+
 // endChunked notes that the HTTP server has read a chunked request to its end.
 func (t *arrivalTracker) endChunked() {
 	if t.completeAt.IsZero() {
@@ -140,6 +155,7 @@
 	}
 	if t.reading { // all that has come has been read
 		t.backlog = t.backlog[:0]
+		t.blockedAt = time.Time{}
 		return Arrival{}
 	}
 	now := time.Now()
@@ -148,12 +164,17 @@
 	case !known:
 		return Arrival{At: t.receivedAt}
 	case !c.framing.chunked && unread < c.framing.bodyRemaining:
-		return Arrival{}
+		t.markBlocked(unread, c.framing.bodyRemaining-unread, now)
+		return Arrival{At: t.blockedAt}
 	case !c.framing.chunked:
 		t.completeAt = now
 		return Arrival{At: now, Complete: true}
 	}
-	if waitingSince := t.markBacklog(unread, now); !waitingSince.IsZero() {
+	waitingSince := t.markBacklog(unread, now)
+	if t.markBlocked(unread, 0, now); !t.blockedAt.IsZero() && t.blockedAt.Before(waitingSince) {
+		waitingSince = t.blockedAt
+	}
+	if !waitingSince.IsZero() {
 		return Arrival{At: waitingSince}
 	}
 	return Arrival{At: t.receivedAt} // the end may be among the bytes that were read last
