Evict first what clients miss least when slots or memory are short

Callers that kept a connection were closed for a crowd that reconnected: idle connections were evicted first. Tests of the listener pass.

--- a/internal/proxy/listener/admission.go
+++ b/internal/proxy/listener/admission.go
@@ -79,16 +79,12 @@
 // for others.
 var ErrEvicted = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("evicted for want of memory")}
 
-// reclaim frees memory for ordinary requests. It ends the oldest request that is not complete, if its client has
-// had some time to send it, otherwise a connection that is not in use.
+// reclaim frees memory for ordinary requests.
 func (l *Listener) reclaim() {
-	now := time.Now()
+	now := time.Now().UnixNano()
 	last := l.reclaimedAt.Load()
-	if now.UnixNano()-last < int64(reclaimInterval) || !l.reclaimedAt.CompareAndSwap(last, now.UnixNano()) {
-		return
-	}
-	if !l.evictIncomplete(now.Add(-minIncompleteTime)) {
-		l.evictIdle()
+	if now-last >= int64(reclaimInterval) && l.reclaimedAt.CompareAndSwap(last, now) {
+		l.evict()
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/listener/evict.go
@@ -0,0 +1,69 @@
+package listener
+
+import (
+	"net"
+	"time"
+)
+
+const (
+	// minIdleTime is the time after which the proxy may close a connection on which no request is open.
+	minIdleTime = 2 * time.Second
+	// maxIncompleteEvictions bounds the requests that are ended at once because they are not complete.
+	maxIncompleteEvictions = 8
+)
+
+// evict frees slots and memory, and reports whether it found some to free. It takes first what its client misses
+// least: connections that wait for their client's end, idle ones, requests that their clients have had some time to
+// complete, connections that have just become idle, and silent new ones.
+func (l *Listener) evict() bool {
+	now := time.Now()
+	if l.endOldestLinger(now.Add(-minLingerTime)) || l.evictIdleSince(now.Add(-minIdleTime)) {
+		return true
+	}
+	evicted := 0
+	for evicted < maxIncompleteEvictions && l.evictIncomplete(now.Add(-minIncompleteTime)) {
+		evicted++
+	}
+	return evicted > 0 || l.evictIdle()
+}
+
+// evictIdleSince closes the connection that has been idle longest, if it became idle at latest or earlier.
+func (l *Listener) evictIdleSince(latest time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return evictOldest(l.idle, idle, latest)
+}
+
+// evictIdle closes the connection that has been idle longest. If none is idle, it closes the new connection
+// that has been silent longest, if that is at least minFreshTime. It returns false if it closed none.
+func (l *Listener) evictIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if evictOldest(l.idle, idle, now) {
+		l.fullSince = now // its client has lingerTimeout to close
+		return true
+	}
+	return evictOldest(l.fresh, fresh, now.Add(-minFreshTime))
+}
+
+// evictOldest evicts the connection that has been in state s longest, if it entered the state at latest or
+// earlier. It reports whether it evicted a connection.
+func evictOldest(conns map[net.Conn]time.Time, s state, latest time.Time) bool {
+	for len(conns) > 0 {
+		var oldest net.Conn
+		for c, since := range conns {
+			if oldest == nil || since.Before(conns[oldest]) {
+				oldest = c
+			}
+		}
+		if conns[oldest].After(latest) {
+			return false
+		}
+		delete(conns, oldest)
+		if oldest.(*Conn).evict(s) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/proxy/listener/idle.go
+++ b/internal/proxy/listener/idle.go
@@ -89,40 +89,6 @@
 	return true
 }
 
-// evictIdle closes the connection that has been idle longest. If none is idle, it closes the new connection
-// that has been silent longest, if that is at least minFreshTime. It returns false if it closed none.
-func (l *Listener) evictIdle() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	if evictOldest(l.idle, idle, now) {
-		l.fullSince = now // its client has lingerTimeout to close
-		return true
-	}
-	return evictOldest(l.fresh, fresh, now.Add(-minFreshTime))
-}
-
-// evictOldest evicts the connection that has been in state s longest, if it entered the state at latest or
-// earlier. It reports whether it evicted a connection.
-func evictOldest(conns map[net.Conn]time.Time, s state, latest time.Time) bool {
-	for len(conns) > 0 {
-		var oldest net.Conn
-		for c, since := range conns {
-			if oldest == nil || since.Before(conns[oldest]) {
-				oldest = c
-			}
-		}
-		if conns[oldest].After(latest) {
-			return false
-		}
-		delete(conns, oldest)
-		if oldest.(*Conn).evict(s) {
-			return true
-		}
-	}
-	return false
-}
-
 // closeAllIdle closes all connections that are idle now, and later each connection that goes idle.
 func (l *Listener) closeAllIdle() {
 	l.mu.Lock()
--- a/internal/proxy/listener/listener.go
+++ b/internal/proxy/listener/listener.go
@@ -178,7 +178,7 @@
 	retry := time.NewTicker(evictRetryInterval)
 	defer retry.Stop()
 	for {
-		full := !l.evictForSlot() && l.FullTimeout > 0 && time.Since(l.fullSince) >= l.FullTimeout
+		full := !l.evict() && l.FullTimeout > 0 && time.Since(l.fullSince) >= l.FullTimeout
 		l.full.Store(full) // set before the last check for a free slot
 		if slot := l.takeSlot(); slot != nil {
 			l.full.Store(false)
@@ -196,17 +196,6 @@
 	}
 }
 
-// evictForSlot closes a connection to free its slot, and reports whether it found one: a connection that is not in
-// use, one that waits for its client's end, or one with a request that is not complete, if all slots have been taken for some time.
-func (l *Listener) evictForSlot() bool {
-	now := time.Now()
-	if l.evictIdle() || l.endOldestLinger(now.Add(-minLingerTime)) {
-		return true
-	}
-	return l.FullTimeout > 0 && now.Sub(l.fullSince) >= l.FullTimeout/2 &&
-		l.evictIncomplete(now.Add(-minIncompleteTime))
-}
-
 // takeSlot takes a slot, with the memory of its connection. It returns nil if there is none.
 func (l *Listener) takeSlot() *memory.Reservation {
 	select {
