--- a/cmd/wrenspread-proxy/main.go
+++ b/cmd/wrenspread-proxy/main.go
@@ -39,6 +39,8 @@
 	// SIGHUP is handled from the start, because it ends a process that has no handler for it.
 	reloadSignals := make(chan os.Signal, 16)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
+	// A write to a log that nobody reads any more must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	path := os.Getenv("GW_CONFIG")
 	if finished, err := handleArguments(os.Args[1:], path, os.Stdout, os.Stderr); finished {
 		return err
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -10,6 +10,7 @@
 
 	"wrenspread/balancer"
 	"wrenspread/internal/besteffort"
+	"wrenspread/internal/proxy/memory"
 )
 
 // earlyResponseWait is the time for the response of a backend that has stopped reading the request.
@@ -68,6 +69,9 @@
 	}
 	if err != nil {
 		c.closeDirty()
+		if errors.Is(err, memory.ErrNone) { // it says nothing about the backend, and a retry would need the same memory
+			return result{outcome: balancer.Cancelled, loadReport: res.loadReport, bodyDiscarded: true}
+		}
 		if res.outcome == balancer.OK { // no more specific outcome is known
 			res.outcome = failedOutcome(ctx, c.readError)
 		}
--- a/internal/proxy/handoff_links.go
+++ b/internal/proxy/handoff_links.go
@@ -54,6 +54,7 @@
 func (srv *Server) shareLimits(on bool) {
 	srv.pool.halve(on)
 	srv.limitMemory(on)
+	srv.log.Info("limits divided", "shared", on, "budget_bytes", srv.memory.Capacity(), "used_bytes", srv.memory.Used())
 }
 
 // limitMemory divides the memory of this process. shared says that another process of this proxy runs.
@@ -63,7 +64,6 @@
 	if srv.OnMemoryLimit != nil {
 		srv.OnMemoryLimit(limits.Go)
 	}
-	srv.log.Info("memory limits", "go_bytes", limits.Go, "budget_bytes", limits.Budget, "shared", shared)
 }
 
 // receiveFromLink handles the other process's messages until the link ends. It carries out and answers
--- a/internal/proxy/listener/evict.go
+++ b/internal/proxy/listener/evict.go
@@ -24,7 +24,32 @@
 	for evicted < maxIncompleteEvictions && l.evictIncomplete(now.Add(-minIncompleteTime)) {
 		evicted++
 	}
-	return evicted > 0 || l.evictIdle()
+	if evicted > 0 {
+		return true
+	}
+	if l.hasIncomplete() { // a client that has been served waits for none that has sent nothing complete yet
+		return l.evictFreshSince(now.Add(-minIncompleteTime))
+	}
+	return l.evictIdle()
+}
+
+// hasIncomplete reports whether a request is being received that is not complete.
+func (l *Listener) hasIncomplete() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if c.isIncomplete() {
+			return true
+		}
+	}
+	return false
+}
+
+// evictFreshSince closes the new connection that has been silent longest, if it was accepted at latest or earlier.
+func (l *Listener) evictFreshSince(latest time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return evictOldest(l.fresh, fresh, latest)
 }
 
 // evictIdleSince closes the connection that has been idle longest, if it became idle at latest or earlier.
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"wrenspread/balancer"
@@ -19,21 +20,34 @@
 	for {
 		select {
 		case f := <-srv.calls:
-			f()
+			srv.run(f)
 			continue
 		default:
 		}
 		select {
 		case f := <-srv.calls:
-			f()
+			srv.run(f)
 		case f := <-srv.inbox:
-			f()
+			srv.run(f)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// run runs a function. If it panics, the request that it concerns is answered by its guard at its deadline, and the
+// other requests go on.
+func (srv *Server) run(f func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			srv.pendingEvents = nil
+			srv.stats.panics.Add(1)
+			srv.log.Error("panic in the loop", "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
+	f()
+}
+
 // post makes the loop run f; it does nothing once the loop has ended.
 func (srv *Server) post(f func()) {
 	select {
--- a/internal/proxy/memory/cost.go
+++ b/internal/proxy/memory/cost.go
@@ -8,7 +8,7 @@
 	Request = 1 << 10
 	// forwarding is the cost of a request that is forwarded, beside its head and body: the goroutines that serve
 	// it, and the connection to a backend.
-	forwarding = 10 << 10
+	forwarding = 24 << 10
 	// field is the cost of a field of a head, once it is parsed and copied for the backend.
 	field = 300
 	// headByte is the cost of a byte of a head: it is read into lines, parsed into values, and encoded again.
--- a/internal/proxy/memory/process.go
+++ b/internal/proxy/memory/process.go
@@ -24,7 +24,7 @@
 	// baseBytes are for what the process needs with no client.
 	baseBytes = 3 << 20
 	// liveShare is the part of the runtime's memory that may be in use; the rest is for garbage and fragments.
-	liveShare = 0.65
+	liveShare = 0.55
 	// minBudget lets some clients in, however little memory there is.
 	minBudget = 1 << 20
 )
--- a/internal/proxy/responsememory.go
+++ b/internal/proxy/responsememory.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"wrenspread/internal/proxy/memory"
 )
 
+// maxResponseWait bounds the wait of a response for memory. Its endpoint counts as busy meanwhile.
+const maxResponseWait = 200 * time.Millisecond
+
 // responseMemory is what the response on a connection takes of its client's memory reservation.
 type responseMemory struct {
 	reservation *memory.Reservation // of the client whose request the connection carries
@@ -33,8 +37,14 @@
 	return nil
 }
 
-// grow reserves memory for some more bytes of the response, and waits for it until ctx ends.
+// grow reserves memory for some more bytes of the response, and waits for it until ctx ends or maxResponseWait has
+// passed.
 func (m *responseMemory) grow(ctx context.Context, bytes int64) error {
+	if bytes > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxResponseWait)
+		defer cancel()
+	}
 	if err := m.reservation.Grow(ctx, bytes, nil); err != nil {
 		return err
 	}
