--- a/cmd/wrenspread-proxy/crowd_soak_test.go
+++ b/cmd/wrenspread-proxy/crowd_soak_test.go
@@ -97,9 +97,8 @@
 			time.Sleep(crowdTime / 8)
 		}
 	case crowdUpgrade:
-		next := p.start()
+		p.start()
 		running.terminate()
-		running = next
 	case crowdSignals:
 		for range 5 {
 			besteffort.Signal(running.cmd.Process.Signal(syscall.SIGHUP))
--- a/cmd/wrenspread-proxy/main.go
+++ b/cmd/wrenspread-proxy/main.go
@@ -107,8 +107,8 @@
 	return ln, err
 }
 
-// mayPass reports whether an error of listening may be over a moment later: the previous process still has the
-// address, or the system lacks a resource.
+// mayPass reports whether an error of listening may be over a moment later: the previous process still has
+// the address, or the system lacks a resource.
 func mayPass(err error) bool {
 	return slices.ContainsFunc(
 		[]error{
--- a/internal/proxy/bodyreader.go
+++ b/internal/proxy/bodyreader.go
@@ -144,7 +144,7 @@
 		n, err := b.Read(start[len(start):cap(start)])
 		start = start[:len(start)+n]
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return start, false, reservation.Grow(ctx, memory.Forwarding(len(start)), tooLate)
 		case err != nil:
 			return nil, false, err
@@ -159,8 +159,8 @@
 	return time.Duration(memoryWaitFraction * float64(timeout))
 }
 
-// nextBufferSize returns the size to which the buffer of a body grows: twice the present size, but not more than
-// is needed to see the end of a body of the stated length, or that a body is too long to be buffered.
+// nextBufferSize returns the size to which the buffer of a body grows: twice the present size, but not more
+// than is needed to see the end of a body of the stated length, or that a body is too long to be buffered.
 func nextBufferSize(size int, length int64) int {
 	next := max(minBodyBuffer, 2*size)
 	if length >= 0 && length < int64(next) {
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -87,8 +87,8 @@
 	return nil
 }
 
-// finishStreams waits until the long responses that have begun have ended, or SIGKILL comes. Each of them ends by
-// itself when its backend or its client stalls.
+// finishStreams waits until the long responses that have begun have ended, or SIGKILL comes. Each of them
+// ends by itself when its backend or its client stalls.
 func (f *frontend) finishStreams(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxStreamFinishTime)
 	defer cancel()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -69,18 +69,7 @@
 	}
 	if err != nil {
 		c.closeDirty()
-		if errors.Is(err, memory.ErrNone) { // it says nothing about the backend, and a retry would need the same memory
-			return result{outcome: balancer.Cancelled, loadReport: res.loadReport, bodyDiscarded: true}
-		}
-		if res.outcome == balancer.OK { // no more specific outcome is known
-			res.outcome = failedOutcome(ctx, c.readError)
-		}
-		return result{
-			outcome:          res.outcome,
-			loadReport:       res.loadReport,
-			repeatsDiscarded: res.repeatsDiscarded,
-			bodyDiscarded:    res.bodyDiscarded,
-		}
+		return c.failedResult(ctx, res, err)
 	}
 	if res.stream != nil {
 		if !stop() {
@@ -104,6 +93,24 @@
 	return res
 }
 
+// failedResult returns the result of an attempt of which the response could not be read completely.
+func (c *conn) failedResult(ctx context.Context, res result, err error) result {
+	failed := result{
+		outcome:          res.outcome,
+		loadReport:       res.loadReport,
+		repeatsDiscarded: res.repeatsDiscarded,
+		bodyDiscarded:    res.bodyDiscarded,
+	}
+	switch {
+	case errors.Is(err, memory.ErrNone): // it says nothing about the backend; a retry needs the same memory
+		failed.outcome = balancer.Cancelled
+		failed.bodyDiscarded = true
+	case res.outcome == balancer.OK: // no more specific outcome is known
+		failed.outcome = failedOutcome(ctx, c.readError)
+	}
+	return failed
+}
+
 // send writes a request that is completely in memory, and counts it as forwarded. If ok is false, the attempt
 // has failed with the returned outcome. until is the deadline of the attempt.
 func (c *conn) send(ctx context.Context, o *outbound, until time.Time) (outcome balancer.Outcome, ok bool) {
--- a/internal/proxy/executions.go
+++ b/internal/proxy/executions.go
@@ -24,8 +24,8 @@
 func keyOf(id balancer.RequestID) executionKey { return executionKey(xxhash.Sum64String(string(id))) }
 
 // executions remembers which requests that must not run twice are open or may have run, in this process or in
-// another process of this proxy. A client may send an ID again after it has left; the request does not run again
-// then.
+// another process of this proxy. A client may send an ID again after it has left; the request does not run
+// again then.
 type executions struct {
 	mu     sync.Mutex
 	open   map[executionKey]bool      // being served by this process
@@ -57,7 +57,8 @@
 	}
 }
 
-// claim notes that another process serves a request. It returns false if the request is open here, or may have run.
+// claim notes that another process serves a request. It returns false if the request is open here, or may
+// have run.
 func (e *executions) claim(key executionKey, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -103,8 +104,9 @@
 	}
 }
 
-// beginExecution notes that a request is served which must not run twice, in this process and in the other one of
-// an upgrade. If the request may have run already, or that is not known, it returns the response and false.
+// beginExecution notes that a request is served which must not run twice, in this process and in the other
+// one of an upgrade. If the request may have run already, or that is not known, it returns the response and
+// false.
 func (srv *Server) beginExecution(ctx context.Context, r *request) (refusal response, ok bool) {
 	if !r.runsOnce {
 		return response{}, true
@@ -132,8 +134,8 @@
 	return response{status: http.StatusConflict}
 }
 
-// endExecution notes that a request is no longer served. Its ID is remembered if it may have run and its client has
-// no response that says so.
+// endExecution notes that a request is no longer served. Its ID is remembered if it may have run and its
+// client has no response that says so.
 func (srv *Server) endExecution(r *request) {
 	if r.runsOnce {
 		srv.executions.end(keyOf(r.id), r.mayHaveRun && !r.served, time.Now())
--- a/internal/proxy/handoff_claims.go
+++ b/internal/proxy/handoff_claims.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// While two processes of a proxy serve, a request that must not run twice is claimed: its process asks the other
-// one, and forwards it only if the other one neither serves it nor has served it. Before the handoff the new
-// process serves nothing, and the old one only tells it.
+// While two processes of a proxy serve, a request that must not run twice is claimed: its process asks the
+// other one, and forwards it only if the other one neither serves it nor has served it. Before the handoff
+// the new process serves nothing, and the old one only tells it.
 
 // claimTimeout bounds the wait for the other process's answer to a claim.
 const claimTimeout = 300 * time.Millisecond
@@ -22,8 +22,8 @@
 	claimUnknown             // the other process has not answered
 )
 
-// acceptClaims notes that the other process answers claims. An old process tells a new one that asks for them which
-// requests are open or may have run; it claims later ones over the link.
+// acceptClaims notes that the other process answers claims. An old process tells a new one that asks for them
+// which requests are open or may have run; it claims later ones over the link.
 func (srv *Server) acceptClaims(l *handoffLink, m handoffMessage) error {
 	l.takesClaims.Store(true)
 	srv.executions.restore(m.Executions, time.Now())
@@ -53,8 +53,8 @@
 	return claimGranted
 }
 
-// claim asks the other process for a request, and waits for its answer, at most claimTimeout. If the process has
-// ended, it serves nothing any more.
+// claim asks the other process for a request, and waits for its answer, at most claimTimeout. If the process
+// has ended, it serves nothing any more.
 func (l *handoffLink) claim(ctx context.Context, key executionKey) claimResult {
 	answer := make(chan claimResult, 1)
 	l.mu.Lock()
--- a/internal/proxy/handoff_links.go
+++ b/internal/proxy/handoff_links.go
@@ -54,7 +54,8 @@
 func (srv *Server) shareLimits(on bool) {
 	srv.pool.halve(on)
 	srv.limitMemory(on)
-	srv.log.Info("limits divided", "shared", on, "budget_bytes", srv.memory.Capacity(), "used_bytes", srv.memory.Used())
+	srv.log.Info("limits divided", "shared", on,
+		"budget_bytes", srv.memory.Capacity(), "used_bytes", srv.memory.Used())
 }
 
 // limitMemory divides the memory of this process. shared says that another process of this proxy runs.
--- a/internal/proxy/listener/admission.go
+++ b/internal/proxy/listener/admission.go
@@ -31,9 +31,9 @@
 // errRejected ends the connection. The HTTP server writes nothing for an error of a read.
 var errRejected = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the request has been rejected")}
 
-// admitHead reserves the memory of the current head, as far as it has come, and of its request. If there is none
-// for headMemoryWait, it rejects the request and returns an error. The HTTP server writes nothing meanwhile, as
-// it reads the head of the next request only when the previous response has been written.
+// admitHead reserves the memory of the current head, as far as it has come, and of its request. If there is
+// none for headMemoryWait, it rejects the request and returns an error. The HTTP server writes nothing
+// meanwhile, as it reads the head of the next request only when the previous response has been written.
 func (c *Conn) admitHead() error {
 	cost := memory.Request + c.framing.headCost()
 	if c.framing.headBytes == 0 || cost <= c.headReserved {
@@ -58,8 +58,8 @@
 // reject writes the rejection.
 func (c *Conn) reject() {
 	c.memory.ShrinkTo(memory.Connection)
-	besteffort.SocketOption(c.Conn.SetWriteDeadline(time.Now().Add(rejectionWriteTimeout)))
-	besteffort.Output(c.Conn.Write(rejection))
+	besteffort.SocketOption(c.SetWriteDeadline(time.Now().Add(rejectionWriteTimeout)))
+	besteffort.Output(c.Write(rejection))
 	if c.listener.OnReject != nil {
 		c.listener.OnReject()
 	}
@@ -75,8 +75,8 @@
 	c.memory.ShrinkTo(memory.Connection + int64(len(c.pipelined)))
 }
 
-// ErrEvicted is the error of a request that is not complete, and is not read further so that its memory can be used
-// for others.
+// ErrEvicted is the error of a request that is not complete, and is not read further so that its memory can
+// be used for others.
 var ErrEvicted = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("evicted for want of memory")}
 
 // reclaim frees memory for ordinary requests.
@@ -88,15 +88,15 @@
 	}
 }
 
-// evictIncomplete ends the oldest request that is not complete and began at latest or earlier. It reports whether
-// there was one.
+// evictIncomplete ends the oldest request that is not complete and began at latest or earlier. It reports
+// whether there was one.
 func (l *Listener) evictIncomplete(latest time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var oldest *Conn
 	for c := range l.open {
-		if !c.StartedAt().After(latest) && c.isIncomplete() && (oldest == nil || c.StartedAt().Before(oldest.StartedAt())) {
-			oldest = c
+		if at := c.StartedAt(); !at.After(latest) && c.isIncomplete() {
+			oldest, latest = c, at
 		}
 	}
 	return oldest != nil && oldest.evictIncomplete()
@@ -126,8 +126,8 @@
 	return true
 }
 
-// SetStreamed notes that the current request is being forwarded while it comes, so that it can't be evicted any
-// more. It returns false if it has been evicted.
+// SetStreamed notes that the current request is being forwarded while it comes, so that it can't be evicted
+// any more. It returns false if it has been evicted.
 func (c *Conn) SetStreamed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,8 +135,8 @@
 	return !c.evicted
 }
 
-// evictedError returns the error of a read of a request that has been evicted. The HTTP server writes nothing for
-// a head that can't be read, so the rejection of a request without a complete head is written here.
+// evictedError returns the error of a read of a request that has been evicted. The HTTP server writes nothing
+// for a head that can't be read, so the rejection of a request without a complete head is written here.
 func (c *Conn) evictedError() error {
 	if !c.framing.headEnded() {
 		c.mu.Unlock()
--- a/internal/proxy/listener/arrival.go
+++ b/internal/proxy/listener/arrival.go
@@ -33,7 +33,7 @@
 	reading     bool            // a read waits for the client
 	receivedAt  time.Time       // when the bytes that were read last had come
 	received    int64           // bytes that have been read from the client
-	blockedAt   time.Time       // since when the client may be kept from writing by what is unread; zero: it isn't
+	blockedAt   time.Time       // since when the client may be kept from writing; zero: it is not
 	backlog     []backlogMark   // of a chunked request, oldest first
 	pipelinedAt []pipelinedPart // when the pipelined bytes came, in their order
 }
@@ -57,8 +57,9 @@
 	t.backlog = t.backlog[:0]
 }
 
-// markBlocked notes whether the client may be kept from writing, as it has no room for more: from then on it may
-// have written its last byte already, which its own system holds. toCome is what is still to reach this machine.
+// markBlocked notes whether the client may be kept from writing, as it has no room for more: from then on it
+// may have written its last byte already, which its own system holds. toCome is what is still to reach this
+// machine.
 func (t *arrivalTracker) markBlocked(unread, toCome int64, now time.Time) {
 	switch {
 	case unread < maxVisibleBacklog || toCome > maxSendBuffer:
--- a/internal/proxy/listener/clientgone.go
+++ b/internal/proxy/listener/clientgone.go
@@ -25,12 +25,13 @@
 	return gone || err != nil
 }
 
-// maxVisibleBacklog is the number of unread bytes behind a request up to which the end of the client's side is seen. A
-// client's system holds back what exceeds the receive buffer of the connection, and the end behind it.
+// maxVisibleBacklog is the number of unread bytes behind a request up to which the end of the client's side
+// is seen. A client's system holds back what exceeds the receive buffer of the connection, and the end behind
+// it.
 const maxVisibleBacklog = 24 << 10
 
-// MayHideEnd reports whether so much of what the client has sent behind the current request is unread that the client
-// may have closed its connection behind that.
+// MayHideEnd reports whether so much of what the client has sent behind the current request is unread that
+// the client may have closed its connection behind that.
 func (c *Conn) MayHideEnd() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -44,9 +44,9 @@
 	nextPause      time.Duration // before the next read
 }
 
-// Read withholds the bytes behind a head of ambiguous length, and a head for which there is no memory. It returns
-// no bytes beyond the end of a request, because an error in the bytes behind a request must not end that
-// request. The HTTP server never runs two reads at a time.
+// Read withholds the bytes behind a head of ambiguous length, and a head for which there is no memory. It
+// returns no bytes beyond the end of a request, because an error in the bytes behind a request must not end
+// that request. The HTTP server never runs two reads at a time.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -78,8 +78,8 @@
 	return passed, err
 }
 
-// passOn tracks bytes that are to be passed to the HTTP server, and returns how many of them may be passed. It
-// returns an error if they are ambiguous, or if there is no memory for their head.
+// passOn tracks bytes that are to be passed to the HTTP server, and returns how many of them may be passed.
+// It returns an error if they are ambiguous, or if there is no memory for their head.
 func (c *Conn) passOn(p []byte, arrivedAt func(n int) time.Time) (int, error) {
 	n, err := c.followFraming(p, arrivedAt)
 	if err == nil {
@@ -91,8 +91,8 @@
 	return n, nil
 }
 
-// readBehindRequest reads what the client sends behind a request in flight into the buffer for pipelined bytes.
-// It returns when the client has ended its side. p is for the first byte.
+// readBehindRequest reads what the client sends behind a request in flight into the buffer for pipelined
+// bytes. It returns when the client has ended its side. p is for the first byte.
 func (c *Conn) readBehindRequest(p []byte) error {
 	if c.framing.chunked {
 		c.arrival.endChunked()
--- a/internal/proxy/listener/evict.go
+++ b/internal/proxy/listener/evict.go
@@ -12,9 +12,9 @@
 	maxIncompleteEvictions = 8
 )
 
-// evict frees slots and memory, and reports whether it found some to free. It takes first what its client misses
-// least: connections that wait for their client's end, idle ones, requests that their clients have had some time to
-// complete, connections that have just become idle, and silent new ones.
+// evict frees slots and memory, and reports whether it found some to free. It takes first what its client
+// misses least: connections that wait for their client's end, idle ones, requests that their clients have had
+// some time to complete, connections that have just become idle, and silent new ones.
 func (l *Listener) evict() bool {
 	now := time.Now()
 	if l.endOldestLinger(now.Add(-minLingerTime)) || l.evictIdleSince(now.Add(-minIdleTime)) {
@@ -45,7 +45,8 @@
 	return false
 }
 
-// evictFreshSince closes the new connection that has been silent longest, if it was accepted at latest or earlier.
+// evictFreshSince closes the new connection that has been silent longest, if it was accepted at latest or
+// earlier.
 func (l *Listener) evictFreshSince(latest time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/listener/linger.go
+++ b/internal/proxy/listener/linger.go
@@ -50,8 +50,8 @@
 	delete(l.linger, c)
 }
 
-// endOldestLinger ends the longest wait for a client's end, if it began at latest or earlier. It reports whether
-// there was one.
+// endOldestLinger ends the longest wait for a client's end, if it began at latest or earlier. It reports
+// whether there was one.
 func (l *Listener) endOldestLinger(latest time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/listener/listener.go
+++ b/internal/proxy/listener/listener.go
@@ -45,7 +45,8 @@
 	FullTimeout time.Duration
 	// OnAcceptError is called with each error of an accept that is tried again. It may be nil.
 	OnAcceptError func(error)
-	// OnReject is called when a request has been rejected because there is no memory for its head. It may be nil.
+	// OnReject is called when a request has been rejected because there is no memory for its head. It may be
+	// nil.
 	OnReject func()
 	// OnPause is called when a connection that sends much pauses before its next read. It may be nil.
 	OnPause func()
@@ -95,8 +96,9 @@
 
 // Accept returns the next connection. It frees a slot by closing a connection that is not in use, so that
 // clients that keep unused connections do not shut out others. If all slots are in use, or there is no memory
-// for another connection, further clients wait in the queue of the socket. When that has lasted for FullTimeout,
-// they are closed unread, so that each of them notices and none waits in a queue that keeps growing.
+// for another connection, further clients wait in the queue of the socket. When that has lasted for
+// FullTimeout, they are closed unread, so that each of them notices and none waits in a queue that keeps
+// growing.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		slot := l.waitForSlot()
@@ -124,8 +126,8 @@
 }
 
 // acceptNext accepts the next connection of the queue. Only the end of the listener ends accepting: any other
-// error of the system may be over a moment later, and the HTTP server would end at most of them. If the system
-// has no descriptor left, acceptNext evicts a client that is not in use.
+// error of the system may be over a moment later, and the HTTP server would end at most of them. If the
+// system has no descriptor left, acceptNext evicts a client that is not in use.
 func (l *Listener) acceptNext() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
--- a/internal/proxy/listener/pacing.go
+++ b/internal/proxy/listener/pacing.go
@@ -7,9 +7,9 @@
 	"golang.org/x/time/rate"
 )
 
-// Work on what clients send is counted in requests: a request costs one, a short read a part of one. Each connection
-// may use lightRate without a wait. What exceeds that comes from a common allowance, so that a client that sends
-// without a pause leaves the processor to others.
+// Work on what clients send is counted in requests: a request costs one, a short read a part of one. Each
+// connection may use lightRate without a wait. What exceeds that comes from a common allowance, so that a
+// client that sends without a pause leaves the processor to others.
 const (
 	lightRate  = 5.0  // requests a second of one connection that are not paced
 	lightBurst = 10.0 // requests of one connection that may come at once
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// run runs a function. If it panics, the request that it concerns is answered by its guard at its deadline, and the
-// other requests go on.
+// run runs a function. If it panics, the request that it concerns is answered by its guard at its deadline,
+// and the other requests go on.
 func (srv *Server) run(f func()) {
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/internal/proxy/memory/budget.go
+++ b/internal/proxy/memory/budget.go
@@ -1,9 +1,10 @@
-// Package memory admits clients' work by the memory that it will take. A process has one Budget. Each connection
-// of a client has a Reservation in it, which grows by the cost of what comes on the connection before that is
-// stored: the head, the body, pipelined bytes and the response. So the sum is bounded, whatever the clients send.
+// Package memory admits clients' work by the memory that it will take. A process has one Budget. Each
+// connection of a client has a Reservation in it, which grows by the cost of what comes on the connection
+// before that is stored: the head, the body, pipelined bytes and the response. So the sum is bounded,
+// whatever the clients send.
 //
-// The more a client already holds, the smaller the part of the budget that it may use (tiers): clients that need
-// much leave memory for ordinary requests.
+// The more a client already holds, the smaller the part of the budget that it may use (tiers): clients that
+// need much leave memory for ordinary requests.
 package memory
 
 import (
@@ -61,7 +62,8 @@
 // NewBudget returns a budget of capacity bytes.
 func NewBudget(capacity int64) *Budget { return &Budget{capacity: capacity} }
 
-// SetCapacity changes the capacity. Reservations that exceed it stay, but none grows until enough is released.
+// SetCapacity changes the capacity. Reservations that exceed it stay, but none grows until enough is
+// released.
 func (b *Budget) SetCapacity(capacity int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -69,8 +71,8 @@
 	b.grantLocked()
 }
 
-// OnShortage sets a function that is called when a reservation of an ordinary size can't grow at once. It frees
-// memory that others hold without need, if it finds some, and does not wait.
+// OnShortage sets a function that is called when a reservation of an ordinary size can't grow at once. It
+// frees memory that others hold without need, if it finds some, and does not wait.
 func (b *Budget) OnShortage(reclaim func()) { b.reclaim.Store(&reclaim) }
 
 // Used returns how many bytes are reserved.
@@ -177,8 +179,8 @@
 	return false
 }
 
-// TryGrowSpare reserves some more bytes of memory that is of use only while there is enough for others. It returns
-// false if there is not.
+// TryGrowSpare reserves some more bytes of memory that is of use only while there is enough for others. It
+// returns false if there is not.
 func (r *Reservation) TryGrowSpare(bytes int64) bool {
 	if r == nil || r.budget == nil {
 		return true
@@ -188,8 +190,8 @@
 	return r.budget.used+bytes <= r.budget.partLocked(longMessage) && r.budget.growLocked(r, bytes)
 }
 
-// Expect says how many more bytes will be reserved at least. So a client that will need much does not take what
-// is left for others before that shows.
+// Expect says how many more bytes will be reserved at least. So a client that will need much does not take
+// what is left for others before that shows.
 func (r *Reservation) Expect(bytes int64) {
 	if r == nil || r.budget == nil {
 		return
@@ -222,8 +224,8 @@
 	return r.budget.growLocked(r, bytes)
 }
 
-// Grow reserves some more bytes, and waits for them until ctx ends, maxWait has passed or tooLate returns true.
-// tooLate may be nil.
+// Grow reserves some more bytes, and waits for them until ctx ends, maxWait has passed or tooLate returns
+// true. tooLate may be nil.
 func (r *Reservation) Grow(ctx context.Context, bytes int64, tooLate func() bool) error {
 	if r == nil || r.budget == nil || r.grow(bytes) {
 		return nil
--- a/internal/proxy/memory/cost.go
+++ b/internal/proxy/memory/cost.go
@@ -22,6 +22,6 @@
 // Head returns the cost of a head of some bytes with some fields.
 func Head(bytes, fields int) int64 { return int64(bytes)*headByte + int64(fields)*field }
 
-// Forwarding returns the cost of forwarding a request with some buffered bytes of a body: they are copied, as one
-// write sends the request.
+// Forwarding returns the cost of forwarding a request with some buffered bytes of a body: they are copied, as
+// one write sends the request.
 func Forwarding(bodyBytes int) int64 { return forwarding + int64(bodyBytes) }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// mayBeAbandoned reports whether the client of a request has left, or may have left unseen. A request that can't be
-// attempted for that is rejected or fails.
+// mayBeAbandoned reports whether the client of a request has left, or may have left unseen. A request that
+// can't be attempted for that is rejected or fails.
 func (r *request) mayBeAbandoned() bool {
 	return r.abandoned() || r.client != nil && r.client.MayHideEnd()
 }
--- a/internal/proxy/responsememory.go
+++ b/internal/proxy/responsememory.go
@@ -37,8 +37,8 @@
 	return nil
 }
 
-// grow reserves memory for some more bytes of the response, and waits for it until ctx ends or maxResponseWait has
-// passed.
+// grow reserves memory for some more bytes of the response, and waits for it until ctx ends or
+// maxResponseWait has passed.
 func (m *responseMemory) grow(ctx context.Context, bytes int64) error {
 	if bytes > 0 {
 		var cancel context.CancelFunc
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -73,8 +73,8 @@
 	handoffListTimeout time.Duration // longest wait for the list in a handoff; the old process serves meanwhile
 	handoffPath        string        // socket at which this proxy's processes connect; empty: no handoffs
 
-	// OnMemoryLimit is called with the bytes that the Go runtime may use: when Run starts, when another process of
-	// this proxy begins to share its limits, and when none does any more. It may be nil.
+	// OnMemoryLimit is called with the bytes that the Go runtime may use: when Run starts, when another process
+	// of this proxy begins to share its limits, and when none does any more. It may be nil.
 	OnMemoryLimit func(goBytes int64)
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -14,8 +14,8 @@
 	copyBufSize     = 16 << 10 // bytes of the buffer with which a long body is copied
 	// progressTimeout is how long either side of a long message may stall.
 	progressTimeout = 20 * time.Second
-	// maxStreamPause and minStreamRate, in bytes a second, are what a response of no stated length has to keep to when
-	// it goes on slowly beyond its request's deadline.
+	// maxStreamPause and minStreamRate, in bytes a second, are what a response of no stated length has to keep
+	// to when it goes on slowly beyond its request's deadline.
 	maxStreamPause = time.Second
 	minStreamRate  = 4 << 10
 )
@@ -33,6 +33,9 @@
 	conn      *conn
 	ended     chan error // receives one value: nil or the error that ended the stream
 	canceller
+
+	lastReadAt time.Time // when the last read returned
+	lastByteAt time.Time // when the last bytes came
 }
 
 // writeTo forwards a stream to its client, piece by piece. An error means that the client does not have
@@ -68,23 +71,19 @@
 		}
 		return nil
 	}
-	lastReadAt := time.Now() // when the last read returned
-	lastByteAt := lastReadAt // when the last bytes came
+	s.lastReadAt = time.Now()
+	s.lastByteAt = s.lastReadAt
 	err, passed := writePart(s.start), int64(len(s.start))
 	s.start = nil
 	for buf := make([]byte, copyBufSize); err == nil; {
 		var n int
 		var readErr error
-		deadline = deadline.Add(time.Since(lastReadAt)) // excludes the time for writing to the client
-		besteffort.SocketOption(s.conn.SetReadDeadline(s.progressDeadline(deadline, passed, lastByteAt)))
+		deadline = deadline.Add(time.Since(s.lastReadAt)) // excludes the time for writing to the client
+		besteffort.SocketOption(s.conn.SetReadDeadline(s.progressDeadline(deadline, passed)))
 		if s.isCancelled() {
 			return errResponseCut
 		}
-		n, readErr = s.remaining.Read(buf)
-		lastReadAt = time.Now()
-		if n > 0 {
-			lastByteAt = lastReadAt
-		}
+		n, readErr = s.readPart(buf)
 		if passed += int64(n); passed > maxStreamedBody {
 			return errTooLong
 		}
@@ -98,18 +97,28 @@
 	return err
 }
 
+// readPart reads the next part of the stream.
+func (s *responseStream) readPart(buf []byte) (int, error) {
+	n, err := s.remaining.Read(buf)
+	s.lastReadAt = time.Now()
+	if n > 0 {
+		s.lastByteAt = s.lastReadAt
+	}
+	return n, err
+}
+
 // progressDeadline returns the time by which the next part of the stream must have come. A response of stated
 // length, and any response once it has more than maxBufferedBody bytes, only has to make progress. Until
-// then, a response of no stated length must go on beyond its request's deadline: at minBodyRate, the rate that is
-// required of clients, or without a pause of maxStreamPause at minStreamRate. lastByteAt is when its last bytes came.
-func (s *responseStream) progressDeadline(deadline time.Time, passed int64, lastByteAt time.Time) time.Time {
+// then, a response of no stated length must go on beyond its request's deadline: at minBodyRate, the rate
+// that is required of clients, or without a pause of maxStreamPause at minStreamRate.
+func (s *responseStream) progressDeadline(deadline time.Time, passed int64) time.Time {
 	progressBy := time.Now().Add(progressTimeout)
 	if s.length >= 0 || passed > maxBufferedBody {
 		return progressBy
 	}
 	fast := deadline.Add(bodyStartGrace + time.Duration(passed)*time.Second/minBodyRate)
 	steady := deadline.Add(bodyStartGrace + time.Duration(passed)*time.Second/minStreamRate)
-	if next := lastByteAt.Add(maxStreamPause); next.Before(steady) {
+	if next := s.lastByteAt.Add(maxStreamPause); next.Before(steady) {
 		steady = next
 	}
 	if steady.After(fast) {
