--- a/internal/proxy/listener/pacing.go
+++ b/internal/proxy/listener/pacing.go
@@ -11,9 +11,9 @@
 // connection may use lightRate without a wait. What exceeds that comes from a common allowance, so that a
 // client that sends without a pause leaves the processor to others.
 const (
-	lightRate  = 5.0  // requests a second of one connection that are not paced
-	lightBurst = 10.0 // requests of one connection that may come at once
-	heavyRate  = 3000 // requests a second for each core, of all connections that send more
+	lightRate  = 8.0  // requests a second of one connection that are not paced
+	lightBurst = 20.0 // requests of one connection that may come at once
+	heavyRate  = 1000 // requests a second for each core, of all connections that send more
 	heavyBurst = 20   // requests
 
 	shortReadBytes = 512    // a read of less is a short read
--- a/internal/proxy/memory/process.go
+++ b/internal/proxy/memory/process.go
@@ -18,7 +18,9 @@
 	// nativeBytes are for threads and data outside the Go runtime.
 	nativeBytes = 1 << 20
 	// successorBytes are for a new process that starts, until this one knows of it.
-	successorBytes = 3 << 20
+	successorBytes = 5 << 20
+	// shareMargin is for the time in which two processes come down to their shares.
+	shareMargin = 4 << 20
 	// goShare is the largest part of the memory that the Go runtime may use.
 	goShare = 0.75
 	// baseBytes are for what the process needs with no client.
@@ -36,7 +38,7 @@
 	most := int64(goShare * float64(total))
 	switch {
 	case shared:
-		available = (available - nativeBytes) / 2
+		available = (available - nativeBytes - shareMargin) / 2
 		most /= 2
 	case p.Handoffs:
 		available -= successorBytes
--- a/internal/proxy/responsememory.go
+++ b/internal/proxy/responsememory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"wrenspread/internal/proxy/memory"
@@ -10,6 +11,12 @@
 // maxResponseWait bounds the wait of a response for memory. Its endpoint counts as busy meanwhile.
 const maxResponseWait = 200 * time.Millisecond
 
+// maxOrdinaryHeadCost is the largest cost, in bytes, of a response's head that is not the backend's fault.
+const maxOrdinaryHeadCost = 32 << 10
+
+// errHeadTooCostly means that the head of a response has far more fields than there is memory for.
+var errHeadTooCostly = errors.New("read response: the head has too many fields")
+
 // responseMemory is what the response on a connection takes of its client's memory reservation.
 type responseMemory struct {
 	reservation *memory.Reservation // of the client whose request the connection carries
@@ -31,6 +38,9 @@
 		return nil
 	}
 	if !m.reservation.TryGrow(cost) {
+		if m.reserved+cost > maxOrdinaryHeadCost {
+			return errHeadTooCostly
+		}
 		return memory.ErrNone
 	}
 	m.reserved += cost
