Tests end their proxy before its discovery, whose port another test may get

Cause: two tests failed in one run of the whole suite (Bytewise.../6, TestSplitRequestsAndResponsesAreReadCorrectly): their backend got GET /registry/instances of another test's proxy, which went on polling while its test had closed the discovery. Change: the rig waits for the proxy's end first. The whole suite was not run again.

--- a/internal/proxy/running_proxy_test.go
+++ b/internal/proxy/running_proxy_test.go
@@ -80,9 +80,9 @@
 	t.Cleanup(func() {
 		stop()
 		srv.endLateAccepting()
+		<-srv.Server.ended // first: until then the proxy polls discovery, whose port another test's backend may get
 		close(ended)
 		disc.Close()
-		<-srv.Server.ended
 	})
 	for until := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
 		resp, err := http.Get("http://" + srv.address + "/health/ready")
