One function evicts the oldest connection of a state; a method without a caller is gone

Cause: evictIdleSince and evictFreshSince differed in the map and the state alone, and Reservation.Held had no caller. Change: evictSince serves both; Held is removed; no behaviour.

--- a/internal/proxy/listener/evict.go
+++ b/internal/proxy/listener/evict.go
@@ -17,7 +17,7 @@
 // some time to complete, connections that have just become idle, and silent new ones.
 func (l *Listener) evict() bool {
 	now := time.Now()
-	if l.endOldestLinger(now.Add(-minLingerTime)) || l.evictIdleSince(now.Add(-minIdleTime)) {
+	if l.endOldestLinger(now.Add(-minLingerTime)) || l.evictSince(l.idle, idle, now.Add(-minIdleTime)) {
 		return true
 	}
 	evicted := 0
@@ -28,7 +28,7 @@
 		return true
 	}
 	if l.hasIncomplete() { // a client that has been served waits for none that has sent nothing complete yet
-		return l.evictFreshSince(now.Add(-minIncompleteTime))
+		return l.evictSince(l.fresh, fresh, now.Add(-minIncompleteTime))
 	}
 	return l.evictIdle()
 }
@@ -45,19 +45,12 @@
 	return false
 }
 
-// evictFreshSince closes the new connection that has been silent longest, if it was accepted at latest or
-// earlier.
-func (l *Listener) evictFreshSince(latest time.Time) bool {
+// evictSince closes the connection that has been in a state longest, if it entered the state at latest or
+// earlier. conns are the connections in that state.
+func (l *Listener) evictSince(conns map[net.Conn]time.Time, s state, latest time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return evictOldest(l.fresh, fresh, latest)
-}
-
-// evictIdleSince closes the connection that has been idle longest, if it became idle at latest or earlier.
-func (l *Listener) evictIdleSince(latest time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return evictOldest(l.idle, idle, latest)
+	return evictOldest(conns, s, latest)
 }
 
 // evictIdle closes the connection that has been idle longest. If none is idle, it closes the new connection
--- a/internal/proxy/memory/budget.go
+++ b/internal/proxy/memory/budget.go
@@ -284,16 +284,6 @@
 	return r.closed
 }
 
-// Held returns how many bytes are reserved.
-func (r *Reservation) Held() int64 {
-	if r == nil || r.budget == nil {
-		return 0
-	}
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	return r.held
-}
-
 // Shrink returns some of the reserved bytes.
 func (r *Reservation) Shrink(bytes int64) {
 	if r == nil || r.budget == nil {
