--- a/cmd/wrenspread-proxy/crowd_soak_test.go
+++ b/cmd/wrenspread-proxy/crowd_soak_test.go
@@ -44,13 +44,14 @@
 	}
 }
 
-// soakSeeds returns the first seed and the number of seeds: CROWD_FIRST_SEED and CROWD_SEEDS, for long runs.
-func soakSeeds() (first, count uint64) {
+// soakSeeds returns the first seed and the number of seeds of a soak. For long runs they come from the environment, as
+// in CROWD_FIRST_SEED and CROWD_SEEDS.
+func soakSeeds(soak string) (first, count uint64) {
 	first, count = 1, 4
-	if n, err := strconv.ParseUint(os.Getenv("CROWD_FIRST_SEED"), 10, 64); err == nil {
+	if n, err := strconv.ParseUint(os.Getenv(soak+"_FIRST_SEED"), 10, 64); err == nil {
 		first = n
 	}
-	if n, err := strconv.ParseUint(os.Getenv("CROWD_SEEDS"), 10, 64); err == nil {
+	if n, err := strconv.ParseUint(os.Getenv(soak+"_SEEDS"), 10, 64); err == nil {
 		count = n
 	}
 	return first, count
@@ -59,7 +60,7 @@
 // TestDrawnCrowdsBreakNoLimit checks crowds of drawn shapes and sizes under drawn limits, with kills, upgrades and
 // signals: no process ends by itself or passes its memory limit, and no request that must not run twice does.
 func TestDrawnCrowdsBreakNoLimit(t *testing.T) {
-	first, count := soakSeeds()
+	first, count := soakSeeds("CROWD")
 	for seed := first; seed < first+count; seed++ {
 		drawn := drawCrowd(seed)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
--- a/cmd/wrenspread-proxy/crowd_test.go
+++ b/cmd/wrenspread-proxy/crowd_test.go
@@ -1,13 +1,10 @@
 package main
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -55,129 +52,6 @@
 	besteffort.Drained(io.Copy(io.Discard, c))
 }
 
-// ordinaryResult is how a request of an ordinary client ended.
-type ordinaryResult struct {
-	id, class string
-	status    int // 0: no response
-	took      time.Duration
-	at        time.Time // when it was sent
-	refused   bool      // the proxy could not be reached, or closed a new connection unread
-}
-
-// ordinaryClients send small requests one after the other, each on its own connection, until stop is closed.
-func ordinaryClients(address string, stop <-chan struct{}) (results func() []ordinaryResult) {
-	var mu sync.Mutex
-	var all []ordinaryResult
-	var ended sync.WaitGroup
-	for i := range ordinaryCount {
-		ended.Go(func() {
-			client := ordinaryClient{address: address}
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(ordinaryPause):
-				}
-				result := client.request(fmt.Sprintf("client-%d-%d", i, n), []string{"read", "write"}[n%2])
-				mu.Lock()
-				all = append(all, result)
-				mu.Unlock()
-			}
-		})
-	}
-	return func() []ordinaryResult { ended.Wait(); return all }
-}
-
-// ordinaryClient is a client that keeps its connection.
-type ordinaryClient struct {
-	address string
-	conn    net.Conn
-	reader  *bufio.Reader
-}
-
-// request sends a request. If the connection closes before a byte of the response has come, and it has been
-// used before, the client sends the request once more on a new connection.
-func (c *ordinaryClient) request(id, class string) ordinaryResult {
-	result := ordinaryResult{id: id, class: class, at: time.Now()}
-	for {
-		kept := c.conn != nil
-		if !kept {
-			conn, err := net.DialTimeout("tcp", c.address, ordinaryTime)
-			if err != nil {
-				result.refused = true
-				return result
-			}
-			c.conn, c.reader = conn, bufio.NewReader(conn)
-		}
-		result.at = time.Now()
-		status, err := c.exchange(id, class)
-		result.took = time.Since(result.at)
-		if err == nil {
-			result.status = status
-			return result
-		}
-		besteffort.Close(c.conn)
-		c.conn = nil
-		var timeout net.Error
-		if timedOut := errors.As(err, &timeout) && timeout.Timeout(); timedOut || !kept {
-			result.refused = !timedOut
-			return result
-		}
-	}
-}
-
-// exchange sends a request and reads its response.
-func (c *ordinaryClient) exchange(id, class string) (status int, err error) {
-	besteffort.SocketOption(c.conn.SetDeadline(time.Now().Add(3 * ordinaryTime)))
-	method, body := "GET", "\r\n"
-	if class != "read" {
-		method, body = "POST", "Content-Length: 2\r\n\r\nhi"
-	}
-	if class == "keyed" {
-		body = "Idempotency-Key: " + id + "\r\n" + body
-	}
-	_, err = fmt.Fprintf(c.conn, "%s /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: %v\r\n%s",
-		method, id, class, ordinaryTime.Seconds(), body)
-	if err != nil {
-		return 0, err
-	}
-	resp, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		return 0, err
-	}
-	if _, err = io.Copy(io.Discard, resp.Body); resp.Close {
-		besteffort.Close(c.conn)
-		c.conn = nil
-	}
-	return resp.StatusCode, err
-}
-
-// checkOrdinary checks that the ordinary requests got their final answers in time, and that enough of them
-// were served, unless the crowd's shapes compete with them for the backends.
-func checkOrdinary(t *testing.T, results []ordinaryResult, shapes ...string) {
-	t.Helper()
-	statuses := map[int]int{}
-	late, lost := 0, 0
-	longest := time.Duration(0)
-	for _, r := range results {
-		longest = max(longest, r.took)
-		statuses[r.status]++
-		if r.took > ordinaryTime+lateness {
-			late++
-		} else if r.status == 0 && !r.refused {
-			lost++
-		}
-	}
-	if late > 0 || lost > 0 {
-		t.Errorf("%d of %d ordinary requests were answered late, %d never", late, len(results), lost)
-	}
-	competes := slices.ContainsFunc(shapes, func(shape string) bool { return slices.Contains(backendShapes, shape) })
-	if served := float64(statuses[http.StatusOK]); !competes && served < ordinaryServed*float64(len(results)) || len(results) == 0 {
-		t.Errorf("%v of %d ordinary requests were served: %v", served, len(results), statuses)
-	}
-	t.Logf("%d ordinary requests: %v, the longest took %v", len(results), statuses, longest)
-}
-
 // checkLimits checks that the processes have neither ended by themselves nor passed their memory limit.
 func (p *limitedProxy) checkLimits(t *testing.T, peakKB, limitMB int) {
 	t.Helper()
--- a/cmd/wrenspread-proxy/limited_process_test.go
+++ b/cmd/wrenspread-proxy/limited_process_test.go
@@ -49,9 +49,11 @@
 	t       *testing.T
 	address string
 	socket  *os.File // the clients' socket, which processes inherit
-	folder  string
-	backend *crowdBackend
-	config  map[string]any
+	// bindItself makes a process open the clients' socket itself.
+	bindItself bool
+	folder     string
+	backend    *crowdBackend
+	config     map[string]any
 
 	mu        sync.Mutex
 	processes []*limitedProcess
@@ -161,8 +163,12 @@
 	}
 	defer besteffort.Close(logFile)
 	process.cmd = exec.Command(program)
-	process.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_ACCEPT_FD=3", "TMPDIR="+p.folder, "GOMAXPROCS=1")
-	process.cmd.ExtraFiles, process.cmd.Stderr = []*os.File{p.socket}, logFile
+	process.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+p.folder, "GOMAXPROCS=1")
+	process.cmd.Stderr = logFile
+	if !p.bindItself {
+		process.cmd.Env = append(process.cmd.Env, "GW_ACCEPT_FD=3")
+		process.cmd.ExtraFiles = []*os.File{p.socket}
+	}
 	if err := process.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
