Close a connection as unused only if the system has no byte of a request

Cause: evict, Drain and TrackState closed by the proxy's own view, in which a connection is idle until a read has returned. A request was lost that waited unread (behind the pause of the pacing, or in a process that was held up), whose bytes a read had taken but not yet noted, or that came between the decision and the end of the sending side, which another goroutine sent only after its pause. Change: closeUnused is the one place for closes without a response. It asks the system for unread bytes and ends the sending side in the next call; a read takes the first bytes only after it has made the connection active.

--- a/internal/proxy/listener/clientgone.go
+++ b/internal/proxy/listener/clientgone.go
@@ -15,13 +15,12 @@
 // knows, even if unread bytes precede that end. The HTTP server detects the same by its background read, but
 // that read may come later than an attempt.
 func (c *Conn) ClientGone() bool {
-	raw, err := c.socket()
-	if err != nil {
-		return true // closed
+	if c.raw == nil {
+		return true
 	}
 	gone := false
 	// Not RawConn.Read, which would wait for a read of the HTTP server.
-	err = raw.Control(func(fd uintptr) { gone = hasEnded(int(fd)) })
+	err := c.raw.Control(func(fd uintptr) { gone = hasEnded(int(fd)) })
 	return gone || err != nil
 }
 
@@ -46,12 +45,11 @@
 // buffer for pipelined bytes is full. At the client's end it returns io.EOF; another error means that the
 // wait was interrupted.
 func (c *Conn) waitForClientEnd() error {
-	raw, err := c.socket()
-	if err != nil {
-		return err
+	if c.raw == nil {
+		return net.ErrClosed
 	}
 	c.mu.Unlock()
-	err = raw.Read(func(fd uintptr) bool { return hasEnded(int(fd)) }) // called again whenever bytes arrive
+	err := c.raw.Read(func(fd uintptr) bool { return hasEnded(int(fd)) }) // called again whenever bytes arrive
 	c.mu.Lock()
 	if err != nil {
 		return err
@@ -60,13 +58,17 @@
 	return io.EOF
 }
 
-// socket returns the raw socket below the connection, or net.ErrClosed if there is none.
-func (c *Conn) socket() (syscall.RawConn, error) {
-	sc, ok := c.Conn.(syscall.Conn)
+// rawConn returns the raw socket below a connection, or nil if there is none.
+func rawConn(c net.Conn) syscall.RawConn {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return nil, net.ErrClosed
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
 	}
-	return sc.SyscallConn()
+	return raw
 }
 
 // hasEnded reports whether the peer of a socket has ended its side, so that no bytes follow those that can be
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -7,10 +7,12 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"wrenspread/internal/besteffort"
 	"wrenspread/internal/proxy/memory"
+	"wrenspread/internal/socketoption"
 )
 
 const (
@@ -22,13 +24,16 @@
 type Conn struct {
 	net.Conn
 	listener  *Listener
-	startedAt atomic.Int64 // Unix nanoseconds of the first byte of the current request, or of the accept
-	release   func()       // frees the slot of the connection
+	raw       syscall.RawConn // nil: not a socket
+	startedAt atomic.Int64    // Unix nanoseconds of the first byte of the current request, or of the accept
+	release   func()          // frees the slot of the connection
 	memory    *memory.Reservation
 
 	mu             sync.Mutex // protects the fields below
 	state          state
-	evictedUnused  bool  // evicted before its first byte came
+	closedUnused   bool  // by closeUnused
+	closedNew      bool  // by closeUnused, before its first byte came
+	sendingEnded   bool  // endSending has ended the sending side
 	resetOnClose   bool  // Close resets the connection
 	readError      error // the error with which the client's side ended; nil until then
 	hasUnreadBytes bool  // the client ended its side, but bytes before the end are unread
@@ -138,9 +143,13 @@
 // receive reads what the client has sent. It returns io.EOF if the proxy has closed the connection meanwhile.
 func (c *Conn) receive(p []byte) (int, error) {
 	c.arrival.reading = true
-	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
+	err := c.awaitRequest()
+	n := 0
+	if err == nil {
+		c.mu.Unlock()
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+	}
 	c.arrival.receive(n)
 	if c.evicted && c.state != closed {
 		return 0, c.evictedError()
@@ -158,6 +167,21 @@
 	return n, nil
 }
 
+// awaitRequest waits until a new or idle connection has something to read, and makes it active before that is
+// read.
+func (c *Conn) awaitRequest() error {
+	if c.raw == nil || c.state != fresh && c.state != idle {
+		return nil
+	}
+	c.mu.Unlock()
+	err := socketoption.AwaitReadable(c.raw)
+	c.mu.Lock()
+	if err == nil && c.state != closed {
+		c.state = active
+	}
+	return err
+}
+
 // followFraming tracks the framing of the bytes that are to be passed to the HTTP server, and returns how
 // many of them may be passed. arrivedAt tells when the last of the first n bytes came. At the first byte of a
 // later request followFraming starts HeadTimeout.
@@ -207,34 +231,3 @@
 	defer c.mu.Unlock()
 	return len(c.pipelined) > 0
 }
-
-// ResetOnClose makes Close reset the connection. A client that takes the end of the connection for the end of
-// its response can tell then that the response is not complete.
-func (c *Conn) ResetOnClose() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.resetOnClose = true
-}
-
-// Close closes the connection and then frees its slot. Closing a socket with unread bytes sends a reset,
-// which may destroy a response on its way to the client. So Close first ends the sending side, and waits up
-// to lingerTimeout for the client to close.
-func (c *Conn) Close() error {
-	c.mu.Lock()
-	c.state = closed
-	ended := c.readError != nil && !c.hasUnreadBytes || c.evictedUnused
-	reset := c.resetOnClose
-	c.mu.Unlock()
-	c.memory.ShrinkTo(memory.Connection)
-	switch {
-	case reset:
-		if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-			besteffort.SocketOption(tcp.SetLinger(0))
-		}
-	case !ended && !c.listener.skipLinger.Load():
-		c.linger()
-	}
-	err := c.Conn.Close()
-	c.release()
-	return err
-}
--- a/internal/proxy/listener/evict.go
+++ b/internal/proxy/listener/evict.go
@@ -17,7 +17,7 @@
 // some time to complete, connections that have just become idle, and silent new ones.
 func (l *Listener) evict() bool {
 	now := time.Now()
-	if l.endOldestLinger(now.Add(-minLingerTime)) || l.evictSince(l.idle, idle, now.Add(-minIdleTime)) {
+	if l.endOldestLinger(now.Add(-minLingerTime)) || l.evictSince(l.idle, now.Add(-minIdleTime)) {
 		return true
 	}
 	evicted := 0
@@ -28,7 +28,7 @@
 		return true
 	}
 	if l.hasIncomplete() { // a client that has been served waits for none that has sent nothing complete yet
-		return l.evictSince(l.fresh, fresh, now.Add(-minIncompleteTime))
+		return l.evictSince(l.fresh, now.Add(-minIncompleteTime))
 	}
 	return l.evictIdle()
 }
@@ -47,10 +47,10 @@
 
 // evictSince closes the connection that has been in a state longest, if it entered the state at latest or
 // earlier. conns are the connections in that state.
-func (l *Listener) evictSince(conns map[net.Conn]time.Time, s state, latest time.Time) bool {
+func (l *Listener) evictSince(conns map[net.Conn]time.Time, latest time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return evictOldest(conns, s, latest)
+	return evictOldest(conns, latest)
 }
 
 // evictIdle closes the connection that has been idle longest. If none is idle, it closes the new connection
@@ -59,16 +59,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if evictOldest(l.idle, idle, now) {
+	if evictOldest(l.idle, now) {
 		l.fullSince = now // its client has lingerTimeout to close
 		return true
 	}
-	return evictOldest(l.fresh, fresh, now.Add(-minFreshTime))
+	return evictOldest(l.fresh, now.Add(-minFreshTime))
 }
 
-// evictOldest evicts the connection that has been in state s longest, if it entered the state at latest or
-// earlier. It reports whether it evicted a connection.
-func evictOldest(conns map[net.Conn]time.Time, s state, latest time.Time) bool {
+// evictOldest closes the connection that has been idle or new longest, if it has been so since latest or
+// longer. It passes over those with a request. It reports whether it closed one.
+func evictOldest(conns map[net.Conn]time.Time, latest time.Time) bool {
 	for len(conns) > 0 {
 		var oldest net.Conn
 		for c, since := range conns {
@@ -80,7 +80,7 @@
 			return false
 		}
 		delete(conns, oldest)
-		if oldest.(*Conn).evict(s) {
+		if oldest.(*Conn).closeUnused() {
 			return true
 		}
 	}
--- a/internal/proxy/listener/idle.go
+++ b/internal/proxy/listener/idle.go
@@ -4,20 +4,17 @@
 	"net"
 	"net/http"
 	"time"
-
-	"wrenspread/internal/besteffort"
-	"wrenspread/internal/socketoption"
 )
 
 // state is the state of a connection, in the terms of net/http. The proxy closes only idle and new
-// connections on its own initiative. If a client's request crosses the close of an idle connection, the
-// client sends it again; but a client sends the first request on a new connection only once, so new
-// connections are closed last. Once a byte of a request has been read, the client must get a response.
+// connections on its own initiative (closeUnused). If a client's request crosses the close of an idle
+// connection, the client sends it again; but a client sends the first request on a new connection only once,
+// so new connections are closed last.
 type state int
 
 const (
 	fresh  state = iota // no byte has been read
-	active              // a request is being received or served
+	active              // bytes of a request can be read, are being read, or the request is being served
 	idle                // no byte of a next request has been read
 	closed              // bytes that come after the close are discarded
 )
@@ -36,7 +33,7 @@
 		return
 	}
 	if l.draining {
-		c.(*Conn).closeInState(idle)
+		c.(*Conn).closeUnused()
 		return
 	}
 	l.idle[c] = time.Now()
@@ -57,45 +54,13 @@
 	return true
 }
 
-// closeInState closes a connection if it is in state s, and reports whether it was. In s (idle or fresh) the
-// client awaits no response. The expired deadline ends the read of the HTTP server, which then closes the
-// connection.
-func (c *Conn) closeInState(s state) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closeInStateLocked(s)
-}
-
-// evict is closeInState for a connection that is closed to make its slot free for another. For a new
-// connection on which nothing has come, as far as the kernel knows, it notes that no response is on its way,
-// so that the slot is free at once.
-func (c *Conn) evict(s state) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s == fresh && socketoption.Readable(c.Conn) || !c.closeInStateLocked(s) {
-		return false
-	}
-	c.evictedUnused = s == fresh
-	return true
-}
-
-// closeInStateLocked is closeInState for a caller that holds c.mu.
-func (c *Conn) closeInStateLocked(s state) bool {
-	if c.state != s {
-		return false
-	}
-	c.state = closed
-	besteffort.SocketOption(c.Conn.SetReadDeadline(time.Unix(1, 0)))
-	return true
-}
-
 // closeAllIdle closes all connections that are idle now, and later each connection that goes idle.
 func (l *Listener) closeAllIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
 	for c := range l.idle {
-		c.(*Conn).closeInState(idle)
+		c.(*Conn).closeUnused()
 	}
 	clear(l.idle)
 }
@@ -105,6 +70,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.fresh {
-		c.(*Conn).closeInState(fresh)
+		c.(*Conn).closeUnused()
 	}
 }
--- a/internal/proxy/listener/linger.go
+++ b/internal/proxy/listener/linger.go
@@ -20,8 +20,10 @@
 // linger ends the sending side of the proxy, and discards what the client sends until the client ends its
 // side, lingerTimeout has passed or maxLingerBytes have come.
 func (c *Conn) linger() {
-	writeCloser, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || writeCloser.CloseWrite() != nil {
+	c.mu.Lock()
+	ended := c.endSending()
+	c.mu.Unlock()
+	if !ended {
 		return
 	}
 	besteffort.SocketOption(c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)))
--- a/internal/proxy/listener/listener.go
+++ b/internal/proxy/listener/listener.go
@@ -115,7 +115,7 @@
 			}
 			return nil, err
 		}
-		conn := &Conn{Conn: c, listener: l, memory: slot}
+		conn := &Conn{Conn: c, listener: l, memory: slot, raw: rawConn(c)}
 		conn.release = sync.OnceFunc(func() { l.forget(conn, slot) })
 		conn.startedAt.Store(time.Now().UnixNano())
 		l.mu.Lock()
--- /dev/null
+++ b/internal/proxy/listener/unused_close_test.go
@@ -0,0 +1,68 @@
+package listener
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"wrenspread/internal/besteffort"
+)
+
+// acceptPaused returns the two ends of a connection whose next read pauses, and the bytes of that read.
+func acceptPaused(t *testing.T, s http.ConnState, pause time.Duration) (*net.TCPConn, *Conn, <-chan int) {
+	t.Helper()
+	ln := listen(t)
+	l := Limit(ln.TCPListener, 1)
+	client := dial(t, ln)
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := accepted.(*Conn)
+	l.TrackState(c, s)
+	c.nextPause = pause
+	read := make(chan int, 1)
+	go func() {
+		n, _ := c.Read(make([]byte, 4096))
+		read <- n
+	}()
+	t.Cleanup(func() { besteffort.Close(client); besteffort.Close(c) })
+	return client, c, read
+}
+
+// TestRequestThatWaitsUnreadIsNotClosed guards against a connection that is closed as unused although a request waits
+// on it unread (report 9f9607).
+func TestRequestThatWaitsUnreadIsNotClosed(t *testing.T) {
+	for _, s := range []http.ConnState{http.StateNew, http.StateIdle} {
+		client, c, read := acceptPaused(t, s, 100*time.Millisecond)
+		n, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.closeUnused() {
+			t.Errorf("%v: closed over an unread request", s)
+		}
+		if got := wait(t, read, "the read"); got != n {
+			t.Errorf("%v: %d bytes of %d are read", s, got, n)
+		}
+	}
+}
+
+// TestClientIsToldOfACloseAtOnce guards against a close that its client sees only after a pause, so that requests which
+// are written meanwhile are lost (report 9f9607).
+func TestClientIsToldOfACloseAtOnce(t *testing.T) {
+	for _, s := range []http.ConnState{http.StateNew, http.StateIdle} {
+		client, c, read := acceptPaused(t, s, time.Second)
+		if !c.closeUnused() {
+			t.Errorf("%v: not closed", s)
+		}
+		besteffort.SocketOption(client.SetReadDeadline(time.Now().Add(time.Second / 2)))
+		if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("%v: the client reads %v, want the end", s, err)
+		}
+		wait(t, read, "the read")
+	}
+}
--- a/internal/socketoption/socketoption.go
+++ b/internal/socketoption/socketoption.go
@@ -31,15 +31,37 @@
 	if raw == nil {
 		return false
 	}
-	available := 0
-	err := raw.Read(func(fd uintptr) (done bool) {
+	available, err := awaitReadable(raw)
+	return err == nil && available
+}
+
+// AwaitReadable waits until a read of a socket would return at once, with data, the end of the stream or an
+// error. It returns an error if the read deadline passes first, or if the socket is closed.
+func AwaitReadable(raw syscall.RawConn) error {
+	_, err := awaitReadable(raw)
+	return err
+}
+
+// awaitReadable waits as AwaitReadable does, and reports whether there is data.
+func awaitReadable(raw syscall.RawConn) (hasData bool, err error) {
+	err = raw.Read(func(fd uintptr) (done bool) {
+		hasData, done = peek(int(fd))
+		return done
+	})
+	return hasData, err
+}
+
+// peek reports whether a read would return data, and whether it would return at once. An interrupted call is
+// repeated, as the system does not announce again what has come before.
+func peek(fd int) (hasData, readable bool) {
+	for {
 		var peeked [1]byte
-		var err error
-		available, _, err = syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(fd, peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		// Recvfrom returns the system call's error, which is not wrapped.
-		return err != syscall.EAGAIN && err != syscall.EINTR //nolint:errorlint
-	})
-	return err == nil && available > 0
+		if err != syscall.EINTR { //nolint:errorlint
+			return n > 0, err != syscall.EAGAIN //nolint:errorlint
+		}
+	}
 }
 
 // Unread returns how many bytes have come on a connection that have not been read. known is false if the
