Answer requests that are not complete before SIGKILL may end the process

Cause: the drain took a request that is not complete for none, waited for its timeouts (2.5 to 2.7 s, a stalled upload 6.5 s), and closed what was left. Change: when no further request can be served before the earliest SIGKILL, each request that is not complete gets 503 (an upload under way 400 or 502) with Connection: close. An upload that ends so is now always answered with that header: without it the client could send its next request into a closing connection.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -74,13 +74,7 @@
 		f.waitForLateConns()
 		f.drainDeadline.Store(&deadline)
 	}
-	finishCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.longestRemainingTime())
-	defer cancel()
-	finishConnections(finishCtx, served, clientListener)
-	clientListener.CloseNew()
-	slackCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishSlack)
-	defer cancel()
-	clientListener.WaitForConns(slackCtx, 0)
+	f.finishConnections(context.WithoutCancel(ctx), served, clientListener)
 	f.closeConnections = func() {
 		clientListener.SkipLinger()
 		besteffort.Close(httpServer)
@@ -117,19 +111,35 @@
 // noteMemoryRejection counts a request that has been rejected because there is no memory for it.
 func (f *frontend) noteMemoryRejection() { f.server.stats.memoryRejections.Add(1) }
 
-// finishConnections closes idle connections and waits until the requests on the others have been answered, or
-// ctx ends. When ctx ends, all requests are past their deadlines, so the remaining connections have no
-// request. Shutdown of http.Server is no alternative: a request whose head is complete only after the call of
-// Shutdown is dropped without a response.
-func finishConnections(ctx context.Context, served <-chan struct{}, clientListener *listener.Listener) {
+// finishConnections closes idle connections and waits until the requests on the others have been answered.
+// When no further request can be served before SIGKILL, it answers the requests that are not complete, and in
+// the end it closes the connections that have not been used. Shutdown of http.Server is no alternative: a
+// request whose head is complete only after the call of Shutdown is dropped without a response.
+func (f *frontend) finishConnections(
+	ctx context.Context,
+	served <-chan struct{},
+	clientListener *listener.Listener,
+) {
+	remaining := f.longestRemainingTime()
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	receiveCtx, cancel := context.WithTimeout(ctx, f.remainingTime(remaining))
+	defer cancel()
 	clientListener.Drain()
 	select {
 	case <-served:
-	case <-ctx.Done():
+	case <-receiveCtx.Done():
 		besteffort.Close(clientListener)
 		<-served // from here on, WaitForConns counts every accepted connection
 	}
+	clientListener.WaitForConns(receiveCtx, 0)
+	clientListener.EndIncomplete()
 	clientListener.WaitForConns(ctx, 0)
+	clientListener.CloseNew()
+	clientListener.EndIncomplete() // what has come since
+	slackCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishSlack)
+	defer cancel()
+	clientListener.WaitForConns(slackCtx, 0)
 }
 
 // longestRemainingTime returns the longest time that an open request, or one that is still to come, may take.
--- /dev/null
+++ b/internal/proxy/drain_unfinished_test.go
@@ -0,0 +1,41 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"wrenspread/internal/besteffort"
+)
+
+// TestUnfinishedRequestIsAnsweredBeforeSIGKILL guards against requests that are dropped with no answer at the end of a
+// drain, although parts of them have been read (report 9f9607).
+func TestUnfinishedRequestIsAnsweredBeforeSIGKILL(t *testing.T) {
+	upload := strings.Replace(completePost, "Content-Length: 4", "Content-Length: 400000", 1) + strings.Repeat("u", 200000)
+	for name, text := range map[string]string{
+		"head": completeGet[:40], "body": completePost[:len(completePost)-2], "upload": upload,
+		"chunked": strings.Replace(completePost, "Content-Length: 4\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n9\r\n", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, _ := echoServer(t)
+			srv := startProxyWith(t, func(srv *Server) { srv.frontend.finishTime = 100 * time.Millisecond }, server)
+			c := srv.dialAccepted(t)
+			besteffort.Output(io.WriteString(c, text))
+			waitUntil(t, "the beginning to be read", func() bool { return srv.listener.bytesRead.Load() >= int64(len(text)) })
+			srv.stop()
+			terminated := time.Now()
+			srv.endLateAccepting()
+			resp, err := http.ReadResponse(c.reader, nil)
+			if err != nil || resp.StatusCode < 400 || !resp.Close {
+				t.Fatalf("response %+v, %v, want an error and a close", resp, err)
+			}
+			if took := time.Since(terminated); took >= drainAcceptTime+2*srv.frontend.finishTime {
+				t.Errorf("the response comes after %v", took)
+			}
+			besteffort.Close(c)
+			srv.waitForCleanEnd(t)
+		})
+	}
+}
--- a/internal/proxy/listener/incomplete.go
+++ b/internal/proxy/listener/incomplete.go
@@ -18,6 +18,7 @@
 // for them.
 var (
 	ErrEvicted     = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("no memory for the request")}
+	ErrDraining    = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the proxy is shutting down")}
 	errHeadTimeout = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the head does not come")}
 )
 
@@ -29,6 +30,7 @@
 
 var (
 	endForMemory  = newRequestEnd(ErrEvicted, http.StatusServiceUnavailable, "Retry-After: 1\r\n")
+	endForDrain   = newRequestEnd(ErrDraining, http.StatusServiceUnavailable, "Retry-After: 1\r\n")
 	endForTimeout = newRequestEnd(errHeadTimeout, http.StatusRequestTimeout, "")
 )
 
@@ -88,6 +90,15 @@
 	return oldest != nil && oldest.endIncomplete(endForMemory)
 }
 
+// EndIncomplete ends all requests that have not come completely, each with a response.
+func (l *Listener) EndIncomplete() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		c.endIncomplete(endForDrain)
+	}
+}
+
 // mayEvict reports whether a request is being received that has not come to its end, and that no backend
 // gets yet.
 func (c *Conn) mayEvict() bool {
--- a/internal/proxy/serverequest.go
+++ b/internal/proxy/serverequest.go
@@ -90,15 +90,23 @@
 // Without an explicit response the HTTP server would send status 200, which no backend has sent.
 func (f *frontend) abandon(w http.ResponseWriter, req *request) {
 	f.server.post(func() { f.server.abandonRequest(req) })
+	closeUnlessUploaded(w, req)
 	writeComplete(w, response{status: http.StatusBadGateway})
 }
 
+// closeUnlessUploaded tells the client that the connection closes after the response, if the rest of its
+// upload will not be read.
+func closeUnlessUploaded(w http.ResponseWriter, req *request) {
+	if up := req.outbound.upload; up != nil && up.completedAt.Load() == 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // writeResponse writes a response to its client.
 func (f *frontend) writeResponse(w http.ResponseWriter, req *request, resp response) requestResult {
 	if up := req.outbound.upload; up != nil {
-		if besteffort.Close(up.pipe); up.completedAt.Load() == 0 {
-			w.Header().Set("Connection", "close") // the rest of the upload is not read
-		}
+		besteffort.Close(up.pipe)
+		closeUnlessUploaded(w, req)
 	}
 	if resp.stream == nil {
 		return requestResult{outcome: writeComplete(w, resp), answered: true}
--- a/internal/proxy/validate.go
+++ b/internal/proxy/validate.go
@@ -172,6 +172,8 @@
 	case errors.Is(err, memory.ErrNone), errors.Is(err, listener.ErrEvicted):
 		f.noteMemoryRejection()
 		return requestBody{}, rejectUnread(w, http.StatusServiceUnavailable, "%w", memory.ErrNone)
+	case errors.Is(err, listener.ErrDraining):
+		return requestBody{}, rejectUnread(w, http.StatusServiceUnavailable, "%w", err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return requestBody{}, &requestError{http.StatusRequestTimeout, errors.New("the body does not come")}
 	}
