Ask a client to close only if the system has no byte of its next request

Cause: Pending knew what had been read, not what had come: a process that is held up between its background read and the response reads the next request only afterwards, and drops it. Change: Pending asks the system, too. Measured: TestPendingSeesUnreadBytes fails without the change (the second check) and passes with it; tests of pipelining, SIGTERM and drains pass.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -133,7 +133,7 @@
 }
 
 // askToClose makes a client close its connection after the next response, if the proxy drains. If bytes of
-// the client's next request have been read, that request is answered first.
+// the client's next request have come, that request is answered first.
 func (f *frontend) askToClose(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*listener.Conn); f.draining.Load() && (!ok || !c.Pending()) {
 		w.Header().Set("Connection", "close")
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -249,9 +249,9 @@
 // if no request has begun.
 func (c *Conn) StartedAt() time.Time { return time.Unix(0, c.startedAt.Load()) }
 
-// Pending reports whether bytes have been read behind the current request.
+// Pending reports whether bytes have come behind the current request, read or not.
 func (c *Conn) Pending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.pipelined) > 0
+	return len(c.pipelined) > 0 || c.inFlight && c.hasUnread()
 }
--- a/internal/proxy/listener/unused_close_test.go
+++ b/internal/proxy/listener/unused_close_test.go
@@ -25,7 +25,9 @@
 	c := accepted.(*Conn)
 	l.TrackState(c, s)
 	c.nextPause = pause
-	besteffort.SocketOption(c.SetReadDeadline(time.Now().Add(pause / 2)))
+	if pause > 0 {
+		besteffort.SocketOption(c.SetReadDeadline(time.Now().Add(pause / 2)))
+	}
 	read := make(chan int, 1)
 	go func() {
 		n, _ := c.Read(make([]byte, 4096))
@@ -101,3 +103,19 @@
 		t.Errorf("response %+v, %v, want 408 and a close", resp, err)
 	}
 }
+
+// TestPendingSeesUnreadBytes guards against a response that asks a client to close over its next request, which the proxy
+// has not read yet (report 9f9607).
+func TestPendingSeesUnreadBytes(t *testing.T) {
+	client, c, read := acceptPaused(t, http.StateNew, 0)
+	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	besteffort.Output(io.WriteString(client, request))
+	wait(t, read, "the request")
+	if c.Pending() {
+		t.Error("nothing has come behind the request")
+	}
+	besteffort.Output(io.WriteString(client, request))
+	if !c.Pending() {
+		t.Error("the next request is not seen")
+	}
+}
