Answer a request whose handler panics, or to which the loop gives no answer in time

Callers would see: a connection that is closed with no answer to a request that had been read (a panic in a handler), or no answer at all while the loop stands or has lost the request (found by asking of each close and error whether a request has been read by then; the operators' logs show no panic). Cause: net/http closes the connection after a panic; the guard of a deadline runs on the loop, so it needs the loop that it guards. Change: a panic before the response has begun is answered 500 with a close and logged with the ID; a handler answers 504 a quarter of a second after its request's deadline if the loop has not. Both are counted (app.panics, app.unanswered_by_loop).

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -59,7 +59,8 @@
 }
 
 func (f *frontend) newHTTPServer() *http.Server {
-	return &http.Server{Handler: f, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
+	handler := answeringHandler{f.server, f.ServeHTTP}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: listener.MaxHead, DisableGeneralOptionsHandler: true, // all requests pass ServeHTTP
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
--- a/internal/proxy/panic_test.go
+++ b/internal/proxy/panic_test.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // TestPanicInTheLoopEndsNoOtherRequest guards against a process that ends because one event can't be handled.
 func TestPanicInTheLoopEndsNoOtherRequest(t *testing.T) {
@@ -13,3 +16,31 @@
 		t.Errorf("%d panics are counted, want 1", n)
 	}
 }
+
+// TestPanicInAHandlerIsAnswered guards against a connection that is closed with no answer to a request that has been read
+// (report 9f9607).
+func TestPanicInAHandlerIsAnswered(t *testing.T) {
+	srv := startProxy(t, okServer(t))
+	rules := srv.frontend.rules.Swap(nil)
+	defer srv.frontend.rules.Store(rules)
+	if a := do(t, srv.request(t, "GET", "saldo", "q", "20", nil)); a.status != 500 {
+		t.Errorf("status %d, want 500", a.status)
+	}
+	if n := srv.stats.panics.Load(); n != 1 {
+		t.Errorf("%d panics are counted, want 1", n)
+	}
+}
+
+// TestRequestIsAnsweredWhileTheLoopStands guards against a request that gets no answer in time because the loop can't give
+// one (report 9f9607).
+func TestRequestIsAnsweredWhileTheLoopStands(t *testing.T) {
+	srv := startProxy(t, okServer(t))
+	release := make(chan bool)
+	srv.post(func() { <-release })
+	defer close(release)
+	const timeout, lateness = 300 * time.Millisecond, 500 * time.Millisecond
+	began := time.Now()
+	if a := do(t, srv.request(t, "GET", "saldo", "q", "0.3", nil)); a.status != 504 || time.Since(began) > timeout+lateness {
+		t.Errorf("status %d after %v, want 504", a.status, time.Since(began))
+	}
+}
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -177,7 +177,9 @@
 // closeRequest marks a request as answered, and forgets it once its attempts have ended.
 func (srv *Server) closeRequest(r *request) {
 	r.answered = true
-	r.deadlineGuard.Stop()
+	if r.deadlineGuard != nil { // nil if a panic came first
+		r.deadlineGuard.Stop()
+	}
 	srv.forgetRequest(r)
 }
 
--- a/internal/proxy/serverequest.go
+++ b/internal/proxy/serverequest.go
@@ -36,6 +36,8 @@
 		return f.writeResponse(w, req, refusal)
 	}
 	f.server.post(func() { f.server.openRequest(req, event) })
+	loopTimeout := loopTimeout(req)
+	defer loopTimeout.Stop()
 	for {
 		select {
 		case <-uploadEnded:
@@ -56,6 +58,10 @@
 			defer f.server.recheckClient(req)
 			return f.writeResponse(w, req, resp)
 		case <-clientChecks:
+			if isOverdue(req.outbound.upload) {
+				f.answerForLoop(w, req)
+				break
+			}
 			if !req.abandoned() {
 				f.checkArrival(req)
 				continue
@@ -63,6 +69,8 @@
 			f.abandon(w, req)
 		case <-r.Context().Done():
 			f.abandon(w, req)
+		case <-loopTimeout.C:
+			f.answerForLoop(w, req)
 		case <-f.server.ended:
 			http.Error(w, "the node has ended", http.StatusBadGateway)
 		}
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -31,7 +31,7 @@
 	forwards, outstanding, discovered, ejected atomic.Int64
 	sighupApplied, sighupRejected              atomic.Int64
 	acceptErrors, memoryRejections, pauses     atomic.Int64
-	repeatedIDs, panics                        atomic.Int64
+	repeatedIDs, panics, unansweredByLoop      atomic.Int64
 
 	mu        sync.RWMutex
 	results   map[string]*[outcomeCount]atomic.Int64 // by class, including classes that a reload has dropped
@@ -152,6 +152,7 @@
 		counter("app.client_pauses", s.pauses.Load()),
 		counter("app.repeated_ids", s.repeatedIDs.Load()),
 		counter("app.panics", s.panics.Load()),
+		counter("app.unanswered_by_loop", s.unansweredByLoop.Load()),
 	})
 }
 
