Count why clients' connections are closed, and log requests that cross a close

Change: app.client_closes.REASON, client_closes_withheld, client_closes_crossed and client_ends.REASON; a log line with ID, client, reason and time since the close for the first crossing and one in 200. The drawn crowds check lost requests, too.

--- a/cmd/wrenspread-proxy/crowd_soak_test.go
+++ b/cmd/wrenspread-proxy/crowd_soak_test.go
@@ -58,7 +58,8 @@
 }
 
 // TestDrawnCrowdsBreakNoLimit checks crowds of drawn shapes and sizes under drawn limits, with kills, upgrades and
-// signals: no process ends by itself or passes its memory limit, and no request that must not run twice does.
+// signals: no process ends by itself or passes its memory limit, no request that must not run twice does, and none that
+// a process has taken is lost.
 func TestDrawnCrowdsBreakNoLimit(t *testing.T) {
 	first, count := soakSeeds("CROWD")
 	for seed := first; seed < first+count; seed++ {
@@ -66,6 +67,9 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Logf("%+v", drawn)
 			p := newLimitedProxy(t, drawn.memoryMB, drawn.descriptors)
+			if drawn.event == crowdTerminate {
+				p.bindThemselves()
+			}
 			p.start()
 			memory := p.watchMemory()
 			stop := make(chan struct{})
@@ -77,6 +81,7 @@
 			results := ordinary()
 			p.checkLimits(t, memory.peak(), drawn.memoryMB)
 			p.checkRuns(t, results)
+			p.checkLost(t, results)
 			for _, process := range p.all() {
 				process.kill()
 			}
@@ -128,3 +133,25 @@
 		t.Errorf("ran more than once: %s", strings.Join(twice, " "))
 	}
 }
+
+// checkLost checks that no ordinary request is lost, except for those through which no process lived, as the test
+// killed it.
+func (p *limitedProxy) checkLost(t *testing.T, results []ordinaryResult) {
+	t.Helper()
+	var lost []string
+	for _, r := range results {
+		if r.ended.isLost() && p.livedThrough(r.at, r.at.Add(r.took)) {
+			lost = append(lost, fmt.Sprintf("%s after %v: %s", r.id, r.took, r.ended))
+		}
+	}
+	if len(lost) > 0 {
+		t.Errorf("%d of %d requests were lost:\n%s", len(lost), len(results), strings.Join(lost, "\n"))
+	}
+}
+
+// livedThrough reports whether a process ran from one time to another.
+func (p *limitedProxy) livedThrough(from, to time.Time) bool {
+	return slices.ContainsFunc(p.all(), func(process *limitedProcess) bool {
+		return !process.startedAt.After(from) && (process.killedAt.IsZero() || process.killedAt.After(to))
+	})
+}
--- a/cmd/wrenspread-proxy/fault_soak_test.go
+++ b/cmd/wrenspread-proxy/fault_soak_test.go
@@ -101,8 +101,7 @@
 		class.(map[string]any)["aim_ns"] = drawn.longest / 2
 	}
 	if !drawn.upgrade {
-		p.bindItself = true
-		besteffort.Close(p.socket)
+		p.bindThemselves()
 	}
 }
 
--- a/cmd/wrenspread-proxy/limited_process_test.go
+++ b/cmd/wrenspread-proxy/limited_process_test.go
@@ -46,11 +46,10 @@
 
 // limitedProxy is a proxy that runs as on a node with little memory, and the servers that it uses.
 type limitedProxy struct {
-	t       *testing.T
-	address string
-	socket  *os.File // the clients' socket, which processes inherit
-	// bindItself makes a process open the clients' socket itself.
-	bindItself bool
+	t          *testing.T
+	address    string
+	socket     *os.File // the clients' socket, which processes inherit
+	bindItself bool     // processes open the clients' socket themselves
 	folder     string
 	backend    *crowdBackend
 	config     map[string]any
@@ -66,6 +65,8 @@
 	log     string // path
 	ended   chan struct{}
 	killed  bool // by the test
+
+	startedAt, killedAt time.Time // killedAt: with SIGKILL, by the test
 }
 
 // newLimitedProxy returns a proxy with limits whose clients' socket is open; no process runs yet.
@@ -102,6 +103,12 @@
 	return p
 }
 
+// bindThemselves makes the processes open the clients' socket themselves, so that it ends with them.
+func (p *limitedProxy) bindThemselves() {
+	p.bindItself = true
+	besteffort.Close(p.socket)
+}
+
 // crowdClass returns the settings of a class.
 func crowdClass(name, effect string) map[string]any {
 	return map[string]any{"name": name, "effect": effect, "importance": 1, "key_scope": "all",
@@ -172,6 +179,7 @@
 	if err := process.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
+	process.startedAt = time.Now()
 	go func() { defer close(process.ended); besteffort.Ended(process.cmd.Wait()) }()
 	p.t.Cleanup(func() { process.kill(); <-process.ended })
 	p.mu.Lock()
@@ -189,6 +197,9 @@
 
 func (c *limitedProcess) kill() {
 	c.killed = true
+	if c.killedAt.IsZero() {
+		c.killedAt = time.Now()
+	}
 	besteffort.Signal(c.cmd.Process.Kill())
 }
 
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -24,6 +24,7 @@
 	// maxStreamFinishTime bounds the time for long responses that have begun.
 	maxStreamFinishTime = 5 * time.Minute
 	acceptErrorsPerLine = 200 // accept errors for each line of the log
+	crossingsPerLine    = 200 // requests that crossed a close, for each line of the log
 )
 
 // serve accepts clients until ctx ends. It then accepts for drainAcceptTime longer, because new clients are
@@ -34,6 +35,8 @@
 	clientListener := listener.Limit(ln, f.maxConnections)
 	clientListener.HeadTimeout, clientListener.FullTimeout = headTimeout, fullTimeout
 	clientListener.OnAcceptError = f.noteAcceptError
+	clientListener.CountIn(&f.server.stats.connections)
+	clientListener.OnCrossing = f.noteCrossing
 	clientListener.OnReject = f.noteMemoryRejection
 	clientListener.OnPause = func() { f.server.stats.pauses.Add(1) }
 	clientListener.AdmitBy(f.server.memory)
@@ -108,6 +111,16 @@
 	}
 }
 
+// noteCrossing logs the first request that crossed the close of its connection, and then one in
+// crossingsPerLine.
+func (f *frontend) noteCrossing(number int64, crossing listener.Crossing) {
+	if number%crossingsPerLine == 1 {
+		f.server.log.Info("request crossed the close of its connection, unread", "id", crossing.RequestID,
+			"client", crossing.Client, "reason", crossing.Reason, "after_ms", crossing.After.Milliseconds(),
+			"crossings", number)
+	}
+}
+
 // noteMemoryRejection counts a request that has been rejected because there is no memory for it.
 func (f *frontend) noteMemoryRejection() { f.server.stats.memoryRejections.Add(1) }
 
--- a/internal/proxy/listener/close.go
+++ b/internal/proxy/listener/close.go
@@ -15,21 +15,27 @@
 // or for another goroutine. So the system is asked, and the client is told in the next call. A request that
 // comes between the two calls crosses the close unread, and its client sends it again. A read takes bytes
 // only after it has made the connection active (awaitRequest), so none can be taken and then dropped.
-func (c *Conn) closeUnused() bool {
+func (c *Conn) closeUnused(reason CloseReason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closeUnusedLocked()
+	return c.closeUnusedLocked(reason)
 }
 
 // closeUnusedLocked is closeUnused for a caller that holds c.mu.
-func (c *Conn) closeUnusedLocked() bool {
-	if c.state != fresh && c.state != idle || c.hasUnread() {
+func (c *Conn) closeUnusedLocked(reason CloseReason) bool {
+	if c.state != fresh && c.state != idle {
+		return false
+	}
+	if c.hasUnread() {
+		c.listener.counts.Withheld.Add(1)
 		return false
 	}
 	c.endSending()
-	c.closedUnused = true
+	c.closedAt = time.Now()
 	c.closedNew = c.state == fresh
+	c.closeReason = reason
 	c.state = closed
+	c.listener.counts.Closes[reason].Add(1)
 	besteffort.SocketOption(c.Conn.SetReadDeadline(time.Unix(1, 0))) // the HTTP server closes the connection
 	return true
 }
@@ -58,6 +64,9 @@
 	c.state = closed
 	ended := c.readError != nil && !c.hasUnreadBytes || c.closedNew // no response is on its way
 	reset := c.resetOnClose
+	if c.closedNew && c.hasUnread() {
+		c.noteCrossing(nil)
+	}
 	c.mu.Unlock()
 	c.memory.ShrinkTo(memory.Connection)
 	switch {
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -1,10 +1,7 @@
 package listener
 
 import (
-	"errors"
-	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,7 +9,6 @@
 
 	"wrenspread/internal/besteffort"
 	"wrenspread/internal/proxy/memory"
-	"wrenspread/internal/socketoption"
 )
 
 const (
@@ -31,12 +27,13 @@
 
 	mu             sync.Mutex // protects the fields below
 	state          state
-	closedUnused   bool  // by closeUnused
-	closedNew      bool  // by closeUnused, before its first byte came
-	sendingEnded   bool  // endSending has ended the sending side
-	resetOnClose   bool  // Close resets the connection
-	readError      error // the error with which the client's side ended; nil until then
-	hasUnreadBytes bool  // the client ended its side, but bytes before the end are unread
+	closedAt       time.Time   // when closeUnused closed it; zero: it did not
+	closeReason    CloseReason // of closeUnused
+	closedNew      bool        // by closeUnused, before its first byte came
+	sendingEnded   bool        // endSending has ended the sending side
+	resetOnClose   bool        // Close resets the connection
+	readError      error       // the error with which the client's side ended; nil until then
+	hasUnreadBytes bool        // the client ended its side, but bytes before the end are unread
 	framing        framing
 	ended          *requestEnd // why its current request is not read to its end; nil: it is
 	isStreamed     bool        // its current request is being forwarded while it comes
@@ -140,72 +137,6 @@
 // the server reads a single byte only in its background read.
 func (c *Conn) isBackgroundRead(p []byte) bool { return c.inFlight || c.framing.chunked && len(p) == 1 }
 
-// receive reads what the client has sent. It returns io.EOF if the proxy has closed the connection meanwhile.
-func (c *Conn) receive(p []byte) (int, error) {
-	c.arrival.reading = true
-	n, err := c.readSocket(p)
-	c.arrival.receive(n)
-	switch {
-	case c.ended != nil && c.state != closed:
-		return 0, c.endedError()
-	case n == 0 && errors.Is(err, os.ErrDeadlineExceeded):
-		return 0, c.timeoutError(err)
-	case n == 0 && err != nil:
-		c.readError = err
-		return 0, err
-	case c.state == closed:
-		return 0, io.EOF // any other error makes the HTTP server answer 400
-	}
-	c.state = active
-	return n, nil
-}
-
-// readSocket waits until something has come, and reads it. What has come of a head is read even if the
-// deadline has passed: the proxy may have been kept from reading it in time.
-func (c *Conn) readSocket(p []byte) (int, error) {
-	err := c.awaitRequest()
-	n := 0
-	if err == nil {
-		n, err = c.readUnlocked(p)
-	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.readsHead() || !c.hasUnread() {
-		return n, err
-	}
-	besteffort.SocketOption(c.Conn.SetReadDeadline(time.Time{}))
-	defer func() { besteffort.SocketOption(c.Conn.SetReadDeadline(time.Unix(1, 0))) }()
-	return c.readUnlocked(p)
-}
-
-// readUnlocked reads from the socket. The caller holds c.mu, which is not held during the read.
-func (c *Conn) readUnlocked(p []byte) (int, error) {
-	c.mu.Unlock()
-	defer c.mu.Lock()
-	return c.Conn.Read(p)
-}
-
-// readsHead reports whether the HTTP server reads the head of a request, and nothing has ended that.
-func (c *Conn) readsHead() bool {
-	return c.state == active && c.ended == nil && !c.inFlight && !c.framing.chunked &&
-		c.framing.bodyRemaining == 0
-}
-
-// awaitRequest waits until a new or idle connection has something to read, and makes it active before that
-// is read. If nothing comes in time, it closes the connection.
-func (c *Conn) awaitRequest() error {
-	if c.raw == nil || c.state != fresh && c.state != idle {
-		return nil
-	}
-	c.mu.Unlock()
-	err := socketoption.AwaitReadable(c.raw)
-	c.mu.Lock()
-	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-	if c.state == closed || timedOut && c.closeUnusedLocked() {
-		return err
-	}
-	c.state = active
-	return err
-}
-
 // followFraming tracks the framing of the bytes that are to be passed to the HTTP server, and returns how
 // many of them may be passed. arrivedAt tells when the last of the first n bytes came. At the first byte of a
 // later request followFraming starts HeadTimeout.
--- a/internal/proxy/listener/evict.go
+++ b/internal/proxy/listener/evict.go
@@ -80,7 +80,7 @@
 			return false
 		}
 		delete(conns, oldest)
-		if oldest.(*Conn).closeUnused() {
+		if oldest.(*Conn).closeUnused(CloseEvicted) {
 			return true
 		}
 	}
--- a/internal/proxy/listener/idle.go
+++ b/internal/proxy/listener/idle.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if l.draining {
-		c.(*Conn).closeUnused()
+		c.(*Conn).closeUnused(CloseDrained)
 		return
 	}
 	l.idle[c] = time.Now()
@@ -60,7 +60,7 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	for c := range l.idle {
-		c.(*Conn).closeUnused()
+		c.(*Conn).closeUnused(CloseDrained)
 	}
 	clear(l.idle)
 }
@@ -70,6 +70,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.fresh {
-		c.(*Conn).closeUnused()
+		c.(*Conn).closeUnused(CloseDrained)
 	}
 }
--- a/internal/proxy/listener/incomplete.go
+++ b/internal/proxy/listener/incomplete.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"wrenspread/internal/besteffort"
@@ -26,20 +27,29 @@
 type requestEnd struct {
 	err      error
 	response []byte // nothing of the request has been forwarded
+	count    func(*Counts) *atomic.Int64
 }
 
 var (
-	endForMemory  = newRequestEnd(ErrEvicted, http.StatusServiceUnavailable, "Retry-After: 1\r\n")
-	endForDrain   = newRequestEnd(ErrDraining, http.StatusServiceUnavailable, "Retry-After: 1\r\n")
-	endForTimeout = newRequestEnd(errHeadTimeout, http.StatusRequestTimeout, "")
+	endForMemory = newRequestEnd(ErrEvicted, http.StatusServiceUnavailable, "Retry-After: 1\r\n",
+		func(counts *Counts) *atomic.Int64 { return &counts.EndedForMemory })
+	endForDrain = newRequestEnd(ErrDraining, http.StatusServiceUnavailable, "Retry-After: 1\r\n",
+		func(counts *Counts) *atomic.Int64 { return &counts.EndedForDrain })
+	endForTimeout = newRequestEnd(errHeadTimeout, http.StatusRequestTimeout, "",
+		func(counts *Counts) *atomic.Int64 { return &counts.EndedForTimeout })
 )
 
-func newRequestEnd(err *net.OpError, status int, header string) *requestEnd {
+func newRequestEnd(
+	err *net.OpError,
+	status int,
+	header string,
+	count func(*Counts) *atomic.Int64,
+) *requestEnd {
 	body := err.Err.Error() + "\n"
 	const format = "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\n%s" +
 		"Connection: close\r\nContent-Length: %d\r\n\r\n%s"
 	response := fmt.Appendf(nil, format, status, http.StatusText(status), header, len(body), body)
-	return &requestEnd{err, response}
+	return &requestEnd{err, response, count}
 }
 
 // respondUnread writes the response to a request that the HTTP server will not get, and returns the error
@@ -49,6 +59,7 @@
 func (c *Conn) respondUnread(end *requestEnd) error {
 	c.mu.Unlock()
 	defer c.mu.Lock()
+	end.count(c.listener.counts).Add(1)
 	c.memory.ShrinkTo(memory.Connection)
 	besteffort.SocketOption(c.SetWriteDeadline(time.Now().Add(endWriteTimeout)))
 	besteffort.Output(c.Write(end.response))
@@ -62,6 +73,7 @@
 // the request's handler responds.
 func (c *Conn) endedError() error {
 	if c.framing.headEnded() {
+		c.ended.count(c.listener.counts).Add(1)
 		return c.ended.err
 	}
 	return c.respondUnread(c.ended)
--- a/internal/proxy/listener/linger.go
+++ b/internal/proxy/listener/linger.go
@@ -35,6 +35,9 @@
 		if err != nil {
 			return
 		}
+		if received == 0 && !c.closedAt.IsZero() {
+			c.noteCrossing(buf[:n])
+		}
 		received += n
 	}
 }
--- a/internal/proxy/listener/listener.go
+++ b/internal/proxy/listener/listener.go
@@ -45,12 +45,16 @@
 	FullTimeout time.Duration
 	// OnAcceptError is called with each error of an accept that is tried again. It may be nil.
 	OnAcceptError func(error)
+	// OnCrossing is called when a request came behind a close without a response, with the number of such
+	// requests so far. It may be nil.
+	OnCrossing func(number int64, crossing Crossing)
 	// OnReject is called when a request has been rejected because there is no memory for its head. It may be
 	// nil.
 	OnReject func()
 	// OnPause is called when a connection that sends much pauses before its next read. It may be nil.
 	OnPause func()
 
+	counts      *Counts
 	heavy       *rate.Limiter  // paces connections that send much; nil: they are not paced
 	memory      *memory.Budget // admits connections, heads and pipelined bytes; nil: all are admitted
 	reclaimedAt atomic.Int64   // Unix nanoseconds of the last call of evictIdle for want of memory
@@ -80,10 +84,14 @@
 	budget.OnShortage(l.reclaim)
 }
 
+// CountIn makes the listener count in counts. It is called before Accept.
+func (l *Listener) CountIn(counts *Counts) { l.counts = counts }
+
 // Limit returns a Listener that accepts at most maxConns connections of ln at a time.
 func Limit(ln net.Listener, maxConns int) *Listener {
 	return &Listener{
 		Listener: ln,
+		counts:   &Counts{},
 		slots:    make(chan struct{}, maxConns),
 		freed:    make(chan struct{}, 1),
 		closed:   make(chan struct{}),
@@ -105,6 +113,7 @@
 		c, err := l.acceptNext()
 		if err == nil && slot == nil {
 			if slot = l.waitForSlot(); slot == nil {
+				l.counts.Closes[CloseFull].Add(1)
 				besteffort.Close(c)
 				continue
 			}
@@ -167,73 +176,6 @@
 	}
 }
 
-// waitForSlot waits for a free slot. It returns nil if the listener has been closed, or if all slots or all
-// memory have been taken for FullTimeout and no connection can be evicted.
-func (l *Listener) waitForSlot() *memory.Reservation {
-	if slot := l.takeSlot(); slot != nil {
-		l.fullSince = time.Time{}
-		return slot
-	}
-	if l.fullSince.IsZero() {
-		l.fullSince = time.Now()
-	}
-	retry := time.NewTicker(evictRetryInterval)
-	defer retry.Stop()
-	for {
-		full := !l.evict() && l.FullTimeout > 0 && time.Since(l.fullSince) >= l.FullTimeout
-		l.full.Store(full) // set before the last check for a free slot
-		if slot := l.takeSlot(); slot != nil {
-			l.full.Store(false)
-			return slot
-		}
-		if full {
-			return nil
-		}
-		select {
-		case <-l.freed:
-		case <-l.closed:
-			return nil
-		case <-retry.C: // the evicted client has not closed yet, or none could be evicted
-		}
-	}
-}
-
-// takeSlot takes a slot, with the memory of its connection. It returns nil if there is none.
-func (l *Listener) takeSlot() *memory.Reservation {
-	select {
-	case l.slots <- struct{}{}:
-	default:
-		return nil
-	}
-	reservation, ok := l.memory.Reserve(memory.Connection)
-	if !ok {
-		<-l.slots
-		return nil
-	}
-	return reservation
-}
-
-// forget frees the slot of a connection that has ended.
-func (l *Listener) forget(c *Conn, slot *memory.Reservation) {
-	l.mu.Lock()
-	delete(l.open, c)
-	l.mu.Unlock()
-	l.releaseSlot(slot)
-}
-
-func (l *Listener) releaseSlot(slot *memory.Reservation) {
-	slot.Release()
-	<-l.slots
-	l.full.Store(false)
-	select {
-	case l.freed <- struct{}{}:
-	default: // a value waits already
-	}
-}
-
-// Full reports whether clients that connect now are closed unread, as far as is known.
-func (l *Listener) Full() bool { return l.full.Load() }
-
 // Close stops accepting. It leaves the connections in the queue to other processes that share the socket.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
--- a/internal/proxy/listener/unused_close_test.go
+++ b/internal/proxy/listener/unused_close_test.go
@@ -46,7 +46,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if c.closeUnused() {
+		if c.closeUnused(CloseEvicted) {
 			t.Errorf("%v: closed over an unread request", s)
 		}
 		if got := wait(t, read, "the read"); got != n {
@@ -60,7 +60,7 @@
 func TestClientIsToldOfACloseAtOnce(t *testing.T) {
 	for _, s := range []http.ConnState{http.StateNew, http.StateIdle} {
 		client, c, read := acceptPaused(t, s, time.Second)
-		if !c.closeUnused() {
+		if !c.closeUnused(CloseEvicted) {
 			t.Errorf("%v: not closed", s)
 		}
 		besteffort.SocketOption(client.SetReadDeadline(time.Now().Add(time.Second / 2)))
@@ -71,6 +71,25 @@
 	}
 }
 
+// TestCrossingIsReported checks that a request that comes behind a close is counted and reported with its ID.
+func TestCrossingIsReported(t *testing.T) {
+	client, c, read := acceptPaused(t, http.StateIdle, 0)
+	crossings := make(chan Crossing, 1)
+	c.listener.OnCrossing = func(_ int64, crossing Crossing) { crossings <- crossing }
+	if !c.closeUnused(CloseDrained) {
+		t.Fatal("not closed")
+	}
+	wait(t, read, "the end of the read")
+	besteffort.Output(io.WriteString(client, "GET / HTTP/1.1\r\nHost: x\r\nx-request-id: q\r\n\r\n"))
+	go besteffort.Close(c)
+	if crossing := wait(t, crossings, "the report"); crossing.RequestID != "q" || crossing.Reason != CloseDrained {
+		t.Errorf("reported: %+v", crossing)
+	}
+	if n := c.listener.counts.Crossed.Load(); n != 1 {
+		t.Errorf("%d crossings are counted, want 1", n)
+	}
+}
+
 // TestHeadThatCameInTimeIsReadAfterItsTimeout guards against a request that is dropped because the proxy was kept from
 // reading it until its head's deadline had passed (report 9f9607).
 func TestHeadThatCameInTimeIsReadAfterItsTimeout(t *testing.T) {
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -11,6 +11,7 @@
 
 	"wrenspread/balancer"
 	"wrenspread/internal/besteffort"
+	"wrenspread/internal/proxy/listener"
 )
 
 // requestOutcome is the outcome of a request, as /stats counts it.
@@ -33,6 +34,8 @@
 	acceptErrors, memoryRejections, pauses     atomic.Int64
 	repeatedIDs, panics, unansweredByLoop      atomic.Int64
 
+	connections listener.Counts // of clients
+
 	mu        sync.RWMutex
 	results   map[string]*[outcomeCount]atomic.Int64 // by class, including classes that a reload has dropped
 	endpoints map[string]*endpointCounts             // by name; nil: not counted by endpoint
@@ -154,6 +157,22 @@
 		counter("app.panics", s.panics.Load()),
 		counter("app.unanswered_by_loop", s.unansweredByLoop.Load()),
 	})
+	writeStats(w, connectionStats(&s.connections))
+}
+
+// connectionStats returns the metrics of clients' connections.
+func connectionStats(counts *listener.Counts) (stats []stat) {
+	for reason := range counts.Closes {
+		name := "app.client_closes." + listener.CloseReason(reason).String()
+		stats = append(stats, counter(name, counts.Closes[reason].Load()))
+	}
+	return append(stats,
+		counter("app.client_closes_withheld", counts.Withheld.Load()),
+		counter("app.client_closes_crossed", counts.Crossed.Load()),
+		counter("app.client_ends.memory", counts.EndedForMemory.Load()),
+		counter("app.client_ends.drained", counts.EndedForDrain.Load()),
+		counter("app.client_ends.timeout", counts.EndedForTimeout.Load()),
+	)
 }
 
 // stat is a metric in the line format of statsd.
