--- a/cmd/wrenspread-proxy/fault_soak_test.go
+++ b/cmd/wrenspread-proxy/fault_soak_test.go
@@ -49,7 +49,7 @@
 			pause:    time.Duration(pick(random, 1, 5, 20, 90, 300, 800)) * time.Millisecond,
 			split:    time.Duration(pick(random, 0, 0, 5, 100)) * time.Millisecond,
 			deadline: max(200*time.Millisecond, longest/time.Duration(pick(random, 1, 1, 2))),
-			query:    fmt.Sprintf("?delay_ms=%d", pick(random, 0, 2, 10, 50)),
+			query:    pick(random, "", "?delay_ms=2", "?delay_ms=10", "?delay_ms=50", "?delay_ms=5000", "?size=200000"),
 			classes:  []string{"read", "write", "read", "keyed"},
 		},
 		heldUp: pick(random, false, false, true), upgrade: pick(random, false, false, true),
--- a/internal/proxy/listener/close.go
+++ b/internal/proxy/listener/close.go
@@ -36,7 +36,7 @@
 	c.closeReason = reason
 	c.state = closed
 	c.listener.counts.Closes[reason].Add(1)
-	besteffort.SocketOption(c.Conn.SetReadDeadline(time.Unix(1, 0))) // the HTTP server closes the connection
+	besteffort.SocketOption(c.Conn.SetReadDeadline(abort)) // the HTTP server closes the connection
 	return true
 }
 
--- a/internal/proxy/listener/conn.go
+++ b/internal/proxy/listener/conn.go
@@ -15,6 +15,9 @@
 	pipelinedReadSize = 1 << 10 // bytes; buffer size of a read behind a request in flight
 )
 
+// abort is the read deadline that ends a read at once, also that of net/http.
+var abort = time.Unix(1, 0)
+
 // Conn is a client's connection. It passes only requests of unambiguous length to the HTTP server, and
 // buffers what the client sends behind a request in flight.
 type Conn struct {
@@ -35,6 +38,7 @@
 	readError      error       // the error with which the client's side ended; nil until then
 	hasUnreadBytes bool        // the client ended its side, but bytes before the end are unread
 	framing        framing
+	aborted        bool        // the HTTP server has ended its read by the deadline abort
 	ended          *requestEnd // why its current request is not read to its end; nil: it is
 	isStreamed     bool        // its current request is being forwarded while it comes
 	inFlight       bool        // the HTTP server has a complete request and has not finished serving it
@@ -173,6 +177,7 @@
 	if c.state == closed || c.ended != nil {
 		return nil
 	}
+	c.aborted = t.Equal(abort)
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/internal/proxy/listener/incomplete.go
+++ b/internal/proxy/listener/incomplete.go
@@ -134,7 +134,7 @@
 		return false
 	}
 	c.ended = end
-	besteffort.SocketOption(c.Conn.SetReadDeadline(time.Unix(1, 0)))
+	besteffort.SocketOption(c.Conn.SetReadDeadline(abort))
 	return true
 }
 
--- a/internal/proxy/listener/linger.go
+++ b/internal/proxy/listener/linger.go
@@ -70,6 +70,6 @@
 		return false
 	}
 	delete(l.linger, oldest)
-	besteffort.SocketOption(oldest.Conn.SetReadDeadline(time.Unix(1, 0)))
+	besteffort.SocketOption(oldest.Conn.SetReadDeadline(abort))
 	return true
 }
--- a/internal/proxy/listener/receive.go
+++ b/internal/proxy/listener/receive.go
@@ -30,19 +30,19 @@
 	return n, nil
 }
 
-// readSocket waits until something has come, and reads it. What has come of a head is read even if the
-// deadline has passed: the proxy may have been kept from reading it in time.
+// readSocket waits until something has come, and reads it. What has come is read even if the deadline has
+// passed: the proxy may have been kept from reading it in time.
 func (c *Conn) readSocket(p []byte) (int, error) {
 	err := c.awaitRequest()
 	n := 0
 	if err == nil {
 		n, err = c.readUnlocked(p)
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.readsHead() || !c.hasUnread() {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayReadOn() || !c.hasUnread() {
 		return n, err
 	}
 	besteffort.SocketOption(c.Conn.SetReadDeadline(time.Time{}))
-	defer func() { besteffort.SocketOption(c.Conn.SetReadDeadline(time.Unix(1, 0))) }()
+	defer func() { besteffort.SocketOption(c.Conn.SetReadDeadline(abort)) }()
 	return c.readUnlocked(p)
 }
 
@@ -53,11 +53,8 @@
 	return c.Conn.Read(p)
 }
 
-// readsHead reports whether the HTTP server reads the head of a request, and nothing has ended that.
-func (c *Conn) readsHead() bool {
-	return c.state == active && c.ended == nil && !c.inFlight && !c.framing.chunked &&
-		c.framing.bodyRemaining == 0
-}
+// mayReadOn reports whether a read may go on after its deadline: nothing but the time has ended it.
+func (c *Conn) mayReadOn() bool { return c.state == active && c.ended == nil && !c.aborted }
 
 // awaitRequest waits until a new or idle connection has something to read, and makes it active before that
 // is read. If nothing comes in time, it closes the connection.
--- a/internal/proxy/listener/unused_close_test.go
+++ b/internal/proxy/listener/unused_close_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -90,15 +91,32 @@
 	}
 }
 
-// TestHeadThatCameInTimeIsReadAfterItsTimeout guards against a request that is dropped because the proxy was kept from
-// reading it until its head's deadline had passed (report 9f9607).
-func TestHeadThatCameInTimeIsReadAfterItsTimeout(t *testing.T) {
-	client, c, read := acceptPaused(t, http.StateIdle, 100*time.Millisecond)
-	besteffort.Output(io.WriteString(client, "GET / HTTP/1.1\r\n"))
+// TestBytesThatCameInTimeAreReadAfterTheirTimeout guards against a request that is dropped because the proxy was kept from
+// reading it until its deadline had passed (report 9f9607).
+func TestBytesThatCameInTimeAreReadAfterTheirTimeout(t *testing.T) {
+	for _, parts := range [][2]string{
+		{"GET / HTTP/1.1\r\n", "Host: x\r\n\r\n"},
+		{"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nre", "nt"},
+	} {
+		client, c, read := acceptPaused(t, http.StateIdle, 100*time.Millisecond)
+		besteffort.Output(io.WriteString(client, parts[0]))
+		wait(t, read, "the first part")
+		besteffort.Output(io.WriteString(client, parts[1]))
+		c.nextPause = 100 * time.Millisecond
+		if n, err := c.Read(make([]byte, 4096)); n != len(parts[1]) {
+			t.Errorf("%q: %d bytes, %v", parts[0], n, err)
+		}
+	}
+}
+
+// TestAbortEndsAReadOverUnreadBytes checks that a read that is aborted takes no further bytes.
+func TestAbortEndsAReadOverUnreadBytes(t *testing.T) {
+	client, c, read := acceptPaused(t, http.StateIdle, 0)
+	besteffort.Output(io.WriteString(client, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nre"))
 	wait(t, read, "the first part")
-	besteffort.Output(io.WriteString(client, "Host: x\r\n\r\n"))
-	c.nextPause = 100 * time.Millisecond
-	if n, err := c.Read(make([]byte, 4096)); n != len("Host: x\r\n\r\n") {
+	besteffort.Output(io.WriteString(client, "nt"))
+	besteffort.SocketOption(c.SetReadDeadline(time.Unix(1, 0)))
+	if n, err := c.Read(make([]byte, 4096)); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
