--- a/internal/socketoption/socketoption.go
+++ b/internal/socketoption/socketoption.go
@@ -2,6 +2,7 @@
 package socketoption
 
 import (
+	"errors"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -16,52 +17,36 @@
 	if raw == nil {
 		return false
 	}
-	poll := []unix.PollFd{{Events: unix.POLLIN}}
-	besteffort.SocketOption(raw.Control(func(fd uintptr) {
-		poll[0].Fd = int32(fd)
-		_, _ = unix.Poll(poll, 0) // after an error Revents is 0, which means not readable
-	}))
-	return poll[0].Revents&unix.POLLIN != 0
+	readable := false
+	besteffort.SocketOption(raw.Control(func(fd uintptr) { readable = poll(fd)&unix.POLLIN != 0 }))
+	return readable
 }
 
-// Await waits until a socket has data to be read. It returns false if the stream has ended, or if socket is
-// not an open socket.
-func Await(socket any) bool {
-	raw := rawConn(socket)
-	if raw == nil {
-		return false
+// poll returns the events of a socket that is readable or broken, or 0. An interrupted call is repeated.
+func poll(fd uintptr) int16 {
+	events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	for {
+		if _, err := unix.Poll(events, 0); !errors.Is(err, unix.EINTR) {
+			return events[0].Revents // after an error 0
+		}
 	}
-	available, err := awaitReadable(raw)
-	return err == nil && available
 }
 
 // AwaitReadable waits until a read of a socket would return at once, with data, the end of the stream or an
 // error. It returns an error if the read deadline passes first, or if the socket is closed.
 func AwaitReadable(raw syscall.RawConn) error {
-	_, err := awaitReadable(raw)
-	return err
+	return raw.Read(func(fd uintptr) (done bool) { return poll(fd) != 0 })
 }
 
-// awaitReadable waits as AwaitReadable does, and reports whether there is data.
-func awaitReadable(raw syscall.RawConn) (hasData bool, err error) {
-	err = raw.Read(func(fd uintptr) (done bool) {
-		hasData, done = peek(int(fd))
-		return done
-	})
-	return hasData, err
-}
-
-// peek reports whether a read would return data, and whether it would return at once. An interrupted call is
-// repeated, as the system does not announce again what has come before.
-func peek(fd int) (hasData, readable bool) {
-	for {
-		var peeked [1]byte
-		n, _, err := syscall.Recvfrom(fd, peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		// Recvfrom returns the system call's error, which is not wrapped.
-		if err != syscall.EINTR { //nolint:errorlint
-			return n > 0, err != syscall.EAGAIN //nolint:errorlint
-		}
+// Await waits until a socket has data to be read. It returns false if the stream has ended, or if socket is
+// not an open socket.
+func Await(socket any) bool {
+	raw := rawConn(socket)
+	if raw == nil || AwaitReadable(raw) != nil {
+		return false
 	}
+	unread, known := Unread(socket)
+	return known && unread > 0
 }
 
 // Unread returns how many bytes have come on a connection that have not been read. known is false if the
