Give the last answers of a drain the time of a hold-up before SIGKILL

Cause: a request that comes late in a drain could be answered up to 40 to 100 ms before the earliest SIGKILL, counted from the moment in which the process noticed SIGTERM. A process that is held up for 0.1 s then and again at the end missed it. The steps of a drain are logged with the numbers of connections and of requests in flight.

--- a/cmd/wrenspread-proxy/fault_soak_test.go
+++ b/cmd/wrenspread-proxy/fault_soak_test.go
@@ -89,6 +89,11 @@
 			checkFinalAnswers(t, all)
 			p.checkRuns(t, all)
 			p.checkEnds(t)
+			if t.Failed() {
+				for _, process := range p.all() {
+					t.Logf("killed at %s, the end of its log:\n%s", process.killedAt.Format("05.000"), process.logged())
+				}
+			}
 		})
 	}
 }
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -14,6 +14,8 @@
 const (
 	drainAcceptTime = 600 * time.Millisecond // after SIGTERM, as new connections still come for a while
 	finishSlack     = 100 * time.Millisecond // for open requests, beyond the longest deadline
+	// holdUpSlack is how late the process may be, in noticing SIGTERM and in writing its last responses.
+	holdUpSlack = 300 * time.Millisecond
 	// fullTimeout is how long all slots may be taken before further clients are closed unread. An idle
 	// client that was evicted has closed its connection by then.
 	fullTimeout = 600 * time.Millisecond
@@ -73,7 +75,8 @@
 	f.draining.Store(true)
 	longest := f.rules.Load().longestDeadline
 	if ctx.Err() != nil {
-		deadline := time.Now().Add(drainAcceptTime + min(longest, f.finishTime))
+		deadline := time.Now().Add(drainAcceptTime + min(longest, f.finishTime) + finishSlack - holdUpSlack)
+		f.logDrain("drain began", clientListener)
 		f.waitForLateConns()
 		f.drainDeadline.Store(&deadline)
 	}
@@ -139,6 +142,7 @@
 	receiveCtx, cancel := context.WithTimeout(ctx, f.remainingTime(remaining))
 	defer cancel()
 	clientListener.Drain()
+	f.logDrain("idle connections closed", clientListener)
 	select {
 	case <-served:
 	case <-receiveCtx.Done():
@@ -146,6 +150,7 @@
 		<-served // from here on, WaitForConns counts every accepted connection
 	}
 	clientListener.WaitForConns(receiveCtx, 0)
+	f.logDrain("no time is left for further requests", clientListener)
 	clientListener.EndIncomplete()
 	clientListener.WaitForConns(ctx, 0)
 	clientListener.CloseNew()
@@ -155,6 +160,12 @@
 	clientListener.WaitForConns(slackCtx, 0)
 }
 
+// logDrain logs a step of the drain.
+func (f *frontend) logDrain(step string, clientListener *listener.Listener) {
+	f.server.log.Info(step, "connections", clientListener.Open(),
+		"outstanding", f.server.stats.outstanding.Load())
+}
+
 // longestRemainingTime returns the longest time that an open request, or one that is still to come, may take.
 // An open request may have the deadline of earlier settings.
 func (f *frontend) longestRemainingTime() time.Duration {
--- a/internal/proxy/drain_unfinished_test.go
+++ b/internal/proxy/drain_unfinished_test.go
@@ -39,3 +39,22 @@
 		})
 	}
 }
+
+// TestLateRequestIsAnsweredThoughTheProcessIsHeldUp guards against an answer that SIGKILL prevents, as it would come in the
+// last moment and the process is held up then (report 9f9607).
+func TestLateRequestIsAnsweredThoughTheProcessIsHeldUp(t *testing.T) {
+	const finishTime, killSlack, holdTime = 500 * time.Millisecond, 700 * time.Millisecond, 150 * time.Millisecond
+	server, _, _ := silentServer(t)
+	srv := startProxyWith(t, func(srv *Server) { srv.frontend.finishTime = finishTime }, server)
+	c := srv.dialAccepted(t)
+	terminated := time.Now()
+	srv.stop()
+	waitUntil(t, "the drain to begin", srv.frontend.draining.Load)
+	srv.endLateAccepting()
+	waitUntil(t, "the drain deadline to be set", func() bool { return srv.frontend.drainDeadline.Load() != nil })
+	besteffort.Output(io.WriteString(c, completeGet))
+	if s := c.readStatus(t); s < 500 || time.Since(terminated) > finishTime+killSlack-holdTime {
+		t.Errorf("response %d after %v", s, time.Since(terminated))
+	}
+	srv.waitForCleanEnd(t)
+}
--- a/internal/proxy/listener/slots.go
+++ b/internal/proxy/listener/slots.go
@@ -70,5 +70,8 @@
 	}
 }
 
+// Open returns the number of open connections, those that wait for their clients' end included.
+func (l *Listener) Open() int { return len(l.slots) }
+
 // Full reports whether clients that connect now are closed unread, as far as is known.
 func (l *Listener) Full() bool { return l.full.Load() }
